Lay the base: build, format, lint, ids, units, settings, logs, labels, links

The base that every module stands on: strong ids and units, a table-driven settings check that reports every mistake at once, key=value logs, labels and selectors in the well-known syntax, the configuration document and its numbered store, the process lifecycle on Boost.MSM, the contracts of the broker and the attempt ledger, and links between own processes over ZeroMQ with CURVE keys and silence deadlines at both ends.

--- /dev/null
+++ b/dewbeam/src/base/log.cpp
@@ -0,0 +1,103 @@
+#include "dewbeam/src/base/log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <string>
+
+namespace dewbeam {
+
+namespace {
+
+spdlog::level::level_enum to_spdlog(log_level level)
+{
+    switch (level) {
+        case log_level::debug:
+            return spdlog::level::debug;
+        case log_level::info:
+            return spdlog::level::info;
+        case log_level::warning:
+            return spdlog::level::warn;
+        case log_level::error:
+            break;
+    }
+    return spdlog::level::err;
+}
+
+bool is_plain(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte > 0x20 && byte != 0x7F && c != '"' && c != '=' && c != '\\';
+}
+
+void append_escaped(std::string& out, char c)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+        out += '\\';
+        out += c;
+    }
+    else if (byte < 0x20 || byte == 0x7F) {
+        out += "\\x";
+        out += digits[byte >> 4U];
+        out += digits[byte & 0xFU];
+    }
+    else {
+        out += c;
+    }
+}
+
+std::string program_prefix;
+
+}  // namespace
+
+namespace internal {
+
+std::string quote_log_value(std::string_view value)
+{
+    if (!value.empty() && std::all_of(value.begin(), value.end(), is_plain)) {
+        return std::string(value);
+    }
+    std::string out = "\"";
+    for (const char c : value) {
+        append_escaped(out, c);
+    }
+    out += '"';
+    return out;
+}
+
+}  // namespace internal
+
+void configure_log(std::string_view program, std::string_view host, log_level least)
+{
+    auto logger = std::make_shared<spdlog::logger>(
+        "dewbeam", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
+    logger->set_level(to_spdlog(least));
+    logger->flush_on(spdlog::level::info);
+    program_prefix = "program=" + internal::quote_log_value(program) +
+                     " host=" + internal::quote_log_value(host);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto spd_level = to_spdlog(level);
+    if (!spdlog::should_log(spd_level)) {
+        return;
+    }
+    std::string line = program_prefix;
+    line += " event=";
+    line += internal::quote_log_value(event);
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.m_key;
+        line += '=';
+        line += internal::quote_log_value(field.m_value);
+    }
+    spdlog::log(spd_level, "{}", line);
+}
+
+}  // namespace dewbeam
--- /dev/null
+++ b/dewbeam/src/link/node.cpp
@@ -0,0 +1,524 @@
+#include "dewbeam/src/link/node.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <deque>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+#include <zmq.hpp>
+
+namespace dewbeam::link {
+
+namespace {
+
+constexpr int socket_queue_limit = 20'000;
+constexpr int linger_ms = 500;
+constexpr std::size_t z85_key_length = 40;
+constexpr int most_messages_a_turn = 256;
+/// The listening end waits a little longer, so that the opening end closes first.
+constexpr int listener_patience = 2;
+
+time_point clock_now()
+{
+    return time_point(
+        std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+struct outgoing {
+    peer m_to;
+    std::string m_bytes;
+    bool m_is_close = false;
+};
+
+/// A connection that this process opened.
+struct connection {
+    zmq::socket_t m_socket;
+    time_point m_silent_deadline{};
+    time_point m_next_ping{};
+};
+
+/// Answers libzmq's questions whether a CURVE client may connect (ZAP, RFC 27).
+class key_checker {
+public:
+    key_checker(zmq::context_t& context, std::string allowed)
+        : m_socket(context, zmq::socket_type::rep), m_allowed(std::move(allowed))
+    {
+        m_socket.set(zmq::sockopt::linger, 0);
+        m_socket.bind("inproc://zeromq.zap.01");
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~key_checker()
+    {
+        m_stop = true;
+        m_thread.join();
+    }
+
+    key_checker(const key_checker&) = delete;
+    key_checker& operator=(const key_checker&) = delete;
+    key_checker(key_checker&&) = delete;
+    key_checker& operator=(key_checker&&) = delete;
+
+private:
+    static constexpr std::chrono::milliseconds poll_interval{100};
+    static constexpr std::size_t address_frame = 3;
+    static constexpr std::size_t credentials_frame = 6;
+    static constexpr std::size_t binary_key_length = 32;
+
+    void run()
+    {
+        while (!m_stop) {
+            zmq::pollitem_t item{m_socket.handle(), 0, ZMQ_POLLIN, 0};
+            zmq::poll(&item, 1, poll_interval);
+            if ((item.revents & ZMQ_POLLIN) != 0) {
+                answer();
+            }
+        }
+    }
+
+    void answer()
+    {
+        std::vector<std::string> frames;
+        bool has_more = true;
+        while (has_more) {
+            zmq::message_t part;
+            if (!m_socket.recv(part, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            frames.push_back(part.to_string());
+            has_more = part.more();
+        }
+        const bool is_allowed =
+            frames.size() > credentials_frame && encode(frames[credentials_frame]) == m_allowed;
+        if (!is_allowed) {
+            log_event(log_level::warning, "link_key_refused",
+                      {{"address", frames.size() > address_frame ? frames[address_frame] : ""}});
+        }
+        send_verdict(frames.size() > 1 ? frames[1] : "", is_allowed);
+    }
+
+    static std::string encode(const std::string& key)
+    {
+        if (key.size() != binary_key_length) {
+            return {};
+        }
+        std::string text(z85_key_length + 1, '\0');
+        zmq_z85_encode(text.data(), reinterpret_cast<const std::uint8_t*>(key.data()), key.size());
+        text.resize(z85_key_length);
+        return text;
+    }
+
+    void send_verdict(const std::string& request, bool is_allowed)
+    {
+        const std::vector<std::string> frames{
+            "1.0", request, is_allowed ? "200" : "400", is_allowed ? "OK" : "unknown key", "", ""};
+        for (std::size_t i = 0; i < frames.size(); ++i) {
+            const auto flags =
+                i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+            m_socket.send(zmq::buffer(frames[i]), flags);
+        }
+    }
+
+    zmq::socket_t m_socket;
+    std::string m_allowed;
+    std::atomic<bool> m_stop = false;
+    std::thread m_thread;
+};
+
+}  // namespace
+
+/// The node's thread owns all sockets; other threads hand it bytes through a queue.
+class node::implementation {
+public:
+    implementation(node_options options, node_handlers handlers)
+        : m_options(std::move(options)),
+          m_handlers(std::move(handlers)),
+          m_listener(m_context, zmq::socket_type::router),
+          m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        require(m_wake >= 0, "the process has no file descriptor left for a link");
+    }
+
+    ~implementation()
+    {
+        m_stop = true;
+        wake();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        ::close(m_wake);
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+    absl::Status bind()
+    {
+        if (has_keys()) {
+            m_key_checker = std::make_unique<key_checker>(m_context, m_options.m_keys.m_public);
+            m_listener.set(zmq::sockopt::curve_server, true);
+            m_listener.set(zmq::sockopt::curve_secretkey, m_options.m_keys.m_secret);
+            m_listener.set(zmq::sockopt::zap_domain, "dewbeam");
+        }
+        set_common(m_listener);
+        m_listener.set(zmq::sockopt::router_mandatory, true);
+        const bool is_v6 = m_options.m_listen.m_ip.find(':') != std::string::npos;
+        m_listener.set(zmq::sockopt::ipv6, is_v6);
+        const auto wanted =
+            "tcp://" + (m_options.m_listen.m_port == 0 ? any_port(m_options.m_listen)
+                                                       : to_string(m_options.m_listen));
+        try {
+            m_listener.bind(wanted);
+        }
+        catch (const zmq::error_t& error) {
+            return absl::UnavailableError("can't listen on " + wanted + ": " + error.what());
+        }
+        m_address = m_listener.get(zmq::sockopt::last_endpoint);
+        m_thread = std::thread([this] { run(); });
+        return absl::OkStatus();
+    }
+
+    [[nodiscard]] const std::string& address() const { return m_address; }
+
+    bool enqueue(outgoing item)
+    {
+        bool was_empty = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_queue.size() >= m_options.m_most_queued) {
+                return false;
+            }
+            was_empty = m_queue.empty();
+            m_queue.push_back(std::move(item));
+        }
+        if (was_empty) {
+            wake();
+        }
+        return true;
+    }
+
+    std::string encode(wire::Envelope& message) const
+    {
+        message.set_sender(m_options.m_host.value());
+        message.set_sender_incarnation(m_options.m_incarnation.value());
+        return message.SerializeAsString();
+    }
+
+private:
+    static std::string any_port(const endpoint& listen)
+    {
+        const auto text = to_string(listen);
+        return text.substr(0, text.rfind(':') + 1) + "*";
+    }
+
+    [[nodiscard]] bool has_keys() const { return !m_options.m_keys.m_secret.empty(); }
+
+    static void set_common(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::sndhwm, socket_queue_limit);
+        socket.set(zmq::sockopt::rcvhwm, socket_queue_limit);
+        socket.set(zmq::sockopt::linger, linger_ms);
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const auto written = ::write(m_wake, &one, sizeof(one));
+    }
+
+    void run()
+    {
+        while (!m_stop) {
+            poll_once();
+            send_queued();
+            watch_silence(clock_now());
+        }
+        send_queued();
+    }
+
+    void poll_once()
+    {
+        std::vector<zmq::pollitem_t> items;
+        std::vector<std::string> addresses;
+        items.push_back({nullptr, m_wake, ZMQ_POLLIN, 0});
+        items.push_back({m_listener.handle(), 0, ZMQ_POLLIN, 0});
+        for (auto& [address, open] : m_connections) {
+            items.push_back({open.m_socket.handle(), 0, ZMQ_POLLIN, 0});
+            addresses.push_back(address);
+        }
+        const auto longest =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_options.m_ping_interval / 4);
+        try {
+            zmq::poll(items, longest);
+        }
+        catch (const zmq::error_t&) {
+            return;  // interrupted by a signal
+        }
+        if ((items[0].revents & ZMQ_POLLIN) != 0) {
+            std::uint64_t count = 0;
+            [[maybe_unused]] const auto got = ::read(m_wake, &count, sizeof(count));
+        }
+        if ((items[1].revents & ZMQ_POLLIN) != 0) {
+            receive_from_listener();
+        }
+        constexpr std::size_t first_connection = 2;
+        for (std::size_t i = 0; i < addresses.size(); ++i) {
+            if ((items[first_connection + i].revents & ZMQ_POLLIN) != 0) {
+                receive_from_connection(addresses[i]);
+            }
+        }
+    }
+
+    void receive_from_listener()
+    {
+        for (int i = 0; i < most_messages_a_turn; ++i) {
+            zmq::message_t routing;
+            zmq::message_t body;
+            if (!m_listener.recv(routing, zmq::recv_flags::dontwait) || !routing.more()) {
+                return;
+            }
+            if (!m_listener.recv(body, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            drop_rest(m_listener, body);
+            const peer from{{}, routing.to_string()};
+            m_inbound[from.m_routing] = clock_now() + m_options.m_silence_limit * listener_patience;
+            take(from, body);
+        }
+    }
+
+    void receive_from_connection(const std::string& address)
+    {
+        for (int i = 0; i < most_messages_a_turn; ++i) {
+            const auto place = m_connections.find(address);
+            zmq::message_t body;
+            if (place == m_connections.end() ||
+                !place->second.m_socket.recv(body, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            drop_rest(place->second.m_socket, body);
+            place->second.m_silent_deadline = clock_now() + m_options.m_silence_limit;
+            take(peer{address, {}}, body);
+        }
+    }
+
+    static void drop_rest(zmq::socket_t& socket, const zmq::message_t& first)
+    {
+        bool has_more = first.more();
+        while (has_more) {
+            zmq::message_t rest;
+            if (!socket.recv(rest, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            has_more = rest.more();
+        }
+    }
+
+    void take(const peer& from, const zmq::message_t& body)
+    {
+        wire::Envelope message;
+        if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+            log_event(log_level::warning, "link_bad_frame", {{"bytes", body.size()}});
+            return;
+        }
+        if (message.has_ping()) {
+            wire::Envelope answer;
+            answer.mutable_pong()->set_nonce(message.ping().nonce());
+            deliver({from, encode(answer)});
+            return;
+        }
+        if (!message.has_pong()) {
+            m_handlers.m_on_message(from, std::move(message));
+        }
+    }
+
+    void send_queued()
+    {
+        std::deque<outgoing> batch;
+        {
+            const std::lock_guard lock(m_mutex);
+            batch.swap(m_queue);
+        }
+        for (const auto& item : batch) {
+            if (item.m_is_close) {
+                m_connections.erase(item.m_to.m_address);
+            }
+            else {
+                deliver(item);
+            }
+        }
+    }
+
+    void deliver(const outgoing& item)
+    {
+        try {
+            if (item.m_to.m_routing.empty()) {
+                auto& open = connection_to(item.m_to.m_address);
+                const auto sent =
+                    open.m_socket.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
+                note_full(sent.has_value(), item);
+                return;
+            }
+            const auto sent = m_listener.send(zmq::buffer(item.m_to.m_routing),
+                                              zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+            if (sent) {
+                m_listener.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
+            }
+            note_full(sent.has_value(), item);
+        }
+        catch (const zmq::error_t& error) {
+            log_event(log_level::debug, "link_send_failed",
+                      {{"address", item.m_to.m_address}, {"reason", error.what()}});
+        }
+    }
+
+    static void note_full(bool is_sent, const outgoing& item)
+    {
+        if (!is_sent) {
+            log_event(log_level::warning, "link_queue_full", {{"address", item.m_to.m_address}});
+        }
+    }
+
+    connection& connection_to(const std::string& address)
+    {
+        const auto place = m_connections.find(address);
+        if (place != m_connections.end()) {
+            return place->second;
+        }
+        connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer),
+                         clock_now() + m_options.m_silence_limit, time_point{}};
+        set_common(fresh.m_socket);
+        if (has_keys()) {
+            fresh.m_socket.set(zmq::sockopt::curve_serverkey, m_options.m_keys.m_public);
+            fresh.m_socket.set(zmq::sockopt::curve_publickey, m_options.m_keys.m_public);
+            fresh.m_socket.set(zmq::sockopt::curve_secretkey, m_options.m_keys.m_secret);
+        }
+        fresh.m_socket.set(zmq::sockopt::ipv6, address.find('[') != std::string::npos);
+        fresh.m_socket.connect(address);
+        return m_connections.emplace(address, std::move(fresh)).first->second;
+    }
+
+    void watch_silence(time_point now)
+    {
+        std::vector<peer> lost;
+        for (auto& [address, open] : m_connections) {
+            if (open.m_silent_deadline <= now) {
+                lost.push_back({address, {}});
+            }
+            else if (open.m_next_ping <= now) {
+                open.m_next_ping = now + m_options.m_ping_interval;
+                wire::Envelope message;
+                message.mutable_ping()->set_nonce(1);
+                open.m_socket.send(zmq::buffer(encode(message)), zmq::send_flags::dontwait);
+            }
+        }
+        for (const auto& [routing, deadline] : m_inbound) {
+            if (deadline <= now) {
+                lost.push_back({{}, routing});
+            }
+        }
+        for (const auto& item : lost) {
+            forget(item);
+            m_handlers.m_on_lost(item);
+        }
+    }
+
+    void forget(const peer& item)
+    {
+        if (!item.m_routing.empty()) {
+            m_inbound.erase(item.m_routing);
+            return;
+        }
+        const auto place = m_connections.find(item.m_address);
+        place->second.m_socket.set(zmq::sockopt::linger, 0);
+        m_connections.erase(place);
+        log_event(log_level::info, "link_lost", {{"address", item.m_address}});
+    }
+
+    node_options m_options;
+    node_handlers m_handlers;
+    zmq::context_t m_context;
+    std::unique_ptr<key_checker> m_key_checker;
+    zmq::socket_t m_listener;
+    std::map<std::string, connection> m_connections;
+    std::unordered_map<std::string, time_point> m_inbound;  ///< routing id -> silence deadline
+    std::string m_address;
+    int m_wake;
+    std::mutex m_mutex;
+    std::deque<outgoing> m_queue;
+    std::atomic<bool> m_stop = false;
+    std::thread m_thread;
+};
+
+absl::StatusOr<link_keys> load_link_keys(const std::string& file)
+{
+    std::ifstream stream(file);
+    const auto source = nlohmann::json::parse(stream, nullptr, false);
+    const auto is_key = [&](const char* name) {
+        return source.contains(name) && source[name].is_string() &&
+               source[name].get_ref<const std::string&>().size() == z85_key_length;
+    };
+    if (!source.is_object() || !is_key("public") || !is_key("secret")) {
+        return absl::InvalidArgumentError(
+            "key file " + file + " is not allowed; allowed: a JSON object with \"public\" and " +
+            "\"secret\", each 40 characters of Z85");
+    }
+    return link_keys{source["public"], source["secret"]};
+}
+
+link_keys generate_link_keys()
+{
+    std::string public_key(z85_key_length + 1, '\0');
+    std::string secret_key(z85_key_length + 1, '\0');
+    const int result = zmq_curve_keypair(public_key.data(), secret_key.data());
+    require(result == 0, "libzmq was built without CURVE");
+    public_key.resize(z85_key_length);
+    secret_key.resize(z85_key_length);
+    return {public_key, secret_key};
+}
+
+node::node(std::unique_ptr<implementation> impl) : m_implementation(std::move(impl)) {}
+
+node::~node() = default;
+
+absl::StatusOr<std::unique_ptr<node>> node::start(node_options options, node_handlers handlers)
+{
+    require(handlers.m_on_message && handlers.m_on_lost, "a node needs both of its handlers");
+    auto impl = std::make_unique<implementation>(std::move(options), std::move(handlers));
+    const auto status = impl->bind();
+    if (!status.ok()) {
+        return status;
+    }
+    return std::unique_ptr<node>(new node(std::move(impl)));
+}
+
+const std::string& node::address() const
+{
+    return m_implementation->address();
+}
+
+bool node::send(const std::string& address, wire::Envelope message)
+{
+    return m_implementation->enqueue({{address, {}}, m_implementation->encode(message)});
+}
+
+bool node::reply(const peer& to, wire::Envelope message)
+{
+    return m_implementation->enqueue({to, m_implementation->encode(message)});
+}
+
+void node::close(const std::string& address)
+{
+    m_implementation->enqueue({{address, {}}, {}, true});
+}
+
+}  // namespace dewbeam::link
--- /dev/null
+++ b/test/link_test.cpp
@@ -0,0 +1,133 @@
+// Messages between own processes: delivery, keys and silent connections.
+#include "dewbeam/link"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace dewbeam::link {
+namespace {
+
+/// Collects what a node's handlers were told.
+class collector {
+public:
+    node_handlers handlers()
+    {
+        return {[this](const peer& from, wire::Envelope&& message) {
+                    add([&] { m_messages.emplace_back(from, std::move(message)); });
+                },
+                [this](const peer& gone) { add([&] { m_lost.push_back(gone); }); }};
+    }
+
+    /// Waits until `count` messages came; false where they did not within ten seconds.
+    bool wait_for_messages(std::size_t count)
+    {
+        return wait([&] { return m_messages.size() >= count; });
+    }
+
+    bool wait_for_lost()
+    {
+        return wait([&] { return !m_lost.empty(); });
+    }
+
+    std::vector<std::pair<peer, wire::Envelope>> m_messages;
+    std::vector<peer> m_lost;
+
+private:
+    template <class Action>
+    void add(Action&& action)
+    {
+        const std::lock_guard lock(m_mutex);
+        action();
+        m_changed.notify_all();
+    }
+
+    template <class Condition>
+    bool wait(Condition&& condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, std::chrono::seconds(10), condition);
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+};
+
+node_options options(const char* host, const link_keys& keys = {})
+{
+    node_options result;
+    result.m_listen = {"127.0.0.1", 0};
+    result.m_host = host_id(host);
+    result.m_incarnation = incarnation(7);
+    result.m_keys = keys;
+    result.m_ping_interval = std::chrono::milliseconds(50);
+    result.m_silence_limit = std::chrono::milliseconds(400);
+    return result;
+}
+
+wire::Envelope cancel_message(std::uint64_t sequence)
+{
+    wire::Envelope message;
+    message.mutable_cancel()->mutable_attempt()->set_sequence(sequence);
+    return message;
+}
+
+TEST(link, delivers_in_order_and_replies_on_the_same_connection)
+{
+    collector server_side;
+    collector client_side;
+    const auto keys = generate_link_keys();
+    const auto server = node::start(options("server", keys), server_side.handlers()).value();
+    const auto client = node::start(options("client", keys), client_side.handlers()).value();
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        ASSERT_TRUE(client->send(server->address(), cancel_message(i)));
+    }
+    ASSERT_TRUE(server_side.wait_for_messages(100));
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        EXPECT_EQ(server_side.m_messages[i].second.cancel().attempt().sequence(), i);
+        EXPECT_EQ(server_side.m_messages[i].second.sender(), "client");
+        EXPECT_EQ(server_side.m_messages[i].second.sender_incarnation(), 7U);
+    }
+    server->reply(server_side.m_messages[0].first, cancel_message(5));
+    ASSERT_TRUE(client_side.wait_for_messages(1));
+    EXPECT_EQ(client_side.m_messages[0].first.m_address, server->address());
+}
+
+TEST(link, reports_both_ends_of_a_lost_process)
+{
+    collector server_side;
+    collector client_side;
+    const auto server = node::start(options("server"), server_side.handlers()).value();
+    auto client = node::start(options("client"), client_side.handlers()).value();
+    client->send(server->address(), cancel_message(1));
+    ASSERT_TRUE(server_side.wait_for_messages(1));
+    client.reset();
+    EXPECT_TRUE(server_side.wait_for_lost());
+
+    collector third_side;
+    const auto third = node::start(options("third"), third_side.handlers()).value();
+    third->send("tcp://127.0.0.1:9", cancel_message(1));
+    EXPECT_TRUE(third_side.wait_for_lost());
+}
+
+TEST(link, refuses_a_process_without_the_key)
+{
+    collector server_side;
+    collector stranger_side;
+    collector open_side;
+    const auto keys = generate_link_keys();
+    const auto server = node::start(options("server", keys), server_side.handlers()).value();
+    const auto stranger =
+        node::start(options("stranger", generate_link_keys()), stranger_side.handlers()).value();
+    stranger->send(server->address(), cancel_message(1));
+    EXPECT_TRUE(stranger_side.wait_for_lost());
+    const auto open = node::start(options("open"), open_side.handlers()).value();
+    open->send(server->address(), cancel_message(1));
+    EXPECT_TRUE(open_side.wait_for_lost());
+    EXPECT_TRUE(server_side.m_messages.empty());
+}
+
+}  // namespace
+}  // namespace dewbeam::link
