Bound the bytes of skew planning and the spending of cost planning

Change: skew: a saving is believed for a tenth of the horizon, fetches cost half their time, and a layer waits until it is 3% worse than the last plan reached; the search sharpens its potential before it gives up. cost: unearned spending needs twice the proof each time instead of none at all.

--- a/bench/planning_common/expert_traffic.cpp
+++ b/bench/planning_common/expert_traffic.cpp
@@ -119,8 +119,8 @@
     for (std::size_t layer = 0; layer < m_current.size(); ++layer) {
         auto& weights = m_current[layer];
         if (m_kind == drift::slow || m_kind == drift::brisk) {
-            const double keep = std::exp(
-                -1 / (m_kind == drift::slow ? slow_correlation : brisk_correlation));
+            const double keep =
+                std::exp(-1 / (m_kind == drift::slow ? slow_correlation : brisk_correlation));
             for (auto& weight : weights) {
                 weight = keep * weight +
                          popularity_spread * std::sqrt(1 - keep * keep) * normal(m_random);
--- a/dewbeam/src/experts/expert_map.cpp
+++ b/dewbeam/src/experts/expert_map.cpp
@@ -108,8 +108,7 @@
             tokens += share[map[std::size_t{rank} * shape.m_slots_per_rank + slot].value()];
         }
         load.m_mean += tokens / shape.m_ranks;
-        load.m_slowest =
-            std::max(load.m_slowest, speeds.empty() ? tokens : tokens / speeds[rank]);
+        load.m_slowest = std::max(load.m_slowest, speeds.empty() ? tokens : tokens / speeds[rank]);
     }
     return load;
 }
--- a/dewbeam/src/experts/expert_map.h
+++ b/dewbeam/src/experts/expert_map.h
@@ -56,7 +56,8 @@
 /// `target` with the slots inside each rank reordered, so that what a rank keeps stays in place.
 expert_map align_slots(const expert_map& current, expert_map target);
 
-/// What must be fetched to get from `current` to the aligned `target`. Copies inside a rank are free.
+/// What must be fetched to get from `current` to the aligned `target`. Copies inside a rank are
+/// free.
 std::vector<expert_move> moves_between(const expert_map& current, const expert_map& target);
 
 /// Tokens of each expert in one layer, for one step.
--- a/dewbeam/src/experts/forecast.cpp
+++ b/dewbeam/src/experts/forecast.cpp
@@ -49,8 +49,8 @@
         const auto all_expected = std::max(total(expected[layer]), 1e-9);
         const auto all_seen = std::max(total(seen[layer]), 1e-9);
         for (std::size_t expert = 0; expert < seen[layer].size(); ++expert) {
-            sum += std::abs(expected[layer][expert] / all_expected -
-                            seen[layer][expert] / all_seen);
+            sum +=
+                std::abs(expected[layer][expert] / all_expected - seen[layer][expert] / all_seen);
         }
     }
     return sum / 2 / static_cast<double>(std::max<std::size_t>(1, seen.size()));
--- a/dewbeam/src/experts/local_search.cpp
+++ b/dewbeam/src/experts/local_search.cpp
@@ -7,14 +7,11 @@
 
 namespace {
 
-/// Sum of the eighth powers of the ranks' loads relative to the mean: mostly the busiest ranks,
-/// but ties count too.
-double eighth_power(double value)
-{
-    const double square = value * value;
-    const double fourth = square * square;
-    return fourth * fourth;
-}
+/// The potential is the sum of a power of the ranks' loads relative to the mean: mostly the
+/// busiest ranks, but ties count too. The exponent is 2 to the power of this; it rises when no
+/// change helps any more, from smoothing all busy ranks towards the busiest alone.
+constexpr unsigned first_squarings = 4;
+constexpr unsigned last_squarings = 6;
 
 /// Loads of one layer, kept up to date while slots change.
 class layer_state {
@@ -111,6 +108,17 @@
         return settle_gain();
     }
 
+    /// Looks at the busiest ranks more sharply; false where that was done to the last.
+    bool sharpen()
+    {
+        if (m_squarings == last_squarings) {
+            return false;
+        }
+        ++m_squarings;
+        refresh();
+        return true;
+    }
+
     /// Brings the estimates up to date; the `estimate_` functions need it after each change.
     void prepare_estimates()
     {
@@ -128,11 +136,10 @@
     [[nodiscard]] double estimate_replacing(std::uint32_t slot, expert_id taken) const
     {
         const auto rank = rank_of(slot);
-        const double taken_after =
-            m_counts[taken.value()] / static_cast<double>(copies(taken) + 1);
+        const double taken_after = m_counts[taken.value()] / static_cast<double>(copies(taken) + 1);
         const double load = m_loads[rank] + (taken_after - share(m_map[slot])) * m_weights[rank];
         return m_relief[taken.value()] + m_hurt[m_map[slot].value()] + m_powers[rank] -
-               eighth_power(load / m_mean);
+               power(load / m_mean);
     }
 
     void apply_change(const layer_change& step)
@@ -163,7 +170,7 @@
             m_loads[rank_of(slot)] += share(m_map[slot]) * m_weights[rank_of(slot)];
         }
         for (std::uint32_t rank = 0; rank < m_loads.size(); ++rank) {
-            m_powers[rank] = eighth_power(m_loads[rank] / m_mean);
+            m_powers[rank] = power(m_loads[rank] / m_mean);
         }
     }
 
@@ -173,12 +180,19 @@
         *std::find(holders.begin(), holders.end(), from) = to;
     }
 
+    [[nodiscard]] double power(double value) const
+    {
+        for (unsigned i = 0; i < m_squarings; ++i) {
+            value *= value;
+        }
+        return value;
+    }
+
     [[nodiscard]] double gain_at_holders(std::uint32_t expert, double tokens) const
     {
         double gain = 0;
         for (const auto rank : m_holders[expert]) {
-            gain += m_powers[rank] -
-                    eighth_power((m_loads[rank] + tokens * m_weights[rank]) / m_mean);
+            gain += m_powers[rank] - power((m_loads[rank] + tokens * m_weights[rank]) / m_mean);
         }
         return gain;
     }
@@ -197,7 +211,7 @@
             m_deltas[rank] = 0;
             if (delta != 0) {
                 const double load = m_loads[rank] + delta * m_weights[rank];
-                gain += m_powers[rank] - eighth_power(load / m_mean);
+                gain += m_powers[rank] - power(load / m_mean);
             }
         }
         m_touched.clear();
@@ -213,10 +227,11 @@
     std::vector<double> m_powers;
     std::vector<double> m_deltas;
     std::vector<std::uint32_t> m_touched;
-    std::vector<double> m_relief;  ///< gain at the holders when the expert gets a copy more
-    std::vector<double> m_hurt;    ///< gain at the holders, negative, when it gets one less
+    std::vector<double> m_relief;         ///< gain at the holders when the expert gets a copy more
+    std::vector<double> m_hurt;           ///< gain at the holders, negative, when it gets one less
     std::vector<std::uint8_t> m_is_held;  ///< by rank, then expert
     double m_mean = 0;
+    unsigned m_squarings = first_squarings;
 };
 
 /// The most promising changes of one round, by estimated gain for each fetch.
@@ -262,8 +277,8 @@
     [[nodiscard]] std::size_t least_index() const
     {
         const auto is_less = [](const item& a, const item& b) { return a.m_worth < b.m_worth; };
-        return static_cast<std::size_t>(
-            std::min_element(m_items.begin(), m_items.end(), is_less) - m_items.begin());
+        return static_cast<std::size_t>(std::min_element(m_items.begin(), m_items.end(), is_less) -
+                                        m_items.begin());
     }
 
     std::array<item, 6> m_items{};
@@ -343,6 +358,9 @@
         try_swapping(state, busiest, shape, list);
         bool found = false;
         auto change = list.best(state, found);
+        if (!found && state.sharpen()) {
+            continue;
+        }
         if (!found) {
             break;
         }
--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -12,11 +12,21 @@
 using configuration::balance_preference;
 
 /// Share of a fetch's time that counts as cost under `balance=skew`: fetches run beside the steps.
-constexpr double fetch_weight_for_skew = 0.02;
+constexpr double fetch_weight_for_skew = 0.5;
+/// Under `balance=skew`, a saving is believed for this share of the time in which the tokens
+/// would all have moved elsewhere: evenness is lost long before.
+constexpr double horizon_share_for_skew = 0.1;
+/// Under `balance=skew`, a layer is worked on again when its skew is this many times what the
+/// last plan reached.
+constexpr double hysteresis = 1.03;
+/// A layer that could only be brought to a higher skew is tried again anyway.
+constexpr double worst_reached = 1.2;
 /// Under `balance=cost`, a move must have proved this share of its cost on traffic it didn't know.
 constexpr double proof_needed = 0.5;
 /// Under `balance=cost`, the predicted saving must be this many times the cost.
 constexpr double margin_for_cost = 2.0;
+/// The proof that is needed doubles at most so often.
+constexpr std::uint32_t most_uncovered = 16;
 /// Share of the earned balance that one plan may spend under `balance=cost`.
 constexpr double spendable_share = 0.5;
 
@@ -47,7 +57,8 @@
 {
     constexpr double least_error = 0.01;
     const double error = std::max(least_error, error_of_best(state.m_forecast));
-    const double holds = seconds(state.m_options.m_forecast.m_scoring) / error;
+    const double share = prefers_cost(state) ? 1.0 : horizon_share_for_skew;
+    const double holds = share * seconds(state.m_options.m_forecast.m_scoring) / error;
     return std::min(holds, seconds(state.m_options.m_longest_horizon));
 }
 
@@ -94,7 +105,8 @@
     const auto& shape = state.m_map.m_shape;
     const auto& map = state.m_map.m_layers[layer];
     const auto load = load_of(shape, map, counts, state.m_speeds);
-    const bool is_even = skew(load) <= state.m_options.m_high_skew;
+    const double reached = std::min(state.m_reached[layer], worst_reached);
+    const bool is_even = skew(load) <= std::max(state.m_options.m_high_skew, reached * hysteresis);
     if (is_even && !prefers_cost(state)) {
         return {layer, {}, 0, 0};
     }
@@ -149,9 +161,8 @@
     const auto after = load_of(result.m_map, counts, state.m_speeds);
     result.m_skew_before = skew(before);
     result.m_skew_after = skew(after);
-    result.m_saved_per_step =
-        from_seconds((before.m_slowest - after.m_slowest) *
-                     state.m_options.m_step.m_microseconds_per_token * 1e-6);
+    result.m_saved_per_step = from_seconds((before.m_slowest - after.m_slowest) *
+                                           state.m_options.m_step.m_microseconds_per_token * 1e-6);
     return result;
 }
 
@@ -175,15 +186,32 @@
     return predicted_saving(state, item, counts) > cost;
 }
 
-/// Spending is bounded by what earlier moves earned, but for the first one, and each plan has to
-/// prove itself on traffic that came after it was made.
+/// Each plan has to prove itself on traffic that came after it was made. Spending more than what
+/// earlier moves earned needs twice the proof each time, so that traffic which turns against
+/// every move is not chased.
 bool is_worth_it_for_cost(const planner& state, const plan& item, const group_counts& counts)
 {
     const double cost = full_cost(state, item);
-    const bool has_moved = !(state.m_map == state.m_first_map);
-    const bool is_covered = !has_moved || cost <= state.m_balance * spendable_share;
-    return is_covered && predicted_saving(state, item, counts) > margin_for_cost * cost &&
-           state.m_candidate_proof > proof_needed * cost;
+    const bool is_covered = cost <= state.m_balance * spendable_share;
+    const double proof =
+        is_covered ? proof_needed : std::ldexp(proof_needed, static_cast<int>(state.m_uncovered));
+    return predicted_saving(state, item, counts) > margin_for_cost * cost &&
+           state.m_candidate_proof > proof * cost;
+}
+
+/// Remembers how even each changed layer has become.
+void note_reached(planner& state, const expert_map& map)
+{
+    if (state.m_forecast.m_fast.empty()) {
+        return;
+    }
+    const auto counts = predict(state.m_forecast);
+    for (std::size_t layer = 0; layer < map.m_layers.size(); ++layer) {
+        if (map.m_layers[layer] != state.m_map.m_layers[layer]) {
+            state.m_reached[layer] =
+                skew(load_of(map.m_shape, map.m_layers[layer], counts[layer], state.m_speeds));
+        }
+    }
 }
 
 double seconds_of_steps(const planner& state, const expert_map& map, const observation& seen)
@@ -212,6 +240,7 @@
     state.m_options = options;
     state.m_map = first;
     state.m_first_map = first;
+    state.m_reached.assign(first.m_shape.m_layers, 1.0);
     state.m_forecast.m_options = options.m_forecast;
     state.m_plan_at = now + options.m_interval;
     return state;
@@ -258,10 +287,13 @@
     state.m_is_moving = false;
     state.m_candidate.reset();
     state.m_candidate_proof = 0;
+    const bool is_covered = state.m_pending_cost <= state.m_balance * spendable_share;
+    state.m_uncovered = is_covered ? 0 : std::min(state.m_uncovered + 1, most_uncovered);
     state.m_balance -= state.m_pending_cost;
     state.m_pending_cost = 0;
     state.m_plan_at = std::max(state.m_plan_at, now);
     if (is_in_force) {
+        note_reached(state, last.m_map);
         state.m_map = last.m_map;
     }
 }
@@ -279,9 +311,9 @@
     if (fetches == 0) {
         return time_span::zero();
     }
-    const double fetching = static_cast<double>(fetches) *
-                            static_cast<double>(cost.m_expert_size.m_count) /
-                            static_cast<double>(std::max<std::int64_t>(1, cost.m_store_rate.m_count));
+    const double fetching =
+        static_cast<double>(fetches) * static_cast<double>(cost.m_expert_size.m_count) /
+        static_cast<double>(std::max<std::int64_t>(1, cost.m_store_rate.m_count));
     return cost.m_switch_pause + from_seconds(fetching);
 }
 
--- a/dewbeam/src/experts/planner.h
+++ b/dewbeam/src/experts/planner.h
@@ -69,6 +69,7 @@
     expert_map m_first_map;  ///< what never moving would have kept
     forecast m_forecast;
     rank_speeds m_speeds;
+    std::vector<double> m_reached;  ///< skew of each layer after it was last changed
     double m_steps_per_second = 0;
     bool m_is_stalled = false;
     bool m_is_moving = false;  ///< a plan was given out and is not settled
@@ -76,6 +77,7 @@
     std::optional<plan> m_candidate;  ///< of `balance=cost`: must prove itself first
     double m_candidate_proof = 0;     ///< seconds that the candidates would have saved
     double m_balance = 0;             ///< seconds saved against never moving, less all costs
+    std::uint32_t m_uncovered = 0;    ///< moves in a row that cost more than was earned
     double m_pending_cost = 0;        ///< seconds that the plan given out costs
 };
 
--- a/dewbeam/src/experts/stall.h
+++ b/dewbeam/src/experts/stall.h
@@ -15,7 +15,7 @@
 
 /// Limits of the detector.
 struct stall_options {
-    double m_slow_ratio = 1.6;    ///< time over predicted time, against the median rank
+    double m_slow_ratio = 1.6;     ///< time over predicted time, against the median rank
     double m_normal_ratio = 1.25;  ///< below this a rank counts as normal again
     time_span m_confirm = std::chrono::milliseconds(150);  ///< slow this long: stalled
     time_span m_silence = std::chrono::milliseconds(300);  ///< no step this long: stalled
