--- a/dewbeam/src/experts/forecast.h
+++ b/dewbeam/src/experts/forecast.h
@@ -21,7 +21,7 @@
 
 /// Time constants of the averages.
 struct forecast_options {
-    time_span m_fast = std::chrono::seconds(4);
+    time_span m_fast = std::chrono::seconds(2);
     time_span m_slow = std::chrono::seconds(90);
     time_span m_ahead = std::chrono::seconds(20);    ///< how far the trend looks
     time_span m_scoring = std::chrono::seconds(20);  ///< how often predictors are compared
--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -15,10 +15,10 @@
 constexpr double fetch_weight_for_skew = 0.5;
 /// Under `balance=skew`, a saving is believed for this share of the time in which the tokens
 /// would all have moved elsewhere: evenness is lost long before.
-constexpr double horizon_share_for_skew = 0.1;
+constexpr double horizon_share_for_skew = 0.2;
 /// Under `balance=skew`, a layer is worked on again when its skew is this many times what the
 /// last plan reached.
-constexpr double hysteresis = 1.03;
+constexpr double hysteresis = 1.02;
 /// A layer that could only be brought to a higher skew is tried again anyway.
 constexpr double worst_reached = 1.2;
 /// Under `balance=cost`, a move must have proved this share of its cost on traffic it didn't know.
--- a/dewbeam/src/experts/planner.h
+++ b/dewbeam/src/experts/planner.h
@@ -35,7 +35,7 @@
     step_cost m_step;
     move_cost m_move;
     forecast_options m_forecast;
-    time_span m_interval = std::chrono::seconds(5);          ///< between plans
+    time_span m_interval = std::chrono::seconds(3);          ///< between plans
     time_span m_longest_horizon = std::chrono::minutes(10);  ///< a saving counts this long at most
     double m_high_skew = 1.07;  ///< a layer above this is worked on ...
     double m_low_skew = 1.03;   ///< ... until it is below this
--- a/dewbeam/src/membership/view.cpp
+++ b/dewbeam/src/membership/view.cpp
@@ -160,6 +160,7 @@
         toggle_digest(state, item.m_member, item.m_hash);
     }
     const bool was_live_entry = is_known && is_live_entry(item.m_member);
+    const bool was_dead = is_known && item.m_member.m_dead;
     const auto load = item.m_member.m_load;
     item.m_member = claim;
     item.m_member.m_load = load;
@@ -167,7 +168,8 @@
     item.m_rounds_left = state.m_options.m_rounds;
     item.m_dead_at = claim.m_suspect ? now + state.m_options.m_suspicion : no_deadline;
     toggle_digest(state, item.m_member, item.m_hash);
-    const bool is_new_watch = !is_known || was_live_entry != is_live_entry(claim);
+    const bool is_new_watch =
+        !is_known || was_live_entry != is_live_entry(claim) || was_dead != claim.m_dead;
     state.m_are_watchers_stale = state.m_are_watchers_stale || is_new_watch;
     if (item.m_is_watched && !claim.m_suspect && !claim.m_dead) {
         item.m_member.m_lease_deadline = now + state.m_options.m_lease;
