--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -15,7 +15,7 @@
 constexpr double fetch_weight_for_skew = 0.5;
 /// Under `balance=skew`, a saving is believed for this share of the time in which the tokens
 /// would all have moved elsewhere: evenness is lost long before.
-constexpr double horizon_share_for_skew = 0.2;
+constexpr double horizon_share_for_skew = 0.15;
 /// Under `balance=skew`, a layer is worked on again when its skew is this many times what the
 /// last plan reached.
 constexpr double hysteresis = 1.02;
