--- /dev/null
+++ b/app/dewbeam_entry.cpp
@@ -0,0 +1,23 @@
+// dewbeam-entry: takes requests and brings each to an upstream that can serve it.
+#include <iostream>
+
+#include "dewbeam/entry"
+
+int main(int argc, char** argv)
+{
+    using namespace dewbeam;
+    const auto schema = entry::entry_schema();
+    const auto started = platform::start_program(
+        {"dewbeam-entry", "Brings requests to upstreams that can serve them.", schema}, argc, argv);
+    if (started.m_must_exit) {
+        return started.m_exit_code;
+    }
+    platform::program frame(started.m_settings);
+    entry::entry_server server(frame, started.m_settings);
+    const auto status = server.start();
+    if (!status.ok()) {
+        std::cerr << status.message() << "\n";
+        return 2;
+    }
+    return frame.run(server.hooks());
+}
--- /dev/null
+++ b/app/dewbeam_fake_engine.cpp
@@ -0,0 +1,84 @@
+// dewbeam-fake-engine: stand-in of a model engine or a plain service; for tests and demos only.
+#include <iostream>
+
+#include "dewbeam/fake_engine"
+#include "dewbeam/platform"
+
+namespace {
+
+using namespace dewbeam;
+
+std::vector<setting> make_schema()
+{
+    constexpr std::int64_t most_us = 10'000'000;
+    auto schema = platform::common_settings();
+    const std::vector<setting> own{
+        {"/listen", setting_kind::address, "127.0.0.1:0", "Address of the stand-in."},
+        {"/models", setting_kind::names, nlohmann::json::array(),
+         "Models that it serves; none: a plain service."},
+        {"/slots", setting_kind::integer, 8, "Requests that run at once.", 1, 100'000},
+        {"/step_us", setting_kind::integer, 5000, "Time of one step (us).", 100, most_us},
+        {"/prefill_us_per_token", setting_kind::integer, 10, "Prefill time (us a token).", 0,
+         most_us},
+        {"/kv_tokens", setting_kind::integer, 100'000, "KV cache (tokens).", 1},
+        {"/crash_marker", setting_kind::text, "", "A prompt with this text ends the process."},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+fake_engine::engine_options read_options(const nlohmann::json& settings)
+{
+    fake_engine::engine_options options;
+    options.m_host = setting_value<std::string>(settings, "/host");
+    options.m_models = setting_value<std::vector<std::string>>(settings, "/models");
+    options.m_slots = setting_value<std::uint32_t>(settings, "/slots");
+    options.m_step = time_span(setting_value<std::int64_t>(settings, "/step_us"));
+    options.m_prefill_per_token =
+        time_span(setting_value<std::int64_t>(settings, "/prefill_us_per_token"));
+    options.m_kv_tokens = setting_value<std::uint64_t>(settings, "/kv_tokens");
+    options.m_crash_marker = setting_value<std::string>(settings, "/crash_marker");
+    return options;
+}
+
+std::string plain_error(int /*status*/, std::string_view code, std::string_view message)
+{
+    return nlohmann::json{{"error", {{"code", code}, {"message", message}}}}.dump();
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    const auto schema = make_schema();
+    const auto started = platform::start_program(
+        {"dewbeam-fake-engine", "Stand-in of a model engine or a plain service; for tests only.",
+         schema},
+        argc, argv);
+    if (started.m_must_exit) {
+        return started.m_exit_code;
+    }
+    const auto& settings = started.m_settings;
+    platform::program frame(settings);
+    fake_engine::engine engine(frame.context(), read_options(settings));
+    http::server_options options;
+    options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/listen")).value();
+    auto server = http::server::start(
+        frame.context(), options,
+        [&](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+            engine.handle(std::move(request), answer);
+        },
+        plain_error);
+    if (!server.ok()) {
+        std::cerr << server.status().message() << "\n";
+        return 2;
+    }
+    platform::write_address_file(settings, to_string((*server)->address()));
+    platform::program_hooks hooks;
+    hooks.m_is_ready = [] { return true; };
+    hooks.m_in_flight = [&] { return engine.in_flight(); };
+    hooks.m_announce_leave = [&] { (*server)->wind_down(); };
+    hooks.m_stop_accepting = [&] { (*server)->stop_accepting(); };
+    hooks.m_tick = [](time_point) {};
+    return frame.run(hooks);
+}
--- /dev/null
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -0,0 +1,331 @@
+#include "dewbeam/src/agent/agent_server.h"
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+#include "dewbeam/caller"
+#include "dewbeam/engine"
+#include "dewbeam/http"
+#include "dewbeam/link"
+#include "dewbeam/src/agent/gate.h"
+#include "dewbeam/src/control/subscriber.h"
+
+namespace dewbeam::agent {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds announce_interval{250};
+constexpr std::chrono::milliseconds announce_lease{2000};
+
+configuration::label_set read_labels(const json& settings)
+{
+    // start() refuses labels that can't be read.
+    return configuration::parse_labels(setting_value<std::string>(settings, "/upstream/labels"))
+        .value_or(configuration::label_set{});
+}
+
+http::client_options upstream_options(const json& settings)
+{
+    http::client_options options;
+    options.m_silence_limit =
+        std::chrono::milliseconds(setting_value<std::int64_t>(settings, "/upstream/silence_ms"));
+    return options;
+}
+
+}  // namespace
+
+std::vector<setting> agent_schema()
+{
+    auto schema = platform::common_settings();
+    const auto listeners = platform::listener_settings();
+    schema.insert(schema.end(), listeners.begin(), listeners.end());
+    const std::vector<setting> own{
+        {"/controls", setting_kind::addresses, json::array(), "Link addresses of control hosts."},
+        {"/entries", setting_kind::addresses, json::array(),
+         "Link addresses of a few entry hosts of the own failure domain."},
+        {"/upstream/name", setting_kind::name, nullptr, "Name of the upstream."},
+        {"/upstream/address", setting_kind::address, nullptr,
+         "Address of the engine or plain service."},
+        {"/upstream/labels", setting_kind::text, "",
+         "Labels of the upstream: key=value,key=value. A plain service has service=NAME."},
+        {"/upstream/slots", setting_kind::integer, 0,
+         "Requests that the upstream runs at once; 0: as the engine says.", 0, 100'000},
+        {"/upstream/silence_ms", setting_kind::integer, 30'000,
+         "How long the upstream may be silent within one answer (ms).", 10, 3'600'000},
+        {"/upstream/checks_fencing", setting_kind::boolean, true,
+         "Whether the engine refuses an order with an old fencing number."},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+class agent_server::implementation {
+public:
+    implementation(platform::program& frame, const json& settings)
+        : m_frame(frame),
+          m_settings(settings),
+          m_incarnation(platform::new_incarnation()),
+          m_labels(read_labels(settings)),
+          m_upstream(
+              frame.context(),
+              parse_endpoint(setting_value<std::string>(settings, "/upstream/address")).value(),
+              upstream_options(settings)),
+          m_load(m_upstream),
+          m_configuration(platform::link_addresses(settings, "/controls"),
+                          [this] { configuration_changed(); }),
+          m_gate(std::make_shared<gate>(gate_options(), m_upstream, m_configuration))
+    {
+    }
+
+    absl::Status start()
+    {
+        const auto labels =
+            configuration::parse_labels(setting_value<std::string>(m_settings, "/upstream/labels"));
+        if (!labels.ok()) {
+            return absl::InvalidArgumentError("/upstream/labels: " +
+                                              std::string(labels.status().message()));
+        }
+        // Handlers run from here on, so the gate waits for its node behind the mutex.
+        const std::lock_guard lock(m_start_mutex);
+        auto node = platform::start_node(m_settings, m_incarnation,
+                                         {[this](const link::peer& from, wire::Envelope&& message) {
+                                              on_message(from, message);
+                                          },
+                                          [this](const link::peer& gone) { on_lost(gone); }});
+        if (!node.ok()) {
+            return node.status();
+        }
+        m_node = *std::move(node);
+        m_gate->use(*m_node);
+        auto server = platform::start_http(
+            m_frame.context(), m_settings,
+            [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                answer->respond(handle(request));
+            });
+        if (!server.ok()) {
+            return server.status();
+        }
+        m_server = *std::move(server);
+        platform::write_address_file(m_settings, to_string(m_server->address()));
+        return absl::OkStatus();
+    }
+
+    platform::program_hooks hooks()
+    {
+        platform::program_hooks result;
+        result.m_is_ready = [this] { return m_load.latest().m_is_reachable; };
+        result.m_in_flight = [this] { return m_gate->running(); };
+        result.m_announce_leave = [this] { leave(); };
+        result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_tick = [this](time_point now) { tick(now); };
+        return result;
+    }
+
+private:
+    ledger::ledger_options gate_options() const
+    {
+        ledger::ledger_options options;
+        options.m_incarnation = m_incarnation;
+        options.m_slots = setting_value<std::uint32_t>(m_settings, "/upstream/slots");
+        return options;
+    }
+
+    http::response handle(const http::request& request)
+    {
+        const auto path = http::path_of(request.m_target);
+        if (path == "/healthz") {
+            return http::json_response(200, R"({"status":"ok"})");
+        }
+        if (path == "/readyz") {
+            const bool is_ready = m_frame.phase() == lifecycle::phase::serving;
+            return http::json_response(is_ready ? 200 : 503,
+                                       json{{"phase", to_string(m_frame.phase())}}.dump());
+        }
+        if (path == "/v1/status") {
+            return status_response();
+        }
+        auto fault = caller::bad_request("unknown_path", "there is no such path");
+        fault.m_status = 404;
+        return caller::to_response(fault, "");
+    }
+
+    http::response status_response()
+    {
+        const auto active = m_configuration.current();
+        return http::json_response(
+            200, json{{"host", setting_value<std::string>(m_settings, "/host")},
+                      {"role", "agent"},
+                      {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
+                      {"phase", to_string(m_frame.phase())},
+                      {"incarnation", m_incarnation.value()},
+                      {"configuration",
+                       {{"number", active->m_number},
+                        {"term", active->m_version.m_term},
+                        {"index", active->m_version.m_index}}},
+                      {"cut_off", !m_configuration.has_heard()},
+                      {"upstream", setting_value<std::string>(m_settings, "/upstream/name")},
+                      {"upstream_reachable", m_load.latest().m_is_reachable},
+                      {"draining", is_draining()},
+                      {"running", m_gate->running()},
+                      {"members", json::array()}}
+                     .dump());
+    }
+
+    void on_message(const link::peer& from, const wire::Envelope& message)
+    {
+        const std::lock_guard lock(m_start_mutex);
+        if (message.has_dispatch()) {
+            m_gate->dispatch(from, message, platform::now());
+        }
+        else if (message.has_cancel()) {
+            m_gate->cancel(link::from_wire(message.cancel().attempt()));
+        }
+        else if (message.has_tombstone()) {
+            m_gate->tombstone(from, message.tombstone(), platform::now());
+        }
+        else if (message.has_configuration_update()) {
+            m_configuration.adopt(message.configuration_update());
+        }
+    }
+
+    void on_lost(const link::peer& gone)
+    {
+        m_configuration.peer_lost(gone.m_address);
+        if (!gone.m_routing.empty()) {
+            m_gate->entry_lost(gone);
+        }
+    }
+
+    /// Whether an operator's labels say that this upstream is to take no new work.
+    [[nodiscard]] bool is_draining() const
+    {
+        const auto active = m_configuration.current();
+        const auto labels = configuration::effective_labels(active->m_document, m_labels);
+        const auto* drain = labels.find(configuration::drain_label);
+        return drain != nullptr && *drain == "true";
+    }
+
+    [[nodiscard]] bool is_leaving() const { return m_is_stopping || is_draining(); }
+
+    void configuration_changed()
+    {
+        m_gate->set_configuration(m_configuration.current()->m_version);
+        if (is_leaving()) {
+            m_gate->start_leaving();
+        }
+        else {
+            m_gate->stop_leaving();
+        }
+        m_next_announcement = time_point{};
+    }
+
+    void leave()
+    {
+        m_is_stopping = true;
+        m_gate->start_leaving();
+        announce();
+        m_server->wind_down();
+    }
+
+    void tick(time_point now)
+    {
+        m_load.tick(now);
+        m_gate->tick(now);
+        m_configuration.tick(*m_node, now);
+        if (slots() > 0) {
+            m_gate->set_slots(slots());
+        }
+        if (now >= m_next_announcement.load()) {
+            m_next_announcement = now + announce_interval;
+            announce();
+        }
+    }
+
+    [[nodiscard]] std::uint32_t slots() const
+    {
+        const auto own = setting_value<std::uint32_t>(m_settings, "/upstream/slots");
+        return own > 0 ? own : m_load.latest().m_slots;
+    }
+
+    void announce()
+    {
+        const auto load = m_load.latest();
+        if (!load.m_is_reachable && !m_is_stopping) {
+            return;  // the lease ends and the entries look elsewhere
+        }
+        for (const auto& address : platform::link_addresses(m_settings, "/entries")) {
+            wire::Envelope message;
+            *message.mutable_announcement() = announcement(load);
+            m_node->send(address, std::move(message));
+        }
+    }
+
+    wire::Announcement announcement(const engine::load& load)
+    {
+        wire::Announcement result;
+        result.set_host(setting_value<std::string>(m_settings, "/host"));
+        result.set_failure_domain(setting_value<std::string>(m_settings, "/failure_domain"));
+        result.set_role(wire::Announcement::ROLE_AGENT);
+        result.set_address(m_node->address());
+        result.set_http_address(to_string(m_server->address()));
+        result.set_incarnation(m_incarnation.value());
+        result.set_sequence(++m_sequence);
+        result.set_lease_ms(static_cast<std::uint64_t>(announce_lease.count()));
+        result.set_leaving(is_leaving());
+        result.set_upstream(setting_value<std::string>(m_settings, "/upstream/name"));
+        link::to_wire(m_labels, *result.mutable_labels());
+        for (const auto& model : load.m_models) {
+            result.add_models(model);
+        }
+        result.set_slots(slots());
+        link::to_wire(m_configuration.current()->m_version, *result.mutable_configuration());
+        auto& report = *result.mutable_report();
+        report.set_running(load.m_running);
+        report.set_waiting(load.m_waiting);
+        report.set_free_kv_tokens(load.m_free_kv_tokens);
+        report.set_total_kv_tokens(load.m_total_kv_tokens);
+        report.set_step_us(static_cast<std::uint64_t>(load.m_step_time.count()));
+        report.set_skew(load.m_skew);
+        const auto age = platform::now() - load.m_measured_at;
+        report.set_measured_ms(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+        return result;
+    }
+
+    platform::program& m_frame;
+    json m_settings;
+    incarnation m_incarnation;
+    configuration::label_set m_labels;
+    http::client m_upstream;
+    engine::load_poller m_load;
+    control::subscriber m_configuration;
+    std::shared_ptr<gate> m_gate;
+    std::mutex m_start_mutex;
+    std::unique_ptr<link::node> m_node;
+    std::unique_ptr<http::server> m_server;
+    std::atomic<bool> m_is_stopping = false;
+    std::atomic<std::uint64_t> m_sequence = 0;
+    std::atomic<time_point> m_next_announcement = time_point{};
+};
+
+agent_server::agent_server(platform::program& frame, const json& settings)
+    : m_implementation(std::make_unique<implementation>(frame, settings))
+{
+}
+
+agent_server::~agent_server() = default;
+
+absl::Status agent_server::start()
+{
+    return m_implementation->start();
+}
+
+platform::program_hooks agent_server::hooks()
+{
+    return m_implementation->hooks();
+}
+
+}  // namespace dewbeam::agent
--- /dev/null
+++ b/dewbeam/src/agent/gate.cpp
@@ -0,0 +1,280 @@
+#include "dewbeam/src/agent/gate.h"
+
+#include <utility>
+#include <vector>
+
+#include "dewbeam/src/platform/program.h"
+
+namespace dewbeam::agent {
+
+namespace {
+
+wire::Outcome to_wire(ledger::outcome value)
+{
+    switch (value) {
+        case ledger::outcome::completed:
+            return wire::OUTCOME_COMPLETED;
+        case ledger::outcome::not_run:
+            return wire::OUTCOME_NOT_RUN;
+        case ledger::outcome::unknown:
+            break;
+    }
+    return wire::OUTCOME_UNKNOWN;
+}
+
+ledger::offered_attempt to_offer(const wire::Envelope& message, time_point now)
+{
+    const auto& source = message.dispatch();
+    ledger::offered_attempt offer;
+    offer.m_id = link::from_wire(source.attempt());
+    offer.m_agent = incarnation(source.agent_incarnation());
+    offer.m_configuration = link::from_wire(source.configuration());
+    offer.m_urgent = source.urgent();
+    offer.m_alone = source.alone();
+    offer.m_deadline = now + time_span(source.remaining_us());
+    offer.m_fingerprint = fingerprint(source.fingerprint());
+    return offer;
+}
+
+/// Fields that belong to one connection and are not passed on.
+bool is_hop_field(const std::string& name)
+{
+    for (const auto* hop : {"Connection", "Transfer-Encoding", "Content-Length", "Keep-Alive",
+                            "Host", "Authorization", "Upgrade", "TE", "Trailer", "Expect"}) {
+        if (http::is_same_name(name, hop)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+http::fields end_to_end(const http::fields& source)
+{
+    http::fields result;
+    for (const auto& item : source) {
+        if (!is_hop_field(item.m_name)) {
+            result.push_back(item);
+        }
+    }
+    return result;
+}
+
+ledger::outcome outcome_of(const absl::Status& result, http::progress how_far)
+{
+    if (result.ok()) {
+        return ledger::outcome::completed;
+    }
+    return how_far == http::progress::not_sent ? ledger::outcome::not_run
+                                               : ledger::outcome::unknown;
+}
+
+}  // namespace
+
+/// One attempt that runs. Its chunks are numbered on the upstream connection's strand.
+struct gate::attempt {
+    attempt_id m_id;
+    link::peer m_entry;
+    std::uint64_t m_next_chunk = 0;
+    std::shared_ptr<http::client_exchange> m_exchange;  ///< under the gate's mutex
+    bool m_is_cancelled = false;                        ///< under the gate's mutex
+};
+
+gate::gate(ledger::ledger_options options, http::client& upstream,
+           control::subscriber& configuration)
+    : m_upstream(upstream), m_configuration(configuration)
+{
+    m_ledger.m_options = options;
+}
+
+void gate::use(link::node& node)
+{
+    m_node = &node;
+}
+
+void gate::dispatch(const link::peer& from, const wire::Envelope& message, time_point now)
+{
+    const auto offer = to_offer(message, now);
+    auto running = std::make_shared<attempt>();
+    running->m_id = offer.m_id;
+    running->m_entry = from;
+    ledger::decision decided;
+    {
+        const std::lock_guard lock(m_mutex);
+        decided = ledger::offer(m_ledger, offer, now);
+        if (decided.m_refusal == ledger::refusal::none) {
+            m_running.emplace(offer.m_id, running);
+        }
+    }
+    if (decided.m_refusal == ledger::refusal::duplicate) {
+        return;  // the first offer's answer is under way, or was given
+    }
+    if (decided.m_refusal != ledger::refusal::none) {
+        refuse(from, offer.m_id, decided, now);
+        return;
+    }
+    begin(running, message.dispatch());
+}
+
+void gate::refuse(const link::peer& from, const attempt_id& id, const ledger::decision& why,
+                  time_point now)
+{
+    if (why.m_refusal == ledger::refusal::stale_configuration) {
+        // The entry catches up from here, before it hears of the refusal.
+        wire::Envelope newer;
+        *newer.mutable_configuration_update() = m_configuration.message();
+        m_node->reply(from, std::move(newer));
+    }
+    wire::Envelope message;
+    auto& chunk = *message.mutable_reply_chunk();
+    link::to_wire(id, *chunk.mutable_attempt());
+    chunk.set_last(true);
+    chunk.set_outcome(wire::OUTCOME_NOT_RUN);
+    chunk.set_reason(ledger::to_string(why.m_refusal));
+    constexpr std::uint64_t us_per_ms = 1000;
+    chunk.set_retry_after_ms(link::remaining_us(why.m_retry_at, now) / us_per_ms);
+    m_node->reply(from, std::move(message));
+}
+
+void gate::begin(const attempt_pointer& running, const wire::Dispatch& message)
+{
+    send_chunk(*running, {});
+    http::request wanted;
+    wanted.m_method = message.method();
+    wanted.m_target = message.target();
+    wanted.m_fields = end_to_end(link::from_wire(message.headers()));
+    wanted.m_fields.push_back({"X-Priority", message.urgent() ? "urgent" : "ordinary"});
+    wanted.m_body = message.body();
+    http::client_handlers handlers;
+    handlers.m_on_head = [self = shared_from_this(), running](int status,
+                                                              const http::fields& head) {
+        wire::ReplyChunk chunk;
+        chunk.set_status(static_cast<std::uint32_t>(status));
+        link::to_wire(end_to_end(head), *chunk.mutable_headers());
+        self->send_chunk(*running, std::move(chunk));
+    };
+    handlers.m_on_data = [self = shared_from_this(), running](std::string bytes) {
+        wire::ReplyChunk chunk;
+        chunk.set_data(std::move(bytes));
+        self->send_chunk(*running, std::move(chunk));
+    };
+    handlers.m_on_end = [self = shared_from_this(), running](const absl::Status& result,
+                                                             http::progress how_far) {
+        self->end(running, result, how_far);
+    };
+    auto exchange = m_upstream.start(std::move(wanted), std::move(handlers));
+    const std::lock_guard lock(m_mutex);
+    running->m_exchange = std::move(exchange);
+    if (running->m_is_cancelled) {
+        running->m_exchange->cancel();
+    }
+}
+
+void gate::send_chunk(attempt& running, wire::ReplyChunk chunk)
+{
+    link::to_wire(running.m_id, *chunk.mutable_attempt());
+    chunk.set_sequence(running.m_next_chunk++);
+    wire::Envelope message;
+    *message.mutable_reply_chunk() = std::move(chunk);
+    m_node->reply(running.m_entry, std::move(message));
+}
+
+void gate::end(const attempt_pointer& running, const absl::Status& result, http::progress how_far)
+{
+    const auto outcome = outcome_of(result, how_far);
+    {
+        const std::lock_guard lock(m_mutex);
+        ledger::finish(m_ledger, running->m_id, outcome, platform::now());
+        m_running.erase(running->m_id);
+        running->m_exchange.reset();
+    }
+    wire::ReplyChunk chunk;
+    chunk.set_last(true);
+    chunk.set_outcome(to_wire(outcome));
+    if (!result.ok()) {
+        chunk.set_reason(absl::IsCancelled(result) ? "cancelled" : "upstream_failed");
+        log_event(
+            log_level::info, "attempt_failed",
+            {{"attempt", running->m_id.m_sequence}, {"reason", std::string(result.message())}});
+    }
+    send_chunk(*running, std::move(chunk));
+}
+
+void gate::cancel(const attempt_id& id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_running.find(id);
+    if (place == m_running.end()) {
+        return;
+    }
+    place->second->m_is_cancelled = true;
+    if (place->second->m_exchange) {
+        place->second->m_exchange->cancel();
+    }
+}
+
+void gate::tombstone(const link::peer& from, const wire::Tombstone& message, time_point now)
+{
+    const auto id = link::from_wire(message.attempt());
+    ledger::outcome known = ledger::outcome::unknown;
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool is_meant =
+            message.agent_incarnation() == m_ledger.m_options.m_incarnation.value();
+        // An earlier life may have run it: only that life could have said that it did not.
+        known = is_meant ? ledger::tombstone(m_ledger, id, now) : ledger::outcome::unknown;
+    }
+    wire::Envelope answer;
+    auto& reply = *answer.mutable_tombstone_reply();
+    link::to_wire(id, *reply.mutable_attempt());
+    reply.set_outcome(to_wire(known));
+    m_node->reply(from, std::move(answer));
+}
+
+void gate::entry_lost(const link::peer& gone)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [id, running] : m_running) {
+        if (running->m_entry == gone && running->m_exchange) {
+            running->m_is_cancelled = true;
+            running->m_exchange->cancel();
+        }
+    }
+}
+
+void gate::set_configuration(configuration_version version)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.m_configuration = std::max(m_ledger.m_configuration, version);
+}
+
+void gate::start_leaving()
+{
+    const std::lock_guard lock(m_mutex);
+    ledger::start_leaving(m_ledger);
+}
+
+void gate::stop_leaving()
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.m_leaving = false;
+}
+
+void gate::set_slots(std::uint32_t slots)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.m_options.m_slots = slots;
+}
+
+void gate::tick(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    ledger::expire(m_ledger, now);
+}
+
+std::size_t gate::running() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_running.size();
+}
+
+}  // namespace dewbeam::agent
--- /dev/null
+++ b/dewbeam/src/agent/gate.h
@@ -0,0 +1,73 @@
+/// \file
+/// Runs the attempts that the ledger lets through and sends their answers back.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "dewbeam/http"
+#include "dewbeam/ledger"
+#include "dewbeam/link"
+#include "dewbeam/src/control/subscriber.h"
+
+namespace dewbeam::agent {
+
+/// The gate between entries and one upstream. Thread-safe.
+class gate : public std::enable_shared_from_this<gate> {
+public:
+    gate(ledger::ledger_options options, http::client& upstream,
+         control::subscriber& configuration);
+
+    /// The node to answer on; set once, before the first message.
+    void use(link::node& node);
+
+    /// An entry wants an attempt to be run.
+    void dispatch(const link::peer& from, const wire::Envelope& message, time_point now);
+
+    /// An entry does not want an answer any more.
+    void cancel(const attempt_id& id);
+
+    /// An entry gave up on an attempt that it heard nothing of.
+    void tombstone(const link::peer& from, const wire::Tombstone& message, time_point now);
+
+    /// An entry's connection went silent: nobody takes its answers.
+    void entry_lost(const link::peer& gone);
+
+    /// A newer configuration is in force.
+    void set_configuration(configuration_version version);
+
+    /// From now on every dispatch is refused.
+    void start_leaving();
+
+    /// Takes work again after an operator's drain ended.
+    void stop_leaving();
+
+    void set_slots(std::uint32_t slots);
+
+    /// Forgets old attempts.
+    void tick(time_point now);
+
+    /// Attempts that run.
+    [[nodiscard]] std::size_t running() const;
+
+private:
+    struct attempt;
+    using attempt_pointer = std::shared_ptr<attempt>;
+
+    void refuse(const link::peer& from, const attempt_id& id, const ledger::decision& why,
+                time_point now);
+    void begin(const attempt_pointer& running, const wire::Dispatch& message);
+    void send_chunk(attempt& running, wire::ReplyChunk chunk);
+    void end(const attempt_pointer& running, const absl::Status& result, http::progress how_far);
+    attempt_pointer find(const attempt_id& id) const;
+
+    http::client& m_upstream;
+    control::subscriber& m_configuration;
+    link::node* m_node = nullptr;
+    mutable std::mutex m_mutex;
+    ledger::attempt_ledger m_ledger;
+    std::map<attempt_id, attempt_pointer> m_running;
+};
+
+}  // namespace dewbeam::agent
--- a/dewbeam/src/configuration/document.h
+++ b/dewbeam/src/configuration/document.h
@@ -25,6 +25,9 @@
 
 namespace dewbeam::configuration {
 
+/// An upstream with this label at `true` takes no new work.
+inline constexpr const char* drain_label = "dewbeam/drain";
+
 /// How urgent work is.
 enum class work_class { urgent, ordinary };
 
--- /dev/null
+++ b/dewbeam/src/control/subscriber.cpp
@@ -0,0 +1,115 @@
+#include "dewbeam/src/control/subscriber.h"
+
+#include <utility>
+
+namespace dewbeam::control {
+
+namespace {
+
+constexpr std::chrono::milliseconds ask_interval{500};
+
+active_pointer parse(const wire::Configuration& message)
+{
+    const auto source = nlohmann::json::parse(message.document(), nullptr, false);
+    if (source.is_discarded()) {
+        log_event(log_level::error, "configuration_unreadable", {{"number", message.number()}});
+        return nullptr;
+    }
+    auto parsed = configuration::parse_document(source);
+    if (!parsed.m_mistakes.empty()) {
+        log_event(log_level::error, "configuration_wrong",
+                  {{"number", message.number()}, {"mistakes", to_string(parsed.m_mistakes)}});
+        return nullptr;
+    }
+    auto result = std::make_shared<active_configuration>();
+    result->m_version = link::from_wire(message.version());
+    result->m_number = message.number();
+    result->m_source = message.document();
+    result->m_document = std::move(parsed.m_document);
+    return result;
+}
+
+}  // namespace
+
+subscriber::subscriber(std::vector<std::string> controls, std::function<void()> on_change)
+    : m_controls(std::move(controls)),
+      m_on_change(std::move(on_change)),
+      m_current(std::make_shared<active_configuration>())
+{
+}
+
+active_pointer subscriber::current() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current;
+}
+
+bool subscriber::has_heard() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_has_heard;
+}
+
+bool subscriber::adopt(const wire::Configuration& message)
+{
+    const auto version = link::from_wire(message.version());
+    {
+        const std::lock_guard lock(m_mutex);
+        m_has_heard = true;
+        if (version <= m_current->m_version) {
+            return false;
+        }
+    }
+    auto fresh = parse(message);
+    if (!fresh) {
+        return false;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (version <= m_current->m_version) {
+            return false;
+        }
+        m_current = std::move(fresh);
+    }
+    log_event(log_level::info, "configuration_in_force",
+              {{"number", message.number()}, {"term", version.m_term}, {"index", version.m_index}});
+    m_on_change();
+    return true;
+}
+
+wire::Configuration subscriber::message() const
+{
+    const auto active = current();
+    wire::Configuration result;
+    link::to_wire(active->m_version, *result.mutable_version());
+    result.set_number(active->m_number);
+    result.set_document(active->m_source);
+    return result;
+}
+
+void subscriber::tick(link::node& node, time_point now)
+{
+    std::string target;
+    wire::Envelope message;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_controls.empty() || now < m_next_ask) {
+            return;
+        }
+        m_next_ask = now + ask_interval;
+        target = m_controls[m_in_use];
+        link::to_wire(m_current->m_version, *message.mutable_subscribe()->mutable_known());
+    }
+    node.send(target, std::move(message));
+}
+
+void subscriber::peer_lost(const std::string& address)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_controls.empty() && m_controls[m_in_use] == address) {
+        m_in_use = (m_in_use + 1) % m_controls.size();
+        m_next_ask = {};
+    }
+}
+
+}  // namespace dewbeam::control
--- /dev/null
+++ b/dewbeam/src/control/subscriber.h
@@ -0,0 +1,62 @@
+/// \file
+/// Follows the configuration that control accepted, on entries and agents.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "dewbeam/configuration"
+#include "dewbeam/link"
+
+namespace dewbeam::control {
+
+/// A configuration in force.
+struct active_configuration {
+    configuration_version m_version;
+    std::uint64_t m_number = 0;
+    std::string m_source;  ///< JSON, as it came
+    configuration::document m_document;
+};
+
+using active_pointer = std::shared_ptr<const active_configuration>;
+
+/// Holds the newest configuration heard of and asks for newer ones. Thread-safe.
+///
+/// A version never goes back: an older one than the one held is passed over.
+class subscriber {
+public:
+    /// `on_change` is called after each adoption, outside the lock.
+    subscriber(std::vector<std::string> controls, std::function<void()> on_change);
+
+    /// The configuration in force; empty at version (0, 0) until one was heard of.
+    [[nodiscard]] active_pointer current() const;
+
+    /// Whether a control host answered since the start.
+    [[nodiscard]] bool has_heard() const;
+
+    /// Takes a configuration from any process; true where it is newer and now in force.
+    bool adopt(const wire::Configuration& message);
+
+    /// The configuration as a message, for a process that knows an older one.
+    [[nodiscard]] wire::Configuration message() const;
+
+    /// Asks a control host for news when it is time.
+    void tick(link::node& node, time_point now);
+
+    /// Takes the next control host where the one in use was lost.
+    void peer_lost(const std::string& address);
+
+private:
+    std::vector<std::string> m_controls;
+    std::function<void()> m_on_change;
+    mutable std::mutex m_mutex;
+    active_pointer m_current;
+    bool m_has_heard = false;
+    std::size_t m_in_use = 0;
+    time_point m_next_ask{};
+};
+
+}  // namespace dewbeam::control
--- /dev/null
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -0,0 +1,104 @@
+#include "dewbeam/src/engine/load_poller.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "dewbeam/src/platform/program.h"
+
+namespace dewbeam::engine {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{200};
+constexpr int failures_until_unreachable = 2;
+
+}  // namespace
+
+struct load_poller::shared {
+    std::mutex m_mutex;
+    load m_latest;
+    bool m_is_polling = false;
+    int m_failures = 0;
+    time_point m_next_poll{};
+    std::string m_body;
+
+    void succeed(load fresh)
+    {
+        fresh.m_is_reachable = true;
+        fresh.m_measured_at = platform::now();
+        m_latest = std::move(fresh);
+        m_failures = 0;
+    }
+
+    void fail()
+    {
+        ++m_failures;
+        if (m_failures >= failures_until_unreachable) {
+            m_latest.m_is_reachable = false;
+        }
+    }
+};
+
+absl::StatusOr<load> parse_load(const std::string& body)
+{
+    const auto source = nlohmann::json::parse(body, nullptr, false);
+    if (!source.is_object()) {
+        return absl::InvalidArgumentError("a load report must be a JSON object");
+    }
+    try {
+        load result;
+        result.m_running = source.value("running", 0U);
+        result.m_waiting = source.value("waiting", 0U);
+        result.m_free_kv_tokens = source.value("free_kv_tokens", std::uint64_t{0});
+        result.m_total_kv_tokens = source.value("total_kv_tokens", std::uint64_t{0});
+        result.m_step_time = time_span(source.value("step_us", std::int64_t{0}));
+        result.m_skew = source.value("skew", 1.0);
+        result.m_slots = source.value("slots", 0U);
+        result.m_models = source.value("models", std::vector<std::string>{});
+        return result;
+    }
+    catch (const nlohmann::json::exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+load_poller::load_poller(http::client& client)
+    : m_client(client), m_shared(std::make_shared<shared>())
+{
+}
+
+void load_poller::tick(time_point now)
+{
+    {
+        const std::lock_guard lock(m_shared->m_mutex);
+        if (m_shared->m_is_polling || now < m_shared->m_next_poll) {
+            return;
+        }
+        m_shared->m_is_polling = true;
+        m_shared->m_next_poll = now + poll_interval;
+        m_shared->m_body.clear();
+    }
+    http::client_handlers handlers;
+    handlers.m_on_head = [](int, const http::fields&) {};
+    handlers.m_on_data = [state = m_shared](std::string bytes) { state->m_body += bytes; };
+    handlers.m_on_end = [state = m_shared](const absl::Status& result, http::progress) {
+        const std::lock_guard lock(state->m_mutex);
+        state->m_is_polling = false;
+        auto fresh = result.ok() ? parse_load(state->m_body) : absl::StatusOr<load>(result);
+        if (fresh.ok()) {
+            state->succeed(*std::move(fresh));
+        }
+        else {
+            state->fail();
+        }
+    };
+    m_client.start({"GET", "/load", {}, {}}, std::move(handlers));
+}
+
+load load_poller::latest() const
+{
+    const std::lock_guard lock(m_shared->m_mutex);
+    return m_shared->m_latest;
+}
+
+}  // namespace dewbeam::engine
--- /dev/null
+++ b/dewbeam/src/engine/load_poller.h
@@ -0,0 +1,49 @@
+/// \file
+/// Asks an engine for its load report, again and again.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/http"
+
+namespace dewbeam::engine {
+
+/// What an engine said of itself.
+struct load {
+    bool m_is_reachable = false;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    std::uint64_t m_free_kv_tokens = 0;
+    std::uint64_t m_total_kv_tokens = 0;
+    time_span m_step_time = time_span::zero();
+    double m_skew = 1.0;
+    std::uint32_t m_slots = 0;
+    std::vector<std::string> m_models;
+    time_point m_measured_at{};
+};
+
+/// Reads a report; an engine that leaves a figure out keeps the default.
+absl::StatusOr<load> parse_load(const std::string& body);
+
+/// Polls `GET /load`. Thread-safe.
+class load_poller {
+public:
+    explicit load_poller(http::client& client);
+
+    /// Starts a poll where it is time and none is under way.
+    void tick(time_point now);
+
+    /// The newest report; not reachable once several polls in a row failed.
+    [[nodiscard]] load latest() const;
+
+private:
+    struct shared;
+    http::client& m_client;
+    std::shared_ptr<shared> m_shared;
+};
+
+}  // namespace dewbeam::engine
--- /dev/null
+++ b/dewbeam/src/entry/entry_request.h
@@ -0,0 +1,135 @@
+/// \file
+/// One caller's request inside an entry: its answer, and the attempt that it now owns.
+#pragma once
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "dewbeam.pb.h"
+#include "dewbeam/caller"
+#include "dewbeam/dispatch"
+#include "dewbeam/http"
+
+namespace dewbeam::entry {
+
+/// What the entry must do after a chunk.
+enum class chunk_effect {
+    none,       ///< nothing more
+    first,      ///< the first byte of an answer went by
+    completed,  ///< the whole answer was given to the caller
+    not_run,    ///< the attempt was not run
+    stale,      ///< the same, since the entry's configuration was old
+    unknown,    ///< the attempt's end is unknown
+    broken,     ///< a chunk is missing: the attempt must be cancelled, its end is unknown
+};
+
+/// The attempt that a request owns now.
+struct owned_attempt {
+    attempt_id m_id;
+    std::string m_agent_address;
+    incarnation m_agent;
+    std::uint64_t m_next_chunk = 0;
+    time_point m_ack_deadline = no_deadline;        ///< until the agent says that it began
+    time_point m_tombstone_deadline = no_deadline;  ///< until the agent answers a tombstone
+    bool m_is_acknowledged = false;
+    int m_status = 0;  ///< of the answer's head; 0: none yet
+    http::fields m_head;
+    std::string m_body;           ///< of a whole answer, until it is complete
+    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
+};
+
+/// How a request was answered, for metrics and service-level burn.
+struct request_result {
+    int m_status = 0;
+    std::string m_code;         ///< of an error
+    time_point m_first_byte{};  ///< epoch: none
+    bool m_is_caller_gone = false;
+};
+
+/// A request. Thread-safe behind its own mutex; it never calls out with the mutex held, but to
+/// the exchange, which only queues.
+class entry_request
+    : public boost::intrusive_ref_counter<entry_request, boost::thread_safe_counter> {
+public:
+    /// What is known before the first attempt; constant afterwards.
+    struct facts {
+        dispatch::ticket m_ticket;
+        std::string m_request_id;
+        std::string m_pool;
+        std::string m_selector;
+        std::string m_workspace;
+        caller::call m_call;
+        http::request m_request;  ///< as it goes to the upstream
+        time_point m_arrival{};
+        time_point m_deadline = no_deadline;
+        bool m_idempotent = true;
+        bool m_urgent = false;
+        configuration_version m_configuration;
+    };
+
+    entry_request(facts known, std::shared_ptr<http::exchange> answer);
+
+    [[nodiscard]] const facts& known() const { return m_facts; }
+
+    /// The request now owns `attempt`; chunks of earlier ones are dropped from here on. Gives the
+    /// message to the agent, or nothing where the request is over.
+    std::optional<wire::Dispatch> own(const dispatch::action& action, owned_attempt attempt,
+                                      time_point now);
+
+    /// Takes a chunk; delivers to the caller what is in order.
+    chunk_effect take(const wire::ReplyChunk& chunk, time_point now);
+
+    /// Takes the answer to a tombstone; `none` where it is not about the attempt owned now.
+    chunk_effect take(const wire::TombstoneReply& reply);
+
+    /// The attempt owned now; id with sequence 0 where there is none.
+    [[nodiscard]] owned_attempt attempt() const;
+
+    /// Gives up the attempt, so that nothing of it is delivered any more. False where another
+    /// or none is owned.
+    bool release(const attempt_id& id);
+
+    /// Whether the agent is late with its acknowledgement; the tombstone is then under way.
+    [[nodiscard]] bool begin_tombstone(time_point now);
+
+    /// Whether the agent is late with its answer to the tombstone.
+    [[nodiscard]] bool is_tombstone_late(time_point now) const;
+
+    /// Ends the request with an error, in the way that still fits what the caller has seen.
+    void fail(const caller::error& fault);
+
+    /// The caller went away. False where the answer was given already.
+    bool set_gone();
+
+    [[nodiscard]] bool is_over() const;
+    [[nodiscard]] request_result result() const;
+
+private:
+    chunk_effect take_end(const wire::ReplyChunk& chunk);
+    void take_head(const wire::ReplyChunk& chunk);
+    void take_data(const std::string& data, time_point now);
+    void deliver_events(const std::string& data);
+    void finish();
+    [[nodiscard]] bool streams() const;
+    [[nodiscard]] bool resumes_here() const;
+    [[nodiscard]] http::fields answer_fields() const;
+
+    facts m_facts;
+    std::shared_ptr<http::exchange> m_answer;
+    mutable std::mutex m_mutex;
+    owned_attempt m_attempt;
+    bool m_is_over = false;
+    bool m_is_streaming = false;    ///< the caller has the head of a stream
+    bool m_has_stream_end = false;  ///< the caller has the last event of a stream
+    std::uint64_t m_delivered_events = 0;
+    request_result m_result;
+};
+
+using request_pointer = boost::intrusive_ptr<entry_request>;
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -0,0 +1,703 @@
+#include "dewbeam/src/entry/entry_server.h"
+
+#include <absl/strings/str_format.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "dewbeam/caller"
+#include "dewbeam/http"
+#include "dewbeam/link"
+#include "dewbeam/membership"
+#include "dewbeam/src/control/subscriber.h"
+#include "dewbeam/src/entry/entry_request.h"
+#include "dewbeam/src/entry/member_table.h"
+#include "dewbeam/src/entry/metrics.h"
+#include "dewbeam/src/entry/pool_table.h"
+#include "dewbeam/src/entry/refusals.h"
+#include "dewbeam/src/entry/request_table.h"
+
+namespace dewbeam::entry {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds scan_interval{50};
+
+dispatch::attempt_end to_end(chunk_effect effect)
+{
+    switch (effect) {
+        case chunk_effect::completed:
+            return dispatch::attempt_end::completed;
+        case chunk_effect::not_run:
+        case chunk_effect::stale:
+            return dispatch::attempt_end::not_run;
+        case chunk_effect::none:
+        case chunk_effect::first:
+        case chunk_effect::unknown:
+        case chunk_effect::broken:
+            break;
+    }
+    return dispatch::attempt_end::unknown;
+}
+
+const char* to_text(dispatch::attempt_end end)
+{
+    switch (end) {
+        case dispatch::attempt_end::completed:
+            return "completed";
+        case dispatch::attempt_end::not_run:
+            return "not_run";
+        case dispatch::attempt_end::unknown:
+            return "unknown";
+        case dispatch::attempt_end::upstream_died:
+            return "upstream_died";
+        case dispatch::attempt_end::cancelled:
+            break;
+    }
+    return "cancelled";
+}
+
+/// Writes the model that the selector names into the body of a completion.
+std::string with_model(const std::string& body, const std::string& model)
+{
+    auto source = json::parse(body, nullptr, false);
+    if (!source.is_object()) {
+        return body;
+    }
+    source["model"] = model;
+    return source.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// The workspace that a token belongs to; every stored hash is compared, so that the time taken
+/// says nothing about where a match stands.
+const configuration::workspace* workspace_of_token(const configuration::document& rules,
+                                                   const std::string& token)
+{
+    const auto hash = caller::token_hash(token);
+    const configuration::workspace* found = nullptr;
+    for (const auto& workspace : rules.m_workspaces) {
+        for (const auto& known : workspace.m_token_hashes) {
+            if (caller::equal_in_constant_time(known, hash)) {
+                found = &workspace;
+            }
+        }
+    }
+    return found;
+}
+
+}  // namespace
+
+std::vector<setting> entry_schema()
+{
+    auto schema = platform::common_settings();
+    const auto listeners = platform::listener_settings();
+    schema.insert(schema.end(), listeners.begin(), listeners.end());
+    const caller::call_limits limits;
+    const std::vector<setting> own{
+        {"/controls", setting_kind::addresses, json::array(), "Link addresses of control hosts."},
+        {"/entries", setting_kind::addresses, json::array(),
+         "Link addresses of a few entry hosts, some in each failure domain."},
+        {"/limits/json_depth", setting_kind::integer, limits.m_most_json_depth,
+         "Deepest nesting of a JSON body.", 1, 512},
+        {"/limits/output_tokens", setting_kind::integer, limits.m_most_output_tokens,
+         "Most output tokens of one request.", 1, 1'000'000},
+        {"/limits/queued", setting_kind::integer, 10'000,
+         "Requests that may wait for an upstream, for each pool.", 1, 1'000'000},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+class entry_server::implementation {
+public:
+    implementation(platform::program& frame, const json& settings)
+        : m_frame(frame),
+          m_settings(settings),
+          m_incarnation(platform::new_incarnation()),
+          m_configuration(platform::link_addresses(settings, "/controls"),
+                          [this] { configuration_changed(); }),
+          m_pools(broker_options())
+    {
+        m_limits.m_most_json_depth = setting_value<std::size_t>(settings, "/limits/json_depth");
+        m_limits.m_most_output_tokens =
+            setting_value<std::int64_t>(settings, "/limits/output_tokens");
+    }
+
+    absl::Status start()
+    {
+        // Handlers run from here on, so they wait for the node behind the mutex.
+        const std::lock_guard lock(m_start_mutex);
+        auto node = platform::start_node(m_settings, m_incarnation,
+                                         {[this](const link::peer& from, wire::Envelope&& message) {
+                                              on_message(from, std::move(message));
+                                          },
+                                          [this](const link::peer& gone) { on_lost(gone); }});
+        if (!node.ok()) {
+            return node.status();
+        }
+        m_node = *std::move(node);
+        auto server = platform::start_http(
+            m_frame.context(), m_settings,
+            [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                handle(std::move(request), answer);
+            });
+        if (!server.ok()) {
+            return server.status();
+        }
+        m_server = *std::move(server);
+        platform::write_address_file(m_settings, to_string(m_server->address()));
+        return absl::OkStatus();
+    }
+
+    platform::program_hooks hooks()
+    {
+        platform::program_hooks result;
+        result.m_is_ready = [this] { return m_configuration.has_heard(); };
+        result.m_in_flight = [this] { return m_requests.size(); };
+        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_tick = [this](time_point now) { tick(now); };
+        return result;
+    }
+
+private:
+    dispatch::broker_options broker_options() const
+    {
+        dispatch::broker_options options;
+        options.m_failure_domain =
+            failure_domain_id(setting_value<std::string>(m_settings, "/failure_domain"));
+        options.m_most_queued = setting_value<std::size_t>(m_settings, "/limits/queued");
+        return options;
+    }
+
+    // Callers.
+
+    void handle(http::request&& request, const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto path = http::path_of(request.m_target);
+        if (path == "/healthz") {
+            answer->respond(http::json_response(200, R"({"status":"ok"})"));
+        }
+        else if (path == "/readyz") {
+            const bool is_ready = m_frame.phase() == lifecycle::phase::serving;
+            answer->respond(http::json_response(
+                is_ready ? 200 : 503, json{{"phase", to_string(m_frame.phase())}}.dump()));
+        }
+        else if (path == "/metrics") {
+            answer->respond(
+                {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.text()});
+        }
+        else if (path == "/v1/status") {
+            answer->respond(http::json_response(200, status_text()));
+        }
+        else if (path == "/v1/models" && request.m_method == "GET") {
+            answer->respond(http::json_response(200, models_text()));
+        }
+        else {
+            take_call(std::move(request), answer);
+        }
+    }
+
+    void take_call(http::request&& request, const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto now = platform::now();
+        const dispatch::ticket ticket(++m_last_ticket);
+        const auto request_id = absl::StrFormat("req-%x-%x", m_incarnation.value(), ticket.value());
+        auto read = caller::read_call(request, m_limits);
+        if (const auto* fault = std::get_if<caller::error>(&read)) {
+            refuse_unread(*fault, request_id, *answer);
+            return;
+        }
+        if (m_frame.phase() == lifecycle::phase::starting) {
+            refuse_unread(not_ready(), request_id, *answer);
+            return;
+        }
+        entry_request::facts known;
+        known.m_ticket = ticket;
+        known.m_request_id = request_id;
+        known.m_call = std::get<caller::call>(std::move(read));
+        known.m_request = std::move(request);
+        known.m_arrival = now;
+        classify_and_submit(std::move(known), answer, now);
+    }
+
+    void refuse_unread(const caller::error& fault, const std::string& request_id,
+                       http::exchange& answer)
+    {
+        log_event(log_level::info, "request_refused",
+                  {{"request", request_id}, {"status", fault.m_status}, {"code", fault.m_code}});
+        request_result result;
+        result.m_status = fault.m_status;
+        result.m_code = fault.m_code;
+        m_metrics.request_ended("", result, {}, {});
+        answer.respond(caller::to_response(fault, request_id));
+    }
+
+    /// Finds the selector of a request, and gives it to its pool.
+    void classify_and_submit(entry_request::facts known,
+                             const std::shared_ptr<http::exchange>& answer, time_point now)
+    {
+        const auto active = m_configuration.current();
+        const auto& rules = active->m_document;
+        const auto& wanted = known.m_call;
+        const auto* workspace = wanted.m_bearer_token.empty()
+                                    ? nullptr
+                                    : workspace_of_token(rules, wanted.m_bearer_token);
+        const bool is_refused = rules.m_tokens_required || !wanted.m_bearer_token.empty();
+        if (workspace == nullptr && is_refused) {
+            refuse_unread(not_authorized(), known.m_request_id, *answer);
+            return;
+        }
+        if (workspace == nullptr) {
+            workspace = configuration::find_workspace(rules, workspace_id(wanted.m_workspace));
+        }
+        const auto labels = caller::request_labels(wanted, workspace);
+        const auto* rule = configuration::resolve(rules, labels);
+        if (rule == nullptr) {
+            refuse_unread(no_selector(labels), known.m_request_id, *answer);
+            return;
+        }
+        if (rule->m_key_required && wanted.m_idempotency_key.empty()) {
+            refuse_unread(key_required(rule->m_name), known.m_request_id, *answer);
+            return;
+        }
+        apply_rule(*rule, known);
+        known.m_workspace = workspace == nullptr ? "" : workspace->m_name.value();
+        known.m_configuration = active->m_version;
+        auto info = make_info(*rule, workspace, known);
+        const request_pointer request(new entry_request(std::move(known), answer));
+        start_request(request, std::move(info), answer, now);
+    }
+
+    static void apply_rule(const configuration::work_selector& rule, entry_request::facts& known)
+    {
+        known.m_selector = rule.m_name;
+        known.m_deadline = known.m_arrival + rule.m_time_limit;
+        known.m_idempotent = rule.m_idempotent;
+        known.m_urgent = rule.m_class == configuration::work_class::urgent;
+        auto& wanted = known.m_call;
+        if (wanted.m_kind == caller::call_kind::service) {
+            known.m_pool = service_pool(wanted.m_service);
+            return;
+        }
+        const auto& model = rule.m_adapter.empty() ? rule.m_model.value() : rule.m_adapter;
+        if (!model.empty() && model != wanted.m_model.value()) {
+            known.m_request.m_body = with_model(known.m_request.m_body, model);
+        }
+        if (!rule.m_model.value().empty()) {
+            wanted.m_model = rule.m_model;
+        }
+        known.m_pool = model_pool(wanted.m_model);
+    }
+
+    static dispatch::request_info make_info(const configuration::work_selector& rule,
+                                            const configuration::workspace* workspace,
+                                            const entry_request::facts& known)
+    {
+        dispatch::request_info info;
+        info.m_ticket = known.m_ticket;
+        info.m_selector = rule.m_name;
+        info.m_selector_weight = rule.m_weight;
+        info.m_class = rule.m_class;
+        info.m_upstreams = rule.m_upstreams;
+        add_requirement(info.m_upstreams, "version", rule.m_version);
+        info.m_idempotent = rule.m_idempotent;
+        info.m_prompt_tokens = known.m_call.m_prompt_tokens;
+        info.m_output_tokens = known.m_call.m_output_tokens;
+        info.m_prefix = known.m_call.m_prefix;
+        info.m_fingerprint = known.m_call.m_content;
+        info.m_arrival = known.m_arrival;
+        info.m_deadline = known.m_deadline;
+        if (workspace != nullptr) {
+            info.m_workspace = workspace->m_name;
+            info.m_workspace_weight = workspace->m_weight;
+        }
+        return info;
+    }
+
+    static void add_requirement(configuration::selector& conditions, const char* key,
+                                const std::string& value)
+    {
+        if (!value.empty()) {
+            conditions.m_requirements.push_back(
+                {key, configuration::requirement_kind::in, {value}});
+        }
+    }
+
+    void start_request(const request_pointer& request, dispatch::request_info info,
+                       const std::shared_ptr<http::exchange>& answer, time_point now)
+    {
+        m_requests.add(request);
+        answer->on_gone([this, request] { caller_gone(request); });
+        perform(m_pools.submit(request->known().m_pool, std::move(info), now), now);
+    }
+
+    void caller_gone(const request_pointer& request)
+    {
+        if (!request->set_gone()) {
+            return;
+        }
+        const auto now = platform::now();
+        cancel_attempt(request);
+        finished(request, now);
+        perform(m_pools.cancel(request->known().m_pool, request->known().m_ticket, now), now);
+    }
+
+    // Attempts.
+
+    void perform(const dispatch::actions& wanted, time_point now)
+    {
+        for (const auto& action : wanted) {
+            const auto request = m_requests.find(action.m_ticket);
+            if (!request) {
+                continue;  // over in the meantime
+            }
+            if (action.m_kind == dispatch::action::kind::refuse) {
+                fail(request, to_error(action, now), now);
+            }
+            else {
+                begin_attempt(request, action, now);
+            }
+        }
+    }
+
+    void begin_attempt(const request_pointer& request, const dispatch::action& action,
+                       time_point now)
+    {
+        owned_attempt attempt;
+        attempt.m_id = {m_incarnation, ++m_last_attempt};
+        attempt.m_agent_address = m_members.address_of(action.m_upstream);
+        attempt.m_agent = action.m_incarnation;
+        const auto id = attempt.m_id;
+        const auto address = attempt.m_agent_address;
+        auto message = request->own(action, std::move(attempt), now);
+        if (!message) {
+            return;
+        }
+        m_requests.add_attempt(id, request);
+        m_metrics.dispatched();
+        log_event(log_level::debug, "attempt_dispatched",
+                  {{"request", request->known().m_request_id},
+                   {"attempt", id.m_sequence},
+                   {"upstream", action.m_upstream.value()}});
+        wire::Envelope envelope;
+        *envelope.mutable_dispatch() = *std::move(message);
+        if (address.empty() || !m_node->send(address, std::move(envelope))) {
+            end_attempt(request, id, dispatch::attempt_end::not_run, now);
+        }
+    }
+
+    /// Tells the agent that the answer is not wanted any more.
+    void cancel_attempt(const request_pointer& request)
+    {
+        const auto attempt = request->attempt();
+        if (attempt.m_id.m_sequence == 0) {
+            return;
+        }
+        m_requests.remove_attempt(attempt.m_id);
+        wire::Envelope message;
+        link::to_wire(attempt.m_id, *message.mutable_cancel()->mutable_attempt());
+        m_node->send(attempt.m_agent_address, std::move(message));
+    }
+
+    /// Ends the attempt for the request, which is then retried or refused.
+    void end_attempt(const request_pointer& request, const attempt_id& id,
+                     dispatch::attempt_end end, time_point now)
+    {
+        if (!request->release(id)) {
+            return;
+        }
+        m_requests.remove_attempt(id);
+        if (end != dispatch::attempt_end::completed) {
+            m_metrics.attempt_failed(to_text(end));
+            log_event(log_level::info, "attempt_ended",
+                      {{"request", request->known().m_request_id},
+                       {"attempt", id.m_sequence},
+                       {"end", to_text(end)}});
+        }
+        const auto& known = request->known();
+        if (end == dispatch::attempt_end::completed) {
+            finished(request, now);
+        }
+        perform(m_pools.attempt_ended(known.m_pool, known.m_ticket, end, now), now);
+    }
+
+    void fail(const request_pointer& request, const caller::error& fault, time_point now)
+    {
+        request->fail(fault);
+        finished(request, now);
+    }
+
+    void finished(const request_pointer& request, time_point now)
+    {
+        m_requests.remove(request);
+        const auto& known = request->known();
+        const auto result = request->result();
+        m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
+                                now - known.m_arrival);
+        log_event(log_level::info, "request_ended",
+                  {{"request", known.m_request_id},
+                   {"selector", known.m_selector},
+                   {"workspace", known.m_workspace},
+                   {"status", result.m_status},
+                   {"code", result.m_code},
+                   {"gone", result.m_is_caller_gone},
+                   {"us", (now - known.m_arrival).count()}});
+    }
+
+    /// The agent knows a newer configuration, which has been adopted: begins anew under it.
+    void resubmit(const request_pointer& request, const attempt_id& id, time_point now)
+    {
+        end_attempt(request, id, dispatch::attempt_end::not_run, now);
+    }
+
+    // Messages.
+
+    void on_message(const link::peer& from, wire::Envelope&& message)
+    {
+        const std::lock_guard lock(m_start_mutex);
+        const auto now = platform::now();
+        if (message.has_reply_chunk()) {
+            on_chunk(message.reply_chunk(), now);
+        }
+        else if (message.has_tombstone_reply()) {
+            on_tombstone_reply(message.tombstone_reply(), now);
+        }
+        else if (message.has_announcement()) {
+            on_announcement(message.announcement(), now);
+        }
+        else if (message.has_configuration_update()) {
+            m_configuration.adopt(message.configuration_update());
+        }
+        else if (message.has_subscribe()) {
+            wire::Envelope answer;
+            *answer.mutable_configuration_update() = m_configuration.message();
+            m_node->reply(from, std::move(answer));
+        }
+    }
+
+    void on_chunk(const wire::ReplyChunk& chunk, time_point now)
+    {
+        const auto id = link::from_wire(chunk.attempt());
+        const auto request = m_requests.find(id);
+        if (!request) {
+            return;
+        }
+        const auto effect = request->take(chunk, now);
+        switch (effect) {
+            case chunk_effect::none:
+                return;
+            case chunk_effect::first:
+                m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+                return;
+            case chunk_effect::stale:
+                resubmit(request, id, now);
+                return;
+            case chunk_effect::broken:
+                cancel_attempt(request);
+                break;
+            case chunk_effect::completed:
+            case chunk_effect::not_run:
+            case chunk_effect::unknown:
+                break;
+        }
+        auto end = to_end(effect);
+        if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_failed") {
+            end = dispatch::attempt_end::upstream_died;
+        }
+        end_attempt(request, id, end, now);
+    }
+
+    void on_tombstone_reply(const wire::TombstoneReply& reply, time_point now)
+    {
+        const auto id = link::from_wire(reply.attempt());
+        const auto request = m_requests.find(id);
+        if (!request) {
+            return;
+        }
+        const auto effect = request->take(reply);
+        if (effect != chunk_effect::none) {
+            end_attempt(request, id, to_end(effect), now);
+        }
+    }
+
+    void on_lost(const link::peer& gone)
+    {
+        m_configuration.peer_lost(gone.m_address);
+        if (gone.m_address.empty()) {
+            return;
+        }
+        const auto now = platform::now();
+        for (const auto& request : m_requests.all()) {
+            const auto attempt = request->attempt();
+            if (attempt.m_agent_address == gone.m_address) {
+                end_attempt(request, attempt.m_id, dispatch::attempt_end::upstream_died, now);
+            }
+        }
+    }
+
+    // Members.
+
+    void on_announcement(const wire::Announcement& message, time_point now)
+    {
+        const auto changed = m_members.take(message, now);
+        if (changed) {
+            update_pools(*changed, now);
+        }
+    }
+
+    void update_pools(const membership::member& member, time_point now)
+    {
+        const auto active = m_configuration.current();
+        const auto labels = configuration::effective_labels(active->m_document, member.m_labels);
+        const auto info = to_upstream(member, labels);
+        for (const auto& pool : pools_of(member)) {
+            perform(m_pools.update_upstream(pool, info, now), now);
+        }
+    }
+
+    void remove_from_pools(const membership::member& member, time_point now)
+    {
+        for (const auto& pool : pools_of(member)) {
+            perform(m_pools.remove_upstream(pool, member.m_upstream, now), now);
+        }
+    }
+
+    void configuration_changed()
+    {
+        const auto now = platform::now();
+        m_metrics.set_configuration_number(m_configuration.current()->m_number);
+        for (const auto& member : m_members.all()) {
+            update_pools(member, now);
+        }
+    }
+
+    // Time.
+
+    void tick(time_point now)
+    {
+        m_configuration.tick(*m_node, now);
+        perform(m_pools.tick(now), now);
+        if (now < m_next_scan) {
+            return;
+        }
+        m_next_scan = now + scan_interval;
+        for (const auto& member : m_members.remove_expired(now)) {
+            log_event(log_level::info, "lease_ended", {{"upstream", member.m_upstream.value()}});
+            remove_from_pools(member, now);
+        }
+        for (const auto& request : m_requests.all()) {
+            watch(request, now);
+        }
+        m_metrics.set_in_flight(m_requests.size());
+        m_metrics.set_upstreams(m_members.size());
+    }
+
+    /// Deadlines of one request in flight.
+    void watch(const request_pointer& request, time_point now)
+    {
+        const auto attempt = request->attempt();
+        if (attempt.m_id.m_sequence == 0) {
+            return;
+        }
+        if (request->known().m_deadline <= now) {
+            cancel_attempt(request);
+            fail(request, deadline_exceeded(), now);
+            perform(m_pools.cancel(request->known().m_pool, request->known().m_ticket, now), now);
+        }
+        else if (request->begin_tombstone(now)) {
+            send_tombstone(attempt);
+        }
+        else if (request->is_tombstone_late(now)) {
+            end_attempt(request, attempt.m_id, dispatch::attempt_end::unknown, now);
+        }
+    }
+
+    void send_tombstone(const owned_attempt& attempt)
+    {
+        wire::Envelope message;
+        auto& tombstone = *message.mutable_tombstone();
+        link::to_wire(attempt.m_id, *tombstone.mutable_attempt());
+        tombstone.set_agent_incarnation(attempt.m_agent.value());
+        m_node->send(attempt.m_agent_address, std::move(message));
+    }
+
+    // Pages.
+
+    std::string status_text()
+    {
+        const auto active = m_configuration.current();
+        json members = json::array();
+        for (const auto& member : m_members.all()) {
+            members.push_back(to_json(member));
+        }
+        return json{{"host", setting_value<std::string>(m_settings, "/host")},
+                    {"role", "entry"},
+                    {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
+                    {"phase", to_string(m_frame.phase())},
+                    {"incarnation", m_incarnation.value()},
+                    {"configuration",
+                     {{"number", active->m_number},
+                      {"term", active->m_version.m_term},
+                      {"index", active->m_version.m_index}}},
+                    {"cut_off", !m_configuration.has_heard()},
+                    {"in_flight", m_requests.size()},
+                    {"members", members}}
+            .dump();
+    }
+
+    std::string models_text()
+    {
+        constexpr std::string_view prefix = "model:";
+        json data = json::array();
+        for (const auto& name : m_pools.names()) {
+            if (name.starts_with(prefix)) {
+                data.push_back({{"id", name.substr(prefix.size())},
+                                {"object", "model"},
+                                {"owned_by", "dewbeam"}});
+            }
+        }
+        return json{{"object", "list"}, {"data", data}}.dump();
+    }
+
+    platform::program& m_frame;
+    json m_settings;
+    incarnation m_incarnation;
+    caller::call_limits m_limits;
+    metrics m_metrics;
+    control::subscriber m_configuration;
+    pool_table m_pools;
+    member_table m_members;
+    request_table m_requests;
+    std::atomic<std::uint64_t> m_last_ticket = 0;
+    std::atomic<std::uint64_t> m_last_attempt = 0;
+    time_point m_next_scan{};
+    std::mutex m_start_mutex;
+    std::unique_ptr<link::node> m_node;
+    std::unique_ptr<http::server> m_server;
+};
+
+entry_server::entry_server(platform::program& frame, const json& settings)
+    : m_implementation(std::make_unique<implementation>(frame, settings))
+{
+}
+
+entry_server::~entry_server() = default;
+
+absl::Status entry_server::start()
+{
+    return m_implementation->start();
+}
+
+platform::program_hooks entry_server::hooks()
+{
+    return m_implementation->hooks();
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/entry_server.h
@@ -0,0 +1,35 @@
+/// \file
+/// The entry program: takes callers' requests and brings each to an upstream that can serve it.
+#pragma once
+
+#include <memory>
+
+#include "dewbeam/platform"
+
+namespace dewbeam::entry {
+
+/// Settings of the program.
+std::vector<setting> entry_schema();
+
+/// One entry.
+class entry_server {
+public:
+    entry_server(platform::program& frame, const nlohmann::json& settings);
+    ~entry_server();
+    entry_server(const entry_server&) = delete;
+    entry_server& operator=(const entry_server&) = delete;
+    entry_server(entry_server&&) = delete;
+    entry_server& operator=(entry_server&&) = delete;
+
+    /// Opens the listeners.
+    absl::Status start();
+
+    /// What the program's frame calls.
+    platform::program_hooks hooks();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/metrics.h
@@ -0,0 +1,47 @@
+/// \file
+/// Metrics of an entry, for Prometheus.
+///
+/// Labels are bounded: selectors and failure domains are named, workspaces never are.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "dewbeam/base"
+#include "dewbeam/src/entry/entry_request.h"
+
+namespace dewbeam::entry {
+
+/// Counters, gauges and histograms. Thread-safe.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+    metrics(metrics&&) = delete;
+    metrics& operator=(metrics&&) = delete;
+
+    /// A request ended.
+    void request_ended(const std::string& selector, const request_result& result,
+                       time_span first_byte_after, time_span whole_after);
+
+    /// An attempt was handed to an agent.
+    void dispatched();
+
+    /// An attempt ended otherwise than whole.
+    void attempt_failed(const char* end);
+
+    void set_in_flight(std::size_t count);
+    void set_configuration_number(std::uint64_t number);
+    void set_upstreams(std::size_t count);
+
+    /// The text form that Prometheus reads.
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct families;
+    std::unique_ptr<families> m_families;
+};
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -0,0 +1,170 @@
+#include "dewbeam/src/entry/pool_table.h"
+
+#include <utility>
+
+#include "dewbeam/src/platform/program.h"
+
+namespace dewbeam::entry {
+
+std::string model_pool(const model_id& model)
+{
+    return "model:" + model.value();
+}
+
+std::string service_pool(const std::string& service)
+{
+    return "service:" + service;
+}
+
+std::vector<std::string> pools_of(const membership::member& member)
+{
+    std::vector<std::string> result;
+    for (const auto& model : member.m_models) {
+        result.push_back(model_pool(model));
+    }
+    if (const auto* service = member.m_labels.find("service")) {
+        result.push_back(service_pool(*service));
+    }
+    return result;
+}
+
+dispatch::upstream_info to_upstream(const membership::member& member,
+                                    const configuration::label_set& labels)
+{
+    const auto* drain = labels.find(configuration::drain_label);
+    dispatch::upstream_info info;
+    info.m_name = member.m_upstream;
+    info.m_failure_domain = member.m_failure_domain;
+    info.m_labels = labels;
+    info.m_incarnation = member.m_incarnation;
+    info.m_slots = member.m_slots;
+    info.m_leaving = member.m_leaving || (drain != nullptr && *drain == "true");
+    info.m_lease_deadline = member.m_lease_deadline;
+    info.m_report.m_running = member.m_load.m_running;
+    info.m_report.m_waiting = member.m_load.m_waiting;
+    info.m_report.m_free_kv = member.m_load.m_free_kv;
+    info.m_report.m_total_kv = member.m_load.m_total_kv;
+    info.m_report.m_step_time = member.m_load.m_step_time;
+    info.m_report.m_skew = member.m_load.m_skew;
+    info.m_report.m_measured_at = member.m_load.m_measured_at;
+    return info;
+}
+
+pool_table::pool_table(dispatch::broker_options options) : m_options(std::move(options)) {}
+
+std::shared_ptr<pool_table::cell> pool_table::find(const std::string& name) const
+{
+    const std::shared_lock lock(m_mutex);
+    const auto place = m_pools.find(name);
+    return place == m_pools.end() ? nullptr : place->second;
+}
+
+std::shared_ptr<pool_table::cell> pool_table::find_or_make(const std::string& name)
+{
+    if (auto known = find(name)) {
+        return known;
+    }
+    const std::unique_lock lock(m_mutex);
+    auto& place = m_pools[name];
+    if (!place) {
+        place = std::make_shared<cell>();
+        place->m_broker.m_options = m_options;
+        place->m_random = platform::seeded_engine();
+    }
+    return place;
+}
+
+dispatch::actions pool_table::submit(const std::string& pool, dispatch::request_info info,
+                                     time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        dispatch::action refusal;
+        refusal.m_kind = dispatch::action::kind::refuse;
+        refusal.m_ticket = info.m_ticket;
+        refusal.m_refusal = dispatch::refusal::no_able_upstream;
+        refusal.m_retry_at = now + std::chrono::seconds(1);
+        return {refusal};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::submit(target->m_broker, std::move(info), now, target->m_random);
+}
+
+void pool_table::first_token(const std::string& pool, dispatch::ticket request, time_point now)
+{
+    if (const auto target = find(pool)) {
+        const std::lock_guard lock(target->m_mutex);
+        dispatch::first_token(target->m_broker, request, now);
+    }
+}
+
+dispatch::actions pool_table::attempt_ended(const std::string& pool, dispatch::ticket request,
+                                            dispatch::attempt_end end, time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::attempt_ended(target->m_broker, request, end, now, target->m_random);
+}
+
+dispatch::actions pool_table::cancel(const std::string& pool, dispatch::ticket request,
+                                     time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::cancel(target->m_broker, request, now, target->m_random);
+}
+
+dispatch::actions pool_table::update_upstream(const std::string& pool,
+                                              const dispatch::upstream_info& info, time_point now)
+{
+    const auto target = find_or_make(pool);
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::update_upstream(target->m_broker, info, now, target->m_random);
+}
+
+dispatch::actions pool_table::remove_upstream(const std::string& pool, const upstream_id& name,
+                                              time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::remove_upstream(target->m_broker, name, now, target->m_random);
+}
+
+dispatch::actions pool_table::tick(time_point now)
+{
+    std::vector<std::shared_ptr<cell>> all;
+    {
+        const std::shared_lock lock(m_mutex);
+        for (const auto& [name, one] : m_pools) {
+            all.push_back(one);
+        }
+    }
+    dispatch::actions result;
+    for (const auto& one : all) {
+        const std::lock_guard lock(one->m_mutex);
+        const auto more = dispatch::tick(one->m_broker, now, one->m_random);
+        result.insert(result.end(), more.begin(), more.end());
+    }
+    return result;
+}
+
+std::vector<std::string> pool_table::names() const
+{
+    const std::shared_lock lock(m_mutex);
+    std::vector<std::string> result;
+    for (const auto& [name, one] : m_pools) {
+        result.push_back(name);
+    }
+    return result;
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/pool_table.h
@@ -0,0 +1,65 @@
+/// \file
+/// The brokers of an entry, one for each pool, each under its own lock.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+#include "dewbeam/dispatch"
+#include "dewbeam/membership"
+
+namespace dewbeam::entry {
+
+/// Name of the pool of a model's work.
+std::string model_pool(const model_id& model);
+
+/// Name of the pool of a plain service's work.
+std::string service_pool(const std::string& service);
+
+/// The pools that a member serves: one for each model, or one for its service.
+std::vector<std::string> pools_of(const membership::member& member);
+
+/// What a broker needs to know of a member, under the labels that the operators gave it.
+dispatch::upstream_info to_upstream(const membership::member& member,
+                                    const configuration::label_set& labels);
+
+/// All brokers of an entry. A pool exists from the first announcement of an upstream that serves
+/// it. Thread-safe; no lock is held while a caller carries out the actions.
+class pool_table {
+public:
+    explicit pool_table(dispatch::broker_options options);
+
+    dispatch::actions submit(const std::string& pool, dispatch::request_info info, time_point now);
+    void first_token(const std::string& pool, dispatch::ticket request, time_point now);
+    dispatch::actions attempt_ended(const std::string& pool, dispatch::ticket request,
+                                    dispatch::attempt_end end, time_point now);
+    dispatch::actions cancel(const std::string& pool, dispatch::ticket request, time_point now);
+    dispatch::actions update_upstream(const std::string& pool, const dispatch::upstream_info& info,
+                                      time_point now);
+    dispatch::actions remove_upstream(const std::string& pool, const upstream_id& name,
+                                      time_point now);
+    dispatch::actions tick(time_point now);
+
+    /// Names of all pools, sorted.
+    [[nodiscard]] std::vector<std::string> names() const;
+
+private:
+    struct cell {
+        std::mutex m_mutex;
+        dispatch::broker m_broker;
+        random_engine m_random;
+    };
+
+    [[nodiscard]] std::shared_ptr<cell> find(const std::string& name) const;
+    std::shared_ptr<cell> find_or_make(const std::string& name);
+
+    dispatch::broker_options m_options;
+    mutable std::shared_mutex m_mutex;
+    std::map<std::string, std::shared_ptr<cell>> m_pools;
+};
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/refusals.cpp
@@ -0,0 +1,108 @@
+#include "dewbeam/src/entry/refusals.h"
+
+namespace dewbeam::entry {
+
+namespace {
+
+struct wording {
+    int m_status;
+    const char* m_type;
+    const char* m_message;
+    caller::run_outcome m_outcome;
+};
+
+wording words_for(dispatch::refusal reason)
+{
+    using caller::run_outcome;
+    switch (reason) {
+        case dispatch::refusal::no_able_upstream:
+            return {503, "upstream_error", "no upstream that can serve this request is there",
+                    run_outcome::not_run};
+        case dispatch::refusal::overloaded:
+            return {429, "overloaded_error", "there is more work than the upstreams can do",
+                    run_outcome::not_run};
+        case dispatch::refusal::deadline_passed:
+            return {504, "timeout_error", "the request's time ran out before it could begin",
+                    run_outcome::not_run};
+        case dispatch::refusal::retries_exhausted:
+            return {503, "upstream_error", "no upstream took the request", run_outcome::not_run};
+        case dispatch::refusal::maybe_run:
+            return {502, "upstream_error",
+                    "the upstream was lost while the request may have been running",
+                    run_outcome::unknown};
+        case dispatch::refusal::quarantined:
+            break;
+    }
+    return {503, "quarantine_error", "requests with this content ended their upstreams",
+            run_outcome::not_run};
+}
+
+}  // namespace
+
+caller::error to_error(const dispatch::action& refusal, time_point now)
+{
+    const auto words = words_for(refusal.m_refusal);
+    caller::error fault;
+    fault.m_status = words.m_status;
+    fault.m_type = words.m_type;
+    fault.m_code = dispatch::to_string(refusal.m_refusal);
+    fault.m_message = words.m_message;
+    fault.m_outcome = words.m_outcome;
+    if (words.m_outcome == caller::run_outcome::not_run && refusal.m_retry_at > now) {
+        fault.m_retry_after = refusal.m_retry_at - now;
+    }
+    return fault;
+}
+
+caller::error no_selector(const configuration::label_set& labels)
+{
+    auto fault =
+        caller::bad_request("no_selector", "no selector matches a request with these labels: " +
+                                               configuration::to_string(labels));
+    fault.m_status = 404;
+    fault.m_outcome = caller::run_outcome::not_run;
+    return fault;
+}
+
+caller::error not_authorized()
+{
+    auto fault = caller::bad_request("not_authorized", "a valid bearer token is needed");
+    fault.m_status = 401;
+    fault.m_type = "authentication_error";
+    fault.m_outcome = caller::run_outcome::not_run;
+    return fault;
+}
+
+caller::error key_required(const std::string& selector)
+{
+    auto fault = caller::bad_request(
+        "idempotency_key_required",
+        "requests of selector '" + selector + "' need an Idempotency-Key", "Idempotency-Key");
+    fault.m_outcome = caller::run_outcome::not_run;
+    return fault;
+}
+
+caller::error deadline_exceeded()
+{
+    caller::error fault;
+    fault.m_status = 504;
+    fault.m_type = "timeout_error";
+    fault.m_code = "deadline_exceeded";
+    fault.m_message = "the request's time ran out while it was running";
+    fault.m_outcome = caller::run_outcome::unknown;
+    return fault;
+}
+
+caller::error not_ready()
+{
+    caller::error fault;
+    fault.m_status = 503;
+    fault.m_type = "upstream_error";
+    fault.m_code = "not_ready";
+    fault.m_message = "this entry does not take requests now";
+    fault.m_outcome = caller::run_outcome::not_run;
+    fault.m_retry_after = std::chrono::seconds(1);
+    return fault;
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/refusals.h
@@ -0,0 +1,28 @@
+/// \file
+/// What callers are told when a request is refused or fails.
+#pragma once
+
+#include "dewbeam/caller"
+#include "dewbeam/dispatch"
+
+namespace dewbeam::entry {
+
+/// The caller's error for a refusal by a broker.
+caller::error to_error(const dispatch::action& refusal, time_point now);
+
+/// No work selector matches the request's labels.
+caller::error no_selector(const configuration::label_set& labels);
+
+/// The token is missing or belongs to no workspace.
+caller::error not_authorized();
+
+/// The selector needs an Idempotency-Key and the caller sent none.
+caller::error key_required(const std::string& selector);
+
+/// The deadline passed while the request may have been running.
+caller::error deadline_exceeded();
+
+/// The entry does not serve (yet, or any more).
+caller::error not_ready();
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/fake_engine/fake_engine.h
@@ -0,0 +1,55 @@
+/// \file
+/// Stand-in of a model engine or a plain service, for tests, the demo and benches only.
+///
+/// It batches continuously: each step every running request gets its next word, urgent requests
+/// are taken from the queue first. Word `i` of an answer is `w<i>-<hash of the prompt>`, so that
+/// anyone can check that an answer is whole and belongs to its prompt.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/http"
+
+namespace dewbeam::fake_engine {
+
+/// What the stand-in is and how it behaves.
+struct engine_options {
+    std::string m_host;
+    std::vector<std::string> m_models;  ///< empty: a plain service
+    std::uint32_t m_slots = 8;
+    time_span m_step = std::chrono::milliseconds(5);
+    time_span m_prefill_per_token = std::chrono::microseconds(10);
+    std::uint64_t m_kv_tokens = 100'000;
+    std::string m_crash_marker;  ///< a prompt with this text ends the process
+};
+
+/// The words of an answer to `prompt`.
+std::string answer_word(std::uint64_t prompt_hash, std::uint64_t index);
+
+/// The stand-in's behaviour behind an HTTP server. Thread-safe.
+class engine {
+public:
+    engine(boost::asio::io_context& context, engine_options options);
+    ~engine();
+    engine(const engine&) = delete;
+    engine& operator=(const engine&) = delete;
+    engine(engine&&) = delete;
+    engine& operator=(engine&&) = delete;
+
+    /// Answers one request; give this to an HTTP server.
+    void handle(http::request&& request, const std::shared_ptr<http::exchange>& answer);
+
+    /// Requests that run or wait.
+    [[nodiscard]] std::size_t in_flight() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+}  // namespace dewbeam::fake_engine
--- /dev/null
+++ b/dewbeam/src/http/client.cpp
@@ -0,0 +1,340 @@
+#include "dewbeam/src/http/client.h"
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace dewbeam::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using strand = asio::strand<asio::io_context::executor_type>;
+
+constexpr std::size_t piece_size = 16UL * 1024;
+
+auto to_value(error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+/// A connection and what was read beyond the last answer.
+struct client_connection {
+    explicit client_connection(const strand& executor) : m_executor(executor), m_plain(executor) {}
+
+    beast::tcp_stream& lowest() { return m_tls ? m_tls->next_layer() : m_plain; }
+
+    strand m_executor;
+    beast::tcp_stream m_plain;
+    std::optional<beast::ssl_stream<beast::tcp_stream>> m_tls;
+    beast::flat_buffer m_buffer;
+    bool m_was_used = false;
+};
+
+using connection_pointer = std::unique_ptr<client_connection>;
+
+bhttp::request<bhttp::string_body> to_beast(const request& source, const std::string& host)
+{
+    bhttp::request<bhttp::string_body> result;
+    result.version(11);
+    result.method_string(source.m_method);
+    result.target(source.m_target);
+    for (const auto& item : source.m_fields) {
+        result.insert(item.m_name, item.m_value);
+    }
+    result.set(bhttp::field::host, host);
+    result.body() = source.m_body;
+    result.prepare_payload();
+    return result;
+}
+
+fields to_fields(const bhttp::response_header<>& head)
+{
+    fields result;
+    for (const auto& item : head) {
+        result.push_back({std::string(item.name_string()), std::string(item.value())});
+    }
+    return result;
+}
+
+}  // namespace
+
+struct client::shared : std::enable_shared_from_this<client::shared> {
+    shared(asio::io_context& context, endpoint server, client_options options)
+        : m_context(context), m_server(std::move(server)), m_options(std::move(options))
+    {
+    }
+
+    connection_pointer take_idle()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_idle.empty()) {
+            return nullptr;
+        }
+        auto last = std::move(m_idle.back());
+        m_idle.pop_back();
+        return last;
+    }
+
+    void keep(connection_pointer connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_idle.size() < m_options.m_most_idle) {
+            m_idle.push_back(std::move(connection));
+        }
+    }
+
+    asio::io_context& m_context;
+    endpoint m_server;
+    client_options m_options;
+    std::optional<asio::ssl::context> m_tls;
+    std::mutex m_mutex;
+    std::vector<connection_pointer> m_idle;
+};
+
+namespace {
+
+/// One request and its answer.
+template <class Shared>
+class running_exchange : public client_exchange,
+                         public std::enable_shared_from_this<running_exchange<Shared>> {
+public:
+    running_exchange(std::shared_ptr<Shared> state, request wanted, client_handlers handlers)
+        : m_state(std::move(state)),
+          m_request(to_beast(wanted, to_string(m_state->m_server))),
+          m_handlers(std::move(handlers)),
+          m_connection(m_state->take_idle())
+    {
+        if (!m_connection) {
+            m_connection =
+                std::make_unique<client_connection>(asio::make_strand(m_state->m_context));
+        }
+        m_executor.emplace(m_connection->m_executor);
+    }
+
+    void begin()
+    {
+        asio::co_spawn(
+            *m_executor, [self = this->shared_from_this()]() { return self->run(); },
+            asio::detached);
+    }
+
+    void cancel() override
+    {
+        m_is_cancelled = true;
+        asio::post(*m_executor, [self = this->shared_from_this()] {
+            if (self->m_connection) {
+                error_code ignored;
+                self->m_connection->lowest().socket().close(ignored);
+            }
+        });
+    }
+
+private:
+    asio::awaitable<void> run()
+    {
+        auto error = co_await exchange_once();
+        const bool was_stale =
+            error && !m_is_cancelled && m_connection->m_was_used && !m_has_head && !m_may_have_sent;
+        if (was_stale) {
+            // The kept connection had been closed before a byte went out: a new one is safe.
+            m_connection = std::make_unique<client_connection>(*m_executor);
+            error = co_await exchange_once();
+        }
+        end(error);
+    }
+
+    asio::awaitable<error_code> exchange_once()
+    {
+        error_code error;
+        if (m_connection->m_was_used && is_closed_by_peer()) {
+            co_return make_error_code(asio::error::connection_reset);
+        }
+        if (!m_connection->m_was_used) {
+            error = co_await connect();
+        }
+        if (error || m_is_cancelled) {
+            co_return error ? error : make_error_code(asio::error::operation_aborted);
+        }
+        m_may_have_sent = true;
+        if (m_connection->m_tls) {
+            co_return co_await talk(*m_connection->m_tls);
+        }
+        co_return co_await talk(m_connection->m_plain);
+    }
+
+    bool is_closed_by_peer()
+    {
+        char byte = 0;
+        const auto got = ::recv(m_connection->lowest().socket().native_handle(), &byte, 1,
+                                MSG_PEEK | MSG_DONTWAIT);
+        return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    asio::awaitable<error_code> connect()
+    {
+        error_code error;
+        const auto& server = m_state->m_server;
+        const tcp::endpoint target(asio::ip::make_address(server.m_ip), server.m_port);
+        auto& plain = m_connection->m_plain;
+        plain.expires_after(m_state->m_options.m_connect_limit);
+        co_await plain.async_connect(target, to_value(error));
+        if (error) {
+            co_return error;
+        }
+        plain.socket().set_option(tcp::no_delay(true), error);
+        if (m_state->m_tls) {
+            m_connection->m_tls.emplace(std::move(plain), *m_state->m_tls);
+            co_await m_connection->m_tls->async_handshake(asio::ssl::stream_base::client,
+                                                          to_value(error));
+        }
+        co_return error;
+    }
+
+    template <class Stream>
+    asio::awaitable<error_code> talk(Stream& stream)
+    {
+        error_code error;
+        const auto limit = m_state->m_options.m_silence_limit;
+        m_connection->lowest().expires_after(limit);
+        co_await bhttp::async_write(stream, m_request, to_value(error));
+        bhttp::response_parser<bhttp::buffer_body> parser;
+        parser.body_limit(boost::none);
+        if (!error) {
+            co_await bhttp::async_read_header(stream, m_connection->m_buffer, parser,
+                                              to_value(error));
+        }
+        if (error) {
+            co_return error;
+        }
+        m_has_head = true;
+        m_handlers.m_on_head(parser.get().result_int(), to_fields(parser.get().base()));
+        std::string piece(piece_size, '\0');
+        while (!parser.is_done() && !error) {
+            parser.get().body().data = piece.data();
+            parser.get().body().size = piece.size();
+            m_connection->lowest().expires_after(limit);
+            co_await bhttp::async_read_some(stream, m_connection->m_buffer, parser,
+                                            to_value(error));
+            if (error == bhttp::error::need_buffer) {
+                error = {};
+            }
+            const auto got = piece.size() - parser.get().body().size;
+            if (!error && got > 0) {
+                m_handlers.m_on_data(piece.substr(0, got));
+            }
+        }
+        m_keep_alive = !error && parser.keep_alive();
+        co_return error;
+    }
+
+    void end(error_code error)
+    {
+        const bool may_keep = !error && m_keep_alive && !m_is_cancelled;
+        if (may_keep && m_connection->m_buffer.size() == 0) {
+            m_connection->m_was_used = true;
+            m_connection->lowest().expires_never();
+            m_state->keep(std::move(m_connection));
+        }
+        m_connection.reset();
+        const auto how_far = m_may_have_sent ? progress::sent : progress::not_sent;
+        m_handlers.m_on_end(to_status(error), how_far);
+        m_handlers = {};
+    }
+
+    absl::Status to_status(error_code error) const
+    {
+        if (!error) {
+            return absl::OkStatus();
+        }
+        if (m_is_cancelled) {
+            return absl::CancelledError("the exchange was cancelled");
+        }
+        if (error == beast::error::timeout) {
+            return absl::DeadlineExceededError("the server was silent for too long");
+        }
+        return absl::UnavailableError(error.message());
+    }
+
+    std::shared_ptr<Shared> m_state;
+    bhttp::request<bhttp::string_body> m_request;
+    client_handlers m_handlers;
+    connection_pointer m_connection;
+    std::optional<strand> m_executor;
+    std::atomic<bool> m_is_cancelled = false;
+    bool m_may_have_sent = false;
+    bool m_has_head = false;
+    bool m_keep_alive = false;
+};
+
+}  // namespace
+
+client::client(asio::io_context& context, endpoint server, client_options options)
+    : m_shared(std::make_shared<shared>(context, std::move(server), std::move(options)))
+{
+    const auto& authority = m_shared->m_options.m_authority_file;
+    if (!authority.empty()) {
+        auto& tls = m_shared->m_tls.emplace(asio::ssl::context::tls_client);
+        error_code error;
+        tls.load_verify_file(authority, error);
+        if (error) {
+            log_event(log_level::error, "authority_file_unreadable",
+                      {{"file", authority}, {"reason", error.message()}});
+        }
+        tls.set_verify_mode(asio::ssl::verify_peer);
+    }
+}
+
+client::~client()
+{
+    const std::lock_guard lock(m_shared->m_mutex);
+    m_shared->m_idle.clear();
+}
+
+std::shared_ptr<client_exchange> client::start(request wanted, client_handlers handlers)
+{
+    auto running = std::make_shared<running_exchange<shared>>(m_shared, std::move(wanted),
+                                                              std::move(handlers));
+    running->begin();
+    return running;
+}
+
+absl::StatusOr<response> fetch(const endpoint& server, const request& wanted,
+                               const client_options& options)
+{
+    asio::io_context context;
+    client one(context, server, options);
+    response answer;
+    absl::Status result;
+    client_handlers handlers;
+    handlers.m_on_head = [&](int status, const fields& head) {
+        answer.m_status = status;
+        answer.m_fields = head;
+    };
+    handlers.m_on_data = [&](std::string bytes) { answer.m_body += bytes; };
+    handlers.m_on_end = [&](const absl::Status& status, progress) { result = status; };
+    const auto running = one.start(wanted, std::move(handlers));
+    context.run();
+    if (!result.ok()) {
+        return result;
+    }
+    return answer;
+}
+
+}  // namespace dewbeam::http
--- /dev/null
+++ b/dewbeam/src/http/client.h
@@ -0,0 +1,75 @@
+/// \file
+/// HTTP/1.1 client on Boost.Beast: one exchange at a time on a connection, streamed answers.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "dewbeam/base"
+#include "dewbeam/src/http/message.h"
+
+namespace dewbeam::http {
+
+/// How far an exchange came before it failed.
+enum class progress {
+    not_sent,  ///< no byte of the request was handed to the connection
+    sent,      ///< some or all of the request was; the other side may have begun
+};
+
+/// Calls from one of the context's threads, in this order: head, data..., end.
+struct client_handlers {
+    std::function<void(int status, const fields& head)> m_on_head;
+    std::function<void(std::string bytes)> m_on_data;
+    /// OK only where the whole answer arrived.
+    std::function<void(const absl::Status& result, progress how_far)> m_on_end;
+};
+
+/// One running exchange. Cancelling closes its connection, which is never used again.
+class client_exchange {
+public:
+    client_exchange() = default;
+    virtual ~client_exchange() = default;
+    client_exchange(const client_exchange&) = delete;
+    client_exchange& operator=(const client_exchange&) = delete;
+    client_exchange(client_exchange&&) = delete;
+    client_exchange& operator=(client_exchange&&) = delete;
+
+    /// Ends the exchange; `m_on_end` is still called, with a cancelled status.
+    virtual void cancel() = 0;
+};
+
+/// Limits of a client.
+struct client_options {
+    time_span m_connect_limit = std::chrono::seconds(2);
+    time_span m_silence_limit = std::chrono::seconds(30);  ///< between two pieces of an answer
+    std::size_t m_most_idle = 64;                          ///< kept connections
+    std::string m_authority_file;  ///< PEM of the trusted authority; empty: no TLS
+};
+
+/// A client of one server.
+class client {
+public:
+    client(boost::asio::io_context& context, endpoint server, client_options options);
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+    client(client&&) = delete;
+    client& operator=(client&&) = delete;
+
+    /// Sends a request; the handlers say what came back.
+    std::shared_ptr<client_exchange> start(request wanted, client_handlers handlers);
+
+private:
+    struct shared;
+    std::shared_ptr<shared> m_shared;
+};
+
+/// Sends one request and waits for the whole answer; for tools, not for servers.
+absl::StatusOr<response> fetch(const endpoint& server, const request& wanted,
+                               const client_options& options = {});
+
+}  // namespace dewbeam::http
--- /dev/null
+++ b/dewbeam/src/http/server.h
@@ -0,0 +1,106 @@
+/// \file
+/// HTTP/1.1 server on Boost.Beast: limits, keep-alive, streamed answers, TLS.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "dewbeam/base"
+#include "dewbeam/src/http/message.h"
+
+namespace dewbeam::http {
+
+/// Limits of a server; each has its own error.
+struct server_limits {
+    std::size_t m_most_header_bytes = 16UL * 1024;
+    std::size_t m_most_body_bytes = 4UL * 1024 * 1024;
+    std::size_t m_most_connections = 4096;
+    std::size_t m_most_unsent_bytes =
+        1024UL * 1024;  ///< of one answer, before a slow reader is cut
+    time_span m_read_limit = std::chrono::seconds(10);   ///< for one whole request
+    time_span m_write_limit = std::chrono::seconds(10);  ///< for one piece of an answer
+    time_span m_idle_limit = std::chrono::seconds(60);   ///< between requests
+};
+
+/// What a server needs to know at start.
+struct server_options {
+    endpoint m_listen;
+    server_limits m_limits;
+    std::string m_certificate_file;  ///< PEM; empty: no TLS
+    std::string m_key_file;          ///< PEM
+};
+
+/// The answering side of one request. Thread-safe; holds the connection until it is over.
+class exchange {
+public:
+    exchange() = default;
+    virtual ~exchange() = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+
+    /// Gives the whole answer. The first of `respond` and `start` counts.
+    virtual void respond(response whole) = 0;
+
+    /// Begins a streamed answer (chunked).
+    virtual void start(int status, fields head) = 0;
+
+    /// Adds bytes to a streamed answer.
+    virtual void write(std::string bytes) = 0;
+
+    /// Ends a streamed answer whole.
+    virtual void finish() = 0;
+
+    /// Ends a streamed answer so that the caller sees it was cut: no last chunk, then a close.
+    virtual void abort() = 0;
+
+    /// Calls `action` once when the caller goes away before the answer ended.
+    virtual void on_gone(std::function<void()> action) = 0;
+};
+
+/// Called for each request on one of the server's threads; must not block.
+using request_handler = std::function<void(request&&, const std::shared_ptr<exchange>&)>;
+
+/// Makes the body of an error that the server itself finds: status, code and sentence.
+using error_body =
+    std::function<std::string(int status, std::string_view code, std::string_view message)>;
+
+/// A listening server.
+class server {
+public:
+    /// Binds and listens; answers come from the threads that run `context`.
+    static absl::StatusOr<std::unique_ptr<server>> start(boost::asio::io_context& context,
+                                                         server_options options,
+                                                         request_handler handler,
+                                                         error_body make_error_body);
+
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    server(server&&) = delete;
+    server& operator=(server&&) = delete;
+
+    /// The address in use, with the real port.
+    [[nodiscard]] endpoint address() const;
+
+    /// From now on each connection is closed after its next answer, so that callers move on.
+    void wind_down();
+
+    /// Closes the listener, idle connections, and each other one after its current answer.
+    void stop_accepting();
+
+    /// Connections that are open.
+    [[nodiscard]] std::size_t connections() const;
+
+private:
+    struct shared;
+    explicit server(std::shared_ptr<shared> state);
+    std::shared_ptr<shared> m_shared;
+};
+
+}  // namespace dewbeam::http
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -397,6 +397,9 @@
         connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer),
                          clock_now() + m_options.m_silence_limit, time_point{}};
         set_common(fresh.m_socket);
+        // A broken connection stays silent until its deadline and is then replaced as a whole:
+        // libzmq's own reconnect would keep it alive while answers to it are lost.
+        fresh.m_socket.set(zmq::sockopt::reconnect_ivl, -1);
         if (has_keys()) {
             fresh.m_socket.set(zmq::sockopt::curve_serverkey, m_options.m_keys.m_public);
             fresh.m_socket.set(zmq::sockopt::curve_publickey, m_options.m_keys.m_public);
--- /dev/null
+++ b/dewbeam/src/platform/listeners.cpp
@@ -0,0 +1,115 @@
+#include "dewbeam/src/platform/listeners.h"
+
+#include <utility>
+
+#include "dewbeam/caller"
+
+namespace dewbeam::platform {
+
+namespace {
+
+using json = nlohmann::json;
+
+time_span milliseconds_setting(const json& settings, const char* path)
+{
+    return std::chrono::milliseconds(setting_value<std::int64_t>(settings, path));
+}
+
+http::server_limits read_limits(const json& settings)
+{
+    http::server_limits limits;
+    limits.m_most_header_bytes = setting_value<std::size_t>(settings, "/http/most_header_bytes");
+    limits.m_most_body_bytes = setting_value<std::size_t>(settings, "/http/most_body_bytes");
+    limits.m_most_connections = setting_value<std::size_t>(settings, "/http/most_connections");
+    limits.m_most_unsent_bytes = setting_value<std::size_t>(settings, "/http/most_unsent_bytes");
+    limits.m_read_limit = milliseconds_setting(settings, "/http/read_ms");
+    limits.m_write_limit = milliseconds_setting(settings, "/http/write_ms");
+    limits.m_idle_limit = milliseconds_setting(settings, "/http/idle_ms");
+    return limits;
+}
+
+std::string api_error(int status, std::string_view code, std::string_view message)
+{
+    auto fault = caller::bad_request(std::string(code), std::string(message));
+    fault.m_status = status;
+    fault.m_outcome = caller::run_outcome::not_run;
+    return caller::to_json(fault);
+}
+
+}  // namespace
+
+std::vector<setting> listener_settings()
+{
+    constexpr std::int64_t most_bytes = 1'073'741'824;
+    constexpr std::int64_t longest_ms = 3'600'000;
+    const http::server_limits standard;
+    const auto ms = [](time_span span) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    };
+    return {
+        {"/link/listen", setting_kind::address, "127.0.0.1:0",
+         "Address for dewbeam's own processes."},
+        {"/link/key_file", setting_kind::file, "",
+         "JSON file with the CURVE keys of the deployment; empty: no keys."},
+        {"/http/listen", setting_kind::address, "127.0.0.1:0", "Address of the HTTP listener."},
+        {"/http/certificate_file", setting_kind::file, "",
+         "PEM file with the certificate chain; empty: no TLS."},
+        {"/http/certificate_key_file", setting_kind::file, "",
+         "PEM file with the certificate's key."},
+        {"/http/most_header_bytes", setting_kind::integer, standard.m_most_header_bytes,
+         "Largest header of a request (bytes).", 256, most_bytes},
+        {"/http/most_body_bytes", setting_kind::integer, standard.m_most_body_bytes,
+         "Largest body of a request (bytes).", 256, most_bytes},
+        {"/http/most_connections", setting_kind::integer, standard.m_most_connections,
+         "Connections that are open at once.", 1, 1'000'000},
+        {"/http/most_unsent_bytes", setting_kind::integer, standard.m_most_unsent_bytes,
+         "Bytes of one answer that may wait for a slow reader.", 1024, most_bytes},
+        {"/http/read_ms", setting_kind::integer, ms(standard.m_read_limit),
+         "Time for a whole request to arrive (ms).", 10, longest_ms},
+        {"/http/write_ms", setting_kind::integer, ms(standard.m_write_limit),
+         "Time for one piece of an answer to be taken (ms).", 10, longest_ms},
+        {"/http/idle_ms", setting_kind::integer, ms(standard.m_idle_limit),
+         "Time that a connection may wait between requests (ms).", 10, longest_ms},
+    };
+}
+
+absl::StatusOr<std::unique_ptr<link::node>> start_node(const json& settings, incarnation self,
+                                                       link::node_handlers handlers)
+{
+    link::node_options options;
+    options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/link/listen")).value();
+    options.m_host = host_id(setting_value<std::string>(settings, "/host"));
+    options.m_incarnation = self;
+    const auto key_file = setting_value<std::string>(settings, "/link/key_file");
+    if (!key_file.empty()) {
+        auto keys = link::load_link_keys(key_file);
+        if (!keys.ok()) {
+            return keys.status();
+        }
+        options.m_keys = *std::move(keys);
+    }
+    return link::node::start(std::move(options), std::move(handlers));
+}
+
+absl::StatusOr<std::unique_ptr<http::server>> start_http(boost::asio::io_context& context,
+                                                         const json& settings,
+                                                         http::request_handler handler)
+{
+    http::server_options options;
+    options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/http/listen")).value();
+    options.m_limits = read_limits(settings);
+    options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
+    options.m_key_file = setting_value<std::string>(settings, "/http/certificate_key_file");
+    return http::server::start(context, std::move(options), std::move(handler), api_error);
+}
+
+std::vector<std::string> link_addresses(const json& settings, std::string_view path)
+{
+    std::vector<std::string> result;
+    for (const auto& address : setting_value<std::vector<std::string>>(settings, path)) {
+        result.push_back("tcp://" + address);
+    }
+    return result;
+}
+
+}  // namespace dewbeam::platform
--- /dev/null
+++ b/dewbeam/src/platform/listeners.h
@@ -0,0 +1,32 @@
+/// \file
+/// The listeners that each program opens: the link to own processes and HTTP.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/http"
+#include "dewbeam/link"
+
+namespace dewbeam::platform {
+
+/// Settings `/link/...` and `/http/...`.
+std::vector<setting> listener_settings();
+
+/// Opens the link as the settings say.
+absl::StatusOr<std::unique_ptr<link::node>> start_node(const nlohmann::json& settings,
+                                                       incarnation self,
+                                                       link::node_handlers handlers);
+
+/// Opens the HTTP listener as the settings say. The server's own errors have the API's shape.
+absl::StatusOr<std::unique_ptr<http::server>> start_http(boost::asio::io_context& context,
+                                                         const nlohmann::json& settings,
+                                                         http::request_handler handler);
+
+/// `tcp://` addresses of a list of `IP:PORT`.
+std::vector<std::string> link_addresses(const nlohmann::json& settings, std::string_view path);
+
+}  // namespace dewbeam::platform
--- /dev/null
+++ b/dewbeam/src/platform/program.cpp
@@ -0,0 +1,237 @@
+#include "dewbeam/src/platform/program.h"
+
+#include <docopt.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+namespace dewbeam::platform {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{10};
+constexpr int exit_usage = 1;
+constexpr int exit_settings = 2;
+constexpr int exit_cut = 3;
+
+log_level to_log_level(const std::string& text)
+{
+    if (text == "debug") {
+        return log_level::debug;
+    }
+    if (text == "warning") {
+        return log_level::warning;
+    }
+    return text == "error" ? log_level::error : log_level::info;
+}
+
+std::string usage_text(const program_info& info)
+{
+    const std::string name = info.m_name;
+    return std::string(info.m_description) + "\n\nUsage:\n  " + name +
+           " --settings FILE [--check]\n  " + name + " --print-defaults\n  " + name +
+           " --describe-settings\n  " + name +
+           " (-h | --help)\n\nOptions:\n"
+           "  --settings FILE      JSON file with the settings.\n"
+           "  --check              Check the settings and exit.\n"
+           "  --print-defaults     Print the defaults as JSON; required settings are null.\n"
+           "  --describe-settings  Print a table of the settings.\n"
+           "  -h --help            Print this text.\n";
+}
+
+start_result exit_with(int code)
+{
+    return {true, code, {}};
+}
+
+time_span seconds_setting(const nlohmann::json& settings, const char* path)
+{
+    return std::chrono::milliseconds(setting_value<std::int64_t>(settings, path));
+}
+
+}  // namespace
+
+time_point now()
+{
+    return time_point(
+        std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+incarnation new_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return incarnation(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+}
+
+random_engine seeded_engine()
+{
+    std::random_device device;
+    constexpr unsigned half = 32;
+    return random_engine((static_cast<std::uint64_t>(device()) << half) | device());
+}
+
+std::vector<setting> common_settings()
+{
+    constexpr std::int64_t most_threads = 64;
+    constexpr std::int64_t longest_ms = 3'600'000;
+    return {
+        {"/host", setting_kind::name, nullptr, "Name of this host, unique in the deployment."},
+        {"/failure_domain", setting_kind::name, nullptr, "Failure domain of this host."},
+        {"/threads", setting_kind::integer, 2, "Threads for I/O.", 1, most_threads},
+        {"/log/level",
+         setting_kind::choice,
+         "info",
+         "Least level that is logged.",
+         0,
+         0,
+         {"debug", "info", "warning", "error"}},
+        {"/address_file", setting_kind::text, "",
+         "Where to write the address of the HTTP listener in use; empty: nowhere."},
+        {"/stop/notice_ms", setting_kind::integer, 1000,
+         "After a stop signal: how long new work is still taken while the platform notices (ms).",
+         0, longest_ms},
+        {"/stop/drain_ms", setting_kind::integer, 60'000,
+         "After the notice time: how long requests in flight may take before they are cut (ms).", 0,
+         longest_ms},
+    };
+}
+
+start_result start_program(const program_info& info, int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::map<std::string, docopt::value> words;
+    try {
+        words = docopt::docopt_parse(usage_text(info), {argv + 1, argv + argc}, true, false);
+    }
+    catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage_text(info);
+        return exit_with(0);
+    }
+    catch (const std::runtime_error& error) {
+        std::cerr << error.what() << "\n" << usage_text(info);
+        return exit_with(exit_usage);
+    }
+    if (words["--print-defaults"].asBool()) {
+        std::cout << default_settings(info.m_schema).dump(2) << "\n";
+        return exit_with(0);
+    }
+    if (words["--describe-settings"].asBool()) {
+        std::cout << describe_settings(info.m_schema);
+        return exit_with(0);
+    }
+    auto settings = load_settings(info.m_schema, words["--settings"].asString());
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << "\n";
+        return exit_with(exit_settings);
+    }
+    if (words["--check"].asBool()) {
+        std::cout << "settings are right\n";
+        return exit_with(0);
+    }
+    configure_log(info.m_name, setting_value<std::string>(*settings, "/host"),
+                  to_log_level(setting_value<std::string>(*settings, "/log/level")));
+    return {false, 0, *std::move(settings)};
+}
+
+void write_address_file(const nlohmann::json& settings, const std::string& address)
+{
+    const auto file = setting_value<std::string>(settings, "/address_file");
+    if (file.empty()) {
+        return;
+    }
+    const auto unfinished = file + ".tmp";
+    std::ofstream(unfinished) << address << "\n";
+    std::rename(unfinished.c_str(), file.c_str());
+}
+
+program::program(const nlohmann::json& settings)
+    : m_settings(settings), m_context(setting_value<int>(settings, "/threads"))
+{
+}
+
+program::~program()
+{
+    m_context.stop();
+    for (auto& thread : m_threads) {
+        thread.join();
+    }
+}
+
+void program::start_threads()
+{
+    const auto count = setting_value<int>(m_settings, "/threads");
+    for (int i = 0; i < count; ++i) {
+        m_threads.emplace_back([this] {
+            const auto keep_running = boost::asio::make_work_guard(m_context);
+            m_context.run();
+        });
+    }
+}
+
+int program::run(const program_hooks& hooks)
+{
+    lifecycle::process life;
+    std::atomic<int> signals = 0;
+    boost::asio::signal_set waiting(m_context, SIGTERM, SIGINT);
+    const std::function<void()> wait_again = [&] {
+        waiting.async_wait([&](const boost::system::error_code& error, int) {
+            if (!error) {
+                ++signals;
+                wait_again();
+            }
+        });
+    };
+    wait_again();
+    start_threads();
+    int handled_signals = 0;
+    log_event(log_level::info, "process_started");
+    for (;;) {
+        std::this_thread::sleep_for(tick_interval);
+        const auto time = now();
+        hooks.m_tick(time);
+        auto wanted = lifecycle::command::none;
+        if (signals > handled_signals) {
+            ++handled_signals;
+            const auto notice = time + seconds_setting(m_settings, "/stop/notice_ms");
+            wanted =
+                life.stop_requested(notice, notice + seconds_setting(m_settings, "/stop/drain_ms"));
+        }
+        else if (life.current() == lifecycle::phase::starting && hooks.m_is_ready()) {
+            wanted = life.learned();
+        }
+        else {
+            wanted = life.tick(time, hooks.m_in_flight());
+        }
+        m_phase = life.current();
+        switch (wanted) {
+            case lifecycle::command::none:
+                break;
+            case lifecycle::command::start_serving:
+                log_event(log_level::info, "process_ready");
+                break;
+            case lifecycle::command::announce_leave:
+                log_event(log_level::info, "process_leaving");
+                hooks.m_announce_leave();
+                break;
+            case lifecycle::command::stop_accepting:
+                log_event(log_level::info, "process_draining",
+                          {{"in_flight", hooks.m_in_flight()}});
+                hooks.m_stop_accepting();
+                break;
+            case lifecycle::command::exit_clean:
+                log_event(log_level::info, "process_stopped");
+                return 0;
+            case lifecycle::command::exit_cut:
+                log_event(log_level::error, "process_cut", {{"in_flight", hooks.m_in_flight()}});
+                return exit_cut;
+        }
+    }
+}
+
+}  // namespace dewbeam::platform
--- /dev/null
+++ b/dewbeam/src/platform/program.h
@@ -0,0 +1,86 @@
+/// \file
+/// What every program does the same way: command line, settings, logs, signals, graceful stop.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/lifecycle"
+
+namespace dewbeam::platform {
+
+/// The time of decisions, from the steady clock.
+time_point now();
+
+/// A new incarnation: microseconds of the wall clock, so that a later life has a larger one.
+incarnation new_incarnation();
+
+/// A random engine seeded from the system.
+random_engine seeded_engine();
+
+/// What a program tells the frame about itself.
+struct program_info {
+    const char* m_name;         ///< e.g. `dewbeam-entry`
+    const char* m_description;  ///< one sentence for `--help`
+    settings_schema m_schema;
+};
+
+/// Settings that every program has: host, failure domain, logs, threads, stop.
+std::vector<setting> common_settings();
+
+/// Reads the command line and the settings. Where the program must not go on, gives its exit
+/// code and has printed why: 0 after `--check`, `--help` or `--print-defaults`, 1 for wrong
+/// words, 2 for wrong settings.
+struct start_result {
+    bool m_must_exit = false;
+    int m_exit_code = 0;
+    nlohmann::json m_settings;
+};
+start_result start_program(const program_info& info, int argc, char** argv);
+
+/// Writes `address` to the file that the setting `/address_file` names, whole or not at all, so
+/// that a script can learn which free port was taken. Does nothing where the setting is empty.
+void write_address_file(const nlohmann::json& settings, const std::string& address);
+
+/// What the frame calls while a program runs. All on the frame's own thread.
+struct program_hooks {
+    std::function<bool()> m_is_ready;          ///< learned enough to serve
+    std::function<std::size_t()> m_in_flight;  ///< unfinished requests
+    std::function<void()> m_announce_leave;    ///< readiness went false
+    std::function<void()> m_stop_accepting;    ///< close the listeners
+    std::function<void(time_point)> m_tick;    ///< every 10 ms
+};
+
+/// Runs the threads of a context and the life of a process.
+class program {
+public:
+    explicit program(const nlohmann::json& settings);
+    ~program();
+    program(const program&) = delete;
+    program& operator=(const program&) = delete;
+    program(program&&) = delete;
+    program& operator=(program&&) = delete;
+
+    [[nodiscard]] boost::asio::io_context& context() { return m_context; }
+
+    /// The phase, for readiness and status pages. Thread-safe.
+    [[nodiscard]] lifecycle::phase phase() const { return m_phase; }
+
+    /// Runs until the process has stopped; gives the exit code: 0 clean, 3 cut.
+    int run(const program_hooks& hooks);
+
+private:
+    void start_threads();
+
+    nlohmann::json m_settings;
+    boost::asio::io_context m_context;
+    std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
+    std::vector<std::thread> m_threads;
+};
+
+}  // namespace dewbeam::platform
