--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -713,6 +713,56 @@
     EXPECT_NE(*net.leader(), old);
 }
 
+message answer_to(const replica& self, std::size_t from, message_kind kind)
+{
+    message made;
+    made.m_kind = kind;
+    made.m_from = {replica_id(from), disk_id(1)};
+    made.m_to = self.m_self.m_id;
+    made.m_term = self.m_hard.m_term;
+    made.m_granted = true;
+    return made;
+}
+
+/// An entry of an older term stands on a majority; the index that its new leader commits.
+std::uint64_t commit_of_an_older_term(const replica_options& options)
+{
+    recovered_state disk;
+    disk.m_hard.m_term = 3;
+    disk.m_entries = {{{1, 1}, entry_kind::members, {}, {}},
+                      {{2, 2}, entry_kind::command, "c", {}}};
+    for (std::uint64_t id = 0; id < 5; ++id) {
+        disk.m_entries.front().m_members.push_back({{replica_id(id), disk_id(1)}, true});
+    }
+    random_engine random(1);
+    auto self = make_replica(options, {replica_id(0), disk_id(1)}, disk, {}, random);
+    const auto now = time_point(std::chrono::seconds(1));
+    step(self, tick{}, now, random);
+    for (const auto kind : {message_kind::pre_vote_reply, message_kind::vote_reply}) {
+        for (const std::size_t from : {1, 2}) {
+            auto vote = answer_to(self, from, kind);
+            vote.m_term += kind == message_kind::pre_vote_reply ? 1 : 0;
+            step(self, vote, now, random);
+        }
+        step(self, persisted{self.m_batch}, now, random);
+    }
+    EXPECT_EQ(self.m_role, role::leader);
+    for (const std::size_t from : {1, 2}) {
+        auto match = answer_to(self, from, message_kind::append_reply);
+        match.m_hint = 2;
+        step(self, match, now, random);
+    }
+    return self.m_commit;
+}
+
+TEST(consensus, an_entry_of_an_older_term_is_committed_by_the_own_term_alone)
+{
+    EXPECT_EQ(commit_of_an_older_term({}), 0U);
+    replica_options broken;
+    broken.m_commit_own_term = false;
+    EXPECT_EQ(commit_of_an_older_term(broken), 2U);
+}
+
 TEST(consensus, reads_wait_for_a_majority)
 {
     auto net = settled_network(3);
@@ -720,12 +770,8 @@
     auto& node = *net.m_hosts[leader].m_replica;
     auto out = step(node, read_request{9}, net.m_now, net.m_random);
     EXPECT_TRUE(out.m_reads.empty());
-    message answer;
-    answer.m_kind = message_kind::append_reply;
+    auto answer = answer_to(node, 0, message_kind::append_reply);
     answer.m_from = node.m_peers.front().m_member.m_identity;
-    answer.m_to = node.m_self.m_id;
-    answer.m_term = node.m_hard.m_term;
-    answer.m_granted = true;
     answer.m_round = node.m_round;
     out = step(node, answer, net.m_now, net.m_random);
     ASSERT_EQ(out.m_reads.size(), 1U);
