--- /dev/null
+++ b/dewbeam/src/group_map/messages.cpp
@@ -0,0 +1,29 @@
+#include "dewbeam/src/group_map/messages.h"
+
+namespace dewbeam::group_map {
+
+map_id settled_map(const engine_state& engine)
+{
+    return engine.m_armed && engine.m_switching ? engine.m_armed->m_map : engine.m_current;
+}
+
+const char* to_string(command_kind value)
+{
+    switch (value) {
+        case command_kind::collect:
+            return "collect";
+        case command_kind::confirm:
+            return "confirm";
+        case command_kind::stage:
+            return "stage";
+        case command_kind::arm:
+            return "arm";
+        case command_kind::commit:
+            return "commit";
+        case command_kind::release:
+            break;
+    }
+    return "release";
+}
+
+}  // namespace dewbeam::group_map
