--- /dev/null
+++ b/dewbeam/src/replies/reply_stream.cpp
@@ -0,0 +1,240 @@
+#include "dewbeam/src/replies/reply_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewbeam::replies {
+
+namespace {
+
+byte_count size_of(const reply_chunk& chunk)
+{
+    return {static_cast<std::int64_t>(chunk.m_data.size())};
+}
+
+void close(reply_stream& state, delivery& out, reply_error error)
+{
+    state.m_closed = true;
+    state.m_held.clear();
+    state.m_held_bytes = {};
+    state.m_owner.reset();
+    out.m_error = error;
+}
+
+/// Whether everything delivered so far is still here.
+bool keeps_all(const reply_stream& state)
+{
+    return static_cast<std::int64_t>(state.m_kept.size()) == state.m_delivered.m_count;
+}
+
+void keep(reply_stream& state, std::string_view bytes)
+{
+    const auto limit = static_cast<std::size_t>(state.m_options.m_most_kept.m_count);
+    if (keeps_all(state) && state.m_kept.size() + bytes.size() <= limit) {
+        state.m_kept += bytes;
+    }
+    else {
+        state.m_kept.clear();
+    }
+}
+
+void deliver(reply_stream& state, delivery& out, std::string_view bytes)
+{
+    keep(state, bytes);
+    state.m_delivered += {static_cast<std::int64_t>(bytes.size())};
+    out.m_bytes += bytes;
+}
+
+/// Takes from `bytes` what the caller has already; false if it differs.
+bool compare_replay(reply_stream& state, std::string_view& bytes)
+{
+    const auto expected = std::string_view(state.m_kept).substr(state.m_compared);
+    const auto common = std::min(expected.size(), bytes.size());
+    if (expected.substr(0, common) != bytes.substr(0, common)) {
+        return false;
+    }
+    state.m_compared += common;
+    bytes.remove_prefix(common);
+    return true;
+}
+
+bool replay_is_short(const reply_stream& state)
+{
+    return state.m_replays && state.m_compared < state.m_kept.size();
+}
+
+/// The first chunk brings the head: the caller gets it once, and a later attempt's must agree.
+bool take_head(reply_stream& state, reply_chunk& chunk, delivery& out)
+{
+    if (state.m_begun) {
+        return chunk.m_status == state.m_status;
+    }
+    state.m_begun = true;
+    state.m_status = chunk.m_status;
+    out.m_begins = true;
+    out.m_status = chunk.m_status;
+    out.m_headers = std::move(chunk.m_headers);
+    return true;
+}
+
+void take_end(reply_stream& state, const reply_chunk& chunk, delivery& out)
+{
+    out.m_outcome = chunk.m_outcome;
+    if (chunk.m_outcome != ledger::outcome::completed) {
+        // Another attempt may still go on from here.
+        drop_attempt(state);
+        out.m_error = reply_error::attempt_ended;
+        return;
+    }
+    if (replay_is_short(state)) {
+        close(state, out, reply_error::replay_differs);
+        return;
+    }
+    close(state, out, reply_error::none);
+    out.m_finished = true;
+}
+
+/// An attempt that ended without running has no answer: its last chunk carries no head.
+bool has_answer(const reply_chunk& chunk)
+{
+    return !chunk.m_last || chunk.m_outcome == ledger::outcome::completed;
+}
+
+/// Takes the chunk that is next in order.
+void take(reply_stream& state, reply_chunk chunk, delivery& out)
+{
+    if (state.m_next == 0 && has_answer(chunk) && !take_head(state, chunk, out)) {
+        close(state, out, reply_error::replay_differs);
+        return;
+    }
+    ++state.m_next;
+    std::string_view bytes = chunk.m_data;
+    if (!has_answer(chunk)) {
+        bytes = {};
+    }
+    if (state.m_replays && !compare_replay(state, bytes)) {
+        close(state, out, reply_error::replay_differs);
+        return;
+    }
+    // What is left of a replay is new; its comparison is over.
+    state.m_replays = state.m_replays && replay_is_short(state);
+    deliver(state, out, bytes);
+    if (chunk.m_last) {
+        take_end(state, chunk, out);
+    }
+}
+
+/// Whether the chunk fits with what was met of the attempt's end.
+bool fits_end(reply_stream& state, const reply_chunk& chunk)
+{
+    const auto number = chunk.m_number.value();
+    if (chunk.m_last) {
+        const bool after_data = state.m_held.empty() || state.m_held.rbegin()->first < number;
+        const bool only_end = !state.m_last_number || *state.m_last_number == number;
+        state.m_last_number = number;
+        return after_data && only_end;
+    }
+    return !state.m_last_number || number < *state.m_last_number;
+}
+
+void hold(reply_stream& state, reply_chunk chunk, delivery& out)
+{
+    state.m_held_bytes += size_of(chunk);
+    const auto number = chunk.m_number.value();
+    state.m_held.emplace(number, std::move(chunk));
+    if (state.m_held_bytes > state.m_options.m_most_held ||
+        state.m_held.size() > state.m_options.m_most_chunks_held) {
+        close(state, out, reply_error::too_much_held);
+    }
+}
+
+void take_held(reply_stream& state, delivery& out)
+{
+    while (state.m_owner && !state.m_held.empty() && state.m_held.begin()->first == state.m_next) {
+        auto chunk = std::move(state.m_held.begin()->second);
+        state.m_held.erase(state.m_held.begin());
+        state.m_held_bytes -= size_of(chunk);
+        take(state, std::move(chunk), out);
+    }
+}
+
+bool is_known(const reply_stream& state, std::uint64_t number)
+{
+    return number < state.m_next || state.m_held.contains(number);
+}
+
+}  // namespace
+
+const char* to_string(reply_error value)
+{
+    switch (value) {
+        case reply_error::none:
+            return "none";
+        case reply_error::too_much_held:
+            return "too_much_held";
+        case reply_error::replay_differs:
+            return "replay_differs";
+        case reply_error::malformed:
+            return "malformed";
+        case reply_error::attempt_ended:
+            break;
+    }
+    return "attempt_ended";
+}
+
+bool can_continue(const reply_stream& state, continuation how)
+{
+    if (state.m_closed) {
+        return false;
+    }
+    switch (how) {
+        case continuation::none:
+            return !state.m_begun;
+        case continuation::resume:
+            return true;
+        case continuation::replay:
+            break;
+    }
+    return keeps_all(state);
+}
+
+void start_attempt(reply_stream& state, const attempt_id& owner, continuation how)
+{
+    require(can_continue(state, how), "an answer goes on only where can_continue allows it");
+    drop_attempt(state);
+    state.m_owner = owner;
+    state.m_replays = how == continuation::replay && !state.m_kept.empty();
+    state.m_compared = 0;
+}
+
+void drop_attempt(reply_stream& state)
+{
+    state.m_owner.reset();
+    state.m_next = 0;
+    state.m_last_number.reset();
+    state.m_held.clear();
+    state.m_held_bytes = {};
+}
+
+delivery accept(reply_stream& state, reply_chunk chunk)
+{
+    delivery out;
+    if (state.m_closed || state.m_owner != chunk.m_attempt ||
+        is_known(state, chunk.m_number.value())) {
+        return out;
+    }
+    if (!fits_end(state, chunk)) {
+        close(state, out, reply_error::malformed);
+        return out;
+    }
+    if (chunk.m_number.value() == state.m_next) {
+        take(state, std::move(chunk), out);
+        take_held(state, out);
+    }
+    else {
+        hold(state, std::move(chunk), out);
+    }
+    return out;
+}
+
+}  // namespace dewbeam::replies
