--- a/test/group_map_test.cpp
+++ b/test/group_map_test.cpp
@@ -451,6 +451,25 @@
         carry_out(rank, effects);
     }
 
+    /// Whatever of this kind is on its way to a rank arrives at `at`, not before.
+    template <class Body>
+    void delay(std::uint32_t rank, time_point at)
+    {
+        for (auto rest = std::exchange(m_network, {}); !rest.empty(); rest.pop()) {
+            auto item = rest.top();
+            if (item.m_rank == rank && std::holds_alternative<Body>(item.m_body)) {
+                item.m_at = at;
+            }
+            m_network.push(item);
+        }
+    }
+
+    void activate_at(std::uint32_t rank)
+    {
+        const auto highest = m_agents[rank].m_participant->m_promised.m_number;
+        carry_out(rank, activate(m_agents[rank].m_coordinator, highest, m_now));
+    }
+
     /// All awake, one coordinator, one map everywhere, and nothing waits.
     bool at_rest() const
     {
@@ -591,5 +610,56 @@
     print(counts);
 }
 
+// Rank 1 coordinates with one answer missing; rank 2 overtakes it, commits and forgets its promise.
+TEST(group_map, slow_coordinator_is_harmless_beside_a_new_one)
+{
+    fault_counts counts;
+    group_model settled(3, true, true, 1, counts);
+    ASSERT_TRUE(settled.comes_to_rest(milliseconds(1'000)));
+    int finished = 0;
+    for (int killed_at = 1; killed_at <= 90; ++killed_at) {
+        for (int late = 1; late <= 96; late += 5) {
+            auto group = settled;
+            group.activate_at(1);
+            group.delay<command>(2, group.m_now + milliseconds(late));
+            group.activate_at(2);
+            for (int i = 0; i < killed_at; ++i) {
+                group.advance();
+                group.propose_at(2, "next");
+            }
+            group.crash(2, milliseconds(1));
+            ASSERT_TRUE(group.comes_to_rest(milliseconds(10'000))) << killed_at << ", " << late;
+            finished += static_cast<int>(group.m_engines[0].m_state.m_current.m_number);
+        }
+    }
+    std::printf("overtaken and killed at 90 moments, 20 delays: %d changes finished\n", finished);
+    EXPECT_GT(finished, 0);
+}
+
+// Both agents die at each moment of a change; an order that rank 1 sent before lands later.
+TEST(group_map, late_orders_of_an_earlier_life_are_harmless)
+{
+    fault_counts counts;
+    for (const bool checks_fencing : {true, false}) {
+        group_model settled(2, checks_fencing, true, 1, counts);
+        ASSERT_TRUE(settled.comes_to_rest(milliseconds(1'000)));
+        settled.propose_at(0, "next");
+        int finished = 0;
+        for (int killed_at = 1; killed_at <= 60; ++killed_at) {
+            settled.advance();
+            for (int late = 1; late <= 60; ++late) {
+                auto group = settled;
+                group.crash(0, milliseconds(1));
+                group.crash(1, milliseconds(1));
+                group.delay<engine_order>(1, group.m_now + milliseconds(late));
+                ASSERT_TRUE(group.comes_to_rest(milliseconds(5'000))) << killed_at << " " << late;
+                finished += static_cast<int>(group.m_engines[0].m_state.m_current.m_number);
+            }
+        }
+        std::printf("killed at 60 moments, 60 delays: %d changes finished\n", finished);
+        EXPECT_GT(finished, 0);
+    }
+}
+
 }  // namespace
 }  // namespace dewbeam::group_map
