Broker: fair queues, routed choices, limits of admission, retries and quarantine

Cause: the thin broker walked over all upstreams for each request, served first come first served and knew neither prefixes, classes, deadlines of the queue, nor crash suspects. Change: deficit round robin over workspaces, class shares, routes with a cached match and sets of upstreams with room, sampled choices scored by expected wait, an approximate prefix index, a retry budget, queue limits from the drain rate, suspicions that merge between entries. Ruled out: a heap by virtual time for the queue (O(log n) a decision).

--- /dev/null
+++ b/dewbeam/src/dispatch/request.h
@@ -0,0 +1,91 @@
+/// \file
+/// What goes into a broker and what comes out: requests, upstreams, actions.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/configuration"
+#include "dewbeam/retry"
+
+namespace dewbeam::dispatch {
+
+/// Number of a request inside one entry process.
+using ticket = strong<struct ticket_tag, std::uint64_t>;
+
+/// What an upstream last said of its load.
+struct load_report {
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    token_count m_free_kv;
+    token_count m_total_kv;
+    time_span m_step_time = time_span::zero();
+    double m_skew = 1.0;         ///< slowest rank / mean rank
+    time_point m_measured_at{};  ///< when the figures were true, on this host's clock
+};
+
+/// What the broker knows of an upstream.
+struct upstream_info {
+    upstream_id m_name;
+    failure_domain_id m_failure_domain;
+    configuration::label_set m_labels;  ///< effective labels
+    incarnation m_incarnation;
+    std::uint32_t m_slots = 1;  ///< requests that it runs at once
+    bool m_leaving = false;
+    time_point m_lease_deadline = no_deadline;
+    load_report m_report;
+};
+
+/// A request that wants an upstream.
+struct request_info {
+    ticket m_ticket;
+    workspace_id m_workspace;
+    double m_workspace_weight = 1.0;
+    std::string m_selector;  ///< name of the work selector, for metrics
+    double m_selector_weight = 1.0;
+    configuration::work_class m_class = configuration::work_class::ordinary;
+    configuration::selector m_upstreams;
+    bool m_idempotent = true;
+    token_count m_prompt_tokens;
+    token_count m_output_tokens;          ///< upper bound
+    std::vector<std::uint64_t> m_prefix;  ///< cumulative hashes of the prompt's blocks
+    fingerprint m_fingerprint;            ///< 0: none; such a request is never a suspect
+    time_point m_arrival{};
+    time_point m_deadline = no_deadline;
+    bool m_pinned_first = false;  ///< prefer `m_first`: the upstream that an earlier try named
+    upstream_id m_first;
+};
+
+/// How an attempt ended.
+using attempt_end = retry::attempt_end;
+
+/// Why a request is refused.
+enum class refusal {
+    no_able_upstream,   ///< no upstream that matches is known
+    overloaded,         ///< the queue could not meet the deadline
+    deadline_passed,    ///< time ran out in the queue
+    retries_exhausted,  ///< the last attempt ended `not_run` and no retry is left
+    maybe_run,          ///< the attempt's end is unknown and it must not run twice
+    quarantined,        ///< its content crashed upstreams
+};
+
+/// Field term of a refusal for error bodies and metrics.
+const char* to_string(refusal value);
+
+/// What the program must do.
+struct action {
+    enum class kind { dispatch, refuse };
+    kind m_kind = kind::dispatch;
+    ticket m_ticket;
+    upstream_id m_upstream;     ///< of a dispatch
+    incarnation m_incarnation;  ///< of that upstream's agent
+    bool m_alone = false;       ///< a crash suspect: run nothing beside it
+    refusal m_refusal = refusal::overloaded;
+    time_point m_retry_at{};  ///< of a refusal: when the caller may come back
+};
+
+/// Actions in the order in which they must be carried out.
+using actions = std::vector<action>;
+
+}  // namespace dewbeam::dispatch
--- /dev/null
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -0,0 +1,267 @@
+#include "dewbeam/src/dispatch/route_table.h"
+
+#include <algorithm>
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+constexpr std::size_t most_idle_routes = 64;
+constexpr double step_gain = 0.05;
+
+bool is_near(const route_options& options, const upstream_state& upstream)
+{
+    return upstream.m_info.m_failure_domain == options.m_failure_domain;
+}
+
+void leave_routes(upstream_state& upstream, upstream_index index)
+{
+    for (auto* member_of : upstream.m_routes) {
+        std::erase(member_of->m_members, index);
+        member_of->m_able -= upstream.m_is_able ? 1 : 0;
+        for (auto& open : member_of->m_open) {
+            open.m_near.erase(index);
+            open.m_far.erase(index);
+        }
+    }
+    upstream.m_routes.clear();
+    upstream.m_is_able = false;
+}
+
+void leave(route_table& table, route& subject)
+{
+    for (const auto index : subject.m_members) {
+        std::erase(table.m_upstreams[index]->m_routes, &subject);
+    }
+    subject.m_members.clear();
+    subject.m_able = 0;
+    subject.m_open = {};
+}
+
+void join(route_table& table, route& subject, const std::vector<upstream_index>& members)
+{
+    for (const auto index : members) {
+        auto& upstream = *table.m_upstreams[index];
+        subject.m_members.push_back(index);
+        subject.m_able += upstream.m_is_able ? 1 : 0;
+        upstream.m_routes.push_back(&subject);
+    }
+}
+
+/// Works out anew which upstreams belong to a route.
+void rebuild(route_table& table, const route_options& options, route& subject, time_point now)
+{
+    leave(table, subject);
+    std::vector<routing::subset_candidate> near;
+    std::vector<routing::subset_candidate> far;
+    for (const auto& [name, index] : table.m_names) {
+        const auto& upstream = *table.m_upstreams[index];
+        if (configuration::matches(subject.m_upstreams, upstream.m_info.m_labels)) {
+            (is_near(options, upstream) ? near : far).push_back({index, name});
+        }
+    }
+    for (const auto& candidates : {near, far}) {
+        join(table, subject,
+             routing::choose_subset(candidates, options.m_entry, options.m_subset_size));
+    }
+    for (const auto index : std::vector<upstream_index>(subject.m_members)) {
+        refresh(table, options, index, now);
+    }
+}
+
+void rebuild_all(route_table& table, const route_options& options, time_point now)
+{
+    for (const auto& subject : table.m_routes) {
+        rebuild(table, options, *subject, now);
+    }
+}
+
+upstream_index new_position(route_table& table)
+{
+    if (table.m_unused.empty()) {
+        table.m_upstreams.push_back(std::make_unique<upstream_state>());
+        return static_cast<upstream_index>(table.m_upstreams.size() - 1);
+    }
+    const auto index = table.m_unused.back();
+    table.m_unused.pop_back();
+    *table.m_upstreams[index] = upstream_state{};
+    return index;
+}
+
+std::uint32_t less_or_zero(std::uint32_t value, std::uint32_t taken)
+{
+    return value - std::min(value, taken);
+}
+
+/// Splits a report's counts into own requests and those of other entries.
+void note_report(upstream_state& upstream)
+{
+    const auto& report = upstream.m_info.m_report;
+    const auto measured = report.m_measured_at;
+    std::erase_if(upstream.m_ended,
+                  [&](const ended_run& run) { return run.m_ended_at <= measured; });
+    std::uint32_t own = 0;
+    std::uint32_t own_waiting = 0;
+    upstream.m_tokens_since_report = 0.0;
+    for (const auto& request : upstream.m_running) {
+        const bool is_counted = request.m_dispatched_at <= measured;
+        own += is_counted ? 1 : 0;
+        own_waiting += is_counted && !request.m_has_first_token ? 1 : 0;
+        upstream.m_tokens_since_report +=
+            is_counted ? 0.0 : static_cast<double>(request.m_info.m_prompt_tokens.m_count);
+    }
+    for (const auto& run : upstream.m_ended) {
+        own += run.m_started_at <= measured ? 1 : 0;
+    }
+    upstream.m_others_running = less_or_zero(report.m_running + report.m_waiting, own);
+    upstream.m_others_waiting = less_or_zero(report.m_waiting, own_waiting);
+}
+
+void note_step(route_table& table, const load_report& report)
+{
+    const double seconds = std::chrono::duration<double>(report.m_step_time).count();
+    if (seconds <= 0.0) {
+        return;
+    }
+    auto& mean = table.m_mean_step_seconds;
+    mean = mean == 0.0 ? seconds : mean + step_gain * (seconds - mean);
+}
+
+/// Slots that this entry may count on.
+std::uint32_t usable_slots(const upstream_state& upstream, const route_options& options)
+{
+    const auto& info = upstream.m_info;
+    if (info.m_report.m_measured_at != time_point{} || options.m_entries_sharing <= 1) {
+        return info.m_slots;
+    }
+    return std::max(1U, info.m_slots / options.m_entries_sharing);  // nothing known of the others
+}
+
+bool has_room(const upstream_state& upstream, const route_options& options,
+              configuration::work_class wanted, time_point now)
+{
+    if (!upstream.m_is_able || upstream.m_closed_until > now || upstream.m_runs_alone ||
+        upstream.m_held_for != ticket{}) {
+        return false;
+    }
+    const auto slots = usable_slots(upstream, options);
+    const auto others = upstream.m_others_running;
+    const bool has_slot = upstream.m_in_flight + others < slots;
+    if (wanted == configuration::work_class::urgent) {
+        return has_slot;
+    }
+    return has_slot && upstream.m_ordinary_in_flight + others <
+                           fairness::ordinary_slots(options.m_classes, slots);
+}
+
+void drop_idle_routes(route_table& table)
+{
+    if (table.m_routes.size() < most_idle_routes) {
+        return;
+    }
+    std::erase_if(table.m_routes, [&](const std::unique_ptr<route>& subject) {
+        if (subject->m_users > 0) {
+            return false;
+        }
+        leave(table, *subject);
+        return true;
+    });
+}
+
+}  // namespace
+
+route& route_of(route_table& table, const route_options& options,
+                const configuration::selector& upstreams, time_point now)
+{
+    for (const auto& known : table.m_routes) {
+        if (known->m_upstreams == upstreams) {
+            return *known;
+        }
+    }
+    drop_idle_routes(table);
+    auto& result = *table.m_routes.emplace_back(std::make_unique<route>());
+    result.m_upstreams = upstreams;
+    rebuild(table, options, result, now);
+    return result;
+}
+
+upstream_index put_upstream(route_table& table, const route_options& options,
+                            const upstream_info& info, time_point now)
+{
+    const auto [place, is_new] = table.m_names.try_emplace(info.m_name, 0);
+    if (is_new) {
+        place->second = new_position(table);
+    }
+    const auto index = place->second;
+    auto& upstream = *table.m_upstreams[index];
+    const bool is_moved = is_new || upstream.m_info.m_labels != info.m_labels ||
+                          upstream.m_info.m_failure_domain != info.m_failure_domain;
+    const bool is_reported = upstream.m_info.m_report.m_measured_at != info.m_report.m_measured_at;
+    upstream.m_info = info;
+    upstream.m_is_known = true;
+    if (is_reported) {
+        note_report(upstream);
+        note_step(table, info.m_report);
+    }
+    refresh(table, options, index, now);
+    if (is_moved) {
+        rebuild_all(table, options, now);
+    }
+    return index;
+}
+
+void drop_upstream(route_table& table, const route_options& options, const upstream_id& name,
+                   time_point now)
+{
+    const auto place = table.m_names.find(name);
+    if (place == table.m_names.end()) {
+        return;
+    }
+    const auto index = place->second;
+    auto& upstream = *table.m_upstreams[index];
+    leave_routes(upstream, index);
+    upstream.m_is_known = false;
+    upstream.m_held_for = ticket{};
+    table.m_names.erase(place);
+    free_if_unused(table, index);
+    rebuild_all(table, options, now);
+}
+
+void refresh(route_table& table, const route_options& options, upstream_index index, time_point now)
+{
+    auto& upstream = *table.m_upstreams[index];
+    const bool was_able = upstream.m_is_able;
+    upstream.m_is_able =
+        upstream.m_is_known && !upstream.m_info.m_leaving && upstream.m_info.m_lease_deadline > now;
+    const std::array<bool, 2> is_open = {
+        has_room(upstream, options, configuration::work_class::urgent, now),
+        has_room(upstream, options, configuration::work_class::ordinary, now)};
+    const bool is_own = is_near(options, upstream);
+    for (auto* subject : upstream.m_routes) {
+        subject->m_able += upstream.m_is_able ? 1 : 0;
+        subject->m_able -= was_able ? 1 : 0;
+        for (std::size_t i = 0; i < is_open.size(); ++i) {
+            subject->m_open[i].m_near.set(index, is_open[i] && is_own);
+            subject->m_open[i].m_far.set(index, is_open[i] && !is_own);
+        }
+    }
+}
+
+std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name)
+{
+    const auto place = table.m_names.find(name);
+    if (place == table.m_names.end()) {
+        return std::nullopt;
+    }
+    return place->second;
+}
+
+void free_if_unused(route_table& table, upstream_index index)
+{
+    const auto& upstream = *table.m_upstreams[index];
+    if (!upstream.m_is_known && upstream.m_in_flight == 0) {
+        table.m_unused.push_back(index);
+    }
+}
+
+}  // namespace dewbeam::dispatch
--- /dev/null
+++ b/dewbeam/src/dispatch/route_table.h
@@ -0,0 +1,152 @@
+/// \file
+/// Upstreams, and for each distinct selector the upstreams that match it.
+///
+/// The match is worked out once for each selector and again only when labels, domains or the set
+/// of upstreams change. Beside it each route keeps the sets of upstreams that have room, so that
+/// a choice samples from them instead of walking over all upstreams.
+#pragma once
+
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "dewbeam/admission"
+#include "dewbeam/fairness"
+#include "dewbeam/routing"
+#include "dewbeam/src/dispatch/request.h"
+
+namespace dewbeam::dispatch {
+
+using routing::upstream_index;
+
+struct route;
+
+/// Hook of the list of requests that run on one upstream.
+using running_hook = boost::intrusive::list_base_hook<boost::intrusive::tag<struct running_tag>,
+                                                      fairness::unchecked>;
+
+/// Where a request stands.
+enum class request_phase { fresh, queued, retrying, suspect, running };
+
+/// A request in the broker.
+struct pending_request : fairness::queue_item, running_hook {
+    request_info m_info;
+    route* m_route = nullptr;
+    request_phase m_phase = request_phase::fresh;
+    std::uint32_t m_attempts = 0;
+    std::vector<upstream_id> m_tried;
+    upstream_index m_running_on = 0;  ///< while running
+    incarnation m_running_incarnation;
+    bool m_runs_alone = false;
+    bool m_has_first_token = false;
+    double m_prompt_work = 0.0;  ///< prompt tokens that its upstream must compute for it
+    double m_work_before = 0.0;  ///< and those that were queued there before it
+    time_point m_dispatched_at{};
+};
+
+using running_list =
+    boost::intrusive::list<pending_request, boost::intrusive::base_hook<running_hook>>;
+
+/// When a request started and ended on an upstream.
+struct ended_run {
+    time_point m_started_at{};
+    time_point m_ended_at{};
+};
+
+/// An upstream in the broker.
+struct upstream_state {
+    upstream_info m_info;
+    bool m_is_known = false;        ///< false: removed, but its attempts have not all ended
+    bool m_is_able = false;         ///< known, not leaving, lease valid
+    std::uint32_t m_in_flight = 0;  ///< own dispatches without an end
+    std::uint32_t m_ordinary_in_flight = 0;
+    std::uint32_t m_others_running = 0;  ///< of other entries, by the last report
+    std::uint32_t m_others_waiting = 0;
+    double m_pending_work = 0.0;         ///< prompt tokens of own dispatches without a first token
+    double m_tokens_since_report = 0.0;  ///< own dispatches that the report can't have counted
+    time_point m_closed_until{};         ///< it said `not_run`: it is fuller than we knew
+    bool m_runs_alone = false;
+    ticket m_held_for;  ///< a suspect waits until it is empty; 0: none
+    running_list m_running;
+    std::deque<ended_run> m_ended;  ///< since the last report was measured
+    std::vector<route*> m_routes;
+};
+
+/// What waits for one route in one class.
+struct lane {
+    fairness::fair_queue m_queue;
+    admission::drain_meter m_drain;
+    admission::return_line m_returns;
+    double m_served = 0.0;                 ///< cost served over the weight of its flows
+    double m_run_seconds_per_token = 0.0;  ///< mean run time by output bound; 0: not known
+};
+
+/// Upstreams of one class with room: in the own failure domain and elsewhere.
+struct open_sets {
+    routing::index_set m_near;
+    routing::index_set m_far;
+};
+
+/// All work for one selector.
+struct route {
+    configuration::selector m_upstreams;
+    std::vector<upstream_index> m_members;
+    std::uint32_t m_able = 0;  ///< members that are able
+    std::array<open_sets, 2> m_open;
+    std::array<lane, 2> m_lanes;
+    fairness::item_list m_retries;
+    fairness::item_list m_suspects;
+    std::size_t m_users = 0;  ///< requests that name it
+};
+
+/// Limits of a table, from the broker's options.
+struct route_options {
+    failure_domain_id m_failure_domain;
+    host_id m_entry;                 ///< of the subset
+    std::size_t m_subset_size = 64;  ///< upstreams of a route in one domain group
+    std::uint32_t m_entries_sharing = 1;
+    fairness::class_options m_classes;
+};
+
+/// The table.
+struct route_table {
+    std::map<upstream_id, upstream_index> m_names;
+    std::vector<std::unique_ptr<upstream_state>> m_upstreams;
+    std::vector<upstream_index> m_unused;
+    std::vector<std::unique_ptr<route>> m_routes;
+    double m_mean_step_seconds = 0.0;
+};
+
+/// Position of a class in the arrays.
+inline std::size_t place_of(configuration::work_class value)
+{
+    return value == configuration::work_class::urgent ? 0 : 1;
+}
+
+/// The route of a selector; made where there is none.
+route& route_of(route_table& table, const route_options& options,
+                const configuration::selector& upstreams, time_point now);
+
+/// Takes in what an upstream says; gives its position.
+upstream_index put_upstream(route_table& table, const route_options& options,
+                            const upstream_info& info, time_point now);
+
+/// Forgets an upstream. Its position is used again only after its attempts have ended.
+void drop_upstream(route_table& table, const route_options& options, const upstream_id& name,
+                   time_point now);
+
+/// Works out anew whether an upstream is able and has room, in all its routes.
+void refresh(route_table& table, const route_options& options, upstream_index index,
+             time_point now);
+
+/// Its position, where it is known.
+std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
+
+/// Frees the position of a removed upstream once nothing of it is left.
+void free_if_unused(route_table& table, upstream_index index);
+
+}  // namespace dewbeam::dispatch
--- /dev/null
+++ b/dewbeam/src/retry/budget.h
@@ -0,0 +1,45 @@
+/// \file
+/// The budget of retries as a share of first tries (a token bucket), and which attempts may be
+/// tried again at all.
+#pragma once
+
+#include <cstdint>
+
+namespace dewbeam::retry {
+
+/// How an attempt ended, as the broker sees it.
+enum class attempt_end {
+    completed,      ///< the whole answer arrived
+    not_run,        ///< certainly never begun
+    unknown,        ///< may have run
+    upstream_died,  ///< unknown, and the upstream's process went away while it ran
+    cancelled,      ///< the caller went away
+};
+
+/// Limits, set by the operator.
+struct budget_options {
+    double m_share = 0.1;   ///< retries for each first try
+    double m_burst = 20.0;  ///< most retries saved up
+};
+
+/// Retries that a new bucket holds, so that thin traffic can be retried at all.
+inline constexpr double first_retries = 10.0;
+
+/// The bucket. Over any time, retries stay below `m_share` of first tries plus what was saved up.
+struct budget {
+    double m_tokens = first_retries;
+    std::uint64_t m_first_tries = 0;
+    std::uint64_t m_retries = 0;
+};
+
+/// A request was dispatched for the first time.
+void count_first_try(budget& state, const budget_options& options);
+
+/// Takes one retry from the budget; false when none is left.
+bool take_retry(budget& state);
+
+/// Whether an attempt that ended so may run again without running twice: it certainly never ran,
+/// or running twice does no harm.
+bool is_safe_to_retry(attempt_end end, bool is_idempotent);
+
+}  // namespace dewbeam::retry
--- /dev/null
+++ b/dewbeam/src/routing/score.cpp
@@ -0,0 +1,38 @@
+#include "dewbeam/src/routing/score.h"
+
+namespace dewbeam::routing {
+
+namespace {
+
+constexpr double assumed_speed = 10'000.0;  ///< tokens a second, until something is known
+constexpr double decay = 0.99;              ///< of the sums, for each first token
+/// Running requests lengthen each step; a full upstream is this much slower than an empty one.
+constexpr double full_slowdown = 1.0;
+/// Seconds that a full upstream costs even a request with nothing to compute: breaks ties towards
+/// empty ones.
+constexpr double occupancy_seconds = 0.02;
+
+}  // namespace
+
+void note_first_token(speed_estimate& estimate, double tokens, double seconds)
+{
+    estimate.m_tokens = estimate.m_tokens * decay + tokens;
+    estimate.m_seconds = estimate.m_seconds * decay + seconds;
+}
+
+double prompt_speed(const speed_estimate& estimate)
+{
+    if (estimate.m_seconds <= 0.0 || estimate.m_tokens <= 0.0) {
+        return assumed_speed;
+    }
+    return estimate.m_tokens / estimate.m_seconds;
+}
+
+double expected_wait(const choice_facts& facts, const speed_estimate& estimate)
+{
+    const double tokens = facts.m_queued_tokens + facts.m_missing_tokens + facts.m_missing_kv;
+    const double slowdown = facts.m_slowness * (1.0 + full_slowdown * facts.m_occupancy);
+    return tokens / prompt_speed(estimate) * slowdown + occupancy_seconds * facts.m_occupancy;
+}
+
+}  // namespace dewbeam::routing
--- /dev/null
+++ b/test/broker_test.cpp
@@ -0,0 +1,450 @@
+// The broker: every ticket gets one outcome, and no dispatch breaks a rule, whatever happens.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "dewbeam/dispatch"
+
+namespace dewbeam::dispatch {
+namespace {
+
+using configuration::work_class;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+configuration::selector parse(const std::string& text)
+{
+    return configuration::parse_selector(text).value();
+}
+
+upstream_info make_upstream(const std::string& name, std::uint32_t slots,
+                            const std::string& labels = "pool=chat",
+                            const std::string& domain = "a")
+{
+    upstream_info result;
+    result.m_name = upstream_id(name);
+    result.m_failure_domain = failure_domain_id(domain);
+    result.m_labels = configuration::parse_labels(labels).value();
+    result.m_incarnation = incarnation{1};
+    result.m_slots = slots;
+    return result;
+}
+
+request_info make_request(std::uint64_t id, const std::string& workspace = "w")
+{
+    request_info result;
+    result.m_ticket = ticket{id};
+    result.m_workspace = workspace_id(workspace);
+    result.m_prompt_tokens = {100};
+    result.m_output_tokens = {50};
+    result.m_upstreams = parse("pool=chat");
+    return result;
+}
+
+/// A broker, its time and its random engine.
+struct fixture {
+    broker m_broker;
+    time_point m_now{};
+    random_engine m_random{7};
+
+    fixture() { m_broker.m_options.m_failure_domain = failure_domain_id("a"); }
+
+    actions put(const upstream_info& info)
+    {
+        return update_upstream(m_broker, info, m_now, m_random);
+    }
+    actions add(const request_info& info) { return submit(m_broker, info, m_now, m_random); }
+    actions end(std::uint64_t id, attempt_end how)
+    {
+        return attempt_ended(m_broker, ticket{id}, how, m_now, m_random);
+    }
+    actions pass(time_span span)
+    {
+        m_now += span;
+        return tick(m_broker, m_now, m_random);
+    }
+};
+
+TEST(broker, own_domain_goes_first_and_spills_only_when_it_is_full)
+{
+    fixture f;
+    f.put(make_upstream("near", 4));
+    f.put(make_upstream("far", 4, "pool=chat", "b"));
+    EXPECT_EQ(f.add(make_request(1)).at(0).m_upstream, upstream_id("near"));
+    f.put(make_upstream("near", 1));
+    EXPECT_EQ(f.add(make_request(2)).at(0).m_upstream, upstream_id("far"));
+}
+
+TEST(broker, own_domain_spills_when_its_wait_is_longer_by_the_margin)
+{
+    fixture f;
+    f.put(make_upstream("near", 4));
+    f.put(make_upstream("far", 4, "pool=chat", "b"));
+    auto large = make_request(1);
+    large.m_prompt_tokens = {50'000};
+    f.add(large);
+    EXPECT_EQ(f.add(make_request(2)).at(0).m_upstream, upstream_id("far"));
+}
+
+TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
+{
+    fixture f;
+    f.put(make_upstream("u", 4, "pool=other"));
+    EXPECT_EQ(f.add(make_request(1)).at(0).m_refusal, refusal::no_able_upstream);
+    f.put(make_upstream("u", 4, "pool=chat"));
+    EXPECT_EQ(f.add(make_request(2)).at(0).m_kind, action::kind::dispatch);
+    f.put(make_upstream("u", 4, "pool=other"));
+    EXPECT_EQ(f.add(make_request(3)).at(0).m_refusal, refusal::no_able_upstream);
+}
+
+TEST(broker, a_prompt_goes_back_to_the_upstream_that_holds_its_prefix)
+{
+    fixture f;
+    for (int i = 0; i < 20; ++i) {
+        f.put(make_upstream("u" + std::to_string(i), 8));
+    }
+    auto request = make_request(1);
+    request.m_prompt_tokens = {3000};
+    request.m_prefix = {11, 12, 13};
+    const auto first = f.add(request).at(0).m_upstream;
+    first_token(f.m_broker, ticket{1}, f.m_now + milliseconds(300));
+    f.end(1, attempt_end::completed);
+    for (std::uint64_t id = 2; id < 12; ++id) {
+        request.m_ticket = ticket{id};
+        request.m_prefix.push_back(100 + id);
+        EXPECT_EQ(f.add(request).at(0).m_upstream, first);
+        first_token(f.m_broker, ticket{id}, f.m_now + milliseconds(30));
+        f.end(id, attempt_end::completed);
+    }
+}
+
+TEST(broker, retries_go_elsewhere_and_only_where_safe)
+{
+    fixture f;
+    f.put(make_upstream("u1", 4));
+    f.put(make_upstream("u2", 4));
+    const auto first = f.add(make_request(1)).at(0).m_upstream;
+    const auto second = f.end(1, attempt_end::not_run);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second.at(0).m_upstream, first);
+    auto once = make_request(2);
+    once.m_idempotent = false;
+    f.add(once);
+    const auto answer = f.end(2, attempt_end::unknown);
+    ASSERT_EQ(answer.size(), 1U);
+    EXPECT_EQ(answer.at(0).m_refusal, refusal::maybe_run);
+    EXPECT_GT(answer.at(0).m_retry_at, f.m_now);
+}
+
+TEST(broker, reserved_slot_is_left_to_urgent_work_and_ordinary_has_its_floor)
+{
+    fixture f;
+    f.m_broker.m_options.m_classes.m_ordinary_floor = 0.25;
+    f.put(make_upstream("u", 10));
+    std::uint64_t id = 1;
+    std::map<work_class, int> served;
+    std::map<ticket, work_class> classes;
+    for (; id <= 10; ++id) {
+        classes[ticket{id}] = work_class::ordinary;
+        f.add(make_request(id));
+    }
+    EXPECT_EQ(in_flight(f.m_broker), 9U);
+    auto urgent = make_request(id++);
+    urgent.m_class = work_class::urgent;
+    EXPECT_EQ(f.add(urgent).at(0).m_kind, action::kind::dispatch);
+    for (int i = 0; i < 300; ++i) {
+        for (const auto value : {work_class::urgent, work_class::ordinary}) {
+            auto more = make_request(id);
+            more.m_class = value;
+            classes[ticket{id++}] = value;
+            f.add(more);
+        }
+    }
+    std::set<ticket> running;
+    for (const auto& item : f.m_broker.m_requests) {
+        if (item.second.m_phase == request_phase::running) {
+            running.insert(item.first);
+        }
+    }
+    for (int i = 0; i < 200; ++i) {
+        const auto oldest = *running.begin();
+        running.erase(running.begin());
+        for (const auto& step : f.end(oldest.value(), attempt_end::completed)) {
+            running.insert(step.m_ticket);
+            ++served[classes.at(step.m_ticket)];
+        }
+    }
+    EXPECT_GE(served[work_class::ordinary], 48);
+    EXPECT_GE(served[work_class::urgent], 145);
+}
+
+TEST(broker, a_crashing_request_takes_two_upstreams_and_is_then_refused)
+{
+    fixture f;
+    for (int i = 0; i < 4; ++i) {
+        f.put(make_upstream("u" + std::to_string(i), 4));
+    }
+    auto poison = make_request(1);
+    poison.m_fingerprint = fingerprint{666};
+    f.add(poison);
+    const auto alone = f.end(1, attempt_end::upstream_died);
+    ASSERT_EQ(alone.size(), 1U);
+    EXPECT_TRUE(alone.at(0).m_alone);
+    const auto last = f.end(1, attempt_end::upstream_died);
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last.at(0).m_refusal, refusal::quarantined);
+    fixture other;  // another entry, told by the records alone
+    other.put(make_upstream("u3", 4));
+    for (const auto& record : take_suspicions(f.m_broker)) {
+        merge_suspicion(other.m_broker, record, f.m_now, f.m_random);
+    }
+    EXPECT_EQ(other.add(poison).at(0).m_refusal, refusal::quarantined);
+    lift_quarantine(other.m_broker, fingerprint{666}, other.m_now + seconds(1));
+    EXPECT_EQ(other.add(poison).at(0).m_kind, action::kind::dispatch);
+}
+
+TEST(broker, a_suspect_waits_until_its_upstream_is_empty_and_is_cleared_when_it_ends)
+{
+    fixture f;
+    f.put(make_upstream("u1", 4));
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        auto request = make_request(id);
+        request.m_fingerprint = fingerprint{id};
+        f.add(request);
+    }
+    EXPECT_TRUE(f.end(1, attempt_end::upstream_died).empty());
+    const auto alone = f.end(2, attempt_end::upstream_died);
+    ASSERT_EQ(alone.size(), 1U);
+    EXPECT_TRUE(f.add(make_request(3)).empty());
+    const auto next = f.end(alone.at(0).m_ticket.value(), attempt_end::completed);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_TRUE(next.at(0).m_alone);
+    const auto rest = f.end(next.at(0).m_ticket.value(), attempt_end::completed);
+    ASSERT_EQ(rest.size(), 1U);
+    EXPECT_EQ(rest.at(0).m_ticket, ticket{3});
+    EXPECT_FALSE(rest.at(0).m_alone);
+}
+
+/// Random events, with an account of what every ticket got.
+struct world {
+    fixture m_fixture;
+    std::map<ticket, request_info> m_open;
+    std::map<ticket, upstream_id> m_running;
+    std::map<upstream_id, upstream_info> m_upstreams;
+    std::set<ticket> m_maybe_run;
+    std::vector<std::string> m_log;
+    std::uint64_t m_next = 1;
+
+    void check(const actions& steps)
+    {
+        for (const auto& step : steps) {
+            m_log.push_back(std::to_string(step.m_ticket.value()) + ">" + step.m_upstream.value() +
+                            std::to_string(int(step.m_refusal)));
+            RC_ASSERT(m_open.count(step.m_ticket) == 1U);
+            RC_ASSERT(m_running.count(step.m_ticket) == 0U);
+            if (step.m_kind == action::kind::refuse) {
+                RC_ASSERT(step.m_retry_at > m_fixture.m_now);
+                m_open.erase(step.m_ticket);
+                continue;
+            }
+            check_dispatch(step);
+            m_running[step.m_ticket] = step.m_upstream;
+        }
+    }
+
+    std::size_t running_on(const upstream_id& name) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_running.begin(), m_running.end(),
+                          [&](const auto& item) { return item.second == name; }));
+    }
+
+    void check_dispatch(const action& step)
+    {
+        const auto& info = m_open.at(step.m_ticket);
+        RC_ASSERT(m_upstreams.count(step.m_upstream) == 1U);
+        const auto& upstream = m_upstreams.at(step.m_upstream);
+        RC_ASSERT(!upstream.m_leaving);
+        RC_ASSERT(upstream.m_lease_deadline > m_fixture.m_now);
+        RC_ASSERT(configuration::matches(info.m_upstreams, upstream.m_labels));
+        RC_ASSERT(running_on(step.m_upstream) < upstream.m_slots);
+        RC_ASSERT(!step.m_alone || running_on(step.m_upstream) == 0U);
+        RC_ASSERT(info.m_deadline > m_fixture.m_now);
+        RC_ASSERT(info.m_idempotent || m_maybe_run.count(step.m_ticket) == 0U);
+    }
+
+    void submit_one(std::uint64_t draw)
+    {
+        auto info = make_request(m_next++, "w" + std::to_string(draw % 5));
+        info.m_upstreams = parse(draw % 3 == 0 ? "pool=chat" : "pool=chat,ring=x");
+        info.m_class = draw % 4 == 0 ? work_class::urgent : work_class::ordinary;
+        info.m_idempotent = draw % 2 == 0;
+        info.m_fingerprint = fingerprint{1 + draw % 7};
+        info.m_deadline = draw % 6 == 0 ? no_deadline : m_fixture.m_now + milliseconds(draw % 900);
+        info.m_prefix = {draw % 4, draw % 4 * 10 + draw % 3};
+        m_open[info.m_ticket] = info;
+        check(m_fixture.add(info));
+    }
+
+    void put_one(std::uint64_t draw)
+    {
+        auto info = make_upstream("u" + std::to_string(draw % 4), 1 + draw % 3,
+                                  draw % 5 == 0 ? "pool=chat" : "pool=chat,ring=x",
+                                  draw % 2 == 0 ? "a" : "b");
+        const auto place = m_upstreams.find(info.m_name);
+        // Slots don't shrink under running requests: that would be no fault of the broker's.
+        info.m_slots = place == m_upstreams.end() ? info.m_slots : place->second.m_slots;
+        info.m_leaving = draw % 11 == 0;
+        info.m_lease_deadline = m_fixture.m_now + milliseconds(200 + draw % 2000);
+        info.m_report.m_measured_at = m_fixture.m_now;
+        info.m_report.m_running = draw % 7 == 0 ? 1 : 0;
+        m_upstreams[info.m_name] = info;
+        check(m_fixture.put(info));
+    }
+
+    void remove_one(std::uint64_t draw)
+    {
+        if (m_upstreams.empty()) {
+            return;
+        }
+        const auto name = std::next(m_upstreams.begin(), draw % m_upstreams.size())->first;
+        if (running_on(name) > 0) {
+            return;
+        }
+        m_upstreams.erase(name);
+        check(remove_upstream(m_fixture.m_broker, name, m_fixture.m_now, m_fixture.m_random));
+    }
+
+    void end_one(std::uint64_t draw)
+    {
+        if (m_running.empty()) {
+            return;
+        }
+        const auto id = std::next(m_running.begin(), draw % m_running.size())->first;
+        const std::array<attempt_end, 6> ends = {
+            attempt_end::completed, attempt_end::completed,     attempt_end::not_run,
+            attempt_end::unknown,   attempt_end::upstream_died, attempt_end::cancelled};
+        const auto how = ends[draw / 8 % ends.size()];
+        m_running.erase(id);
+        if (how == attempt_end::completed || how == attempt_end::cancelled) {
+            m_open.erase(id);
+        }
+        if (how == attempt_end::unknown || how == attempt_end::upstream_died) {
+            m_maybe_run.insert(id);
+        }
+        check(m_fixture.end(id.value(), how));
+    }
+
+    void cancel_one(std::uint64_t draw)
+    {
+        if (m_open.empty()) {
+            return;
+        }
+        const auto id = std::next(m_open.begin(), draw % m_open.size())->first;
+        m_open.erase(id);
+        m_running.erase(id);
+        check(cancel(m_fixture.m_broker, id, m_fixture.m_now, m_fixture.m_random));
+    }
+
+    void step(std::uint64_t draw)
+    {
+        const auto rest = draw / 16;
+        switch (draw % 16) {
+            case 0:
+            case 1:
+            case 2:
+                return put_one(rest);
+            case 3:
+                return remove_one(rest);
+            case 4:
+                return cancel_one(rest);
+            case 5:
+            case 6:
+                return check(m_fixture.pass(milliseconds(rest % 120)));
+            case 7:
+            case 8:
+            case 9:
+            case 10:
+                return end_one(rest);
+            default:
+                return submit_one(rest);
+        }
+    }
+
+    /// Whatever is still open ends once everything that runs completes and time passes.
+    void finish()
+    {
+        while (!m_running.empty()) {
+            end_one(0);
+        }
+        check(m_fixture.pass(seconds(1)));
+        check(m_fixture.pass(seconds(10)));
+        while (!m_running.empty()) {
+            end_one(0);
+        }
+        for (const auto& item : m_open) {
+            RC_ASSERT(item.second.m_deadline == no_deadline);
+        }
+        RC_ASSERT(queued(m_fixture.m_broker) == m_open.size());
+    }
+};
+
+RC_GTEST_PROP(broker, every_ticket_has_one_outcome_and_every_dispatch_is_allowed,
+              (const std::vector<std::uint32_t>& draws))
+{
+    world subject;
+    for (const auto draw : draws) {
+        // RapidCheck's small sizes give small numbers; the hash spreads them.
+        subject.step(combine_hash(draw, subject.m_next));
+    }
+    subject.finish();
+}
+
+RC_GTEST_PROP(broker, same_events_give_the_same_actions, (const std::vector<std::uint32_t>& draws))
+{
+    world one;
+    world two;
+    two.m_fixture.m_broker.m_requests.rehash(1009);  // another hash order
+    for (const auto draw : draws) {
+        one.step(combine_hash(draw, one.m_next));
+        two.step(combine_hash(draw, two.m_next));
+    }
+    RC_ASSERT(one.m_log == two.m_log);
+}
+
+RC_GTEST_PROP(broker, long_random_runs_keep_every_rule, (std::uint64_t seed))
+{
+    world subject;
+    random_engine draws(seed);
+    for (int i = 0; i < 2000; ++i) {
+        subject.step(draws() >> 8U);
+    }
+    subject.finish();
+}
+
+TEST(broker, large_pools_use_a_subset_and_leases_end_at_a_tick)
+{
+    fixture f;
+    f.m_broker.m_options.m_subset_size = 8;
+    f.m_broker.m_options.m_entry = host_id("entry-1");
+    for (int i = 0; i < 100; ++i) {
+        auto info = make_upstream("u" + std::to_string(i), 1);
+        info.m_lease_deadline = f.m_now + seconds(3);
+        f.put(info);
+    }
+    std::set<upstream_id> used;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        used.insert(f.add(make_request(id)).at(0).m_upstream);
+    }
+    EXPECT_EQ(used.size(), 8U);
+    EXPECT_TRUE(f.add(make_request(9)).empty());
+    const auto last = f.pass(seconds(3));
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last.at(0).m_refusal, refusal::no_able_upstream);
+}
+
+}  // namespace
+}  // namespace dewbeam::dispatch
