Broker: suspects respect leases and tried upstreams at the moment of dispatch

Cause: the path of suspects trusted the flag that the tick sets, and kept an upstream that it had tried before although another became able while it waited. Change: leases of the route are looked at again before suspects are served, and a hold on a tried upstream ends when another is able.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -343,13 +343,12 @@
     }
 }
 
-/// Closes upstreams whose lease ended since the last tick; true if that closed the whole lane.
-bool close_lapsed(broker& state, const turn& next, time_point now)
+/// Closes upstreams whose lease ended since the last tick.
+void close_lapsed(broker& state, const route& subject, time_point now)
 {
-    for (const auto index : next.m_route->m_members) {
+    for (const auto index : subject.m_members) {
         refresh(state.m_table, options_of(state), index, now);
     }
-    return !is_open(*next.m_route, next.m_place);
 }
 
 /// Serves the head of one lane; false when nothing could be done for it.
@@ -368,7 +367,8 @@
     }
     const auto chosen = choose(context_of(state, now), request, random);
     if (!chosen) {
-        return close_lapsed(state, next, now);
+        close_lapsed(state, *next.m_route, now);
+        return !is_open(*next.m_route, next.m_place);
     }
     fairness::pop(queue, request);
     --state.m_waiting;
@@ -411,6 +411,14 @@
     }
 }
 
+/// Whether the upstream that is held for a suspect is still the right kind.
+bool may_run_alone(const broker& state, const pending_request& request, upstream_index index)
+{
+    const auto& upstream = *state.m_table.m_upstreams[index];
+    return upstream.m_is_able &&
+           (!was_tried(request, upstream) || !has_untried(state.m_table, request));
+}
+
 /// The upstream that a suspect may wait for: untried if there is one, then the emptiest.
 std::optional<upstream_index> choose_alone(const broker& state, const pending_request& request)
 {
@@ -472,13 +480,14 @@
 void serve_suspects(broker& state, route& subject, time_point now, random_engine& random,
                     actions& result)
 {
+    close_lapsed(state, subject, now);
     for (auto* request : first_of(subject.m_suspects)) {
         if (const auto reason = lost_cause(state, *request, now)) {
             give_up(state, *request, *reason, now, random, result);
             continue;
         }
         auto index = held_for(state, *request);
-        if (index && !state.m_table.m_upstreams[*index]->m_is_able) {
+        if (index && !may_run_alone(state, *request, *index)) {
             end_hold(state, *request, now);
             index.reset();
         }
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -234,6 +234,7 @@
     std::map<ticket, request_info> m_open;
     std::map<ticket, upstream_id> m_running;
     std::map<upstream_id, upstream_info> m_upstreams;
+    std::map<ticket, std::set<upstream_id>> m_tried;
     std::set<ticket> m_maybe_run;
     std::vector<std::string> m_log;
     std::uint64_t m_next = 1;
@@ -252,6 +253,7 @@
             }
             check_dispatch(step);
             m_running[step.m_ticket] = step.m_upstream;
+            m_tried[step.m_ticket].insert(step.m_upstream);
         }
     }
 
@@ -262,6 +264,17 @@
                           [&](const auto& item) { return item.second == name; }));
     }
 
+    /// Whether an able upstream is left that the request has not been to.
+    bool has_untried(const request_info& info)
+    {
+        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
+            const auto& upstream = item.second;
+            return !upstream.m_leaving && upstream.m_lease_deadline > m_fixture.m_now &&
+                   configuration::matches(info.m_upstreams, upstream.m_labels) &&
+                   m_tried[info.m_ticket].count(item.first) == 0U;
+        });
+    }
+
     void check_dispatch(const action& step)
     {
         const auto& info = m_open.at(step.m_ticket);
@@ -273,6 +286,7 @@
         RC_ASSERT(running_on(step.m_upstream) < upstream.m_slots);
         RC_ASSERT(!step.m_alone || running_on(step.m_upstream) == 0U);
         RC_ASSERT(info.m_deadline > m_fixture.m_now);
+        RC_ASSERT(m_tried[step.m_ticket].count(step.m_upstream) == 0U || !has_untried(info));
         RC_ASSERT(info.m_idempotent || m_maybe_run.count(step.m_ticket) == 0U);
     }
 
@@ -362,6 +376,8 @@
             case 4:
                 return cancel_one(rest);
             case 5:
+                m_fixture.m_now += milliseconds(rest % 300);  // the tick comes late
+                return;
             case 6:
                 return check(m_fixture.pass(milliseconds(rest % 120)));
             case 7:
@@ -425,6 +441,25 @@
     subject.finish();
 }
 
+TEST(broker, a_request_that_can_not_be_served_in_time_is_refused_with_a_time_to_come_back)
+{
+    fixture f;
+    f.put(make_upstream("u", 1));
+    f.add(make_request(1));
+    auto late = make_request(2);
+    late.m_deadline = f.m_now + milliseconds(100);
+    EXPECT_TRUE(f.add(late).empty());
+    const auto answer = f.pass(milliseconds(100));
+    ASSERT_EQ(answer.size(), 1U);
+    EXPECT_EQ(answer.at(0).m_refusal, refusal::deadline_passed);
+    EXPECT_GT(answer.at(0).m_retry_at, f.m_now);
+    f.pass(seconds(2));
+    f.end(1, attempt_end::completed);  // took 2.1 s
+    late.m_ticket = ticket{3};
+    late.m_deadline = f.m_now + milliseconds(500);
+    EXPECT_EQ(f.add(late).at(0).m_refusal, refusal::overloaded);
+}
+
 TEST(broker, large_pools_use_a_subset_and_leases_end_at_a_tick)
 {
     fixture f;
