--- a/dewbeam/src/configuration/document.cpp
+++ b/dewbeam/src/configuration/document.cpp
@@ -325,19 +325,6 @@
     }
 }
 
-bool takes_precedence(const work_selector& a, const work_selector& b)
-{
-    if (a.m_priority != b.m_priority) {
-        return a.m_priority > b.m_priority;
-    }
-    const auto a_size = a.m_when.m_requirements.size();
-    const auto b_size = b.m_when.m_requirements.size();
-    if (a_size != b_size) {
-        return a_size > b_size;
-    }
-    return a.m_name < b.m_name;
-}
-
 }  // namespace
 
 parsed_document parse_document(const json& source)
@@ -354,6 +341,19 @@
     return result;
 }
 
+bool takes_precedence(const work_selector& a, const work_selector& b)
+{
+    if (a.m_priority != b.m_priority) {
+        return a.m_priority > b.m_priority;
+    }
+    const auto a_size = a.m_when.m_requirements.size();
+    const auto b_size = b.m_when.m_requirements.size();
+    if (a_size != b_size) {
+        return a_size > b_size;
+    }
+    return a.m_name < b.m_name;
+}
+
 const work_selector* resolve(const document& rules, const label_set& request_labels)
 {
     const work_selector* best = nullptr;
--- a/dewbeam/src/configuration/document.h
+++ b/dewbeam/src/configuration/document.h
@@ -111,6 +111,9 @@
 /// Reads the JSON form; names every mistake by its path.
 parsed_document parse_document(const nlohmann::json& source);
 
+/// Whether `a` wins over `b` where both match a request; `resolve` says by which rule.
+bool takes_precedence(const work_selector& a, const work_selector& b);
+
 /// The matching selector with the greatest priority; among equals the one with more
 /// requirements in `when`; among those the first by name. Null where none matches.
 const work_selector* resolve(const document& rules, const label_set& request_labels);
