--- a/dewbeam/src/entry/member_wire.cpp
+++ b/dewbeam/src/entry/member_wire.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dewbeam/link"
+
 namespace dewbeam::entry {
 
 namespace {
@@ -66,18 +68,13 @@
     out.set_suspect(item.m_suspect);
     out.set_dead(item.m_dead);
     out.set_upstream(item.m_upstream.value());
-    for (const auto& label : item.m_labels) {
-        auto* added = out.add_labels();
-        added->set_key(label.m_key);
-        added->set_value(label.m_value);
-    }
+    link::to_wire(item.m_labels, *out.mutable_labels());
     for (const auto& model : item.m_models) {
         out.add_models(model.value());
     }
     out.set_slots(item.m_slots);
     if (item.m_configuration.m_index != 0) {
-        out.mutable_configuration()->set_term(item.m_configuration.m_term);
-        out.mutable_configuration()->set_index(item.m_configuration.m_index);
+        link::to_wire(item.m_configuration, *out.mutable_configuration());
     }
     return out;
 }
@@ -97,14 +94,12 @@
     item.m_suspect = source.suspect();
     item.m_dead = source.dead();
     item.m_upstream = upstream_id(source.upstream());
-    for (const auto& label : source.labels()) {
-        item.m_labels.set(label.key(), label.value());
-    }
+    item.m_labels = link::from_wire(source.labels());
     for (const auto& model : source.models()) {
         item.m_models.emplace_back(model);
     }
     item.m_slots = source.slots();
-    item.m_configuration = {source.configuration().term(), source.configuration().index()};
+    item.m_configuration = link::from_wire(source.configuration());
     if (source.has_report()) {
         item.m_load = from_wire(source.report(), now);
     }
@@ -137,7 +132,8 @@
     load.m_waiting = source.waiting();
     load.m_free_kv = {static_cast<std::int64_t>(std::min(source.free_kv_tokens(), most_tokens))};
     load.m_total_kv = {static_cast<std::int64_t>(std::min(source.total_kv_tokens(), most_tokens))};
-    load.m_step_time = time_span(static_cast<std::int64_t>(std::min(source.step_us(), longest_step)));
+    load.m_step_time =
+        time_span(static_cast<std::int64_t>(std::min(source.step_us(), longest_step)));
     load.m_skew = source.skew();
     load.m_measured_at = now - span_of(source.measured_ms());
     load.m_cached_prefixes.assign(source.cached_prefixes().begin(), source.cached_prefixes().end());
