--- a/dewbeam/src/configuration/document.h
+++ b/dewbeam/src/configuration/document.h
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dewbeam/base"
@@ -26,7 +27,7 @@
 namespace dewbeam::configuration {
 
 /// An upstream with this label at `true` takes no new work.
-inline constexpr const char* drain_label = "dewbeam/drain";
+inline constexpr std::string_view drain_label = "dewbeam/drain";
 
 /// How urgent work is.
 enum class work_class { urgent, ordinary };
--- a/dewbeam/src/configuration/plan.h
+++ b/dewbeam/src/configuration/plan.h
@@ -11,9 +11,6 @@
 
 namespace dewbeam::configuration {
 
-/// Key of the label that drains an upstream while its value is `true`.
-inline constexpr std::string_view drain_label = "dewbeam/drain";
-
 /// An upstream as it announces itself now.
 struct announced_upstream {
     upstream_id m_name;
