Put answers together by the replies module; faults on real processes

An entry now takes an agent's acknowledgement as a message of its own and puts the chunks together by the replies module; a chunk that stays missing ends the attempt as unknown, and a stream goes on at the event where it broke only where the engine says that it resumes there.

--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -21,6 +21,8 @@
         {"/prefill_us_per_token", setting_kind::integer, 10, "Prefill time (us a token).", 0,
          most_us},
         {"/kv_tokens", setting_kind::integer, 100'000, "KV cache (tokens).", 1},
+        {"/service_us", setting_kind::integer, 0, "Time of one call of a plain service (us).", 0,
+         60'000'000},
         {"/crash_marker", setting_kind::text, "", "A prompt with this text ends the process."},
     };
     schema.insert(schema.end(), own.begin(), own.end());
@@ -37,6 +39,7 @@
     options.m_prefill_per_token =
         time_span(setting_value<std::int64_t>(settings, "/prefill_us_per_token"));
     options.m_kv_tokens = setting_value<std::uint64_t>(settings, "/kv_tokens");
+    options.m_service_time = time_span(setting_value<std::int64_t>(settings, "/service_us"));
     options.m_crash_marker = setting_value<std::string>(settings, "/crash_marker");
     return options;
 }
--- a/bench/common/policy.h
+++ b/bench/common/policy.h
@@ -51,9 +51,9 @@
 struct baseline_options {
     pick m_pick = pick::random;
     order m_order = order::fifo;
-    std::uint32_t m_limit = 0;        ///< attempts of this entry at one upstream; 0: no limit
-    std::size_t m_most_queued = 0;    ///< beyond it a request is refused; 0: no limit
-    std::uint32_t m_most_tries = 1;   ///< tries in all after failures
+    std::uint32_t m_limit = 0;       ///< attempts of this entry at one upstream; 0: no limit
+    std::size_t m_most_queued = 0;   ///< beyond it a request is refused; 0: no limit
+    std::uint32_t m_most_tries = 1;  ///< tries in all after failures
 };
 
 /// The baseline.
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -137,7 +137,9 @@
 
 void gate::begin(const attempt_pointer& running, const wire::Dispatch& message)
 {
-    send_chunk(*running, {});
+    wire::Envelope accepted;
+    link::to_wire(running->m_id, *accepted.mutable_accepted()->mutable_attempt());
+    m_node->reply(running->m_entry, std::move(accepted));
     http::request wanted;
     wanted.m_method = message.method();
     wanted.m_target = message.target();
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view resume_field = "X-Resume-Offset";
 constexpr std::chrono::milliseconds acknowledgement_limit{1000};
 constexpr std::chrono::milliseconds tombstone_limit{1000};
+/// A link keeps the order, so a chunk that is missing for this long was lost.
+constexpr std::chrono::milliseconds gap_limit{1000};
 /// Largest whole answer that is kept until it is complete.
 constexpr std::size_t most_answer_bytes = 16UL * 1024 * 1024;
 
@@ -28,14 +30,37 @@
     return false;
 }
 
-chunk_effect to_effect(wire::Outcome outcome, const std::string& reason)
+ledger::outcome to_outcome(wire::Outcome value)
 {
-    if (outcome == wire::OUTCOME_NOT_RUN) {
+    if (value == wire::OUTCOME_COMPLETED) {
+        return ledger::outcome::completed;
+    }
+    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
+}
+
+chunk_effect to_effect(ledger::outcome outcome, const std::string& reason)
+{
+    if (outcome == ledger::outcome::not_run) {
         return reason == "stale_configuration" ? chunk_effect::stale : chunk_effect::not_run;
     }
     return chunk_effect::unknown;
 }
 
+replies::reply_chunk to_reply_chunk(const wire::ReplyChunk& source)
+{
+    replies::reply_chunk chunk;
+    chunk.m_attempt = link::from_wire(source.attempt());
+    chunk.m_number = replies::chunk_number(source.sequence());
+    chunk.m_status = source.status();
+    for (const auto& item : source.headers()) {
+        chunk.m_headers.push_back({item.name(), item.value()});
+    }
+    chunk.m_data = source.data();
+    chunk.m_last = source.last();
+    chunk.m_outcome = to_outcome(source.outcome());
+    return chunk;
+}
+
 }  // namespace
 
 entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer)
@@ -47,11 +72,24 @@
                                                  owned_attempt attempt, time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_is_over) {
+    const bool is_stuck =
+        m_is_streaming && !replies::can_continue(m_stream, replies::continuation::resume);
+    if (m_is_over || is_stuck) {
         return std::nullopt;
     }
     m_attempt = std::move(attempt);
     m_attempt.m_ack_deadline = now + acknowledgement_limit;
+    m_partial_event.clear();
+    if (!m_is_streaming) {
+        // The caller has nothing yet: the answer is put together anew.
+        m_stream = {};
+        m_stream.m_options.m_most_kept = {0};
+        m_body.clear();
+        m_status = 0;
+    }
+    replies::start_attempt(
+        m_stream, m_attempt.m_id,
+        m_is_streaming ? replies::continuation::resume : replies::continuation::none);
     wire::Dispatch message;
     link::to_wire(m_attempt.m_id, *message.mutable_attempt());
     message.set_agent_incarnation(action.m_incarnation.value());
@@ -88,95 +126,101 @@
     if (m_is_over || link::from_wire(chunk.attempt()) != m_attempt.m_id) {
         return chunk_effect::none;
     }
-    const bool is_refusal = chunk.last() && chunk.outcome() == wire::OUTCOME_NOT_RUN;
-    if (!is_refusal && chunk.sequence() < m_attempt.m_next_chunk) {
-        return chunk_effect::none;
-    }
-    if (!is_refusal && chunk.sequence() > m_attempt.m_next_chunk) {
+    m_attempt.m_is_acknowledged = true;
+    if (!resumes_here(chunk)) {
         return chunk_effect::broken;
     }
-    ++m_attempt.m_next_chunk;
-    m_attempt.m_is_acknowledged = true;
-    const bool had_head = m_attempt.m_status != 0;
-    if (chunk.status() != 0) {
-        take_head(chunk);
-        if (!resumes_here()) {
-            return chunk_effect::broken;
-        }
+    auto out = replies::accept(m_stream, to_reply_chunk(chunk));
+    const bool has_gap = !m_stream.m_held.empty();
+    if (!has_gap) {
+        m_attempt.m_gap_deadline = no_deadline;
     }
-    if (!chunk.data().empty()) {
-        take_data(chunk.data(), now);
+    else if (m_attempt.m_gap_deadline == no_deadline) {
+        m_attempt.m_gap_deadline = now + gap_limit;
     }
-    if (m_attempt.m_body.size() > most_answer_bytes) {
+    const bool is_end = out.m_finished || out.m_error == replies::reply_error::attempt_ended;
+    const bool is_broken = out.m_error != replies::reply_error::none && !is_end;
+    if (is_broken) {
         return chunk_effect::broken;
     }
-    if (chunk.last()) {
-        return take_end(chunk);
+    const auto end = out;
+    const auto effect = take_delivery(std::move(out), now);
+    if (effect == chunk_effect::broken) {
+        return effect;
     }
-    return !had_head && m_attempt.m_status != 0 ? chunk_effect::first : chunk_effect::none;
+    return is_end ? take_end(end, chunk.reason()) : effect;
 }
 
-void entry_request::take_head(const wire::ReplyChunk& chunk)
+chunk_effect entry_request::take_delivery(replies::delivery&& out, time_point now)
 {
-    m_attempt.m_status = static_cast<int>(chunk.status());
-    m_attempt.m_head = link::from_wire(chunk.headers());
+    if (out.m_begins) {
+        m_status = static_cast<int>(out.m_status);
+        m_head.clear();
+        for (auto& item : out.m_headers) {
+            m_head.push_back({std::move(item.m_name), std::move(item.m_value)});
+        }
+        begin_answer();
+    }
+    if (!out.m_bytes.empty() && m_result.m_first_byte == time_point{}) {
+        m_result.m_first_byte = now;
+    }
+    if (m_is_streaming) {
+        deliver_events(out.m_bytes);
+    }
+    else {
+        m_body += out.m_bytes;
+    }
+    if (m_body.size() > most_answer_bytes) {
+        return chunk_effect::broken;
+    }
+    return out.m_begins ? chunk_effect::first : chunk_effect::none;
 }
 
-bool entry_request::resumes_here() const
+bool entry_request::resumes_here(const wire::ReplyChunk& chunk) const
 {
     // An engine that does not say where it resumes would repeat what the caller has already.
-    return m_delivered_events == 0 ||
-           http::find_field(m_attempt.m_head, resume_field) == std::to_string(m_delivered_events);
+    return m_delivered_events == 0 || chunk.status() == 0 ||
+           http::find_field(link::from_wire(chunk.headers()), resume_field) ==
+               std::to_string(m_delivered_events);
 }
 
 bool entry_request::streams() const
 {
-    const auto type = http::find_field(m_attempt.m_head, "Content-Type");
-    return m_facts.m_call.m_is_stream && m_attempt.m_status == 200 &&
-           type.starts_with("text/event-stream");
+    const auto type = http::find_field(m_head, "Content-Type");
+    return m_facts.m_call.m_is_stream && m_status == 200 && type.starts_with("text/event-stream");
 }
 
-void entry_request::take_data(const std::string& data, time_point now)
+void entry_request::begin_answer()
 {
-    if (m_result.m_first_byte == time_point{}) {
-        m_result.m_first_byte = now;
-    }
-    if (streams()) {
-        deliver_events(data);
-    }
-    else {
-        m_attempt.m_body += data;
+    if (!streams()) {
+        return;
     }
+    m_is_streaming = true;
+    m_result.m_status = m_status;
+    m_answer->start(m_status, answer_fields());
 }
 
-void entry_request::deliver_events(const std::string& data)
+void entry_request::deliver_events(const std::string& bytes)
 {
-    auto& partial = m_attempt.m_partial_event;
-    partial += data;
-    if (!m_is_streaming) {
-        m_is_streaming = true;
-        m_result.m_status = m_attempt.m_status;
-        m_answer->start(m_attempt.m_status, answer_fields());
-    }
     // Whole events only, so that another upstream can go on behind the last one.
-    const auto last = partial.rfind(event_end);
+    m_partial_event += bytes;
+    const auto last = m_partial_event.rfind(event_end);
     if (last == std::string::npos) {
         return;
     }
-    const auto end = last + event_end.size();
-    for (auto place = partial.find(event_end); place < end && place != std::string::npos;
-         place = partial.find(event_end, place + event_end.size())) {
+    auto events = m_partial_event.substr(0, last + event_end.size());
+    m_partial_event.erase(0, events.size());
+    for (auto place = events.find(event_end); place != std::string::npos;
+         place = events.find(event_end, place + event_end.size())) {
         ++m_delivered_events;
     }
-    auto events = partial.substr(0, end);
-    partial.erase(0, end);
     m_has_stream_end = events.ends_with(stream_end);
     m_answer->write(std::move(events));
 }
 
 http::fields entry_request::answer_fields() const
 {
-    auto fields = m_attempt.m_head;
+    auto fields = m_head;
     std::erase_if(fields, [](const http::field& item) {
         return http::is_same_name(item.m_name, "X-Request-Id") ||
                http::is_same_name(item.m_name, resume_field);
@@ -185,13 +229,13 @@
     return fields;
 }
 
-chunk_effect entry_request::take_end(const wire::ReplyChunk& chunk)
+chunk_effect entry_request::take_end(const replies::delivery& out, const std::string& reason)
 {
     const bool is_whole_stream = m_is_streaming && m_has_stream_end;
-    if (chunk.outcome() != wire::OUTCOME_COMPLETED && !is_whole_stream) {
-        return to_effect(chunk.outcome(), chunk.reason());
+    if (!out.m_finished && !is_whole_stream) {
+        return to_effect(out.m_outcome, reason);
     }
-    const bool is_cut = m_attempt.m_status == 0 || (m_is_streaming && !m_has_stream_end);
+    const bool is_cut = m_status == 0 || (m_is_streaming && !m_has_stream_end);
     if (is_cut) {
         return chunk_effect::unknown;
     }
@@ -206,8 +250,16 @@
         m_answer->finish();
         return;
     }
-    m_result.m_status = m_attempt.m_status;
-    m_answer->respond({m_attempt.m_status, answer_fields(), std::move(m_attempt.m_body)});
+    m_result.m_status = m_status;
+    m_answer->respond({m_status, answer_fields(), std::move(m_body)});
+}
+
+void entry_request::take(const wire::Accepted& message)
+{
+    const std::lock_guard lock(m_mutex);
+    if (link::from_wire(message.attempt()) == m_attempt.m_id) {
+        m_attempt.m_is_acknowledged = true;
+    }
 }
 
 chunk_effect entry_request::take(const wire::TombstoneReply& reply)
@@ -216,7 +268,7 @@
     if (m_is_over || link::from_wire(reply.attempt()) != m_attempt.m_id) {
         return chunk_effect::none;
     }
-    return to_effect(reply.outcome(), {});
+    return to_effect(to_outcome(reply.outcome()), {});
 }
 
 owned_attempt entry_request::attempt() const
@@ -232,6 +284,7 @@
         return false;
     }
     m_attempt = {};
+    replies::drop_attempt(m_stream);
     return true;
 }
 
@@ -253,6 +306,12 @@
     return !m_is_over && m_attempt.m_tombstone_deadline <= now && !m_attempt.m_is_acknowledged;
 }
 
+bool entry_request::is_broken(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_is_over && m_attempt.m_gap_deadline <= now;
+}
+
 void entry_request::fail(const caller::error& fault)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -14,6 +14,7 @@
 #include "dewbeam/caller"
 #include "dewbeam/dispatch"
 #include "dewbeam/http"
+#include "dewbeam/replies"
 
 namespace dewbeam::entry {
 
@@ -33,14 +34,10 @@
     attempt_id m_id;
     std::string m_agent_address;
     incarnation m_agent;
-    std::uint64_t m_next_chunk = 0;
     time_point m_ack_deadline = no_deadline;        ///< until the agent says that it began
     time_point m_tombstone_deadline = no_deadline;  ///< until the agent answers a tombstone
+    time_point m_gap_deadline = no_deadline;        ///< until a missing chunk comes
     bool m_is_acknowledged = false;
-    int m_status = 0;  ///< of the answer's head; 0: none yet
-    http::fields m_head;
-    std::string m_body;           ///< of a whole answer, until it is complete
-    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
 };
 
 /// How a request was answered, for metrics and service-level burn.
@@ -84,6 +81,9 @@
     /// Takes a chunk; delivers to the caller what is in order.
     chunk_effect take(const wire::ReplyChunk& chunk, time_point now);
 
+    /// The agent says that an attempt began.
+    void take(const wire::Accepted& message);
+
     /// Takes the answer to a tombstone; `none` where it is not about the attempt owned now.
     chunk_effect take(const wire::TombstoneReply& reply);
 
@@ -100,6 +100,9 @@
     /// Whether the agent is late with its answer to the tombstone.
     [[nodiscard]] bool is_tombstone_late(time_point now) const;
 
+    /// Whether a chunk is missing for too long.
+    [[nodiscard]] bool is_broken(time_point now) const;
+
     /// Ends the request with an error, in the way that still fits what the caller has seen.
     void fail(const caller::error& fault);
 
@@ -110,23 +113,28 @@
     [[nodiscard]] request_result result() const;
 
 private:
-    chunk_effect take_end(const wire::ReplyChunk& chunk);
-    void take_head(const wire::ReplyChunk& chunk);
-    void take_data(const std::string& data, time_point now);
-    void deliver_events(const std::string& data);
+    chunk_effect take_delivery(replies::delivery&& out, time_point now);
+    chunk_effect take_end(const replies::delivery& out, const std::string& reason);
+    void begin_answer();
+    void deliver_events(const std::string& bytes);
     void finish();
     [[nodiscard]] bool streams() const;
-    [[nodiscard]] bool resumes_here() const;
+    [[nodiscard]] bool resumes_here(const wire::ReplyChunk& chunk) const;
     [[nodiscard]] http::fields answer_fields() const;
 
     facts m_facts;
     std::shared_ptr<http::exchange> m_answer;
     mutable std::mutex m_mutex;
     owned_attempt m_attempt;
+    replies::reply_stream m_stream;
+    int m_status = 0;  ///< of the answer's head; 0: none yet
+    http::fields m_head;
+    std::string m_body;           ///< of a whole answer, until it is complete
+    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
+    std::uint64_t m_delivered_events = 0;
     bool m_is_over = false;
     bool m_is_streaming = false;    ///< the caller has the head of a stream
     bool m_has_stream_end = false;  ///< the caller has the last event of a stream
-    std::uint64_t m_delivered_events = 0;
     request_result m_result;
 };
 
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -378,6 +378,7 @@
         const auto address = attempt.m_agent_address;
         auto message = request->own(action, std::move(attempt), now);
         if (!message) {
+            give_up_stream(request, now);
             return;
         }
         m_requests.add_attempt(id, request);
@@ -393,6 +394,15 @@
         }
     }
 
+    /// A stream whose answer contradicted itself can't go on anywhere.
+    void give_up_stream(const request_pointer& request, time_point now)
+    {
+        if (!request->is_over()) {
+            fail(request, broken_stream(), now);
+        }
+        perform(m_pools.cancel(request->known().m_pool, request->known().m_ticket, now), now);
+    }
+
     /// Tells the agent that the answer is not wanted any more.
     void cancel_attempt(const request_pointer& request)
     {
@@ -466,6 +476,12 @@
         if (message.has_reply_chunk()) {
             on_chunk(message.reply_chunk(), now);
         }
+        else if (message.has_accepted()) {
+            if (const auto request =
+                    m_requests.find(link::from_wire(message.accepted().attempt()))) {
+                request->take(message.accepted());
+            }
+        }
         else if (message.has_tombstone_reply()) {
             on_tombstone_reply(message.tombstone_reply(), now);
         }
@@ -614,6 +630,10 @@
         else if (request->begin_tombstone(now)) {
             send_tombstone(attempt);
         }
+        else if (request->is_broken(now)) {
+            cancel_attempt(request);
+            end_attempt(request, attempt.m_id, dispatch::attempt_end::unknown, now);
+        }
         else if (request->is_tombstone_late(now)) {
             end_attempt(request, attempt.m_id, dispatch::attempt_end::unknown, now);
         }
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -93,6 +93,17 @@
     return fault;
 }
 
+caller::error broken_stream()
+{
+    caller::error fault;
+    fault.m_status = 502;
+    fault.m_type = "upstream_error";
+    fault.m_code = "broken_stream";
+    fault.m_message = "the upstream's answer broke off and can't be continued";
+    fault.m_outcome = caller::run_outcome::unknown;
+    return fault;
+}
+
 caller::error not_ready()
 {
     caller::error fault;
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -22,6 +22,9 @@
 /// The deadline passed while the request may have been running.
 caller::error deadline_exceeded();
 
+/// The upstream's answer contradicted itself after part of it was delivered.
+caller::error broken_stream();
+
 /// The entry does not serve (yet, or any more).
 caller::error not_ready();
 
--- a/dewbeam/src/fake_engine/fake_engine.cpp
+++ b/dewbeam/src/fake_engine/fake_engine.cpp
@@ -132,7 +132,7 @@
             complete(request, path == "/v1/chat/completions", answer);
         }
         else if (path.starts_with("/services/")) {
-            serve_plain(request, *answer);
+            serve_plain(request, answer);
         }
         else {
             answer->respond(error_answer(404, "no such path"));
@@ -142,7 +142,7 @@
     [[nodiscard]] std::size_t in_flight() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_running.size() + m_waiting.size();
+        return m_running.size() + m_waiting.size() + m_calls;
     }
 
 private:
@@ -262,7 +262,7 @@
         }
     }
 
-    void serve_plain(const http::request& request, http::exchange& answer)
+    void serve_plain(const http::request& request, const std::shared_ptr<http::exchange>& answer)
     {
         crash_on_marker(request.m_body);
         std::uint64_t run = 0;
@@ -276,8 +276,16 @@
                         {"method", request.m_method},
                         {"run", run},
                         {"echo", request.m_body}};
-        answer.respond(
-            http::json_response(200, body.dump(-1, ' ', false, json::error_handler_t::replace)));
+        auto whole =
+            http::json_response(200, body.dump(-1, ' ', false, json::error_handler_t::replace));
+        ++m_calls;
+        auto timer =
+            std::make_shared<asio::steady_timer>(m_timer.get_executor(), m_options.m_service_time);
+        timer->async_wait([self = shared_from_this(), timer, answer,
+                           whole = std::move(whole)](const boost::system::error_code&) {
+            answer->respond(whole);
+            --self->m_calls;
+        });
     }
 
     void set_faults(const http::request& request, http::exchange& answer)
@@ -301,7 +309,7 @@
             used += work->kv_tokens();
         }
         const auto total = m_options.m_kv_tokens;
-        return json{{"running", m_running.size()},
+        return json{{"running", m_running.size() + m_calls},
                     {"waiting", m_waiting.size()},
                     {"free_kv_tokens", total - std::min(total, used)},
                     {"total_kv_tokens", total},
@@ -325,6 +333,7 @@
     mutable std::mutex m_mutex;
     std::vector<job_pointer> m_running;
     std::deque<job_pointer> m_waiting;
+    std::atomic<std::size_t> m_calls = 0;  ///< of plain services, under way
     std::uint64_t m_runs = 0;
     std::vector<std::string> m_run_bodies;
     std::chrono::steady_clock::time_point m_stalled_until{};
--- a/dewbeam/src/fake_engine/fake_engine.h
+++ b/dewbeam/src/fake_engine/fake_engine.h
@@ -25,7 +25,8 @@
     time_span m_step = std::chrono::milliseconds(5);
     time_span m_prefill_per_token = std::chrono::microseconds(10);
     std::uint64_t m_kv_tokens = 100'000;
-    std::string m_crash_marker;  ///< a prompt with this text ends the process
+    time_span m_service_time = time_span::zero();  ///< of one call of a plain service
+    std::string m_crash_marker;                    ///< a prompt with this text ends the process
 };
 
 /// The words of an answer to `prompt`.
--- /dev/null
+++ b/test/faults_session.py
@@ -0,0 +1,138 @@
+"""Faults on real processes: agents that die, freeze or leave while they work."""
+
+import argparse
+import json
+import os
+import signal
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
+from dewbeam_site import STANDARD_CONFIGURATION, Site  # noqa: E402
+
+CHAT = {"model": "ad-copy", "messages": [{"role": "user", "content": "hello"}]}
+
+
+def read_stream(site, entry, tokens, on_words):
+    """Streams one answer; calls `on_words(count)` as words arrive. Gives status and body."""
+    connection = site.connection(entry, 60.0)
+    try:
+        connection.request("POST", "/v1/chat/completions",
+                           json.dumps({**CHAT, "stream": True, "max_tokens": tokens}),
+                           {"Content-Type": "application/json"})
+        answer = connection.getresponse()
+        body = b""
+        while True:
+            piece = answer.read1(4096)
+            if not piece:
+                return answer.status, body.decode()
+            body += piece
+            on_words(body.count(b"\n\n"))
+    finally:
+        connection.close()
+
+
+def indexes(body):
+    """The indexes of the words of a stream, as they came."""
+    result = []
+    for event in body.split("\n\n")[:-1]:
+        data = event.removeprefix("data: ")
+        if data != "[DONE]":
+            word = json.loads(data)["choices"][0]["delta"]["content"]
+            result.append(int(word.split("-")[0][1:]))
+    return result
+
+
+class FaultsSession(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.site = Site(OPTIONS.bin, folder.name)
+        self.addCleanup(self.site.kill_all)
+        for index in range(3):
+            self.site.add_control(index)
+            self.site.add_entry(index)
+        for index in range(2):
+            self.site.add_upstream("chat-%d" % index, "d%d" % (index + 1), ["ad-copy"],
+                                   "pool=ad-copy")
+        self.site.add_upstream("bay", "d1", [], "service=bay", service_us=1500000)
+        self.site.start_all()
+        for entry in ("e1", "e2", "e3"):
+            self.site.wait_for_upstreams(entry, 3)
+        self.assertEqual(self.site.apply(STANDARD_CONFIGURATION, "first")[0], 200)
+        self.site.wait_for_number(1)
+
+    def agent_that_runs(self):
+        """The agent that has an attempt."""
+        for name in ("chat-0", "chat-1"):
+            status, _, body = self.site.try_call(name, "GET", "/v1/status")
+            if status == 200 and json.loads(body)["running"] > 0:
+                return name
+        return None
+
+    def stream_with_fault(self, fault):
+        """Streams 200 words, and lets `fault` happen to the agent that runs them after 20."""
+        hit = []
+
+        def on_words(count):
+            if count >= 20 and not hit:
+                hit.append(self.agent_that_runs())
+                fault(self.site.processes[hit[0]])
+
+        status, body = read_stream(self.site, "e1", 200, on_words)
+        self.assertEqual(status, 200)
+        self.assertTrue(hit)
+        return body
+
+    def test_agent_killed_mid_stream(self):
+        body = self.stream_with_fault(lambda agent: agent.kill())
+        self.assertEqual(indexes(body), list(range(200)))
+        self.assertTrue(body.endswith("data: [DONE]\n\n"))
+
+    def test_agent_frozen_mid_stream_then_thawed(self):
+        frozen = []
+
+        def freeze(agent):
+            frozen.append(agent)
+            agent.send(signal.SIGSTOP)
+
+        body = self.stream_with_fault(freeze)
+        frozen[0].send(signal.SIGCONT)
+        self.assertEqual(indexes(body), list(range(200)))
+        self.assertTrue(body.endswith("data: [DONE]\n\n"))
+
+    def test_engine_killed_mid_stream(self):
+        body = self.stream_with_fault(
+            lambda agent: self.site.processes[agent.name + "-engine"].kill())
+        self.assertEqual(indexes(body), list(range(200)))
+        self.assertTrue(body.endswith("data: [DONE]\n\n"))
+
+    def test_call_without_key_is_never_run_again(self):
+        result = []
+        caller = threading.Thread(target=lambda: result.append(
+            self.site.call("e2", "POST", "/services/bay/unlock", {"bay": 1})))
+        caller.start()
+        self.site.wait_for(lambda: self.runs() == 1, "the call to run")
+        self.site.processes["bay"].kill()
+        caller.join()
+        status, fields, body = result[0]
+        self.assertEqual(status, 502)
+        self.assertEqual(json.loads(body)["error"]["code"], "maybe_run")
+        self.assertEqual(fields["X-Dewbeam-Outcome"], "unknown")
+        self.site.processes["bay"].start()
+        self.site.wait_ready(["bay"])
+        time.sleep(1.0)
+        self.assertEqual(self.runs(), 1)
+
+    def runs(self):
+        return json.loads(self.site.call("bay-engine", "GET", "/runs")[2])["runs"]
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    OPTIONS, rest = parser.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *rest])
