--- a/dewbeam/src/membership/protocol.cpp
+++ b/dewbeam/src/membership/protocol.cpp
@@ -180,7 +180,8 @@
     }
     state.m_are_watchers_stale = false;
     const auto& domain = state.m_self.m_failure_domain;
-    state.m_own_watchers = watchers_of(state, state.m_self.m_host, domain);
+    const auto candidates = internal::watcher_candidates(state);
+    state.m_own_watchers = watchers_of(state, state.m_self.m_host, candidates);
     if (state.m_self.m_role != role::entry) {
         return;
     }
@@ -189,7 +190,7 @@
             item.m_is_watched = false;
             continue;
         }
-        const auto watchers = watchers_of(state, host, domain);
+        const auto watchers = watchers_of(state, host, candidates);
         const bool is_watched =
             std::find(watchers.begin(), watchers.end(), state.m_self.m_host) != watchers.end();
         if (is_watched && !item.m_is_watched) {
@@ -422,7 +423,9 @@
 effects tick(view& state, time_point now, random_engine& random)
 {
     effects out;
-    forget_dead(state, now);
+    if (now >= state.m_digest_at) {
+        forget_dead(state, now);
+    }
     refresh_watches(state, now);
     check_leases(state, now, out);
     send_heartbeats(state, now, out);
--- a/dewbeam/src/membership/view.h
+++ b/dewbeam/src/membership/view.h
@@ -120,10 +120,16 @@
 std::uint64_t whole_digest(const view& state);
 /// The part that a host belongs to.
 std::size_t part_of(std::uint64_t host_hash);
-/// The `count` entries that come first for `host` by rendezvous hashing, among the live entries
-/// of `domain`.
+/// A live entry and the hash of its host's name.
+struct watcher_candidate {
+    std::uint64_t m_hash = 0;
+    host_id m_host;
+};
+/// The live entries of the own domain, self included.
+std::vector<watcher_candidate> watcher_candidates(const view& state);
+/// Those of `candidates` that come first for `host` by rendezvous hashing.
 std::vector<host_id> watchers_of(const view& state, const host_id& host,
-                                 const failure_domain_id& domain);
+                                 const std::vector<watcher_candidate>& candidates);
 }  // namespace internal
 
 }  // namespace dewbeam::membership
