--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -160,7 +160,7 @@
                       {"role", "agent"},
                       {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
                       {"phase", to_string(m_frame.phase())},
-                      {"incarnation", m_incarnation.value()},
+                      {"incarnation", m_incarnation.load().value()},
                       {"configuration",
                        {{"number", active->m_number},
                         {"term", active->m_version.m_term},
@@ -230,9 +230,28 @@
         m_server->wind_down();
     }
 
+    /// An upstream that was restarted behind this agent counts as another one: what its earlier
+    /// life was told is refused, and its deaths are told apart.
+    void watch_upstream_life()
+    {
+        const auto load = m_load.latest();
+        const bool is_new_life = load.m_is_reachable && load.m_incarnation != m_engine_life;
+        if (!is_new_life) {
+            return;
+        }
+        if (m_engine_life != 0) {
+            m_incarnation = platform::new_incarnation();
+            m_gate->set_incarnation(m_incarnation);
+            log_event(log_level::warning, "upstream_restarted",
+                      {{"incarnation", m_incarnation.load().value()}});
+        }
+        m_engine_life = load.m_incarnation;
+    }
+
     void tick(time_point now)
     {
         m_load.tick(now);
+        watch_upstream_life();
         m_gate->tick(now);
         m_configuration.tick(*m_node, now);
         if (slots() > 0) {
@@ -271,7 +290,7 @@
         result.set_role(wire::Announcement::ROLE_AGENT);
         result.set_address(m_node->address());
         result.set_http_address(to_string(m_server->address()));
-        result.set_incarnation(m_incarnation.value());
+        result.set_incarnation(m_incarnation.load().value());
         result.set_sequence(++m_sequence);
         result.set_lease_ms(static_cast<std::uint64_t>(announce_lease.count()));
         result.set_leaving(is_leaving());
@@ -297,7 +316,8 @@
 
     platform::program& m_frame;
     json m_settings;
-    incarnation m_incarnation;
+    std::atomic<incarnation> m_incarnation;
+    std::uint64_t m_engine_life = 0;  ///< used on the frame's thread alone
     configuration::label_set m_labels;
     http::client m_upstream;
     engine::load_poller m_load;
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -59,6 +59,15 @@
     return result;
 }
 
+/// A connection that broke under an answer means that the upstream's process went away.
+const char* reason_of(const absl::Status& result)
+{
+    if (absl::IsCancelled(result)) {
+        return "cancelled";
+    }
+    return absl::IsUnavailable(result) ? "upstream_died" : "upstream_silent";
+}
+
 ledger::outcome outcome_of(const absl::Status& result, http::progress how_far)
 {
     if (result.ok()) {
@@ -193,7 +202,7 @@
     chunk.set_last(true);
     chunk.set_outcome(to_wire(outcome));
     if (!result.ok()) {
-        chunk.set_reason(absl::IsCancelled(result) ? "cancelled" : "upstream_failed");
+        chunk.set_reason(reason_of(result));
         log_event(
             log_level::info, "attempt_failed",
             {{"attempt", running->m_id.m_sequence}, {"reason", std::string(result.message())}});
@@ -261,6 +270,12 @@
     m_ledger.m_leaving = false;
 }
 
+void gate::set_incarnation(incarnation fresh)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.m_options.m_incarnation = fresh;
+}
+
 void gate::set_slots(std::uint32_t slots)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -43,6 +43,9 @@
     /// Takes work again after an operator's drain ended.
     void stop_leaving();
 
+    /// The upstream began a new life: dispatches meant for the earlier one are refused.
+    void set_incarnation(incarnation fresh);
+
     void set_slots(std::uint32_t slots);
 
     /// Forgets old attempts.
--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -55,6 +55,7 @@
         result.m_skew = source.value("skew", 1.0);
         result.m_slots = source.value("slots", 0U);
         result.m_models = source.value("models", std::vector<std::string>{});
+        result.m_incarnation = source.value("incarnation", std::uint64_t{0});
         return result;
     }
     catch (const nlohmann::json::exception& error) {
--- a/dewbeam/src/engine/load_poller.h
+++ b/dewbeam/src/engine/load_poller.h
@@ -23,6 +23,7 @@
     double m_skew = 1.0;
     std::uint32_t m_slots = 0;
     std::vector<std::string> m_models;
+    std::uint64_t m_incarnation = 0;  ///< of the engine's process; 0: it does not say
     time_point m_measured_at{};
 };
 
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -60,6 +60,8 @@
         std::string m_pool;
         std::string m_selector;
         std::string m_workspace;
+        std::string m_workspace_class;  ///< for service-level burn
+        configuration::service_target m_target;
         caller::call m_call;
         http::request m_request;  ///< as it goes to the upstream
         time_point m_arrival{};
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -14,12 +14,14 @@
 #include "dewbeam/link"
 #include "dewbeam/membership"
 #include "dewbeam/src/control/subscriber.h"
+#include "dewbeam/src/entry/burn_book.h"
 #include "dewbeam/src/entry/entry_request.h"
 #include "dewbeam/src/entry/member_table.h"
 #include "dewbeam/src/entry/metrics.h"
 #include "dewbeam/src/entry/pool_table.h"
 #include "dewbeam/src/entry/refusals.h"
 #include "dewbeam/src/entry/request_table.h"
+#include "dewbeam/src/entry/suspicion_wire.h"
 
 namespace dewbeam::entry {
 
@@ -103,6 +105,8 @@
         {"/controls", setting_kind::addresses, json::array(), "Link addresses of control hosts."},
         {"/entries", setting_kind::addresses, json::array(),
          "Link addresses of a few entry hosts, some in each failure domain."},
+        {"/burn_file", setting_kind::text, "",
+         "File that keeps the service-level counts over a restart; empty: none."},
         {"/limits/json_depth", setting_kind::integer, limits.m_most_json_depth,
          "Deepest nesting of a JSON body.", 1, 512},
         {"/limits/output_tokens", setting_kind::integer, limits.m_most_output_tokens,
@@ -120,6 +124,7 @@
         : m_frame(frame),
           m_settings(settings),
           m_incarnation(platform::new_incarnation()),
+          m_burn(setting_value<std::string>(settings, "/burn_file")),
           m_configuration(platform::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
           m_pools(broker_options())
@@ -161,7 +166,10 @@
         result.m_is_ready = [this] { return m_configuration.has_heard(); };
         result.m_in_flight = [this] { return m_requests.size(); };
         result.m_announce_leave = [this] { m_server->wind_down(); };
-        result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_stop_accepting = [this] {
+            m_server->stop_accepting();
+            m_burn.save();
+        };
         result.m_tick = [this](time_point now) { tick(now); };
         return result;
     }
@@ -172,6 +180,7 @@
         dispatch::broker_options options;
         options.m_failure_domain =
             failure_domain_id(setting_value<std::string>(m_settings, "/failure_domain"));
+        options.m_entry = host_id(setting_value<std::string>(m_settings, "/host"));
         options.m_most_queued = setting_value<std::size_t>(m_settings, "/limits/queued");
         return options;
     }
@@ -196,6 +205,15 @@
         else if (path == "/v1/status") {
             answer->respond(http::json_response(200, status_text()));
         }
+        else if (path == "/v1/burn") {
+            answer->respond(http::json_response(
+                200, json{{"host", setting_value<std::string>(m_settings, "/host")},
+                          {"burn", m_burn.to_json()}}
+                         .dump()));
+        }
+        else if (path == "/v1/quarantine/lift" && request.m_method == "POST") {
+            answer->respond(lift_quarantine(request));
+        }
         else if (path == "/v1/models" && request.m_method == "GET") {
             answer->respond(http::json_response(200, models_text()));
         }
@@ -269,6 +287,7 @@
         }
         apply_rule(*rule, known);
         known.m_workspace = workspace == nullptr ? "" : workspace->m_name.value();
+        known.m_workspace_class = burn::workspace_class(workspace);
         known.m_configuration = active->m_version;
         auto info = make_info(*rule, workspace, known);
         const request_pointer request(new entry_request(std::move(known), answer));
@@ -279,6 +298,7 @@
     {
         known.m_selector = rule.m_name;
         known.m_deadline = known.m_arrival + rule.m_time_limit;
+        known.m_target = rule.m_target;
         known.m_idempotent = rule.m_idempotent;
         known.m_urgent = rule.m_class == configuration::work_class::urgent;
         auto& wanted = known.m_call;
@@ -435,7 +455,12 @@
         if (end == dispatch::attempt_end::completed) {
             finished(request, now);
         }
-        perform(m_pools.attempt_ended(known.m_pool, known.m_ticket, end, now), now);
+        const auto wanted = m_pools.attempt_ended(known.m_pool, known.m_ticket, end, now);
+        if (end == dispatch::attempt_end::upstream_died) {
+            // The other entries must know before the caller can ask one of them again.
+            spread_suspicions(now);
+        }
+        perform(wanted, now);
     }
 
     void fail(const request_pointer& request, const caller::error& fault, time_point now)
@@ -451,6 +476,8 @@
         const auto result = request->result();
         m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
                                 now - known.m_arrival);
+        m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
+                      result.m_first_byte - known.m_arrival, platform::wall_now());
         log_event(log_level::info, "request_ended",
                   {{"request", known.m_request_id},
                    {"selector", known.m_selector},
@@ -491,6 +518,9 @@
         else if (message.has_configuration_update()) {
             m_configuration.adopt(message.configuration_update());
         }
+        else if (message.has_suspicion()) {
+            on_suspicion(message.suspicion(), now);
+        }
         else if (message.has_subscribe()) {
             wire::Envelope answer;
             *answer.mutable_configuration_update() = m_configuration.message();
@@ -524,7 +554,7 @@
                 break;
         }
         auto end = to_end(effect);
-        if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_failed") {
+        if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_died") {
             end = dispatch::attempt_end::upstream_died;
         }
         end_attempt(request, id, end, now);
@@ -594,6 +624,32 @@
         }
     }
 
+    // Suspicions.
+
+    /// Tells the other entries of contents that were running when an upstream died.
+    void spread_suspicions(time_point now)
+    {
+        for (const auto& item : m_pools.take_suspicions()) {
+            wire::Envelope message;
+            to_wire(item, now, platform::wall_now(), *message.mutable_suspicion());
+            log_event(log_level::warning, "content_suspected",
+                      {{"pool", item.m_pool},
+                       {"content", item.m_record.m_content.value()},
+                       {"deaths", item.m_record.m_deaths.size()}});
+            for (const auto& address : platform::link_addresses(m_settings, "/entries")) {
+                if (address != m_node->address()) {
+                    m_node->send(address, message);
+                }
+            }
+        }
+    }
+
+    void on_suspicion(const wire::Suspicion& message, time_point now)
+    {
+        const auto record = from_wire(message, now, platform::wall_now());
+        perform(m_pools.merge_suspicion(message.pool(), record, now), now);
+    }
+
     // Time.
 
     void tick(time_point now)
@@ -604,6 +660,8 @@
             return;
         }
         m_next_scan = now + scan_interval;
+        m_burn.tick(platform::wall_now());
+        spread_suspicions(now);
         for (const auto& member : m_members.remove_expired(now)) {
             log_event(log_level::info, "lease_ended", {{"upstream", member.m_upstream.value()}});
             remove_from_pools(member, now);
@@ -672,6 +730,25 @@
             .dump();
     }
 
+    /// `{"pool": "model:NAME", "content": N}`: the content may run again, on every entry.
+    http::response lift_quarantine(const http::request& request)
+    {
+        const auto body = json::parse(request.m_body, nullptr, false);
+        const bool is_right = body.is_object() && body.contains("pool") &&
+                              body["pool"].is_string() && body.contains("content") &&
+                              body["content"].is_number_unsigned();
+        if (!is_right) {
+            return caller::to_response(
+                caller::bad_request("invalid_body",
+                                    "the body must be an object with \"pool\" (a string) and "
+                                    "\"content\" (a whole number)"),
+                "");
+        }
+        m_pools.lift_quarantine(body["pool"], fingerprint(body["content"].get<std::uint64_t>()),
+                                platform::now());
+        return http::json_response(200, R"({"status":"lifted"})");
+    }
+
     std::string models_text()
     {
         constexpr std::string_view prefix = "model:";
@@ -691,6 +768,7 @@
     incarnation m_incarnation;
     caller::call_limits m_limits;
     metrics m_metrics;
+    burn_book m_burn;
     control::subscriber m_configuration;
     pool_table m_pools;
     member_table m_members;
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -157,6 +157,38 @@
     return result;
 }
 
+std::vector<pool_suspicion> pool_table::take_suspicions()
+{
+    std::vector<pool_suspicion> result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        for (auto& record : dispatch::take_suspicions(target->m_broker)) {
+            result.push_back({name, std::move(record)});
+        }
+    }
+    return result;
+}
+
+dispatch::actions pool_table::merge_suspicion(const std::string& pool,
+                                              const quarantine::suspicion& record, time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::merge_suspicion(target->m_broker, record, now, target->m_random);
+}
+
+void pool_table::lift_quarantine(const std::string& pool, fingerprint content, time_point now)
+{
+    if (const auto target = find(pool)) {
+        const std::lock_guard lock(target->m_mutex);
+        dispatch::lift_quarantine(target->m_broker, content, now);
+    }
+}
+
 std::vector<std::string> pool_table::names() const
 {
     const std::shared_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -27,6 +27,12 @@
 dispatch::upstream_info to_upstream(const membership::member& member,
                                     const configuration::label_set& labels);
 
+/// A suspicion and the pool that it belongs to.
+struct pool_suspicion {
+    std::string m_pool;
+    quarantine::suspicion m_record;
+};
+
 /// All brokers of an entry. A pool exists from the first announcement of an upstream that serves
 /// it. Thread-safe; no lock is held while a caller carries out the actions.
 class pool_table {
@@ -44,6 +50,12 @@
                                       time_point now);
     dispatch::actions tick(time_point now);
 
+    /// Suspicions that are new since the last call.
+    std::vector<pool_suspicion> take_suspicions();
+    dispatch::actions merge_suspicion(const std::string& pool, const quarantine::suspicion& record,
+                                      time_point now);
+    void lift_quarantine(const std::string& pool, fingerprint content, time_point now);
+
     /// Names of all pools, sorted.
     [[nodiscard]] std::vector<std::string> names() const;
 
--- a/dewbeam/src/fake_engine/fake_engine.cpp
+++ b/dewbeam/src/fake_engine/fake_engine.cpp
@@ -316,6 +316,7 @@
                     {"step_us", m_options.m_step.count()},
                     {"skew", 1.0},
                     {"slots", m_options.m_slots},
+                    {"incarnation", m_incarnation},
                     {"models", m_options.m_models}}
             .dump();
     }
@@ -328,6 +329,7 @@
     }
 
     engine_options m_options;
+    std::int64_t m_incarnation = std::chrono::system_clock::now().time_since_epoch().count();
     asio::steady_timer m_timer;
     std::atomic<bool> m_is_stopped = false;
     mutable std::mutex m_mutex;
--- a/dewbeam/src/platform/program.cpp
+++ b/dewbeam/src/platform/program.cpp
@@ -62,11 +62,15 @@
         std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+time_point wall_now()
+{
+    return time_point(
+        std::chrono::duration_cast<time_span>(std::chrono::system_clock::now().time_since_epoch()));
+}
+
 incarnation new_incarnation()
 {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return incarnation(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+    return incarnation(static_cast<std::uint64_t>(wall_now().time_since_epoch().count()));
 }
 
 random_engine seeded_engine()
--- a/dewbeam/src/platform/program.h
+++ b/dewbeam/src/platform/program.h
@@ -17,6 +17,9 @@
 /// The time of decisions, from the steady clock.
 time_point now();
 
+/// The time since the Unix epoch, from the wall clock; for what hosts compare with one another.
+time_point wall_now();
+
 /// A new incarnation: microseconds of the wall clock, so that a later life has a larger one.
 incarnation new_incarnation();
 
--- a/test/faults_session.py
+++ b/test/faults_session.py
@@ -127,6 +127,45 @@
         time.sleep(1.0)
         self.assertEqual(self.runs(), 1)
 
+    def test_crashing_request_takes_two_upstreams_at_most(self):
+        """Its caller sends it again through every entry while others go on."""
+        for index in range(2, 5):
+            self.site.add_upstream("chat-%d" % index, "d3", ["ad-copy"], "pool=ad-copy")
+        engines = ["chat-%d-engine" % index for index in range(5)]
+        for name in engines:
+            process = self.site.processes[name]
+            process.kill() if process.is_running() else None
+            process.settings["crash_marker"] = "BOOM"
+            process.start()
+        for index in range(2, 5):
+            self.site.processes["chat-%d" % index].start()
+        self.site.wait_ready(engines)
+        for entry in ("e1", "e2", "e3"):
+            self.site.wait_for_upstreams(entry, 6)
+        time.sleep(1.0)  # each agent sees its engine's new life
+        finished = []
+
+        def innocent(number):
+            body = {**CHAT, "max_tokens": 60,
+                    "messages": [{"role": "user", "content": "innocent %d" % number}]}
+            finished.append(self.site.call("e%d" % (number % 3 + 1), "POST",
+                                           "/v1/chat/completions", body)[0])
+
+        others = [threading.Thread(target=innocent, args=(number,)) for number in range(12)]
+        for thread in others:
+            thread.start()
+        poison = {**CHAT, "messages": [{"role": "user", "content": "BOOM"}]}
+        answers = [self.site.call("e%d" % (number % 3 + 1), "POST", "/v1/chat/completions", poison)
+                   for number in range(6)]
+        for thread in others:
+            thread.join()
+        dead = [name for name in engines if not self.site.processes[name].is_running()]
+        self.assertLessEqual(len(dead), 2)
+        self.assertEqual(finished, [200] * 12)
+        last = answers[-1]
+        self.assertEqual((last[0], json.loads(last[2])["error"]["code"]), (503, "quarantined"))
+        self.assertGreater(int(last[1]["Retry-After"]), 0)
+
     def runs(self):
         return json.loads(self.site.call("bay-engine", "GET", "/runs")[2])["runs"]
 
