--- a/dewbeam/src/configuration/store.cpp
+++ b/dewbeam/src/configuration/store.cpp
@@ -47,6 +47,21 @@
     }
 }
 
+/// Deeper input is refused: the patch is merged and written by recursion.
+constexpr int most_depth = 32;
+
+/// The parsed text; discarded where it is no JSON or nests too deeply.
+json parse_bounded(std::string_view text)
+{
+    bool is_deep = false;
+    const auto watch = [&is_deep](int depth, json::parse_event_t, json&) {
+        is_deep = is_deep || depth > most_depth;
+        return !is_deep;
+    };
+    auto parsed = json::parse(text, watch, false);
+    return is_deep ? json(json::value_t::discarded) : parsed;
+}
+
 }  // namespace
 
 change_result apply(store& state, const change& wanted, configuration_version position)
@@ -80,7 +95,7 @@
 
 absl::StatusOr<change> decode_change(std::string_view text)
 {
-    const auto source = json::parse(text, nullptr, false);
+    const auto source = parse_bounded(text);
     const bool is_right = source.is_object() && source.contains("id") && source["id"].is_string() &&
                           !source["id"].get_ref<const std::string&>().empty() &&
                           source.contains("base") && source["base"].is_number_unsigned() &&
@@ -110,7 +125,7 @@
 
 absl::StatusOr<store> decode_store(std::string_view text)
 {
-    const auto source = json::parse(text, nullptr, false);
+    const auto source = parse_bounded(text);
     if (!source.is_object()) {
         return absl::DataLossError("the configuration state is not a JSON object");
     }
--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -377,6 +377,35 @@
 
 }  // namespace
 
+void apply(recovered_state& disk, const writes& item)
+{
+    auto& log = disk.m_entries;
+    if (item.m_snapshot) {
+        disk.m_snapshot = item.m_snapshot;
+        disk.m_log_base = item.m_log_base;
+        const auto covered = item.m_log_base.m_index;
+        const auto end = std::find_if(log.begin(), log.end(), [&](const entry& old) {
+            return !item.m_resets_log && old.m_position.m_index > covered;
+        });
+        log.erase(log.begin(), end);
+    }
+    const auto cut = [&log](std::uint64_t index) {
+        while (!log.empty() && log.back().m_position.m_index >= index) {
+            log.pop_back();
+        }
+    };
+    if (item.m_truncate_from) {
+        cut(*item.m_truncate_from);
+    }
+    for (const auto& added : item.m_entries) {
+        cut(added.m_position.m_index);
+        log.push_back(added);
+    }
+    if (item.m_hard_state) {
+        disk.m_hard = *item.m_hard_state;
+    }
+}
+
 replica make_replica(const replica_options& options, identity self, recovered_state disk,
                      time_point now, random_engine& random)
 {
--- a/dewbeam/src/consensus/replica.h
+++ b/dewbeam/src/consensus/replica.h
@@ -104,6 +104,9 @@
     std::vector<entry> m_entries;
 };
 
+/// Carries the writes of one step out on what a disk holds.
+void apply(recovered_state& disk, const writes& item);
+
 /// A replica at start, from what its disk holds. `m_applied` is the snapshot's index.
 replica make_replica(const replica_options& options, identity self, recovered_state disk,
                      time_point now, random_engine& random);
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -47,35 +47,10 @@
     recovered_state m_synced;
     std::vector<std::pair<std::uint64_t, writes>> m_pending;
 
-    static void write(recovered_state& to, const writes& item)
-    {
-        auto& log = to.m_entries;
-        const auto drop_from = [&log](std::uint64_t index) {
-            std::erase_if(log, [&](const entry& old) { return old.m_position.m_index >= index; });
-        };
-        if (item.m_snapshot) {
-            to.m_snapshot = item.m_snapshot;
-            to.m_log_base = item.m_log_base;
-            std::erase_if(log, [&](const entry& old) {
-                return item.m_resets_log || old.m_position.m_index <= item.m_log_base.m_index;
-            });
-        }
-        if (item.m_truncate_from) {
-            drop_from(*item.m_truncate_from);
-        }
-        for (const auto& added : item.m_entries) {
-            drop_from(added.m_position.m_index);
-            log.push_back(added);
-        }
-        if (item.m_hard_state) {
-            to.m_hard = *item.m_hard_state;
-        }
-    }
-
     void sync(std::size_t batches)
     {
         for (std::size_t i = 0; i < batches; ++i) {
-            write(m_synced, m_pending[i].second);
+            apply(m_synced, m_pending[i].second);
         }
         m_pending.erase(m_pending.begin(),
                         m_pending.begin() + static_cast<std::ptrdiff_t>(batches));
