Keep the commit index on disk, so that a replica that restarts alone reverts nothing

Change: the hard state carries the commit index with each write, and one more write follows once the log is idle. Test: consensus.a_replica_that_restarts_alone_keeps_what_was_committed.

--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -31,7 +31,7 @@
 
 void set_hard_state(context& at, std::uint64_t term, std::optional<identity> vote)
 {
-    at.m_self.m_hard = {term, vote};
+    at.m_self.m_hard = {term, vote, at.m_self.m_commit};
     at.m_out.m_writes.m_hard_state = at.m_self.m_hard;
 }
 
@@ -70,6 +70,14 @@
     return internal::is_majority(self, heard);
 }
 
+void save_commit(context& at)
+{
+    auto& self = at.m_self;
+    if (self.m_hard.m_commit < self.m_commit) {
+        internal::set_hard_state(at, self.m_hard.m_term, self.m_hard.m_vote);
+    }
+}
+
 void tick_leader(context& at)
 {
     auto& self = at.m_self;
@@ -90,6 +98,7 @@
 void handle(context& at, const tick&)
 {
     auto& self = at.m_self;
+    save_commit(at);
     if (self.m_role == role::leader) {
         tick_leader(at);
         return;
@@ -341,6 +350,7 @@
 {
     auto& self = at.m_self;
     if (!at.m_out.m_writes.empty()) {
+        save_commit(at);
         ++self.m_batch;
         self.m_pending.push_back({self.m_batch, last(self.m_log).m_index});
     }
@@ -373,6 +383,7 @@
         }
     }
     self.m_durable = last(self.m_log).m_index;
+    self.m_commit = std::max(self.m_commit, std::min(self.m_hard.m_commit, self.m_durable));
 }
 
 }  // namespace
--- a/dewbeam/src/consensus/types.h
+++ b/dewbeam/src/consensus/types.h
@@ -78,6 +78,7 @@
 struct hard_state {
     std::uint64_t m_term = 0;
     std::optional<identity> m_vote;
+    std::uint64_t m_commit = 0;  ///< known as committed; a replica that restarts alone applies it
 
     friend bool operator==(const hard_state&, const hard_state&) = default;
 };
--- a/dewbeam/src/control/wire.cpp
+++ b/dewbeam/src/control/wire.cpp
@@ -271,6 +271,7 @@
 {
     wire::LogHardState made;
     made.set_term(from.m_term);
+    made.set_commit(from.m_commit);
     if (from.m_vote) {
         made.set_voted(true);
         made.set_vote_replica(from.m_vote->m_id.value());
@@ -283,6 +284,7 @@
 {
     consensus::hard_state made;
     made.m_term = from.term();
+    made.m_commit = from.commit();
     if (from.voted()) {
         made.m_vote =
             consensus::identity{replica_id(from.vote_replica()), disk_id(from.vote_disk())};
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -570,6 +570,7 @@
 {
     network_options options;
     options.m_sync_before_send = false;
+    options.m_sync_pause = 20;
     EXPECT_GT(count_broken(100, options, 0), 0);
 }
 
@@ -678,6 +679,18 @@
     EXPECT_EQ(net.m_broken, "");
 }
 
+TEST(consensus, a_replica_that_restarts_alone_keeps_what_was_committed)
+{
+    auto net = settled_network(3);
+    net.run(20, false);
+    const auto before = net.m_hosts[0].m_state;
+    net.crash(0, one_tick);
+    net.cut({1, 0, 0});
+    net.run(400, false);
+    EXPECT_FALSE(before.empty());
+    EXPECT_EQ(net.m_hosts[0].m_state, before);
+}
+
 TEST(consensus, a_planned_stop_hands_over_without_an_election_timeout)
 {
     auto net = settled_network(3);
