Withdraw a claim that was given up without taking it from another call

Cause: a control host that answers too late withdraws its claim; where the entry had claimed the same attempt through another host and was granted, that withdrawal would free a key that runs.

--- a/dewbeam/src/claims/table.cpp
+++ b/dewbeam/src/claims/table.cpp
@@ -104,7 +104,15 @@
 
 void grant(claim_record& record, const claim& wanted)
 {
+    const bool is_again =
+        record.m_state == claim_state::running && record.m_attempt == wanted.m_attempt;
+    if (is_again && record.m_proposal != wanted.m_proposal) {
+        record.m_is_shared = true;
+        return;
+    }
     record.m_state = claim_state::running;
+    record.m_is_shared = is_again && record.m_is_shared;
+    record.m_proposal = wanted.m_proposal;
     record.m_attempt = wanted.m_attempt;
     record.m_agent = wanted.m_agent;
     record.m_fingerprint = wanted.m_fingerprint;
@@ -121,6 +129,12 @@
     retain(state, report.m_key, record, report.m_forget_at - report.m_time);
 }
 
+/// Whether a withdrawal would take the key from a call that was told it is granted.
+bool is_held_by_another(const claim_record& record, const claim_report& report)
+{
+    return report.m_withdraws && (record.m_is_shared || record.m_proposal != *report.m_withdraws);
+}
+
 void end_attempt(table& state, const claim_report& report, claim_record& record)
 {
     switch (report.m_outcome) {
@@ -173,6 +187,7 @@
     const auto is_new = place == state.m_claims.end();
     const auto value = is_new ? decision::granted : decide_known(record, wanted);
     if (value == decision::granted) {
+        record.m_state = is_new ? claim_state::released : record.m_state;
         grant(record, wanted);
         retain(state, wanted.m_key, record, wanted.m_forget_at - wanted.m_time);
     }
@@ -190,7 +205,7 @@
     auto& record = place->second;
     const bool is_current =
         record.m_state == claim_state::running && record.m_attempt == report.m_attempt;
-    if (is_current) {
+    if (is_current && !is_held_by_another(record, report)) {
         end_attempt(state, report, record);
     }
     else if (report.m_outcome == ledger::outcome::not_run && record.m_attempt != report.m_attempt) {
--- a/dewbeam/src/claims/table.h
+++ b/dewbeam/src/claims/table.h
@@ -36,8 +36,18 @@
     friend bool operator==(const kept_answer&, const kept_answer&) = default;
 };
 
+/// Names one call that asked for a key; the same attempt may be claimed by several calls.
+struct proposal_id {
+    std::uint64_t m_origin = 0;  ///< replica
+    incarnation m_life;          ///< of the replica's process
+    std::uint64_t m_number = 0;
+
+    friend auto operator<=>(const proposal_id&, const proposal_id&) = default;
+};
+
 /// Asks for a key before the dispatch.
 struct claim {
+    proposal_id m_proposal;
     claim_key m_key;
     attempt_id m_attempt;
     host_id m_agent;
@@ -54,6 +64,8 @@
     std::optional<kept_answer> m_answer;  ///< of a completed attempt
     time_point m_time{};
     time_point m_forget_at{};
+    /// Set where a call was given up: `not_run` then holds only if no other call was granted.
+    std::optional<proposal_id> m_withdraws;
 };
 
 /// What a claim gets.
@@ -89,6 +101,8 @@
     attempt_id m_attempt;
     host_id m_agent;
     fingerprint m_fingerprint;
+    proposal_id m_proposal;    ///< the call that was granted first
+    bool m_is_shared = false;  ///< another call of the same attempt was granted too
     time_point m_forget_at{};
     std::vector<attempt_id>
         m_released;  ///< attempts that were reported as not run, the newest last
--- a/dewbeam/src/control/wire.cpp
+++ b/dewbeam/src/control/wire.cpp
@@ -130,6 +130,7 @@
             put_answer(*made, *from.m_answer);
         }
         put_times(from.m_time, from.m_forget_at);
+        m_to.set_withdraws(from.m_withdraws ? from.m_withdraws->m_number : 0);
     }
     void put_times(time_point now, time_point forget_at) const
     {
@@ -142,6 +143,7 @@
 {
     const auto& body = from.claim();
     claims::claim made;
+    made.m_proposal = {from.origin(), incarnation(from.origin_life()), from.number()};
     made.m_key = claims::claim_key(body.key());
     made.m_attempt = take(body.attempt());
     made.m_agent = host_id(body.agent());
@@ -163,6 +165,10 @@
     }
     made.m_time = from_us(from.time_us());
     made.m_forget_at = from_us(from.forget_at_us());
+    if (from.withdraws() != 0) {
+        made.m_withdraws =
+            claims::proposal_id{from.origin(), incarnation(from.origin_life()), from.withdraws()};
+    }
     return made;
 }
 
@@ -175,6 +181,10 @@
     to.set_agent(from.m_agent.value());
     to.set_fingerprint(from.m_fingerprint.value());
     to.set_forget_at_us(to_us(from.m_forget_at));
+    to.set_origin(from.m_proposal.m_origin);
+    to.set_origin_life(from.m_proposal.m_life.value());
+    to.set_number(from.m_proposal.m_number);
+    to.set_shared(from.m_is_shared);
     for (const auto& item : from.m_released) {
         put(to.add_released(), item);
     }
@@ -191,6 +201,8 @@
     made.m_agent = host_id(from.agent());
     made.m_fingerprint = fingerprint(from.fingerprint());
     made.m_forget_at = from_us(from.forget_at_us());
+    made.m_proposal = {from.origin(), incarnation(from.origin_life()), from.number()};
+    made.m_is_shared = from.shared();
     for (const auto& item : from.released()) {
         made.m_released.push_back(take(item));
     }
