--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -31,7 +31,7 @@
 
 void set_hard_state(context& at, std::uint64_t term, std::optional<identity> vote)
 {
-    at.m_self.m_hard = {term, vote};
+    at.m_self.m_hard = {term, vote, at.m_self.m_commit};
     at.m_out.m_writes.m_hard_state = at.m_self.m_hard;
 }
 
@@ -70,6 +70,14 @@
     return internal::is_majority(self, heard);
 }
 
+void save_commit(context& at)
+{
+    auto& self = at.m_self;
+    if (self.m_hard.m_commit < self.m_commit) {
+        internal::set_hard_state(at, self.m_hard.m_term, self.m_hard.m_vote);
+    }
+}
+
 void tick_leader(context& at)
 {
     auto& self = at.m_self;
@@ -90,6 +98,7 @@
 void handle(context& at, const tick&)
 {
     auto& self = at.m_self;
+    save_commit(at);
     if (self.m_role == role::leader) {
         tick_leader(at);
         return;
@@ -341,6 +350,7 @@
 {
     auto& self = at.m_self;
     if (!at.m_out.m_writes.empty()) {
+        save_commit(at);
         ++self.m_batch;
         self.m_pending.push_back({self.m_batch, last(self.m_log).m_index});
     }
@@ -373,10 +383,40 @@
         }
     }
     self.m_durable = last(self.m_log).m_index;
+    self.m_commit = std::max(self.m_commit, std::min(self.m_hard.m_commit, self.m_durable));
 }
 
 }  // namespace
 
+void apply(recovered_state& disk, const writes& item)
+{
+    auto& log = disk.m_entries;
+    if (item.m_snapshot) {
+        disk.m_snapshot = item.m_snapshot;
+        disk.m_log_base = item.m_log_base;
+        const auto covered = item.m_log_base.m_index;
+        const auto end = std::find_if(log.begin(), log.end(), [&](const entry& old) {
+            return !item.m_resets_log && old.m_position.m_index > covered;
+        });
+        log.erase(log.begin(), end);
+    }
+    const auto cut = [&log](std::uint64_t index) {
+        while (!log.empty() && log.back().m_position.m_index >= index) {
+            log.pop_back();
+        }
+    };
+    if (item.m_truncate_from) {
+        cut(*item.m_truncate_from);
+    }
+    for (const auto& added : item.m_entries) {
+        cut(added.m_position.m_index);
+        log.push_back(added);
+    }
+    if (item.m_hard_state) {
+        disk.m_hard = *item.m_hard_state;
+    }
+}
+
 replica make_replica(const replica_options& options, identity self, recovered_state disk,
                      time_point now, random_engine& random)
 {
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -47,35 +47,10 @@
     recovered_state m_synced;
     std::vector<std::pair<std::uint64_t, writes>> m_pending;
 
-    static void write(recovered_state& to, const writes& item)
-    {
-        auto& log = to.m_entries;
-        const auto drop_from = [&log](std::uint64_t index) {
-            std::erase_if(log, [&](const entry& old) { return old.m_position.m_index >= index; });
-        };
-        if (item.m_snapshot) {
-            to.m_snapshot = item.m_snapshot;
-            to.m_log_base = item.m_log_base;
-            std::erase_if(log, [&](const entry& old) {
-                return item.m_resets_log || old.m_position.m_index <= item.m_log_base.m_index;
-            });
-        }
-        if (item.m_truncate_from) {
-            drop_from(*item.m_truncate_from);
-        }
-        for (const auto& added : item.m_entries) {
-            drop_from(added.m_position.m_index);
-            log.push_back(added);
-        }
-        if (item.m_hard_state) {
-            to.m_hard = *item.m_hard_state;
-        }
-    }
-
     void sync(std::size_t batches)
     {
         for (std::size_t i = 0; i < batches; ++i) {
-            write(m_synced, m_pending[i].second);
+            apply(m_synced, m_pending[i].second);
         }
         m_pending.erase(m_pending.begin(),
                         m_pending.begin() + static_cast<std::ptrdiff_t>(batches));
@@ -595,6 +570,7 @@
 {
     network_options options;
     options.m_sync_before_send = false;
+    options.m_sync_pause = 20;
     EXPECT_GT(count_broken(100, options, 0), 0);
 }
 
@@ -703,6 +679,18 @@
     EXPECT_EQ(net.m_broken, "");
 }
 
+TEST(consensus, a_replica_that_restarts_alone_keeps_what_was_committed)
+{
+    auto net = settled_network(3);
+    net.run(20, false);
+    const auto before = net.m_hosts[0].m_state;
+    net.crash(0, one_tick);
+    net.cut({1, 0, 0});
+    net.run(400, false);
+    EXPECT_FALSE(before.empty());
+    EXPECT_EQ(net.m_hosts[0].m_state, before);
+}
+
 TEST(consensus, a_planned_stop_hands_over_without_an_election_timeout)
 {
     auto net = settled_network(3);
