--- a/dewbeam/src/entry/member_table.cpp
+++ b/dewbeam/src/entry/member_table.cpp
@@ -2,66 +2,10 @@
 
 #include <utility>
 
-#include "dewbeam/link"
+#include "dewbeam/src/entry/member_wire.h"
 
 namespace dewbeam::entry {
 
-namespace {
-
-membership::role to_role(wire::Announcement::Role value)
-{
-    switch (value) {
-        case wire::Announcement::ROLE_AGENT:
-            return membership::role::agent;
-        case wire::Announcement::ROLE_CONTROL:
-            return membership::role::control;
-        default:
-            return membership::role::entry;
-    }
-}
-
-membership::member_load to_load(const wire::EngineReport& source, time_point now)
-{
-    membership::member_load load;
-    load.m_running = source.running();
-    load.m_waiting = source.waiting();
-    load.m_free_kv = {static_cast<std::int64_t>(source.free_kv_tokens())};
-    load.m_total_kv = {static_cast<std::int64_t>(source.total_kv_tokens())};
-    load.m_step_time = time_span(source.step_us());
-    load.m_skew = source.skew();
-    load.m_measured_at = now - std::chrono::milliseconds(source.measured_ms());
-    load.m_event_sequence = source.event_sequence();
-    load.m_cached_prefixes.assign(source.cached_prefixes().begin(), source.cached_prefixes().end());
-    return load;
-}
-
-}  // namespace
-
-membership::member from_wire(const wire::Announcement& source, time_point now)
-{
-    membership::member result;
-    result.m_host = host_id(source.host());
-    result.m_failure_domain = failure_domain_id(source.failure_domain());
-    result.m_role = to_role(source.role());
-    result.m_address = source.address();
-    result.m_http_address = source.http_address();
-    result.m_incarnation = incarnation(source.incarnation());
-    result.m_sequence = source.sequence();
-    result.m_lease_deadline = now + std::chrono::milliseconds(source.lease_ms());
-    result.m_leaving = source.leaving();
-    result.m_suspect = source.suspect();
-    result.m_dead = source.dead();
-    result.m_upstream = upstream_id(source.upstream());
-    result.m_labels = link::from_wire(source.labels());
-    for (const auto& model : source.models()) {
-        result.m_models.emplace_back(model);
-    }
-    result.m_slots = source.slots();
-    result.m_load = to_load(source.report(), now);
-    result.m_configuration = link::from_wire(source.configuration());
-    return result;
-}
-
 nlohmann::json to_json(const membership::member& member)
 {
     nlohmann::json labels = nlohmann::json::object();
