--- /dev/null
+++ b/dewbeam/src/experts/local_search.cpp
@@ -0,0 +1,387 @@
+#include "dewbeam/src/experts/local_search.h"
+
+#include <algorithm>
+#include <array>
+
+namespace dewbeam::experts {
+
+namespace {
+
+/// The potential is the sum of a power of the ranks' loads relative to the mean: mostly the
+/// busiest ranks, but ties count too. The exponent is 2 to the power of this; it rises when no
+/// change helps any more, from smoothing all busy ranks towards the busiest alone.
+constexpr unsigned first_squarings = 4;
+constexpr unsigned last_squarings = 6;
+
+/// Loads of one layer, kept up to date while slots change.
+class layer_state {
+public:
+    layer_state(const group_shape& shape, const layer_map& map, const layer_counts& counts,
+                const rank_speeds& speeds)
+        : m_shape(shape),
+          m_map(map),
+          m_counts(counts),
+          m_weights(shape.m_ranks, 1.0),
+          m_holders(shape.m_experts),
+          m_loads(shape.m_ranks, 0.0),
+          m_powers(shape.m_ranks, 0.0),
+          m_deltas(shape.m_ranks, 0.0),
+          m_relief(shape.m_experts, 0.0),
+          m_hurt(shape.m_experts, 0.0),
+          m_is_held(std::size_t{shape.m_ranks} * shape.m_experts, 0)
+    {
+        for (std::uint32_t rank = 0; rank < shape.m_ranks && !speeds.empty(); ++rank) {
+            m_weights[rank] = 1.0 / std::max(speeds[rank], least_speed);
+        }
+        for (std::uint32_t slot = 0; slot < map.size(); ++slot) {
+            m_holders[map[slot].value()].push_back(rank_of(slot));
+        }
+        double total = 0;
+        for (const auto count : counts) {
+            total += count;
+        }
+        m_mean = std::max(total / shape.m_ranks, smallest_mean);
+        refresh();
+    }
+
+    [[nodiscard]] std::uint32_t busiest() const
+    {
+        return static_cast<std::uint32_t>(std::max_element(m_loads.begin(), m_loads.end()) -
+                                          m_loads.begin());
+    }
+
+    [[nodiscard]] double slowest() const { return m_loads[busiest()]; }
+    [[nodiscard]] double mean() const { return m_mean; }
+    [[nodiscard]] const layer_map& map() const { return m_map; }
+
+    [[nodiscard]] std::uint32_t first_slot(std::uint32_t rank) const
+    {
+        return rank * m_shape.m_slots_per_rank;
+    }
+
+    [[nodiscard]] std::uint32_t rank_of(std::uint32_t slot) const
+    {
+        return slot / m_shape.m_slots_per_rank;
+    }
+
+    [[nodiscard]] double load(std::uint32_t rank) const { return m_loads[rank]; }
+
+    [[nodiscard]] double share(expert_id expert) const
+    {
+        return m_counts[expert.value()] / static_cast<double>(copies(expert));
+    }
+
+    [[nodiscard]] std::size_t copies(expert_id expert) const
+    {
+        return m_holders[expert.value()].size();
+    }
+
+    [[nodiscard]] bool rank_holds(std::uint32_t rank, expert_id expert) const
+    {
+        return m_is_held[std::size_t{rank} * m_shape.m_experts + expert.value()] != 0;
+    }
+
+    /// Fall of the potential when `slot` takes `taken`; its expert keeps other slots.
+    double gain_of_replacing(std::uint32_t slot, expert_id taken)
+    {
+        const auto dropped = m_map[slot];
+        const auto old_share = share(dropped);
+        const auto new_share = m_counts[dropped.value()] / static_cast<double>(copies(dropped) - 1);
+        for (const auto rank : m_holders[dropped.value()]) {
+            change(rank, new_share - old_share);
+        }
+        const auto taken_before = share(taken);
+        const auto taken_after = m_counts[taken.value()] / static_cast<double>(copies(taken) + 1);
+        for (const auto rank : m_holders[taken.value()]) {
+            change(rank, taken_after - taken_before);
+        }
+        change(rank_of(slot), taken_after - new_share);
+        return settle_gain();
+    }
+
+    /// Fall of the potential when two slots of different ranks swap their experts.
+    double gain_of_swapping(std::uint32_t slot, std::uint32_t other)
+    {
+        const double difference = share(m_map[other]) - share(m_map[slot]);
+        change(rank_of(slot), difference);
+        change(rank_of(other), -difference);
+        return settle_gain();
+    }
+
+    /// Looks at the busiest ranks more sharply; false where that was done to the last.
+    bool sharpen()
+    {
+        if (m_squarings == last_squarings) {
+            return false;
+        }
+        ++m_squarings;
+        refresh();
+        return true;
+    }
+
+    /// Brings the estimates up to date; the `estimate_` functions need it after each change.
+    void prepare_estimates()
+    {
+        for (std::uint32_t expert = 0; expert < m_shape.m_experts; ++expert) {
+            const auto copies_now = static_cast<double>(m_holders[expert].size());
+            const double now = m_counts[expert] / copies_now;
+            m_relief[expert] = gain_at_holders(expert, m_counts[expert] / (copies_now + 1) - now);
+            if (copies_now > 1) {
+                m_hurt[expert] = gain_at_holders(expert, m_counts[expert] / (copies_now - 1) - now);
+            }
+        }
+    }
+
+    /// `gain_of_replacing`, but for ranks that hold both experts. Takes constant time.
+    [[nodiscard]] double estimate_replacing(std::uint32_t slot, expert_id taken) const
+    {
+        const auto rank = rank_of(slot);
+        const double taken_after = m_counts[taken.value()] / static_cast<double>(copies(taken) + 1);
+        const double load = m_loads[rank] + (taken_after - share(m_map[slot])) * m_weights[rank];
+        return m_relief[taken.value()] + m_hurt[m_map[slot].value()] + m_powers[rank] -
+               power(load / m_mean);
+    }
+
+    void apply_change(const layer_change& step)
+    {
+        if (step.m_is_swap) {
+            move_holder(m_map[step.m_slot], rank_of(step.m_slot), rank_of(step.m_other_slot));
+            move_holder(m_map[step.m_other_slot], rank_of(step.m_other_slot), rank_of(step.m_slot));
+        }
+        else {
+            auto& holders = m_holders[m_map[step.m_slot].value()];
+            holders.erase(std::find(holders.begin(), holders.end(), rank_of(step.m_slot)));
+            m_holders[step.m_expert.value()].push_back(rank_of(step.m_slot));
+        }
+        apply(m_map, step);
+        refresh();
+    }
+
+private:
+    static constexpr double least_speed = 0.01;
+    static constexpr double smallest_mean = 1e-12;
+
+    void refresh()
+    {
+        std::fill(m_loads.begin(), m_loads.end(), 0.0);
+        std::fill(m_is_held.begin(), m_is_held.end(), 0);
+        for (std::uint32_t slot = 0; slot < m_map.size(); ++slot) {
+            m_is_held[std::size_t{rank_of(slot)} * m_shape.m_experts + m_map[slot].value()] = 1;
+            m_loads[rank_of(slot)] += share(m_map[slot]) * m_weights[rank_of(slot)];
+        }
+        for (std::uint32_t rank = 0; rank < m_loads.size(); ++rank) {
+            m_powers[rank] = power(m_loads[rank] / m_mean);
+        }
+    }
+
+    void move_holder(expert_id expert, std::uint32_t from, std::uint32_t to)
+    {
+        auto& holders = m_holders[expert.value()];
+        *std::find(holders.begin(), holders.end(), from) = to;
+    }
+
+    [[nodiscard]] double power(double value) const
+    {
+        for (unsigned i = 0; i < m_squarings; ++i) {
+            value *= value;
+        }
+        return value;
+    }
+
+    [[nodiscard]] double gain_at_holders(std::uint32_t expert, double tokens) const
+    {
+        double gain = 0;
+        for (const auto rank : m_holders[expert]) {
+            gain += m_powers[rank] - power((m_loads[rank] + tokens * m_weights[rank]) / m_mean);
+        }
+        return gain;
+    }
+
+    void change(std::uint32_t rank, double tokens)
+    {
+        m_deltas[rank] += tokens;
+        m_touched.push_back(rank);
+    }
+
+    double settle_gain()
+    {
+        double gain = 0;
+        for (const auto rank : m_touched) {
+            const double delta = m_deltas[rank];
+            m_deltas[rank] = 0;
+            if (delta != 0) {
+                const double load = m_loads[rank] + delta * m_weights[rank];
+                gain += m_powers[rank] - power(load / m_mean);
+            }
+        }
+        m_touched.clear();
+        return gain;
+    }
+
+    const group_shape& m_shape;
+    layer_map m_map;
+    const layer_counts& m_counts;
+    std::vector<double> m_weights;
+    std::vector<std::vector<std::uint32_t>> m_holders;
+    std::vector<double> m_loads;
+    std::vector<double> m_powers;
+    std::vector<double> m_deltas;
+    std::vector<std::uint32_t> m_touched;
+    std::vector<double> m_relief;         ///< gain at the holders when the expert gets a copy more
+    std::vector<double> m_hurt;           ///< gain at the holders, negative, when it gets one less
+    std::vector<std::uint8_t> m_is_held;  ///< by rank, then expert
+    double m_mean = 0;
+    unsigned m_squarings = first_squarings;
+};
+
+/// The most promising changes of one round, by estimated gain for each fetch.
+class short_list {
+public:
+    void offer(const layer_change& change, double gain)
+    {
+        const double worth = gain / fetches_of(change);
+        auto& least = m_items[m_least];
+        if (worth > least.m_worth) {
+            least = {change, worth};
+            m_least = least_index();
+        }
+    }
+
+    /// The change whose exact gain is greatest; none where `found` stays false.
+    layer_change best(layer_state& state, bool& found) const
+    {
+        constexpr double least_gain = 1e-6;
+        item best{{}, least_gain};
+        for (const auto& candidate : m_items) {
+            if (candidate.m_worth <= 0) {
+                continue;
+            }
+            const auto& change = candidate.m_change;
+            const double gain = change.m_is_swap
+                                    ? state.gain_of_swapping(change.m_slot, change.m_other_slot)
+                                    : state.gain_of_replacing(change.m_slot, change.m_expert);
+            if (gain / fetches_of(change) > best.m_worth) {
+                best = {change, gain / fetches_of(change)};
+                found = true;
+            }
+        }
+        return best.m_change;
+    }
+
+private:
+    struct item {
+        layer_change m_change;
+        double m_worth = 0;
+    };
+
+    [[nodiscard]] std::size_t least_index() const
+    {
+        const auto is_less = [](const item& a, const item& b) { return a.m_worth < b.m_worth; };
+        return static_cast<std::size_t>(std::min_element(m_items.begin(), m_items.end(), is_less) -
+                                        m_items.begin());
+    }
+
+    std::array<item, 6> m_items{};
+    std::size_t m_least = 0;
+};
+
+/// The busiest rank drops an expert that has other slots and takes any other.
+void try_dropping(const layer_state& state, std::uint32_t busiest, const group_shape& shape,
+                  short_list& list)
+{
+    const auto first = state.first_slot(busiest);
+    for (auto slot = first; slot < first + shape.m_slots_per_rank; ++slot) {
+        if (state.copies(state.map()[slot]) < 2) {
+            continue;
+        }
+        for (std::uint32_t expert = 0; expert < shape.m_experts; ++expert) {
+            const expert_id taken(expert);
+            if (!state.rank_holds(busiest, taken)) {
+                list.offer({slot, taken}, state.estimate_replacing(slot, taken));
+            }
+        }
+    }
+}
+
+/// Another rank takes a further copy of one of the busiest rank's experts.
+void try_copying(const layer_state& state, std::uint32_t busiest, const group_shape& shape,
+                 short_list& list)
+{
+    const auto first = state.first_slot(busiest);
+    for (std::uint32_t slot = 0; slot < state.map().size(); ++slot) {
+        const auto rank = state.rank_of(slot);
+        if (rank == busiest || state.copies(state.map()[slot]) < 2) {
+            continue;
+        }
+        for (auto hot = first; hot < first + shape.m_slots_per_rank; ++hot) {
+            const auto taken = state.map()[hot];
+            if (!state.rank_holds(rank, taken)) {
+                list.offer({slot, taken}, state.estimate_replacing(slot, taken));
+            }
+        }
+    }
+}
+
+/// The busiest rank swaps an expert for a lighter one.
+void try_swapping(layer_state& state, std::uint32_t busiest, const group_shape& shape,
+                  short_list& list)
+{
+    const auto first = state.first_slot(busiest);
+    for (auto slot = first; slot < first + shape.m_slots_per_rank; ++slot) {
+        const auto given = state.map()[slot];
+        for (std::uint32_t other = 0; other < state.map().size(); ++other) {
+            const auto rank = state.rank_of(other);
+            const auto taken = state.map()[other];
+            if (state.share(taken) < state.share(given) && !state.rank_holds(rank, given) &&
+                !state.rank_holds(busiest, taken)) {
+                list.offer({slot, taken, true, other}, state.gain_of_swapping(slot, other));
+            }
+        }
+    }
+}
+
+}  // namespace
+
+std::vector<layer_change> search_layer(const group_shape& shape, const layer_map& map,
+                                       const layer_counts& counts, const rank_speeds& speeds,
+                                       const search_limits& limits)
+{
+    layer_state state(shape, map, counts, speeds);
+    std::vector<layer_change> changes;
+    while (changes.size() < limits.m_most_changes &&
+           state.slowest() > state.mean() * limits.m_target_skew) {
+        short_list list;
+        const auto busiest = state.busiest();
+        state.prepare_estimates();
+        try_dropping(state, busiest, shape, list);
+        try_copying(state, busiest, shape, list);
+        try_swapping(state, busiest, shape, list);
+        bool found = false;
+        auto change = list.best(state, found);
+        if (!found && state.sharpen()) {
+            continue;
+        }
+        if (!found) {
+            break;
+        }
+        state.apply_change(change);
+        change.m_slowest_after = state.slowest();
+        changes.push_back(change);
+    }
+    return changes;
+}
+
+void apply(layer_map& map, const layer_change& change)
+{
+    if (change.m_is_swap) {
+        map[change.m_other_slot] = map[change.m_slot];
+    }
+    map[change.m_slot] = change.m_expert;
+}
+
+std::uint32_t fetches_of(const layer_change& change)
+{
+    return change.m_is_swap ? 2 : 1;
+}
+
+}  // namespace dewbeam::experts
