--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -137,7 +137,7 @@
     auto& chunk = *message.mutable_reply_chunk();
     link::to_wire(id, *chunk.mutable_attempt());
     chunk.set_last(true);
-    chunk.set_outcome(wire::OUTCOME_NOT_RUN);
+    chunk.set_outcome(to_wire(why.m_outcome));
     chunk.set_reason(ledger::to_string(why.m_refusal));
     constexpr std::uint64_t us_per_ms = 1000;
     chunk.set_retry_after_ms(link::remaining_us(why.m_retry_at, now) / us_per_ms);
@@ -229,10 +229,7 @@
     ledger::outcome known = ledger::outcome::unknown;
     {
         const std::lock_guard lock(m_mutex);
-        const bool is_meant =
-            message.agent_incarnation() == m_ledger.m_options.m_incarnation.value();
-        // An earlier life may have run it: only that life could have said that it did not.
-        known = is_meant ? ledger::tombstone(m_ledger, id, now) : ledger::outcome::unknown;
+        known = ledger::tombstone(m_ledger, id, incarnation(message.agent_incarnation()), now);
     }
     wire::Envelope answer;
     auto& reply = *answer.mutable_tombstone_reply();
@@ -273,7 +270,7 @@
 void gate::set_incarnation(incarnation fresh)
 {
     const std::lock_guard lock(m_mutex);
-    m_ledger.m_options.m_incarnation = fresh;
+    ledger::renew(m_ledger, fresh);
 }
 
 void gate::set_slots(std::uint32_t slots)
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -586,8 +586,14 @@
         give_up(state, request, *reason, now, random, result);
         return;
     }
-    if (request.m_attempts >= state.m_options.m_most_attempts ||
-        !retry::take_retry(state.m_retry_budget)) {
+    if (end == attempt_end::refused_busy) {
+        // The queue only moved on too early: this costs no retry, and the upstream may be taken
+        // again. Its pause bounds how often that can happen before the deadline.
+        ++request.m_busy_refusals;
+        request.m_tried.pop_back();
+    }
+    else if (request.m_attempts - request.m_busy_refusals >= state.m_options.m_most_attempts ||
+             !retry::take_retry(state.m_retry_budget)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
@@ -722,7 +728,7 @@
     if (end == attempt_end::upstream_died) {
         note_death(state, subject, now);
     }
-    if (end == attempt_end::not_run) {
+    if (end == attempt_end::not_run || end == attempt_end::refused_busy) {
         note_not_run(state, subject, now);
     }
     release(state, subject, now);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -38,6 +38,7 @@
     route* m_route = nullptr;
     request_phase m_phase = request_phase::fresh;
     std::uint32_t m_attempts = 0;
+    std::uint32_t m_busy_refusals = 0;  ///< of the attempts: refused for lack of room
     std::vector<upstream_id> m_tried;
     upstream_index m_running_on = 0;  ///< while running
     incarnation m_running_incarnation;
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -40,10 +40,16 @@
 
 chunk_effect to_effect(ledger::outcome outcome, const std::string& reason)
 {
-    if (outcome == ledger::outcome::not_run) {
-        return reason == "stale_configuration" ? chunk_effect::stale : chunk_effect::not_run;
+    if (outcome != ledger::outcome::not_run) {
+        return chunk_effect::unknown;
+    }
+    if (reason == ledger::to_string(ledger::refusal::stale_configuration)) {
+        return chunk_effect::stale;
     }
-    return chunk_effect::unknown;
+    const bool is_busy = reason == ledger::to_string(ledger::refusal::full) ||
+                         reason == ledger::to_string(ledger::refusal::runs_alone) ||
+                         reason == ledger::to_string(ledger::refusal::thawing);
+    return is_busy ? chunk_effect::busy : chunk_effect::not_run;
 }
 
 replies::reply_chunk to_reply_chunk(const wire::ReplyChunk& source)
@@ -69,7 +75,8 @@
 }
 
 std::optional<wire::Dispatch> entry_request::own(const dispatch::action& action,
-                                                 owned_attempt attempt, time_point now)
+                                                 owned_attempt attempt,
+                                                 configuration_version newest, time_point now)
 {
     const std::lock_guard lock(m_mutex);
     const bool is_stuck =
@@ -93,7 +100,9 @@
     wire::Dispatch message;
     link::to_wire(m_attempt.m_id, *message.mutable_attempt());
     message.set_agent_incarnation(action.m_incarnation.value());
-    link::to_wire(m_facts.m_configuration, *message.mutable_configuration());
+    // What was begun under one configuration goes on under it, wherever it must.
+    link::to_wire(m_is_streaming ? newest : m_facts.m_configuration,
+                  *message.mutable_configuration());
     message.set_urgent(m_facts.m_urgent);
     message.set_idempotent(m_facts.m_idempotent);
     message.set_remaining_us(link::remaining_us(m_facts.m_deadline, now));
@@ -330,6 +339,16 @@
     m_answer->abort();
 }
 
+bool entry_request::supersede()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || m_is_streaming) {
+        return false;
+    }
+    m_is_over = true;
+    return true;
+}
+
 bool entry_request::set_gone()
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -24,6 +24,7 @@
     first,      ///< the first byte of an answer went by
     completed,  ///< the whole answer was given to the caller
     not_run,    ///< the attempt was not run
+    busy,       ///< the same, since the upstream had no room
     stale,      ///< the same, since the entry's configuration was old
     unknown,    ///< the attempt's end is unknown
     broken,     ///< a chunk is missing: the attempt must be cancelled, its end is unknown
@@ -63,7 +64,9 @@
         std::string m_workspace_class;  ///< for service-level burn
         configuration::service_target m_target;
         caller::call m_call;
-        http::request m_request;  ///< as it goes to the upstream
+        http::request m_request;    ///< as it goes to the upstream
+        model_id m_caller_model;    ///< as the caller named it
+        std::string m_caller_body;  ///< where the selector's model replaced the caller's
         time_point m_arrival{};
         time_point m_deadline = no_deadline;
         bool m_idempotent = true;
@@ -77,8 +80,16 @@
 
     /// The request now owns `attempt`; chunks of earlier ones are dropped from here on. Gives the
     /// message to the agent, or nothing where the request is over.
+    /// `newest` is the configuration that the entry knows now.
     std::optional<wire::Dispatch> own(const dispatch::action& action, owned_attempt attempt,
-                                      time_point now);
+                                      configuration_version newest, time_point now);
+
+    /// Ends this object so that another one can answer the caller in its place, under a newer
+    /// configuration. False where part of the answer was delivered, or it is over.
+    bool supersede();
+
+    /// The way to the caller.
+    [[nodiscard]] const std::shared_ptr<http::exchange>& answer() const { return m_answer; }
 
     /// Takes a chunk; delivers to the caller what is in order.
     chunk_effect take(const wire::ReplyChunk& chunk, time_point now);
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -37,8 +37,10 @@
         case chunk_effect::completed:
             return dispatch::attempt_end::completed;
         case chunk_effect::not_run:
-        case chunk_effect::stale:
             return dispatch::attempt_end::not_run;
+        case chunk_effect::busy:
+        case chunk_effect::stale:
+            return dispatch::attempt_end::refused_busy;
         case chunk_effect::none:
         case chunk_effect::first:
         case chunk_effect::unknown:
@@ -55,6 +57,8 @@
             return "completed";
         case dispatch::attempt_end::not_run:
             return "not_run";
+        case dispatch::attempt_end::refused_busy:
+            return "refused_busy";
         case dispatch::attempt_end::unknown:
             return "unknown";
         case dispatch::attempt_end::upstream_died:
@@ -240,6 +244,7 @@
         known.m_ticket = ticket;
         known.m_request_id = request_id;
         known.m_call = std::get<caller::call>(std::move(read));
+        known.m_caller_model = known.m_call.m_model;
         known.m_request = std::move(request);
         known.m_arrival = now;
         classify_and_submit(std::move(known), answer, now);
@@ -308,6 +313,7 @@
         }
         const auto& model = rule.m_adapter.empty() ? rule.m_model.value() : rule.m_adapter;
         if (!model.empty() && model != wanted.m_model.value()) {
+            known.m_caller_body = known.m_request.m_body;
             known.m_request.m_body = with_model(known.m_request.m_body, model);
         }
         if (!rule.m_model.value().empty()) {
@@ -396,7 +402,8 @@
         attempt.m_agent = action.m_incarnation;
         const auto id = attempt.m_id;
         const auto address = attempt.m_agent_address;
-        auto message = request->own(action, std::move(attempt), now);
+        auto message =
+            request->own(action, std::move(attempt), m_configuration.current()->m_version, now);
         if (!message) {
             give_up_stream(request, now);
             return;
@@ -488,10 +495,24 @@
                    {"us", (now - known.m_arrival).count()}});
     }
 
-    /// The agent knows a newer configuration, which has been adopted: begins anew under it.
+    /// The agent knows a newer configuration, which this entry has adopted by now: the request is
+    /// classified anew under it, unless the caller has part of the answer.
     void resubmit(const request_pointer& request, const attempt_id& id, time_point now)
     {
-        end_attempt(request, id, dispatch::attempt_end::not_run, now);
+        if (!request->supersede()) {
+            end_attempt(request, id, dispatch::attempt_end::refused_busy, now);
+            return;
+        }
+        m_requests.remove_attempt(id);
+        m_requests.remove(request);
+        auto known = request->known();
+        perform(m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+        known.m_ticket = dispatch::ticket(++m_last_ticket);
+        known.m_call.m_model = known.m_caller_model;
+        if (!known.m_caller_body.empty()) {
+            known.m_request.m_body = std::exchange(known.m_caller_body, {});
+        }
+        classify_and_submit(std::move(known), request->answer(), now);
     }
 
     // Messages.
@@ -550,6 +571,7 @@
                 break;
             case chunk_effect::completed:
             case chunk_effect::not_run:
+            case chunk_effect::busy:
             case chunk_effect::unknown:
                 break;
         }
--- a/dewbeam/src/ledger/ledger.cpp
+++ b/dewbeam/src/ledger/ledger.cpp
@@ -61,9 +61,10 @@
     return state.m_running < options.m_slots && own + kept < options.m_slots;
 }
 
-refusal find_shortage(const attempt_ledger& state, const offered_attempt& attempt)
+refusal find_shortage(const attempt_ledger& state, const offered_attempt& attempt, time_point now)
 {
-    if ((attempt.m_alone && state.m_running > 0) || state.m_running_alone > 0) {
+    const bool is_held = !attempt.m_alone && now < state.m_held_for_alone_until;
+    if (is_held || (attempt.m_alone && state.m_running > 0) || state.m_running_alone > 0) {
         return refusal::runs_alone;
     }
     return has_room(state, attempt.m_urgent) ? refusal::none : refusal::full;
@@ -93,7 +94,7 @@
     if (attempt.m_deadline <= now) {
         return refusal::deadline_passed;
     }
-    return find_shortage(state, attempt);
+    return find_shortage(state, attempt, now);
 }
 
 void begin(attempt_ledger& state, const offered_attempt& attempt, time_point now)
@@ -213,7 +214,12 @@
     result.m_refusal = find_refusal(state, attempt, now);
     result.m_outcome = outcome_of(state, result.m_refusal);
     result.m_retry_at = find_retry(state, result.m_refusal, now);
+    if (result.m_refusal == refusal::runs_alone && attempt.m_alone) {
+        // Under steady work no moment without any would come by itself.
+        state.m_held_for_alone_until = now + state.m_options.m_alone_hold;
+    }
     if (result.m_refusal == refusal::none) {
+        state.m_held_for_alone_until = attempt.m_alone ? now : state.m_held_for_alone_until;
         begin(state, attempt, now);
     }
     else if (result.m_outcome == outcome::not_run && !state.m_options.m_arrives_once &&
--- a/dewbeam/src/ledger/ledger.h
+++ b/dewbeam/src/ledger/ledger.h
@@ -74,6 +74,8 @@
     /// The link delivers each dispatch at most once. Without that, a refusal for its age or its
     /// incarnation proves nothing about an earlier copy, and means `unknown`.
     bool m_arrives_once = true;
+    /// How long room is kept for an attempt that must be alone, after each refusal of it.
+    time_span m_alone_hold = std::chrono::milliseconds(250);
 };
 
 /// What the ledger knows of one attempt.
@@ -104,6 +106,8 @@
     std::uint32_t m_running = 0;
     std::uint32_t m_running_urgent = 0;
     std::uint32_t m_running_alone = 0;
+    /// Until then only an attempt that must be alone may begin: one was refused since others ran.
+    time_point m_held_for_alone_until{};
     std::unordered_map<attempt_id, record> m_records;
     record_list m_began;  ///< those that run
     record_list m_ended;  ///< the others, first to forget first
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -24,6 +24,7 @@
 {
     switch (end) {
         case attempt_end::not_run:
+        case attempt_end::refused_busy:
             return true;
         case attempt_end::unknown:
         case attempt_end::upstream_died:
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -11,6 +11,7 @@
 enum class attempt_end {
     completed,      ///< the whole answer arrived
     not_run,        ///< certainly never begun
+    refused_busy,   ///< never begun, since the upstream had no room at that moment
     unknown,        ///< may have run
     upstream_died,  ///< unknown, and the upstream's process went away while it ran
     cancelled,      ///< the caller went away
