--- a/dewbeam/src/configuration/document.h
+++ b/dewbeam/src/configuration/document.h
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dewbeam/base"
@@ -25,6 +26,9 @@
 
 namespace dewbeam::configuration {
 
+/// An upstream with this label at `true` takes no new work.
+inline constexpr std::string_view drain_label = "dewbeam/drain";
+
 /// How urgent work is.
 enum class work_class { urgent, ordinary };
 
@@ -111,6 +115,9 @@
 /// Reads the JSON form; names every mistake by its path.
 parsed_document parse_document(const nlohmann::json& source);
 
+/// Whether `a` wins over `b` where both match a request; `resolve` says by which rule.
+bool takes_precedence(const work_selector& a, const work_selector& b);
+
 /// The matching selector with the greatest priority; among equals the one with more
 /// requirements in `when`; among those the first by name. Null where none matches.
 const work_selector* resolve(const document& rules, const label_set& request_labels);
--- /dev/null
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -0,0 +1,356 @@
+#include "dewbeam/src/entry/entry_request.h"
+
+#include <utility>
+
+#include "dewbeam/link"
+
+namespace dewbeam::entry {
+
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view stream_end = "data: [DONE]\n\n";
+constexpr std::string_view resume_field = "X-Resume-Offset";
+constexpr std::chrono::milliseconds acknowledgement_limit{1000};
+constexpr std::chrono::milliseconds tombstone_limit{1000};
+/// A link keeps the order, so a chunk that is missing for this long was lost.
+constexpr std::chrono::milliseconds gap_limit{1000};
+/// Largest whole answer that is kept until it is complete.
+constexpr std::size_t most_answer_bytes = 16UL * 1024 * 1024;
+
+/// Fields by which callers talk to dewbeam itself.
+bool is_own_field(const std::string& name)
+{
+    for (const auto* own : {"Authorization", "X-Dewbeam-Workspace", "X-Dewbeam-Labels",
+                            resume_field.data(), "X-Priority"}) {
+        if (http::is_same_name(name, own)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+ledger::outcome to_outcome(wire::Outcome value)
+{
+    if (value == wire::OUTCOME_COMPLETED) {
+        return ledger::outcome::completed;
+    }
+    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
+}
+
+chunk_effect to_effect(ledger::outcome outcome, const std::string& reason)
+{
+    if (outcome == ledger::outcome::not_run) {
+        return reason == "stale_configuration" ? chunk_effect::stale : chunk_effect::not_run;
+    }
+    return chunk_effect::unknown;
+}
+
+replies::reply_chunk to_reply_chunk(const wire::ReplyChunk& source)
+{
+    replies::reply_chunk chunk;
+    chunk.m_attempt = link::from_wire(source.attempt());
+    chunk.m_number = replies::chunk_number(source.sequence());
+    chunk.m_status = source.status();
+    for (const auto& item : source.headers()) {
+        chunk.m_headers.push_back({item.name(), item.value()});
+    }
+    chunk.m_data = source.data();
+    chunk.m_last = source.last();
+    chunk.m_outcome = to_outcome(source.outcome());
+    return chunk;
+}
+
+}  // namespace
+
+entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer)
+    : m_facts(std::move(known)), m_answer(std::move(answer))
+{
+}
+
+std::optional<wire::Dispatch> entry_request::own(const dispatch::action& action,
+                                                 owned_attempt attempt, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool is_stuck =
+        m_is_streaming && !replies::can_continue(m_stream, replies::continuation::resume);
+    if (m_is_over || is_stuck) {
+        return std::nullopt;
+    }
+    m_attempt = std::move(attempt);
+    m_attempt.m_ack_deadline = now + acknowledgement_limit;
+    m_partial_event.clear();
+    if (!m_is_streaming) {
+        // The caller has nothing yet: the answer is put together anew.
+        m_stream = {};
+        m_stream.m_options.m_most_kept = {0};
+        m_body.clear();
+        m_status = 0;
+    }
+    replies::start_attempt(
+        m_stream, m_attempt.m_id,
+        m_is_streaming ? replies::continuation::resume : replies::continuation::none);
+    wire::Dispatch message;
+    link::to_wire(m_attempt.m_id, *message.mutable_attempt());
+    message.set_agent_incarnation(action.m_incarnation.value());
+    link::to_wire(m_facts.m_configuration, *message.mutable_configuration());
+    message.set_urgent(m_facts.m_urgent);
+    message.set_idempotent(m_facts.m_idempotent);
+    message.set_remaining_us(link::remaining_us(m_facts.m_deadline, now));
+    message.set_method(m_facts.m_request.m_method);
+    message.set_target(m_facts.m_request.m_target);
+    http::fields fields;
+    for (const auto& item : m_facts.m_request.m_fields) {
+        if (!is_own_field(item.m_name)) {
+            fields.push_back(item);
+        }
+    }
+    fields.push_back({"X-Request-Id", m_facts.m_request_id});
+    if (m_delivered_events > 0) {
+        fields.push_back({std::string(resume_field), std::to_string(m_delivered_events)});
+    }
+    link::to_wire(fields, *message.mutable_headers());
+    message.set_body(m_facts.m_request.m_body);
+    message.set_prompt_tokens(static_cast<std::uint32_t>(m_facts.m_call.m_prompt_tokens.m_count));
+    message.set_output_tokens(static_cast<std::uint32_t>(m_facts.m_call.m_output_tokens.m_count));
+    message.set_alone(action.m_alone);
+    message.set_workspace(m_facts.m_workspace);
+    message.set_upstream(action.m_upstream.value());
+    message.set_fingerprint(m_facts.m_call.m_content.value());
+    return message;
+}
+
+chunk_effect entry_request::take(const wire::ReplyChunk& chunk, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || link::from_wire(chunk.attempt()) != m_attempt.m_id) {
+        return chunk_effect::none;
+    }
+    m_attempt.m_is_acknowledged = true;
+    if (!resumes_here(chunk)) {
+        return chunk_effect::broken;
+    }
+    auto out = replies::accept(m_stream, to_reply_chunk(chunk));
+    const bool has_gap = !m_stream.m_held.empty();
+    if (!has_gap) {
+        m_attempt.m_gap_deadline = no_deadline;
+    }
+    else if (m_attempt.m_gap_deadline == no_deadline) {
+        m_attempt.m_gap_deadline = now + gap_limit;
+    }
+    const bool is_end = out.m_finished || out.m_error == replies::reply_error::attempt_ended;
+    const bool is_broken = out.m_error != replies::reply_error::none && !is_end;
+    if (is_broken) {
+        return chunk_effect::broken;
+    }
+    const auto end = out;
+    const auto effect = take_delivery(std::move(out), now);
+    if (effect == chunk_effect::broken) {
+        return effect;
+    }
+    return is_end ? take_end(end, chunk.reason()) : effect;
+}
+
+chunk_effect entry_request::take_delivery(replies::delivery&& out, time_point now)
+{
+    if (out.m_begins) {
+        m_status = static_cast<int>(out.m_status);
+        m_head.clear();
+        for (auto& item : out.m_headers) {
+            m_head.push_back({std::move(item.m_name), std::move(item.m_value)});
+        }
+        begin_answer();
+    }
+    if (!out.m_bytes.empty() && m_result.m_first_byte == time_point{}) {
+        m_result.m_first_byte = now;
+    }
+    if (m_is_streaming) {
+        deliver_events(out.m_bytes);
+    }
+    else {
+        m_body += out.m_bytes;
+    }
+    if (m_body.size() > most_answer_bytes) {
+        return chunk_effect::broken;
+    }
+    return out.m_begins ? chunk_effect::first : chunk_effect::none;
+}
+
+bool entry_request::resumes_here(const wire::ReplyChunk& chunk) const
+{
+    // An engine that does not say where it resumes would repeat what the caller has already.
+    return m_delivered_events == 0 || chunk.status() == 0 ||
+           http::find_field(link::from_wire(chunk.headers()), resume_field) ==
+               std::to_string(m_delivered_events);
+}
+
+bool entry_request::streams() const
+{
+    const auto type = http::find_field(m_head, "Content-Type");
+    return m_facts.m_call.m_is_stream && m_status == 200 && type.starts_with("text/event-stream");
+}
+
+void entry_request::begin_answer()
+{
+    if (!streams()) {
+        return;
+    }
+    m_is_streaming = true;
+    m_result.m_status = m_status;
+    m_answer->start(m_status, answer_fields());
+}
+
+void entry_request::deliver_events(const std::string& bytes)
+{
+    // Whole events only, so that another upstream can go on behind the last one.
+    m_partial_event += bytes;
+    const auto last = m_partial_event.rfind(event_end);
+    if (last == std::string::npos) {
+        return;
+    }
+    auto events = m_partial_event.substr(0, last + event_end.size());
+    m_partial_event.erase(0, events.size());
+    for (auto place = events.find(event_end); place != std::string::npos;
+         place = events.find(event_end, place + event_end.size())) {
+        ++m_delivered_events;
+    }
+    m_has_stream_end = events.ends_with(stream_end);
+    m_answer->write(std::move(events));
+}
+
+http::fields entry_request::answer_fields() const
+{
+    auto fields = m_head;
+    std::erase_if(fields, [](const http::field& item) {
+        return http::is_same_name(item.m_name, "X-Request-Id") ||
+               http::is_same_name(item.m_name, resume_field);
+    });
+    fields.push_back({"X-Request-Id", m_facts.m_request_id});
+    return fields;
+}
+
+chunk_effect entry_request::take_end(const replies::delivery& out, const std::string& reason)
+{
+    const bool is_whole_stream = m_is_streaming && m_has_stream_end;
+    if (!out.m_finished && !is_whole_stream) {
+        return to_effect(out.m_outcome, reason);
+    }
+    const bool is_cut = m_status == 0 || (m_is_streaming && !m_has_stream_end);
+    if (is_cut) {
+        return chunk_effect::unknown;
+    }
+    finish();
+    return chunk_effect::completed;
+}
+
+void entry_request::finish()
+{
+    m_is_over = true;
+    if (m_is_streaming) {
+        m_answer->finish();
+        return;
+    }
+    m_result.m_status = m_status;
+    m_answer->respond({m_status, answer_fields(), std::move(m_body)});
+}
+
+void entry_request::take(const wire::Accepted& message)
+{
+    const std::lock_guard lock(m_mutex);
+    if (link::from_wire(message.attempt()) == m_attempt.m_id) {
+        m_attempt.m_is_acknowledged = true;
+    }
+}
+
+chunk_effect entry_request::take(const wire::TombstoneReply& reply)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || link::from_wire(reply.attempt()) != m_attempt.m_id) {
+        return chunk_effect::none;
+    }
+    return to_effect(to_outcome(reply.outcome()), {});
+}
+
+owned_attempt entry_request::attempt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_attempt;
+}
+
+bool entry_request::release(const attempt_id& id)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_attempt.m_id != id) {
+        return false;
+    }
+    m_attempt = {};
+    replies::drop_attempt(m_stream);
+    return true;
+}
+
+bool entry_request::begin_tombstone(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool is_late = !m_is_over && !m_attempt.m_is_acknowledged &&
+                         m_attempt.m_id.m_sequence != 0 && m_attempt.m_ack_deadline <= now;
+    if (is_late) {
+        m_attempt.m_ack_deadline = no_deadline;
+        m_attempt.m_tombstone_deadline = now + tombstone_limit;
+    }
+    return is_late;
+}
+
+bool entry_request::is_tombstone_late(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_is_over && m_attempt.m_tombstone_deadline <= now && !m_attempt.m_is_acknowledged;
+}
+
+bool entry_request::is_broken(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_is_over && m_attempt.m_gap_deadline <= now;
+}
+
+void entry_request::fail(const caller::error& fault)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return;
+    }
+    m_is_over = true;
+    m_result.m_code = fault.m_code;
+    if (!m_is_streaming) {
+        m_result.m_status = fault.m_status;
+        m_answer->respond(caller::to_response(fault, m_facts.m_request_id));
+        return;
+    }
+    // The caller has part of the answer: say that it is broken, and never end it cleanly.
+    m_answer->write(caller::to_event(fault));
+    m_answer->abort();
+}
+
+bool entry_request::set_gone()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return false;
+    }
+    m_is_over = true;
+    m_result.m_is_caller_gone = true;
+    return true;
+}
+
+bool entry_request::is_over() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_is_over;
+}
+
+request_result entry_request::result() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_result;
+}
+
+}  // namespace dewbeam::entry
