Fairness: agents keep the classes' slots by their own count; urgent work is sent on when full

Change: ordinary_slots and urgent_slots are the agent's gate, the reserve follows the demand (two standard deviations), reports carry the urgent count and the ordinary slots; an urgent dispatch that may not wait (action::m_may_wait) is answered not_run by a full agent and goes elsewhere within the retry budget; the floor earns credit while ordinary work waits anywhere.

--- a/bench/common/cluster.cpp
+++ b/bench/common/cluster.cpp
@@ -10,6 +10,23 @@
 
 constexpr time_span tick_period = std::chrono::milliseconds(20);
 
+bool is_urgent(const engine_model::engine_run& run)
+{
+    return run.m_request.m_is_urgent;
+}
+
+std::uint32_t count_urgent_waiting(const engine_model::engine& engine)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(engine.m_waiting.begin(), engine.m_waiting.end(), is_urgent));
+}
+
+std::uint32_t count_urgent(const engine_model::engine& engine)
+{
+    const auto running = std::count_if(engine.m_running.begin(), engine.m_running.end(), is_urgent);
+    return count_urgent_waiting(engine) + static_cast<std::uint32_t>(running);
+}
+
 }  // namespace
 
 void timeline::at(time_point when, std::function<void()> what)
@@ -99,7 +116,8 @@
 {
     const auto number = m_next_attempt++;
     auto& subject = m_calls.at(step.m_ticket);
-    m_attempts[number] = {step.m_ticket, m_names.at(step.m_upstream), step.m_alone};
+    m_attempts[number] = {step.m_ticket, m_names.at(step.m_upstream), step.m_alone,
+                          step.m_may_wait};
     subject.m_attempt = number;
     ++m_counts.m_dispatches;
     if (subject.m_outcome.m_tries++ == 0) {
@@ -116,7 +134,9 @@
         return;  // cancelled on the way
     }
     auto& host = m_engines[place->second.m_engine];
-    if (host.m_is_down || host.m_alone != 0) {
+    const bool is_full =
+        host.m_engine.m_running.size() + count_urgent_waiting(host.m_engine) >= host.m_info.m_slots;
+    if (host.m_is_down || host.m_alone != 0 || (is_full && !place->second.m_may_wait)) {
         m_time.after(m_options.m_hop,
                      [this, number] { end_attempt(number, dispatch::attempt_end::not_run); });
         return;
@@ -141,6 +161,18 @@
     start_steps(subject.m_engine);
 }
 
+void cluster::keep_reserve(engine_host& host) const
+{
+    if (!m_options.m_reserves) {
+        return;
+    }
+    fairness::note_urgent(host.m_demand, count_urgent(host.m_engine), m_time.now());
+    host.m_engine.m_options.m_most_ordinary =
+        fairness::ordinary_slots(m_options.m_classes, host.m_info.m_slots, host.m_demand);
+    host.m_engine.m_options.m_most_urgent =
+        fairness::urgent_slots(m_options.m_classes, host.m_info.m_slots);
+}
+
 void cluster::start_steps(std::size_t index)
 {
     auto& host = m_engines[index];
@@ -158,6 +190,7 @@
         host.m_is_stepping = false;
         return;
     }
+    keep_reserve(host);
     std::vector<engine_model::engine_event> events;
     const auto end = engine_model::step(host.m_engine, m_time.now(), events);
     m_time.at(end, [this, index, events = std::move(events)] { after_step(index, events); });
@@ -319,6 +352,8 @@
     auto& report = host.m_info.m_report;
     report.m_running = static_cast<std::uint32_t>(host.m_engine.m_running.size());
     report.m_waiting = static_cast<std::uint32_t>(host.m_engine.m_waiting.size());
+    report.m_urgent = count_urgent(host.m_engine);
+    report.m_ordinary_slots = m_options.m_reserves ? host.m_engine.m_options.m_most_ordinary : 0;
     report.m_free_kv = engine_model::free_kv(host.m_engine);
     report.m_total_kv = host.m_engine.m_options.m_kv.m_total;
     report.m_step_time = host.m_engine.m_last_step;
--- a/bench/common/cluster.h
+++ b/bench/common/cluster.h
@@ -49,6 +49,8 @@
     double m_event_loss = 0.1;
     time_span m_gossip = std::chrono::milliseconds(20);
     time_span m_restart = std::chrono::seconds(10);  ///< of a crashed engine
+    bool m_reserves = false;  ///< agents keep slots for urgent work, as `m_classes` says
+    fairness::class_options m_classes;
     std::uint64_t m_seed = 1;
 };
 
@@ -105,6 +107,7 @@
         dispatch::ticket m_ticket;
         std::size_t m_engine = 0;
         bool m_is_alone = false;
+        bool m_may_wait = true;
     };
     struct open_call {
         call m_call;
@@ -114,6 +117,7 @@
     struct engine_host {
         engine_model::engine m_engine;
         dispatch::upstream_info m_info;
+        fairness::urgent_demand m_demand;
         bool m_is_stepping = false;
         bool m_is_down = false;
         std::uint64_t m_alone = 0;  ///< attempt that runs alone or waits to; 0: none
@@ -124,6 +128,7 @@
     void dispatch_one(std::size_t entry, const dispatch::action& step);
     void arrive(std::uint64_t number);
     void give_to_engine(std::uint64_t number);
+    void keep_reserve(engine_host& host) const;
     void start_steps(std::size_t index);
     void run_step(std::size_t index);
     void after_step(std::size_t index, const std::vector<engine_model::engine_event>& events);
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -189,6 +189,15 @@
     forget(state, request);
 }
 
+/// Urgent work is sent on by an agent that has no slot, as long as that can still end well: what
+/// the entry knows of the other entries' work is old, what the agent knows is not.
+bool may_wait_there(const broker& state, const pending_request& request)
+{
+    return request.m_info.m_class == work_class::ordinary ||
+           request.m_attempts >= state.m_options.m_most_attempts ||
+           state.m_retry_budget.m_tokens < 1.0 || !has_untried(state.m_table, request);
+}
+
 void start(broker& state, pending_request& request, const choice& chosen, bool alone,
            time_point now, actions& result)
 {
@@ -221,6 +230,7 @@
     step.m_upstream = upstream.m_info.m_name;
     step.m_incarnation = upstream.m_info.m_incarnation;
     step.m_alone = alone;
+    step.m_may_wait = alone || may_wait_there(state, request);
     result.push_back(std::move(step));
 }
 
@@ -234,7 +244,8 @@
     upstream.m_ordinary_in_flight -= request.m_info.m_class == work_class::ordinary ? 1 : 0;
     upstream.m_pending_work -= request.m_has_first_token ? 0.0 : request.m_prompt_work;
     upstream.m_runs_alone = upstream.m_runs_alone && !request.m_runs_alone;
-    upstream.m_ended.push_back({request.m_dispatched_at, now});
+    upstream.m_ended.push_back(
+        {request.m_info.m_class == work_class::urgent, request.m_dispatched_at, now});
     constexpr std::size_t most_ended = 256;
     if (upstream.m_ended.size() > most_ended) {
         upstream.m_ended.pop_front();
@@ -322,12 +333,25 @@
     double m_ordinary_cost = 0.0;  ///< of the ordinary head that waits meanwhile; 0: none
 };
 
+/// Cost of an ordinary request that waits, whether or not it can go now; 0 where none waits.
+double waiting_ordinary_cost(const broker& state)
+{
+    const auto place = place_of(work_class::ordinary);
+    for (const auto& candidate : state.m_table.m_routes) {
+        if (is_waiting(candidate->m_lanes[place])) {
+            return head_cost(*candidate, place);
+        }
+    }
+    return 0.0;
+}
+
 turn next_turn(const broker& state)
 {
     auto* urgent = next_route(state, place_of(work_class::urgent));
     auto* ordinary = next_route(state, place_of(work_class::ordinary));
     if (ordinary == nullptr) {
-        return {urgent, place_of(work_class::urgent), 0.0};
+        return {urgent, place_of(work_class::urgent),
+                urgent == nullptr ? 0.0 : waiting_ordinary_cost(state)};
     }
     const double cost = head_cost(*ordinary, place_of(work_class::ordinary));
     if (urgent == nullptr || fairness::ordinary_is_due(state.m_class_share, cost)) {
--- a/dewbeam/src/dispatch/choose.cpp
+++ b/dewbeam/src/dispatch/choose.cpp
@@ -69,10 +69,18 @@
     const double others_running =
         upstream.m_others_running * freshness(context, upstream, running_lifetime);
     const double taken = upstream.m_in_flight + others_running;
+    const auto own_urgent = upstream.m_in_flight - upstream.m_ordinary_in_flight;
+    const auto slots = std::max(1U, upstream.m_info.m_slots);
     routing::choice_facts facts;
     facts.m_missing_tokens = missing_tokens(context, info, index);
     facts.m_queued_tokens = upstream.m_pending_work + others_waiting * prompt;
-    facts.m_occupancy = taken / std::max(1U, upstream.m_info.m_slots);
+    facts.m_occupancy = taken / slots;
+    // Urgent work has its slots to itself: what counts is how much urgent work is there.
+    facts.m_urgent_share = info.m_class == configuration::work_class::urgent
+                               ? (own_urgent + upstream.m_others_urgent *
+                                                   freshness(context, upstream, running_lifetime)) /
+                                     slots
+                               : 0.0;
     facts.m_slowness = std::max(1.0, upstream.m_info.m_report.m_skew);
     facts.m_missing_kv = missing_kv(upstream, info);
     facts.m_recent_tokens = recent_work(upstream, context.m_now);
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -18,6 +18,8 @@
 struct load_report {
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
+    std::uint32_t m_urgent = 0;          ///< urgent ones among both
+    std::uint32_t m_ordinary_slots = 0;  ///< what the agent lets ordinary work hold; 0: not said
     token_count m_free_kv;
     token_count m_total_kv;
     time_span m_step_time = time_span::zero();
@@ -81,6 +83,7 @@
     upstream_id m_upstream;     ///< of a dispatch
     incarnation m_incarnation;  ///< of that upstream's agent
     bool m_alone = false;       ///< a crash suspect: run nothing beside it
+    bool m_may_wait = true;     ///< false: an agent without a free slot answers `not_run` at once
     refusal m_refusal = refusal::overloaded;
     time_point m_retry_at{};  ///< of a refusal: when the caller may come back
 };
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -92,6 +92,11 @@
     return value - std::min(value, taken);
 }
 
+bool is_urgent(const pending_request& request)
+{
+    return request.m_info.m_class == configuration::work_class::urgent;
+}
+
 /// Splits a report's counts into own requests and those of other entries.
 void note_report(upstream_state& upstream)
 {
@@ -101,18 +106,22 @@
                   [&](const ended_run& run) { return run.m_ended_at <= measured; });
     std::uint32_t own = 0;
     std::uint32_t own_waiting = 0;
+    std::uint32_t own_urgent = 0;
     upstream.m_tokens_since_report = 0.0;
     for (const auto& request : upstream.m_running) {
         const bool is_counted = request.m_dispatched_at <= measured;
         own += is_counted ? 1 : 0;
+        own_urgent += is_counted && is_urgent(request) ? 1 : 0;
         own_waiting += is_counted && !request.m_has_first_token ? 1 : 0;
         upstream.m_tokens_since_report +=
             is_counted ? 0.0 : static_cast<double>(request.m_info.m_prompt_tokens.m_count);
     }
     for (const auto& run : upstream.m_ended) {
         own += run.m_started_at <= measured ? 1 : 0;
+        own_urgent += run.m_started_at <= measured && run.m_is_urgent ? 1 : 0;
     }
     upstream.m_others_running = less_or_zero(report.m_running + report.m_waiting, own);
+    upstream.m_others_urgent = less_or_zero(report.m_urgent, own_urgent);
     upstream.m_others_waiting = less_or_zero(report.m_waiting, own_waiting);
 }
 
@@ -134,14 +143,22 @@
         return false;
     }
     const auto slots = usable_slots(upstream, options);
-    const auto others = upstream.m_others_running;
-    const bool has_slot = upstream.m_in_flight + others < slots;
-    if (wanted == configuration::work_class::urgent) {
+    const bool has_slot = upstream.m_in_flight + upstream.m_others_running < slots;
+    if (table.m_reserved_until <= now) {
         return has_slot;
     }
-    const bool is_reserved = table.m_reserved_until > now;
-    return has_slot && (!is_reserved || upstream.m_ordinary_in_flight + others <
-                                            fairness::ordinary_slots(options.m_classes, slots));
+    // The count of the others is old. The agent keeps the shares of the classes by its own count,
+    // so each class may rely on what is kept for it even where all slots look taken.
+    const auto ordinary_limit = ordinary_slots_of(upstream, options, slots);
+    if (wanted == configuration::work_class::ordinary) {
+        const auto floor = slots - fairness::urgent_slots(options.m_classes, slots);
+        const auto own_floor = std::max(1U, floor / std::max(1U, options.m_entries_sharing));
+        return upstream.m_in_flight < slots && upstream.m_ordinary_in_flight < ordinary_limit &&
+               (has_slot || upstream.m_ordinary_in_flight < own_floor);
+    }
+    const auto urgent = upstream.m_in_flight - upstream.m_ordinary_in_flight;
+    return has_slot || (upstream.m_in_flight < slots &&
+                        urgent + upstream.m_others_urgent < slots - ordinary_limit);
 }
 
 void drop_idle_routes(route_table& table)
@@ -245,6 +262,14 @@
     return place->second;
 }
 
+std::uint32_t ordinary_slots_of(const upstream_state& upstream, const route_options& options,
+                                std::uint32_t slots)
+{
+    const auto reported = upstream.m_info.m_report.m_ordinary_slots;
+    return reported > 0 ? std::min(reported, slots)
+                        : fairness::ordinary_slots(options.m_classes, slots, {});
+}
+
 void free_if_unused(route_table& table, upstream_index index)
 {
     const auto& upstream = *table.m_upstreams[index];
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -53,6 +53,7 @@
 
 /// When a request started and ended on an upstream.
 struct ended_run {
+    bool m_is_urgent = false;
     time_point m_started_at{};
     time_point m_ended_at{};
 };
@@ -66,6 +67,7 @@
     std::uint32_t m_ordinary_in_flight = 0;
     std::uint32_t m_others_running = 0;  ///< of other entries, by the last report
     std::uint32_t m_others_waiting = 0;
+    std::uint32_t m_others_urgent = 0;
     double m_pending_work = 0.0;         ///< prompt tokens of own dispatches without a first token
     double m_tokens_since_report = 0.0;  ///< own dispatches that the report can't have counted
     double m_recent_work = 0.0;          ///< of own dispatches, decayed until the last of them
@@ -148,6 +150,10 @@
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
+/// Slots that ordinary work may hold there.
+std::uint32_t ordinary_slots_of(const upstream_state& upstream, const route_options& options,
+                                std::uint32_t slots);
+
 /// Frees the position of a removed upstream once nothing of it is left.
 void free_if_unused(route_table& table, upstream_index index);
 
--- a/dewbeam/src/engine_model/engine.cpp
+++ b/dewbeam/src/engine_model/engine.cpp
@@ -44,14 +44,40 @@
     queue.insert(goes_first ? queue.begin() : (is_urgent ? place : queue.end()), std::move(run));
 }
 
-/// Takes the first waiting request in, if there is a place and memory for it.
+/// The waiting request that may start: the first urgent one, unless urgent work has all that it
+/// may have while ordinary work waits; else the first ordinary one, if it has a place.
+std::deque<engine_run>::iterator next_to_start(engine& subject)
+{
+    const auto& options = subject.m_options;
+    auto& queue = subject.m_waiting;
+    if (subject.m_running.size() >= options.m_most_running) {
+        return queue.end();
+    }
+    const auto urgent = static_cast<std::size_t>(
+        std::count_if(subject.m_running.begin(), subject.m_running.end(),
+                      [](const engine_run& run) { return run.m_request.m_is_urgent; }));
+    const auto ordinary = subject.m_running.size() - urgent;
+    const auto first_ordinary = std::find_if(queue.begin(), queue.end(), [](const engine_run& run) {
+        return !run.m_request.m_is_urgent;
+    });
+    const bool may_ordinary = first_ordinary != queue.end() && ordinary < options.m_most_ordinary;
+    const bool may_urgent = !queue.empty() && queue.front().m_request.m_is_urgent &&
+                            (!may_ordinary || urgent < options.m_most_urgent);
+    if (may_urgent) {
+        return queue.begin();
+    }
+    return may_ordinary ? first_ordinary : queue.end();
+}
+
+/// Takes a waiting request in, if there is a place and memory for it.
 bool start_one(engine& subject)
 {
     auto& queue = subject.m_waiting;
-    if (queue.empty() || subject.m_running.size() >= subject.m_options.m_most_running) {
+    const auto place = next_to_start(subject);
+    if (place == queue.end()) {
         return false;
     }
-    auto& first = queue.front();
+    auto& first = *place;
     const token_count prompt{first.m_request.m_prompt + first.m_done};
     const token_count bound{first.m_request.m_output_bound - first.m_done};
     const kv_owner owner{first.m_request.m_number};
@@ -62,7 +88,7 @@
     const auto cached = static_cast<std::int64_t>(held) * subject.m_options.m_block_tokens;
     first.m_missing = std::max<std::int64_t>(1, prompt.m_count - cached);
     subject.m_running.push_back(std::move(first));
-    queue.pop_front();
+    queue.erase(place);
     fit_cache(subject);
     return true;
 }
--- a/dewbeam/src/engine_model/engine.h
+++ b/dewbeam/src/engine_model/engine.h
@@ -17,10 +17,12 @@
 /// Size and speed of an engine.
 struct engine_options {
     std::uint32_t m_most_running = 16;
-    std::int64_t m_step_tokens = 1024;  ///< prompt tokens that fit into one step
-    double m_base_seconds = 0.005;      ///< of a step
-    double m_prompt_seconds = 0.00005;  ///< for each prompt token
-    double m_output_seconds = 0.0002;   ///< for each running request
+    std::uint32_t m_most_ordinary = 16;  ///< of them; what its agent leaves free for urgent work
+    std::uint32_t m_most_urgent = 16;    ///< while ordinary work waits
+    std::int64_t m_step_tokens = 256;    ///< prompt tokens that fit into one step
+    double m_base_seconds = 0.005;       ///< of a step
+    double m_prompt_seconds = 0.00005;   ///< for each prompt token
+    double m_output_seconds = 0.0002;    ///< for each running request
     std::int64_t m_block_tokens = 64;
     admission::kv_options m_kv{{200'000}, 1.0};
 };
--- a/dewbeam/src/fairness/class_share.h
+++ b/dewbeam/src/fairness/class_share.h
@@ -20,8 +20,25 @@
     double m_credit = 0.0;
 };
 
-/// Slots of an upstream with `slots` slots that ordinary work may hold; at least one.
-std::uint32_t ordinary_slots(const class_options& options, std::uint32_t slots);
+/// How many urgent requests an upstream's agent had at once lately.
+struct urgent_demand {
+    double m_mean = 0.0;  ///< decayed over about ten seconds
+    std::uint32_t m_count = 0;
+    time_point m_counted_at{};
+};
+
+/// The agent has `count` urgent requests from now on.
+void note_urgent(urgent_demand& demand, std::uint32_t count, time_point now);
+
+/// Slots of an upstream with `slots` slots that ordinary work may hold: at least one, and at least
+/// its floor. The agent's gate goes by it and reports it. The reserve grows with the demand, by
+/// two standard deviations of a Poisson count, so that urgent work finds a slot at nearly all
+/// times.
+std::uint32_t ordinary_slots(const class_options& options, std::uint32_t slots,
+                             const urgent_demand& demand);
+
+/// Slots that urgent work may hold while ordinary work waits at the agent.
+std::uint32_t urgent_slots(const class_options& options, std::uint32_t slots);
 
 /// Whether a waiting ordinary request of `cost` goes before a waiting urgent one.
 bool ordinary_is_due(const class_share& share, double cost);
--- a/dewbeam/src/routing/score.cpp
+++ b/dewbeam/src/routing/score.cpp
@@ -11,6 +11,8 @@
 /// Seconds that a full upstream costs even a request with nothing to compute: breaks ties towards
 /// empty ones.
 constexpr double occupancy_seconds = 0.02;
+/// Seconds that an urgent request would wait where urgent work has all slots.
+constexpr double urgent_seconds = 0.2;
 /// How much of the work that was sent there lately still counts; it stands for work of other
 /// entries, which draw the same conclusions from the same prefixes.
 constexpr double recent_share = 0.15;
@@ -37,7 +39,7 @@
     const double slowdown = facts.m_slowness * (1.0 + full_slowdown * facts.m_occupancy);
     const double recent = recent_share * facts.m_recent_tokens / prompt_speed(estimate);
     return tokens / prompt_speed(estimate) * slowdown + occupancy_seconds * facts.m_occupancy +
-           recent;
+           urgent_seconds * facts.m_urgent_share + recent;
 }
 
 }  // namespace dewbeam::routing
--- a/dewbeam/src/routing/score.h
+++ b/dewbeam/src/routing/score.h
@@ -11,6 +11,7 @@
     double m_queued_tokens = 0.0;   ///< prompt tokens that will be computed before this one
     double m_missing_tokens = 0.0;  ///< prompt tokens of the request that its cache lacks
     double m_occupancy = 0.0;       ///< share of its slots that is taken
+    double m_urgent_share = 0.0;    ///< for urgent work: share of its slots that urgent work has
     double m_slowness = 1.0;        ///< its step time over that of the pool, with group skew
     double m_missing_kv = 0.0;      ///< tokens of memory that must become free first
     double m_recent_tokens = 0.0;   ///< own work sent there lately, decayed
--- a/test/fairness_test.cpp
+++ b/test/fairness_test.cpp
@@ -112,9 +112,30 @@
 TEST(fairness, ordinary_work_keeps_a_slot_on_the_smallest_upstream)
 {
     const class_options options;
-    EXPECT_EQ(ordinary_slots(options, 1), 1U);
-    EXPECT_EQ(ordinary_slots(options, 2), 1U);
-    EXPECT_EQ(ordinary_slots(options, 16), 14U);
+    EXPECT_EQ(ordinary_slots(options, 1, {}), 1U);
+    EXPECT_EQ(ordinary_slots(options, 2, {}), 1U);
+    EXPECT_EQ(ordinary_slots(options, 16, {}), 14U);
+    EXPECT_EQ(urgent_slots(options, 1), 1U);
+    EXPECT_EQ(urgent_slots(options, 16), 12U);
+}
+
+TEST(fairness, reserve_follows_urgent_demand_but_leaves_ordinary_work_its_floor)
+{
+    const class_options options;
+    urgent_demand demand;
+    time_point now{};
+    for (int i = 0; i < 1000; ++i, now += std::chrono::milliseconds(100)) {
+        note_urgent(demand, 4, now);
+    }
+    EXPECT_EQ(ordinary_slots(options, 16, demand), 8U);
+    for (int i = 0; i < 1000; ++i, now += std::chrono::milliseconds(100)) {
+        note_urgent(demand, 16, now);
+    }
+    EXPECT_EQ(ordinary_slots(options, 16, demand), 16U - urgent_slots(options, 16));
+    EXPECT_GE(ordinary_slots(options, 16, demand), 16 * options.m_ordinary_floor);
+    note_urgent(demand, 0, now);
+    note_urgent(demand, 0, now + std::chrono::minutes(2));
+    EXPECT_EQ(ordinary_slots(options, 16, demand), 14U);
 }
 
 }  // namespace
