--- a/dewbeam/src/configuration/plan.cpp
+++ b/dewbeam/src/configuration/plan.cpp
@@ -311,6 +311,34 @@
     return result;
 }
 
+/// The models that one kind of request can ask for. Entries label a request with its model or
+/// its service, so labels that name one leave no choice.
+std::set<model_id> models_of_kind(const label_set& labels, const scene& before,
+                                  const work_selector* old_rule, const scene& after,
+                                  const work_selector* new_rule)
+{
+    const bool is_fixed = new_rule != nullptr && !new_rule->m_model.value().empty();
+    const auto* model = labels.find("model");
+    if (model != nullptr && !is_fixed) {
+        return {model_id(*model)};
+    }
+    if (labels.find("service") != nullptr) {
+        return {model_id()};
+    }
+    return models_of(before, old_rule, after, new_rule);
+}
+
+/// Whether a selector of the document looks at `key`.
+bool looks_at(const document& rules, std::string_view key)
+{
+    return std::any_of(
+        rules.m_selectors.begin(), rules.m_selectors.end(), [&](const work_selector& item) {
+            const auto& requirements = item.m_when.m_requirements;
+            return std::any_of(requirements.begin(), requirements.end(),
+                               [&](const requirement& one) { return one.m_key == key; });
+        });
+}
+
 /// One kind of request: some workspace's, with labels.
 struct request_kind {
     std::string m_workspace;
@@ -327,11 +355,16 @@
             examples.push_back(example_labels(item.m_when));
         }
     }
+    const bool sees_names = looks_at(before, "workspace") || looks_at(after, "workspace");
     std::vector<request_kind> sources{request_kind()};
     std::set<std::string> seen_sources{""};
     for (const auto& item : after.m_workspaces) {
-        if (seen_sources.insert(to_string(item.m_labels)).second) {
-            sources.push_back({item.m_name.value(), item.m_labels});
+        auto labels = item.m_labels;
+        if (sees_names) {
+            labels.set("workspace", item.m_name.value());
+        }
+        if (seen_sources.insert(to_string(labels)).second) {
+            sources.push_back({item.m_name.value(), std::move(labels)});
         }
     }
     std::vector<request_kind> result;
@@ -355,7 +388,7 @@
     if (old_rule == nullptr && new_rule == nullptr) {
         return;
     }
-    for (const auto& model : models_of(before, old_rule, after, new_rule)) {
+    for (const auto& model : models_of_kind(kind.m_labels, before, old_rule, after, new_rule)) {
         if (count_able(after.m_upstreams, new_rule, model) != 0) {
             continue;
         }
--- a/dewbeam/src/operators/command_line.cpp
+++ b/dewbeam/src/operators/command_line.cpp
@@ -43,11 +43,10 @@
 Options:
   --control=ADDRESSES  IP:PORT of the controls, joined by commas, or DEWBEAM_CONTROL.
   --entry=ADDRESSES    IP:PORT of the entries, joined by commas, or DEWBEAM_ENTRY.
-  --settings=SETTINGS  JSON file with "controls", "entries" and "tls".
+  --settings=SETTINGS  JSON file with "controls", "entries" and "ca_file".
   --output=FORM        table or json [default: table].
   --time-limit=MS      Milliseconds for the requests of the command [default: 5000].
-  --tls                Speak TLS.
-  --tls-ca=CA          PEM file of the authority that signed the certificates; implies --tls.
+  --ca=CA              PEM file of the authority that signed the certificates: speak TLS.
   --replace            FILE is the whole document, not a patch.
   --id=ID              Id of the change; repeat it to learn how a lost change ended.
   --base=N             Number that the change builds on; left out, the number in force.
@@ -71,8 +70,7 @@
     static const std::vector<setting> table{
         {"/controls", setting_kind::addresses, nlohmann::json::array(), "IP:PORT of the controls"},
         {"/entries", setting_kind::addresses, nlohmann::json::array(), "IP:PORT of the entries"},
-        {"/tls/on", setting_kind::boolean, false, "speak TLS"},
-        {"/tls/ca_file", setting_kind::file, "", "PEM file of the certificate authority"},
+        {"/ca_file", setting_kind::file, "", "PEM of the trusted authority; empty: no TLS"},
     };
     return table;
 }
@@ -125,8 +123,7 @@
     };
     out.m_controls = parse_addresses(join("/controls")).value();
     out.m_entries = parse_addresses(join("/entries")).value();
-    out.m_tls.m_is_on = setting_value<bool>(*settings, "/tls/on");
-    out.m_tls.m_ca_file = setting_value<std::string>(*settings, "/tls/ca_file");
+    out.m_authority_file = setting_value<std::string>(*settings, "/ca_file");
     return absl::OkStatus();
 }
 
@@ -170,11 +167,10 @@
         !status.ok()) {
         return status;
     }
-    const auto ca_file = text_of(values, "--tls-ca");
+    const auto ca_file = text_of(values, "--ca");
     if (!ca_file.empty()) {
-        out.m_tls.m_ca_file = ca_file;
+        out.m_authority_file = ca_file;
     }
-    out.m_tls.m_is_on = out.m_tls.m_is_on || is_set(values, "--tls") || !ca_file.empty();
     std::int64_t limit = 0;
     const bool is_number = absl::SimpleAtoi(text_of(values, "--time-limit"), &limit);
     if (!is_number || limit < 1 || limit > longest_time_limit_ms) {
--- a/dewbeam/src/operators/commands.cpp
+++ b/dewbeam/src/operators/commands.cpp
@@ -2,15 +2,14 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <fstream>
 #include <random>
 #include <sstream>
 
+#include "dewbeam/caller"
 #include "dewbeam/link"
 #include "dewbeam/src/operators/burn_page.h"
 #include "dewbeam/src/operators/tables.h"
@@ -341,7 +340,7 @@
     if (token.empty()) {
         return failure(exit_code::usage, "the standard input holds no token");
     }
-    return success(token_hash(token) + "\n");
+    return success(caller::token_hash(token) + "\n");
 }
 
 }  // namespace
@@ -373,17 +372,6 @@
     return absl::StrFormat("drain-%016x", stable_hash(configuration::to_string(match)));
 }
 
-std::string token_hash(const std::string& token)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(token.data()), token.size(), digest.data());
-    std::string text;
-    for (const auto byte : digest) {
-        text += absl::StrFormat("%02x", byte);
-    }
-    return text;
-}
-
 command_result run(const command_line& wanted, const std::string& input)
 {
     switch (wanted.m_command) {
--- a/dewbeam/src/operators/commands.h
+++ b/dewbeam/src/operators/commands.h
@@ -34,7 +34,4 @@
 /// The name, in the document's `upstreams`, of what `drain SELECTOR` adds.
 std::string drain_name(const configuration::selector& match);
 
-/// SHA-256 of a token in lower case hex, as `token_hashes` holds it.
-std::string token_hash(const std::string& token);
-
 }  // namespace dewbeam::operators
--- a/dewbeam/src/operators/site_client.cpp
+++ b/dewbeam/src/operators/site_client.cpp
@@ -13,10 +13,10 @@
 using json = nlohmann::json;
 using std::chrono::steady_clock;
 
-constexpr unsigned http_ok = 200;
-constexpr unsigned http_conflict = 409;
-constexpr unsigned http_unprocessable = 422;
-constexpr unsigned http_unavailable = 503;
+constexpr int http_ok = 200;
+constexpr int http_conflict = 409;
+constexpr int http_unprocessable = 422;
+constexpr int http_unavailable = 503;
 constexpr auto shortest_pause = std::chrono::milliseconds(50);
 constexpr auto longest_pause = std::chrono::milliseconds(500);
 
@@ -36,7 +36,8 @@
 absl::StatusOr<json> get_json(const endpoint& server, const site& target, std::string path,
                               steady_time deadline)
 {
-    const auto reply = exchange(server, target.m_tls, {"GET", std::move(path)}, deadline);
+    const auto reply =
+        exchange(server, target.m_authority_file, {"GET", std::move(path), {}, {}}, deadline);
     if (!reply.ok()) {
         return reply.status();
     }
@@ -88,7 +89,7 @@
     return result;
 }
 
-submission read_submission(const endpoint& server, const http_reply& reply)
+submission read_submission(const endpoint& server, const http::response& reply)
 {
     const auto body = json::parse(reply.m_body, nullptr, false);
     submission result;
@@ -132,7 +133,7 @@
            result.m_status != submission_status::unknown;
 }
 
-http_request change_request(const configuration::change& wanted)
+http::request change_request(const configuration::change& wanted)
 {
     return {"POST",
             "/v1/changes",
@@ -267,8 +268,8 @@
     while (!target.m_controls.empty() && steady_clock::now() < deadline) {
         auto servers_left = target.m_controls.size();
         for (const auto& server : target.m_controls) {
-            const auto reply =
-                exchange(server, target.m_tls, request, share_of_time(deadline, servers_left--));
+            const auto reply = exchange(server, target.m_authority_file, request,
+                                        share_of_time(deadline, servers_left--));
             last = reply.ok() ? read_submission(server, *reply) : lost(reply.status());
             if (is_final(last)) {
                 return last;
--- a/dewbeam/src/operators/site_client.h
+++ b/dewbeam/src/operators/site_client.h
@@ -18,7 +18,7 @@
 struct site {
     std::vector<endpoint> m_controls;
     std::vector<endpoint> m_entries;
-    tls_options m_tls;
+    std::string m_authority_file;  ///< PEM of the trusted authority; empty: no TLS
     time_span m_time_limit = std::chrono::seconds(5);  ///< for one command's requests together
 };
 
--- a/test/operators_test.cpp
+++ b/test/operators_test.cpp
@@ -275,13 +275,14 @@
     asio::io_context context;
     tcp::acceptor silent(context, {asio::ip::make_address("127.0.0.1"), 0});
     const endpoint server{"127.0.0.1", silent.local_endpoint().port()};
-    const auto reply =
-        exchange(server, {}, {}, std::chrono::steady_clock::now() + std::chrono::milliseconds(50));
+    const auto reply = exchange(server, {}, {"GET", "/", {}, {}},
+                                std::chrono::steady_clock::now() + std::chrono::milliseconds(50));
     EXPECT_TRUE(absl::IsUnknown(reply.status())) << reply.status();
     silent.close();
-    EXPECT_TRUE(absl::IsUnavailable(
-        exchange(server, {}, {}, std::chrono::steady_clock::now() + std::chrono::seconds(5))
-            .status()));
+    EXPECT_TRUE(
+        absl::IsUnavailable(exchange(server, {}, {"GET", "/", {}, {}},
+                                     std::chrono::steady_clock::now() + std::chrono::seconds(5))
+                                .status()));
 }
 
 TEST(operators, wrong_usage_is_refused)
--- a/test/plan_test.cpp
+++ b/test/plan_test.cpp
@@ -97,6 +97,20 @@
     EXPECT_EQ(moved.m_stranded[0].m_before, 2U);
 }
 
+TEST(plan, takes_the_model_and_the_workspace_that_entries_put_in_the_labels)
+{
+    const auto report = plan(current, json::parse(R"({"selectors": {
+        "summaries": {"when": "model=summary", "upstreams": "pool=chat"},
+        "own": {"when": "workspace=arusha", "upstreams": "pool=none"}}})"),
+                             site);
+    std::vector<std::string> found;
+    for (const auto& item : report.m_stranded) {
+        found.push_back(item.m_selector + " " + item.m_workspace + " " + item.m_model.value());
+    }
+    EXPECT_NE(std::find(found.begin(), found.end(), "summaries  summary"), found.end());
+    EXPECT_NE(std::find(found.begin(), found.end(), "own arusha "), found.end());
+}
+
 TEST(plan, of_nothing_changes_nothing)
 {
     const auto report = plan(current, json::object(), site);
