--- a/dewbeam/src/membership/view.cpp
+++ b/dewbeam/src/membership/view.cpp
@@ -165,6 +165,9 @@
     item.m_member = claim;
     item.m_member.m_load = load;
     item.m_hash = stable_hash(claim.m_host.value());
+    if (item.m_rounds_left == 0) {
+        state.m_fresh.push_back(claim.m_host);
+    }
     item.m_rounds_left = state.m_options.m_rounds;
     item.m_dead_at = claim.m_suspect ? now + state.m_options.m_suspicion : no_deadline;
     toggle_digest(state, item.m_member, item.m_hash);
--- a/dewbeam/src/membership/view.h
+++ b/dewbeam/src/membership/view.h
@@ -61,6 +61,8 @@
     std::vector<domain_contact> m_contacts;
     time_point m_quorum_heard_at{};
     bool m_has_heard_quorum = false;
+    std::vector<host_id> m_fresh;    ///< records that are still passed on
+    std::vector<host_id> m_watched;  ///< records whose lease this process keeps
     bool m_are_watchers_stale = true;
     std::vector<host_id> m_own_watchers;
     std::vector<host_id> m_told_watchers;  ///< that were sent the current sequence
