--- a/dewbeam/src/experts/local_search.cpp
+++ b/dewbeam/src/experts/local_search.cpp
@@ -26,6 +26,8 @@
           m_loads(shape.m_ranks, 0.0),
           m_powers(shape.m_ranks, 0.0),
           m_deltas(shape.m_ranks, 0.0),
+          m_share(shape.m_experts, 0.0),
+          m_share_with_copy(shape.m_experts, 0.0),
           m_relief(shape.m_experts, 0.0),
           m_hurt(shape.m_experts, 0.0),
           m_is_held(std::size_t{shape.m_ranks} * shape.m_experts, 0)
@@ -66,9 +68,13 @@
 
     [[nodiscard]] double load(std::uint32_t rank) const { return m_loads[rank]; }
 
-    [[nodiscard]] double share(expert_id expert) const
+    /// Tokens of each slot of an expert.
+    [[nodiscard]] double share(expert_id expert) const { return m_share[expert.value()]; }
+
+    /// Load of a rank after it took `tokens` more, or fewer where negative.
+    [[nodiscard]] double load_with(std::uint32_t rank, double tokens) const
     {
-        return m_counts[expert.value()] / static_cast<double>(copies(expert));
+        return m_loads[rank] + tokens * m_weights[rank];
     }
 
     [[nodiscard]] std::size_t copies(expert_id expert) const
@@ -124,22 +130,42 @@
     {
         for (std::uint32_t expert = 0; expert < m_shape.m_experts; ++expert) {
             const auto copies_now = static_cast<double>(m_holders[expert].size());
-            const double now = m_counts[expert] / copies_now;
-            m_relief[expert] = gain_at_holders(expert, m_counts[expert] / (copies_now + 1) - now);
+            m_share_with_copy[expert] = m_counts[expert] / (copies_now + 1);
+            m_relief[expert] = gain_at_holders(expert, m_share_with_copy[expert] - m_share[expert]);
             if (copies_now > 1) {
-                m_hurt[expert] = gain_at_holders(expert, m_counts[expert] / (copies_now - 1) - now);
+                m_hurt[expert] =
+                    gain_at_holders(expert, m_counts[expert] / (copies_now - 1) - m_share[expert]);
             }
         }
+        m_slowest = slowest();
     }
 
-    /// `gain_of_replacing`, but for ranks that hold both experts. Takes constant time.
+    /// `gain_of_replacing`, but for ranks that hold both experts. Takes constant time; 0 where
+    /// the rank would become the busiest.
     [[nodiscard]] double estimate_replacing(std::uint32_t slot, expert_id taken) const
     {
         const auto rank = rank_of(slot);
-        const double taken_after = m_counts[taken.value()] / static_cast<double>(copies(taken) + 1);
-        const double load = m_loads[rank] + (taken_after - share(m_map[slot])) * m_weights[rank];
-        return m_relief[taken.value()] + m_hurt[m_map[slot].value()] + m_powers[rank] -
-               power(load / m_mean);
+        const auto dropped = m_map[slot].value();
+        const double load = load_with(rank, m_share_with_copy[taken.value()] - m_share[dropped]);
+        if (load >= m_slowest) {
+            return 0;
+        }
+        return m_relief[taken.value()] + m_hurt[dropped] + m_powers[rank] - power(load / m_mean);
+    }
+
+    /// `gain_of_swapping`; 0 where a rank would become the busiest.
+    [[nodiscard]] double estimate_swapping(std::uint32_t slot, std::uint32_t other) const
+    {
+        const double difference = share(m_map[other]) - share(m_map[slot]);
+        const auto rank = rank_of(slot);
+        const auto other_rank = rank_of(other);
+        const double load = load_with(rank, difference);
+        const double other_load = load_with(other_rank, -difference);
+        if (load >= m_slowest || other_load >= m_slowest) {
+            return 0;
+        }
+        return m_powers[rank] + m_powers[other_rank] - power(load / m_mean) -
+               power(other_load / m_mean);
     }
 
     void apply_change(const layer_change& step)
@@ -163,6 +189,9 @@
 
     void refresh()
     {
+        for (std::uint32_t expert = 0; expert < m_shape.m_experts; ++expert) {
+            m_share[expert] = m_counts[expert] / static_cast<double>(m_holders[expert].size());
+        }
         std::fill(m_loads.begin(), m_loads.end(), 0.0);
         std::fill(m_is_held.begin(), m_is_held.end(), 0);
         for (std::uint32_t slot = 0; slot < m_map.size(); ++slot) {
@@ -227,10 +256,13 @@
     std::vector<double> m_powers;
     std::vector<double> m_deltas;
     std::vector<std::uint32_t> m_touched;
+    std::vector<double> m_share;
+    std::vector<double> m_share_with_copy;  ///< when the expert has a slot more
     std::vector<double> m_relief;         ///< gain at the holders when the expert gets a copy more
     std::vector<double> m_hurt;           ///< gain at the holders, negative, when it gets one less
     std::vector<std::uint8_t> m_is_held;  ///< by rank, then expert
     double m_mean = 0;
+    double m_slowest = 0;
     unsigned m_squarings = first_squarings;
 };
 
@@ -323,7 +355,7 @@
 }
 
 /// The busiest rank swaps an expert for a lighter one.
-void try_swapping(layer_state& state, std::uint32_t busiest, const group_shape& shape,
+void try_swapping(const layer_state& state, std::uint32_t busiest, const group_shape& shape,
                   short_list& list)
 {
     const auto first = state.first_slot(busiest);
@@ -334,7 +366,7 @@
             const auto taken = state.map()[other];
             if (state.share(taken) < state.share(given) && !state.rank_holds(rank, given) &&
                 !state.rank_holds(busiest, taken)) {
-                list.offer({slot, taken, true, other}, state.gain_of_swapping(slot, other));
+                list.offer({slot, taken, true, other}, state.estimate_swapping(slot, other));
             }
         }
     }
