--- a/dewbeam/src/experts/local_search.cpp
+++ b/dewbeam/src/experts/local_search.cpp
@@ -24,12 +24,14 @@
           m_weights(shape.m_ranks, 1.0),
           m_holders(shape.m_experts),
           m_loads(shape.m_ranks, 0.0),
+          m_loads_before(shape.m_ranks, 0.0),
           m_powers(shape.m_ranks, 0.0),
           m_deltas(shape.m_ranks, 0.0),
           m_share(shape.m_experts, 0.0),
           m_share_with_copy(shape.m_experts, 0.0),
           m_relief(shape.m_experts, 0.0),
           m_hurt(shape.m_experts, 0.0),
+          m_is_stale(shape.m_experts, 1),
           m_is_held(std::size_t{shape.m_ranks} * shape.m_experts, 0)
     {
         for (std::uint32_t rank = 0; rank < shape.m_ranks && !speeds.empty(); ++rank) {
@@ -121,7 +123,9 @@
             return false;
         }
         ++m_squarings;
-        refresh();
+        for (std::uint32_t rank = 0; rank < m_loads.size(); ++rank) {
+            refresh_rank(rank);
+        }
         return true;
     }
 
@@ -129,12 +133,9 @@
     void prepare_estimates()
     {
         for (std::uint32_t expert = 0; expert < m_shape.m_experts; ++expert) {
-            const auto copies_now = static_cast<double>(m_holders[expert].size());
-            m_share_with_copy[expert] = m_counts[expert] / (copies_now + 1);
-            m_relief[expert] = gain_at_holders(expert, m_share_with_copy[expert] - m_share[expert]);
-            if (copies_now > 1) {
-                m_hurt[expert] =
-                    gain_at_holders(expert, m_counts[expert] / (copies_now - 1) - m_share[expert]);
+            if (m_is_stale[expert] != 0) {
+                estimate_copies(expert);
+                m_is_stale[expert] = 0;
             }
         }
         m_slowest = slowest();
@@ -179,6 +180,8 @@
             holders.erase(std::find(holders.begin(), holders.end(), rank_of(step.m_slot)));
             m_holders[step.m_expert.value()].push_back(rank_of(step.m_slot));
         }
+        m_is_stale[m_map[step.m_slot].value()] = 1;
+        m_is_stale[step.m_expert.value()] = 1;
         apply(m_map, step);
         refresh();
     }
@@ -187,11 +190,13 @@
     static constexpr double least_speed = 0.01;
     static constexpr double smallest_mean = 1e-12;
 
+    /// Brings shares, loads and powers up to date, and marks the experts of ranks that changed.
     void refresh()
     {
         for (std::uint32_t expert = 0; expert < m_shape.m_experts; ++expert) {
             m_share[expert] = m_counts[expert] / static_cast<double>(m_holders[expert].size());
         }
+        m_loads_before = m_loads;
         std::fill(m_loads.begin(), m_loads.end(), 0.0);
         std::fill(m_is_held.begin(), m_is_held.end(), 0);
         for (std::uint32_t slot = 0; slot < m_map.size(); ++slot) {
@@ -199,7 +204,17 @@
             m_loads[rank_of(slot)] += share(m_map[slot]) * m_weights[rank_of(slot)];
         }
         for (std::uint32_t rank = 0; rank < m_loads.size(); ++rank) {
-            m_powers[rank] = power(m_loads[rank] / m_mean);
+            if (m_loads[rank] != m_loads_before[rank]) {
+                refresh_rank(rank);
+            }
+        }
+    }
+
+    void refresh_rank(std::uint32_t rank)
+    {
+        m_powers[rank] = power(m_loads[rank] / m_mean);
+        for (auto slot = first_slot(rank); slot < first_slot(rank + 1); ++slot) {
+            m_is_stale[m_map[slot].value()] = 1;
         }
     }
 
@@ -217,6 +232,18 @@
         return value;
     }
 
+    /// What one copy more or less of an expert does at its holders.
+    void estimate_copies(std::uint32_t expert)
+    {
+        const auto copies_now = static_cast<double>(m_holders[expert].size());
+        m_share_with_copy[expert] = m_counts[expert] / (copies_now + 1);
+        m_relief[expert] = gain_at_holders(expert, m_share_with_copy[expert] - m_share[expert]);
+        if (copies_now > 1) {
+            m_hurt[expert] =
+                gain_at_holders(expert, m_counts[expert] / (copies_now - 1) - m_share[expert]);
+        }
+    }
+
     [[nodiscard]] double gain_at_holders(std::uint32_t expert, double tokens) const
     {
         double gain = 0;
@@ -253,14 +280,16 @@
     std::vector<double> m_weights;
     std::vector<std::vector<std::uint32_t>> m_holders;
     std::vector<double> m_loads;
+    std::vector<double> m_loads_before;
     std::vector<double> m_powers;
     std::vector<double> m_deltas;
     std::vector<std::uint32_t> m_touched;
     std::vector<double> m_share;
     std::vector<double> m_share_with_copy;  ///< when the expert has a slot more
-    std::vector<double> m_relief;         ///< gain at the holders when the expert gets a copy more
-    std::vector<double> m_hurt;           ///< gain at the holders, negative, when it gets one less
-    std::vector<std::uint8_t> m_is_held;  ///< by rank, then expert
+    std::vector<double> m_relief;          ///< gain at the holders when the expert gets a copy more
+    std::vector<double> m_hurt;            ///< gain at the holders, negative, when it gets one less
+    std::vector<std::uint8_t> m_is_stale;  ///< experts whose estimates must be made anew
+    std::vector<std::uint8_t> m_is_held;   ///< by rank, then expert
     double m_mean = 0;
     double m_slowest = 0;
     unsigned m_squarings = first_squarings;
