Gossip with a few partners that stay for minutes

Cause: each digest and each round of gossip went to a random member, so that at the two-year size a process would open a link to every other and keep it alive by pings.

--- a/bench/planning_common/member_site.cpp
+++ b/bench/planning_common/member_site.cpp
@@ -129,6 +129,7 @@
         const double bytes = wire_bytes(item.m_message, m_now);
         m_processes[from].m_bytes_out += bytes;
         m_processes[from].m_messages_out += 1;
+        m_processes[from].m_targets.insert(place->second);
         m_flights.push_back({place->second, std::move(item.m_message), bytes});
     }
 }
@@ -138,6 +139,7 @@
     m_measured_since = m_now;
     for (auto& item : m_processes) {
         item.m_bytes_out = item.m_bytes_in = item.m_messages_out = item.m_processor_us = 0;
+        item.m_targets.clear();
     }
 }
 
@@ -154,13 +156,14 @@
         sum.m_bytes_in += item.m_bytes_in;
         sum.m_messages_out += item.m_messages_out;
         sum.m_processor_us += item.m_processor_us;
+        sum.m_links += static_cast<double>(item.m_targets.size());
         for (const auto& [host, known] : item.m_view.m_records) {
             sum.m_view_bytes += memory_of(known);
         }
     }
     const double seconds = std::chrono::duration<double>(m_now - m_measured_since).count() * count;
-    return {sum.m_bytes_out / seconds, sum.m_bytes_in / seconds, sum.m_messages_out / seconds,
-            sum.m_processor_us / seconds, sum.m_view_bytes / count};
+    return {sum.m_bytes_out / seconds,    sum.m_bytes_in / seconds, sum.m_messages_out / seconds,
+            sum.m_processor_us / seconds, sum.m_links / count,      sum.m_view_bytes / count};
 }
 
 void member_site::restart_one()
@@ -231,6 +234,15 @@
     return figures;
 }
 
+double ping_size()
+{
+    wire::Envelope envelope;
+    envelope.set_sender("upstream-619");
+    envelope.set_sender_incarnation(1'764'700'000'000'000);
+    envelope.mutable_ping()->set_nonce(1);
+    return 2 * (static_cast<double>(envelope.ByteSizeLong()) + framing_bytes);
+}
+
 double report_size()
 {
     membership::member_load load;
--- a/bench/planning_common/member_site.h
+++ b/bench/planning_common/member_site.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "dewbeam/membership"
@@ -24,6 +25,7 @@
     double m_bytes_in = 0;
     double m_messages_out = 0;
     double m_processor_us = 0;  ///< real time in the decisions alone
+    double m_links = 0;         ///< distinct processes that messages went to
     double m_view_bytes = 0;    ///< memory of the view, estimated from its records
 };
 
@@ -60,6 +62,7 @@
         double m_bytes_in = 0;
         double m_messages_out = 0;
         double m_processor_us = 0;
+        std::set<std::size_t> m_targets{};
     };
 
     struct flight {
@@ -87,4 +90,7 @@
 /// Bytes of one load report in its envelope.
 double report_size();
 
+/// Bytes of one ping and its answer on a link.
+double ping_size();
+
 }  // namespace dewbeam::bench
--- a/dewbeam/src/membership/protocol.cpp
+++ b/dewbeam/src/membership/protocol.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
+using internal::first_by_rendezvous;
 using internal::merge;
 using internal::note_contact;
 using internal::part_of;
 using internal::replace_self;
-using internal::watchers_of;
 using internal::whole_digest;
 
 /// A message that says who sends it and how recently each domain was heard.
@@ -172,6 +172,12 @@
            answer.m_wants_self || answer.m_wants_domain;
 }
 
+std::vector<host_id> watchers_of(const view& state, const host_id& host,
+                                 const std::vector<internal::candidate>& candidates)
+{
+    return first_by_rendezvous(host, 0, candidates, state.m_options.m_watchers);
+}
+
 /// This process decides which records it watches, anew after entries came or went.
 void refresh_watches(view& state, time_point now)
 {
@@ -301,17 +307,31 @@
     }
 }
 
-/// Live entries and controls, of the own domain or of all others.
-std::vector<const member*> peers(const view& state, bool of_own_domain)
+/// Draws the few entries and controls that this process gossips with for some minutes: a link
+/// that stays open costs less than one that is opened for each message.
+void refresh_partners(view& state, time_point now)
 {
-    std::vector<const member*> found;
+    if (!state.m_are_partners_stale && now < state.m_partners_until) {
+        return;
+    }
+    state.m_are_partners_stale = false;
+    const auto span = state.m_options.m_partnership;
+    const auto period = now.time_since_epoch() / span;
+    state.m_partners_until = time_point{} + (period + 1) * span;
+    std::vector<internal::candidate> near;
+    std::vector<internal::candidate> far;
     for (const auto& [host, item] : state.m_records) {
-        const bool is_own = item.m_member.m_failure_domain == state.m_self.m_failure_domain;
-        if (spreads(item.m_member.m_role) && !item.m_member.m_dead && is_own == of_own_domain) {
-            found.push_back(&item.m_member);
+        if (spreads(item.m_member.m_role) && !item.m_member.m_dead) {
+            const bool is_near = item.m_member.m_failure_domain == state.m_self.m_failure_domain;
+            (is_near ? near : far).push_back({item.m_hash, host});
         }
     }
-    return found;
+    const auto salt = static_cast<std::uint64_t>(period) + 1;
+    const auto draw = [&](const std::vector<internal::candidate>& from) {
+        return first_by_rendezvous(state.m_self.m_host, salt, from, state.m_options.m_partners);
+    };
+    state.m_near_partners = draw(near);
+    state.m_far_partners = draw(far);
 }
 
 /// Takes the changes that are still to be passed on, the least passed on first.
@@ -340,6 +360,12 @@
     return deltas;
 }
 
+std::string address_of(const view& state, const host_id& host)
+{
+    const auto* item = find(state, host);
+    return item == nullptr ? std::string() : item->m_member.m_address;
+}
+
 void spread_changes(view& state, time_point now, random_engine& random, effects& out)
 {
     if (now < state.m_gossip_at) {
@@ -350,14 +376,13 @@
     if (deltas.empty()) {
         return;
     }
-    auto targets = peers(state, true);
-    const auto others = peers(state, false);
-    targets.insert(targets.end(), others.begin(), others.end());
+    auto targets = state.m_near_partners;
+    targets.insert(targets.end(), state.m_far_partners.begin(), state.m_far_partners.end());
     for (std::uint32_t i = 0; i < state.m_options.m_fanout && !targets.empty(); ++i) {
         const auto chosen = uniform_below(random, targets.size());
         auto message = make_message(state, now);
         message.m_deltas = deltas;
-        out.m_sends.push_back({targets[chosen]->m_address, std::move(message)});
+        out.m_sends.push_back({address_of(state, targets[chosen]), std::move(message)});
         targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
 }
@@ -369,13 +394,12 @@
         return;
     }
     state.m_digest_at = now + state.m_options.m_digest;
-    for (const bool is_own : {true, false}) {
-        const auto targets = peers(state, is_own);
-        if (!targets.empty()) {
+    for (const auto* targets : {&state.m_near_partners, &state.m_far_partners}) {
+        if (!targets->empty()) {
             auto message = make_message(state, now);
             message.m_digest = whole_digest(state);
-            out.m_sends.push_back(
-                {targets[uniform_below(random, targets.size())]->m_address, std::move(message)});
+            const auto& chosen = (*targets)[uniform_below(random, targets->size())];
+            out.m_sends.push_back({address_of(state, chosen), std::move(message)});
         }
     }
 }
@@ -440,6 +464,7 @@
     check_leases(state, now, out);
     send_heartbeats(state, now, out);
     if (spreads(state.m_self.m_role)) {
+        refresh_partners(state, now);
         spread_changes(state, now, random, out);
         send_digests(state, now, random, out);
     }
--- a/dewbeam/src/membership/view.cpp
+++ b/dewbeam/src/membership/view.cpp
@@ -174,6 +174,8 @@
     const bool is_new_watch =
         !is_known || was_live_entry != is_live_entry(claim) || was_dead != claim.m_dead;
     state.m_are_watchers_stale = state.m_are_watchers_stale || is_new_watch;
+    const bool is_new_partner = spreads(claim.m_role) && (!is_known || was_dead != claim.m_dead);
+    state.m_are_partners_stale = state.m_are_partners_stale || is_new_partner;
     if (item.m_is_watched && !claim.m_suspect && !claim.m_dead) {
         item.m_member.m_lease_deadline = now + state.m_options.m_lease;
     }
@@ -214,9 +216,9 @@
     return digest;
 }
 
-std::vector<watcher_candidate> watcher_candidates(const view& state)
+std::vector<candidate> watcher_candidates(const view& state)
 {
-    std::vector<watcher_candidate> candidates;
+    std::vector<candidate> candidates;
     const auto consider = [&](const member& item, std::uint64_t hash) {
         if (is_live_entry(item) && item.m_failure_domain == state.m_self.m_failure_domain) {
             candidates.push_back({hash, item.m_host});
@@ -229,17 +231,17 @@
     return candidates;
 }
 
-std::vector<host_id> watchers_of(const view& state, const host_id& host,
-                                 const std::vector<watcher_candidate>& candidates)
+std::vector<host_id> first_by_rendezvous(const host_id& host, std::uint64_t salt,
+                                         const std::vector<candidate>& candidates, std::size_t most)
 {
-    const auto hash = stable_hash(host.value());
+    const auto hash = stable_hash(host.value(), salt);
     std::vector<placed_candidate> placed;
     for (const auto& item : candidates) {
         if (item.m_host != host) {
             placed.push_back({combine_hash(item.m_hash, hash), &item.m_host});
         }
     }
-    const auto count = std::min<std::size_t>(state.m_options.m_watchers, placed.size());
+    const auto count = std::min(most, placed.size());
     const auto comes_first = [](const placed_candidate& a, const placed_candidate& b) {
         return a.m_score != b.m_score ? a.m_score > b.m_score : *a.m_host < *b.m_host;
     };
--- a/dewbeam/src/membership/view.h
+++ b/dewbeam/src/membership/view.h
@@ -28,8 +28,10 @@
     time_span m_dead_memory = std::chrono::hours(24);  ///< how long a death is remembered
     std::uint32_t m_watchers = 3;
     std::uint32_t m_fanout = 3;
-    std::uint32_t m_rounds = 4;        ///< gossip rounds in which one process passes a change on
+    std::uint32_t m_rounds = 5;        ///< gossip rounds in which one process passes a change on
     std::uint32_t m_most_deltas = 24;  ///< in one message
+    std::uint32_t m_partners = 4;      ///< to gossip with, in the own domain and as many outside
+    time_span m_partnership = std::chrono::minutes(5);  ///< then others are drawn
     std::vector<std::string> m_seeds;  ///< link addresses to try while nobody is known
 };
 
@@ -64,6 +66,10 @@
     std::vector<host_id> m_fresh;    ///< records that are still passed on
     std::vector<host_id> m_watched;  ///< records whose lease this process keeps
     bool m_are_watchers_stale = true;
+    bool m_are_partners_stale = true;
+    std::vector<host_id> m_near_partners;  ///< of the own domain
+    std::vector<host_id> m_far_partners;   ///< of other domains
+    time_point m_partners_until{};
     std::vector<host_id> m_own_watchers;
     std::vector<host_id> m_told_watchers;  ///< that were sent the current sequence
     std::uint64_t m_told_sequence = 0;
@@ -122,16 +128,17 @@
 std::uint64_t whole_digest(const view& state);
 /// The part that a host belongs to.
 std::size_t part_of(std::uint64_t host_hash);
-/// A live entry and the hash of its host's name.
-struct watcher_candidate {
+/// A live member and the hash of its host's name.
+struct candidate {
     std::uint64_t m_hash = 0;
     host_id m_host;
 };
 /// The live entries of the own domain, self included.
-std::vector<watcher_candidate> watcher_candidates(const view& state);
-/// Those of `candidates` that come first for `host` by rendezvous hashing.
-std::vector<host_id> watchers_of(const view& state, const host_id& host,
-                                 const std::vector<watcher_candidate>& candidates);
+std::vector<candidate> watcher_candidates(const view& state);
+/// The `count` of `candidates`, `host` itself left out, that come first by rendezvous hashing.
+std::vector<host_id> first_by_rendezvous(const host_id& host, std::uint64_t salt,
+                                         const std::vector<candidate>& candidates,
+                                         std::size_t count);
 }  // namespace internal
 
 }  // namespace dewbeam::membership
