--- a/bench/experts_bench.cpp
+++ b/bench/experts_bench.cpp
@@ -210,8 +210,7 @@
             {"not_worse_than_never", ours.m_total_seconds <= never.m_total_seconds}};
 }
 
-/// Real time of one plan from a map that nothing was ever moved in, at 60 layers.
-double planning_milliseconds(std::uint32_t ranks, std::uint32_t slots)
+double once_planning_milliseconds(std::uint32_t ranks, std::uint32_t slots)
 {
     const experts::group_shape shape{ranks, slots, 128, layers_real};
     expert_traffic traffic(shape, drift::slow, busy_tokens_per_rank, 7);
@@ -228,6 +227,17 @@
     return item ? std::chrono::duration<double, std::milli>(spent).count() : -1;
 }
 
+/// Real time of one plan from a map that nothing was ever moved in, at 60 layers: the least of a
+/// few, since other work on the machine only ever adds to it.
+double planning_milliseconds(std::uint32_t ranks, std::uint32_t slots)
+{
+    double least = once_planning_milliseconds(ranks, slots);
+    for (int i = 0; i < 6; ++i) {
+        least = std::min(least, once_planning_milliseconds(ranks, slots));
+    }
+    return least;
+}
+
 int main_of_bench()
 {
     const std::vector<experts::group_shape> shapes{
--- a/bench/orders_bench.cpp
+++ b/bench/orders_bench.cpp
@@ -110,6 +110,7 @@
 std::vector<orders::desired_upstream> wants_of(const std::vector<orders::observed_upstream>& seen)
 {
     std::vector<orders::desired_upstream> desired;
+    desired.reserve(seen.size());
     for (const auto& item : seen) {
         desired.push_back({item.m_name, item.m_contents, true});
     }
--- a/test/experts_test.cpp
+++ b/test/experts_test.cpp
@@ -155,6 +155,24 @@
     EXPECT_GT(subject.m_planner.m_balance, 0);
 }
 
+TEST(experts, spending_beyond_what_was_earned_needs_more_proof_each_time)
+{
+    const auto counts = zipf_counts(small_group, 0);
+    const auto seconds_until_move = [&](std::uint32_t uncovered) {
+        group subject(balance_preference::cost);
+        subject.m_planner.m_uncovered = uncovered;
+        while (subject.m_plans.empty() && subject.m_now < time_point{} + 1h) {
+            subject.run(1, counts);
+        }
+        return (subject.m_now - time_point{}) / 1s;
+    };
+    const auto first = seconds_until_move(0);
+    const auto fifth = seconds_until_move(4);
+    EXPECT_LT(first, 30);
+    EXPECT_GT(fifth, first);
+    EXPECT_GT(seconds_until_move(8), 2 * fifth);
+}
+
 TEST(experts, a_slow_rank_gets_fewer_tokens)
 {
     group subject(balance_preference::skew);
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -247,6 +247,53 @@
     }
 }
 
+TEST(membership, changes_spread_without_digests)
+{
+    site subject(3);
+    subject.add_usual();
+    subject.run(10s);
+    for (auto& item : subject.m_processes) {
+        item.m_view.m_digest_at = time_point{} + 1h;
+    }
+    leave(subject.m_processes[2].m_view, subject.m_now);
+    subject.run(3s);
+    for (const auto& item : subject.m_processes) {
+        const auto* known = find(item.m_view, host_id("a-agent"));
+        EXPECT_TRUE(known == nullptr || known->m_member.m_leaving);
+    }
+}
+
+TEST(membership, a_member_whose_known_watchers_are_gone_asks_the_seeds)
+{
+    site subject(6);
+    subject.add_usual();
+    subject.run(10s);
+    constexpr std::size_t agent = 2;
+    auto& view = subject.m_processes[agent].m_view;
+    subject.m_processes[0].m_is_running = false;
+    view.m_records.erase(host_id("a-entry-2"));
+    view.m_are_watchers_stale = true;
+    subject.run(20s);
+    EXPECT_NE(find(view, host_id("a-entry-2")), nullptr);
+    EXPECT_TRUE(subject.all_agree(agent, true));
+}
+
+TEST(membership, a_member_that_returned_is_watched_again)
+{
+    site subject(7);
+    subject.add_usual();
+    subject.run(10s);
+    constexpr std::size_t control = 3;
+    for (const bool is_running : {false, true, false}) {
+        subject.m_processes[control].m_is_running = is_running;
+        if (is_running) {
+            subject.restart(control);
+        }
+        subject.run(15s);
+        EXPECT_TRUE(subject.all_agree(control, is_running));
+    }
+}
+
 TEST(membership, a_member_that_was_held_dead_takes_a_new_incarnation)
 {
     const auto self = make_member("h", "a", role::agent);
