--- a/dewbeam/src/caller/call.cpp
+++ b/dewbeam/src/caller/call.cpp
@@ -204,6 +204,14 @@
     return std::nullopt;
 }
 
+std::string sha256(std::string_view bytes)
+{
+    std::string digest(SHA256_DIGEST_LENGTH, '\0');
+    SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+           reinterpret_cast<unsigned char*>(digest.data()));
+    return digest;
+}
+
 void set_label(configuration::label_set& labels, std::string_view key, const std::string& value)
 {
     if (!value.empty() && configuration::is_label_part(value)) {
@@ -267,17 +275,24 @@
 
 std::string token_hash(std::string_view token)
 {
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(token.data()), token.size(), digest.data());
+    const auto digest = sha256(token);
     constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
-    for (const auto byte : digest) {
+    for (const char c : digest) {
+        const auto byte = static_cast<unsigned char>(c);
         text += digits[byte >> 4U];
         text += digits[byte & 0xFU];
     }
     return text;
 }
 
+std::string claim_key_of(std::string_view workspace, std::string_view key)
+{
+    // The length keeps ("ab", "c") and ("a", "bc") apart.
+    return sha256(std::to_string(workspace.size()) + ":" + std::string(workspace) +
+                  std::string(key));
+}
+
 bool equal_in_constant_time(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/dewbeam/src/caller/call.h
+++ b/dewbeam/src/caller/call.h
@@ -58,6 +58,9 @@
 /// SHA-256 in lower case hex, as bearer tokens are stored.
 std::string token_hash(std::string_view token);
 
+/// SHA-256 over workspace and idempotency key, as raw bytes: the name of a claim.
+std::string claim_key_of(std::string_view workspace, std::string_view key);
+
 /// Compares in a time that does not depend on where the two differ.
 bool equal_in_constant_time(std::string_view a, std::string_view b);
 
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -70,7 +70,9 @@
 }  // namespace
 
 entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer)
-    : m_facts(std::move(known)), m_answer(std::move(answer))
+    : m_facts(std::move(known)),
+      m_answer(std::move(answer)),
+      m_is_claim_granted(m_facts.m_is_claim_granted)
 {
 }
 
@@ -255,14 +257,31 @@
 void entry_request::finish()
 {
     m_is_over = true;
+    m_result.m_outcome = ledger::outcome::completed;
     if (m_is_streaming) {
         m_answer->finish();
         return;
     }
     m_result.m_status = m_status;
+    if (m_facts.m_claim) {
+        keep_answer();
+    }
     m_answer->respond({m_status, answer_fields(), std::move(m_body)});
 }
 
+void entry_request::keep_answer()
+{
+    if (static_cast<std::int64_t>(m_body.size()) > claims::most_answer_bytes.m_count) {
+        return;
+    }
+    auto& kept = m_result.m_answer.emplace();
+    kept.m_status = static_cast<std::uint32_t>(m_status);
+    kept.m_body = m_body;
+    for (const auto& item : m_head) {
+        kept.m_headers.push_back({item.m_name, item.m_value});
+    }
+}
+
 void entry_request::take(const wire::Accepted& message)
 {
     const std::lock_guard lock(m_mutex);
@@ -286,13 +305,14 @@
     return m_attempt;
 }
 
-bool entry_request::release(const attempt_id& id)
+bool entry_request::release(const attempt_id& id, bool is_not_run)
 {
     const std::lock_guard lock(m_mutex);
     if (m_attempt.m_id != id) {
         return false;
     }
     m_attempt = {};
+    m_may_have_run = m_may_have_run || !is_not_run;
     replies::drop_attempt(m_stream);
     return true;
 }
@@ -329,6 +349,8 @@
     }
     m_is_over = true;
     m_result.m_code = fault.m_code;
+    note_outcome(fault.m_outcome == caller::run_outcome::unknown ? ledger::outcome::unknown
+                                                                 : ledger::outcome::not_run);
     if (!m_is_streaming) {
         m_result.m_status = fault.m_status;
         m_answer->respond(caller::to_response(fault, m_facts.m_request_id));
@@ -357,9 +379,30 @@
     }
     m_is_over = true;
     m_result.m_is_caller_gone = true;
+    note_outcome(ledger::outcome::not_run);
     return true;
 }
 
+void entry_request::note_outcome(ledger::outcome known)
+{
+    const bool is_under_way = m_attempt.m_id.m_sequence != 0;
+    const bool is_doubtful = known == ledger::outcome::not_run && (m_may_have_run || is_under_way);
+    m_result.m_outcome = is_doubtful ? ledger::outcome::unknown : known;
+}
+
+void entry_request::respond(http::response whole, ledger::outcome outcome)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return;
+    }
+    m_is_over = true;
+    m_result.m_status = whole.m_status;
+    m_result.m_outcome = outcome;
+    whole.m_fields.push_back({"X-Request-Id", m_facts.m_request_id});
+    m_answer->respond(std::move(whole));
+}
+
 bool entry_request::is_over() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -2,6 +2,7 @@
 /// One caller's request inside an entry: its answer, and the attempt that it now owns.
 #pragma once
 
+#include <atomic>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <functional>
@@ -12,8 +13,10 @@
 
 #include "dewbeam.pb.h"
 #include "dewbeam/caller"
+#include "dewbeam/claims"
 #include "dewbeam/dispatch"
 #include "dewbeam/http"
+#include "dewbeam/ledger"
 #include "dewbeam/replies"
 
 namespace dewbeam::entry {
@@ -47,6 +50,14 @@
     std::string m_code;         ///< of an error
     time_point m_first_byte{};  ///< epoch: none
     bool m_is_caller_gone = false;
+    ledger::outcome m_outcome = ledger::outcome::not_run;
+    std::optional<claims::kept_answer> m_answer;  ///< of a claimed request that completed
+};
+
+/// The claim of a request with an idempotency key.
+struct request_claim {
+    claims::claim_key m_key;
+    attempt_id m_attempt;
 };
 
 /// A request. Thread-safe behind its own mutex; it never calls out with the mutex held, but to
@@ -71,6 +82,8 @@
         time_point m_deadline = no_deadline;
         bool m_idempotent = true;
         bool m_urgent = false;
+        std::optional<request_claim> m_claim;
+        bool m_is_claim_granted = false;  ///< by an earlier classification
         configuration_version m_configuration;
     };
 
@@ -88,6 +101,10 @@
     /// configuration. False where part of the answer was delivered, or it is over.
     bool supersede();
 
+    /// Control granted the request's key to it: from now on its end must be reported.
+    void set_claim_granted() { m_is_claim_granted = true; }
+    [[nodiscard]] bool is_claim_granted() const { return m_is_claim_granted; }
+
     /// The way to the caller.
     [[nodiscard]] const std::shared_ptr<http::exchange>& answer() const { return m_answer; }
 
@@ -104,8 +121,8 @@
     [[nodiscard]] owned_attempt attempt() const;
 
     /// Gives up the attempt, so that nothing of it is delivered any more. False where another
-    /// or none is owned.
-    bool release(const attempt_id& id);
+    /// or none is owned. `is_not_run`: it is certain that it never ran.
+    bool release(const attempt_id& id, bool is_not_run);
 
     /// Whether the agent is late with its acknowledgement; the tombstone is then under way.
     [[nodiscard]] bool begin_tombstone(time_point now);
@@ -122,6 +139,9 @@
     /// The caller went away. False where the answer was given already.
     bool set_gone();
 
+    /// Answers with what an earlier run of the same key left, or with what is known of it.
+    void respond(http::response whole, ledger::outcome outcome);
+
     [[nodiscard]] bool is_over() const;
     [[nodiscard]] request_result result() const;
 
@@ -131,6 +151,8 @@
     void begin_answer();
     void deliver_events(const std::string& bytes);
     void finish();
+    void keep_answer();
+    void note_outcome(ledger::outcome known);
     [[nodiscard]] bool streams() const;
     [[nodiscard]] bool resumes_here(const wire::ReplyChunk& chunk) const;
     [[nodiscard]] http::fields answer_fields() const;
@@ -145,7 +167,9 @@
     std::string m_body;           ///< of a whole answer, until it is complete
     std::string m_partial_event;  ///< of a stream: bytes after the last whole event
     std::uint64_t m_delivered_events = 0;
+    std::atomic<bool> m_is_claim_granted = false;
     bool m_is_over = false;
+    bool m_may_have_run = false;    ///< some attempt may have begun
     bool m_is_streaming = false;    ///< the caller has the head of a stream
     bool m_has_stream_end = false;  ///< the caller has the last event of a stream
     request_result m_result;
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -13,6 +13,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 #include "dewbeam/membership"
+#include "dewbeam/src/control/claim_client.h"
 #include "dewbeam/src/control/subscriber.h"
 #include "dewbeam/src/entry/burn_book.h"
 #include "dewbeam/src/entry/entry_request.h"
@@ -69,6 +70,19 @@
     return "cancelled";
 }
 
+wire::Outcome to_wire(ledger::outcome value)
+{
+    switch (value) {
+        case ledger::outcome::completed:
+            return wire::OUTCOME_COMPLETED;
+        case ledger::outcome::not_run:
+            return wire::OUTCOME_NOT_RUN;
+        case ledger::outcome::unknown:
+            break;
+    }
+    return wire::OUTCOME_UNKNOWN;
+}
+
 /// Writes the model that the selector names into the body of a completion.
 std::string with_model(const std::string& body, const std::string& model)
 {
@@ -131,6 +145,7 @@
           m_burn(setting_value<std::string>(settings, "/burn_file")),
           m_configuration(platform::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
+          m_claims(platform::link_addresses(settings, "/controls")),
           m_pools(broker_options())
     {
         m_limits.m_most_json_depth = setting_value<std::size_t>(settings, "/limits/json_depth");
@@ -168,7 +183,7 @@
     {
         platform::program_hooks result;
         result.m_is_ready = [this] { return m_configuration.has_heard(); };
-        result.m_in_flight = [this] { return m_requests.size(); };
+        result.m_in_flight = [this] { return m_requests.size() + m_claims.unrecorded(); };
         result.m_announce_leave = [this] { m_server->wind_down(); };
         result.m_stop_accepting = [this] {
             m_server->stop_accepting();
@@ -294,6 +309,12 @@
         known.m_workspace = workspace == nullptr ? "" : workspace->m_name.value();
         known.m_workspace_class = burn::workspace_class(workspace);
         known.m_configuration = active->m_version;
+        if (!rule->m_idempotent && !wanted.m_idempotency_key.empty() && !known.m_claim) {
+            known.m_claim.emplace();
+            known.m_claim->m_key = claims::claim_key(
+                caller::claim_key_of(known.m_workspace, wanted.m_idempotency_key));
+            known.m_claim->m_attempt = {m_incarnation, ++m_last_attempt};
+        }
         auto info = make_info(*rule, workspace, known);
         const request_pointer request(new entry_request(std::move(known), answer));
         start_request(request, std::move(info), answer, now);
@@ -360,8 +381,73 @@
                        const std::shared_ptr<http::exchange>& answer, time_point now)
     {
         m_requests.add(request);
-        answer->on_gone([this, request] { caller_gone(request); });
-        perform(m_pools.submit(request->known().m_pool, std::move(info), now), now);
+        const auto& known = request->known();
+        if (!known.m_claim) {
+            answer->on_gone([this, request] { caller_gone(request); });
+        }
+        if (known.m_claim && !known.m_is_claim_granted) {
+            claim_then_submit(request, std::move(info), now);
+            return;
+        }
+        perform(m_pools.submit(known.m_pool, std::move(info), now), now);
+    }
+
+    /// A request with a key runs only once control has granted the key to it. It goes on when its
+    /// caller goes away: the answer is kept for a resend.
+    void claim_then_submit(const request_pointer& request, dispatch::request_info info,
+                           time_point now)
+    {
+        const auto& claim = *request->known().m_claim;
+        m_claims.claim(
+            *m_node, claim.m_key, claim.m_attempt, request->known().m_call.m_content,
+            [this, request, info = std::move(info)](const control::claim_reply& reply) {
+                take_claim(request, info, reply, platform::now());
+            },
+            now);
+    }
+
+    void take_claim(const request_pointer& request, const dispatch::request_info& info,
+                    const control::claim_reply& reply, time_point now)
+    {
+        if (reply.m_decision == wire::ClaimReply::DECISION_GRANTED) {
+            request->set_claim_granted();
+            perform(m_pools.submit(request->known().m_pool, info, now), now);
+            return;
+        }
+        if (reply.m_decision == wire::ClaimReply::DECISION_FINISHED && reply.m_answer) {
+            http::response whole;
+            whole.m_status = static_cast<int>(reply.m_answer->m_status);
+            for (const auto& item : reply.m_answer->m_headers) {
+                whole.m_fields.push_back({item.m_name, item.m_value});
+            }
+            whole.m_fields.push_back({"X-Dewbeam-Replayed", "true"});
+            whole.m_body = reply.m_answer->m_body;
+            request->respond(std::move(whole), ledger::outcome::completed);
+            finished(request, now);
+            return;
+        }
+        fail(request, claim_refused(reply.m_decision), now);
+    }
+
+    /// Tells control how a claimed request ended, so that a resend can be answered.
+    void report_claim(const request_pointer& request, const request_result& result, time_point now)
+    {
+        const auto& claim = *request->known().m_claim;
+        wire::ClaimResult message;
+        message.set_key(claim.m_key.value());
+        link::to_wire(claim.m_attempt, *message.mutable_attempt());
+        message.set_outcome(to_wire(result.m_outcome));
+        if (result.m_answer) {
+            message.set_answer_held(true);
+            message.set_status(result.m_answer->m_status);
+            message.set_body(result.m_answer->m_body);
+            for (const auto& item : result.m_answer->m_headers) {
+                auto& header = *message.add_headers();
+                header.set_name(item.m_name);
+                header.set_value(item.m_value);
+            }
+        }
+        m_claims.report(*m_node, std::move(message), now);
     }
 
     void caller_gone(const request_pointer& request)
@@ -447,7 +533,9 @@
     void end_attempt(const request_pointer& request, const attempt_id& id,
                      dispatch::attempt_end end, time_point now)
     {
-        if (!request->release(id)) {
+        const bool is_not_run =
+            end == dispatch::attempt_end::not_run || end == dispatch::attempt_end::refused_busy;
+        if (!request->release(id, is_not_run)) {
             return;
         }
         m_requests.remove_attempt(id);
@@ -483,6 +571,9 @@
         const auto result = request->result();
         m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
                                 now - known.m_arrival);
+        if (known.m_claim && request->is_claim_granted()) {
+            report_claim(request, result, now);
+        }
         m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
                       result.m_first_byte - known.m_arrival, platform::wall_now());
         log_event(log_level::info, "request_ended",
@@ -506,6 +597,7 @@
         m_requests.remove_attempt(id);
         m_requests.remove(request);
         auto known = request->known();
+        known.m_is_claim_granted = request->is_claim_granted();
         perform(m_pools.cancel(known.m_pool, known.m_ticket, now), now);
         known.m_ticket = dispatch::ticket(++m_last_ticket);
         known.m_call.m_model = known.m_caller_model;
@@ -539,6 +631,12 @@
         else if (message.has_configuration_update()) {
             m_configuration.adopt(message.configuration_update());
         }
+        else if (message.has_claim_reply()) {
+            m_claims.take(*m_node, message.claim_reply(), now);
+        }
+        else if (message.has_claim_result_reply()) {
+            m_claims.take(message.claim_result_reply());
+        }
         else if (message.has_suspicion()) {
             on_suspicion(message.suspicion(), now);
         }
@@ -677,6 +775,7 @@
     void tick(time_point now)
     {
         m_configuration.tick(*m_node, now);
+        m_claims.tick(*m_node, now);
         perform(m_pools.tick(now), now);
         if (now < m_next_scan) {
             return;
@@ -792,6 +891,7 @@
     metrics m_metrics;
     burn_book m_burn;
     control::subscriber m_configuration;
+    control::claim_client m_claims;
     pool_table m_pools;
     member_table m_members;
     request_table m_requests;
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -104,6 +104,44 @@
     return fault;
 }
 
+caller::error claim_refused(wire::ClaimReply::Decision decision)
+{
+    caller::error fault;
+    fault.m_type = "idempotency_error";
+    fault.m_param = "Idempotency-Key";
+    fault.m_status = 409;
+    fault.m_outcome = caller::run_outcome::unknown;
+    switch (decision) {
+        case wire::ClaimReply::DECISION_RUNNING:
+            fault.m_code = "still_running";
+            fault.m_message = "a request with this key is still running";
+            fault.m_retry_after = std::chrono::seconds(1);
+            return fault;
+        case wire::ClaimReply::DECISION_FINISHED:
+            fault.m_code = "answer_not_held";
+            fault.m_message = "a request with this key has run; its answer is no longer held";
+            return fault;
+        case wire::ClaimReply::DECISION_UNKNOWN:
+            fault.m_code = "maybe_run";
+            fault.m_message = "a request with this key may have run and is not run again";
+            return fault;
+        case wire::ClaimReply::DECISION_MISMATCH:
+            fault.m_status = 422;
+            fault.m_code = "key_reused";
+            fault.m_message = "this key was used for another request";
+            fault.m_outcome = caller::run_outcome::not_run;
+            return fault;
+        default:
+            break;
+    }
+    fault.m_status = 503;
+    fault.m_code = "no_quorum";
+    fault.m_message = "the key can't be claimed now, so the request was not run";
+    fault.m_outcome = caller::run_outcome::not_run;
+    fault.m_retry_after = std::chrono::seconds(1);
+    return fault;
+}
+
 caller::error not_ready()
 {
     caller::error fault;
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -2,6 +2,7 @@
 /// What callers are told when a request is refused or fails.
 #pragma once
 
+#include "dewbeam.pb.h"
 #include "dewbeam/caller"
 #include "dewbeam/dispatch"
 
@@ -25,6 +26,9 @@
 /// The upstream's answer contradicted itself after part of it was delivered.
 caller::error broken_stream();
 
+/// What a claim that was not granted means for the caller.
+caller::error claim_refused(wire::ClaimReply::Decision decision);
+
 /// The entry does not serve (yet, or any more).
 caller::error not_ready();
 
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -42,6 +42,8 @@
     zmq::socket_t m_socket;
     time_point m_silent_deadline{};
     time_point m_next_ping{};
+    /// A message could not be queued: the other end closed the connection, or reads nothing.
+    bool m_is_broken = false;
 };
 
 /// Answers libzmq's questions whether a CURVE client may connect (ZAP, RFC 27).
@@ -365,7 +367,7 @@
                 auto& open = connection_to(item.m_to.m_address);
                 const auto sent =
                     open.m_socket.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
-                note_full(sent.has_value(), item);
+                open.m_is_broken = !sent.has_value();
                 return;
             }
             const auto sent = m_listener.send(zmq::buffer(item.m_to.m_routing),
@@ -373,7 +375,9 @@
             if (sent) {
                 m_listener.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
             }
-            note_full(sent.has_value(), item);
+            if (!sent) {
+                log_event(log_level::warning, "link_queue_full");
+            }
         }
         catch (const zmq::error_t& error) {
             log_event(log_level::debug, "link_send_failed",
@@ -381,13 +385,6 @@
         }
     }
 
-    static void note_full(bool is_sent, const outgoing& item)
-    {
-        if (!is_sent) {
-            log_event(log_level::warning, "link_queue_full", {{"address", item.m_to.m_address}});
-        }
-    }
-
     connection& connection_to(const std::string& address)
     {
         const auto place = m_connections.find(address);
@@ -414,14 +411,16 @@
     {
         std::vector<peer> lost;
         for (auto& [address, open] : m_connections) {
-            if (open.m_silent_deadline <= now) {
+            if (open.m_is_broken || open.m_silent_deadline <= now) {
                 lost.push_back({address, {}});
             }
             else if (open.m_next_ping <= now) {
                 open.m_next_ping = now + m_options.m_ping_interval;
                 wire::Envelope message;
                 message.mutable_ping()->set_nonce(1);
-                open.m_socket.send(zmq::buffer(encode(message)), zmq::send_flags::dontwait);
+                const auto sent =
+                    open.m_socket.send(zmq::buffer(encode(message)), zmq::send_flags::dontwait);
+                open.m_is_broken = !sent.has_value();
             }
         }
         for (const auto& [routing, deadline] : m_inbound) {
