--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -372,6 +372,7 @@
             if (read.m_index == 0 || read.m_index > m_replica.m_applied) {
                 return false;
             }
+            m_is_caught_up = true;
             work.m_calls.emplace_back([done = std::move(read.m_done)] { done(true); });
             return true;
         });
@@ -440,12 +441,7 @@
             return;
         }
         m_next_read_at = now + resend_span;
-        add_read(work, [this](bool is_current) {
-            if (is_current) {
-                const std::lock_guard lock(m_mutex);
-                m_is_caught_up = true;
-            }
-        });
+        add_read(work, [](bool) {});
     }
 
     void compact_when_due(deferred_work& work)
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -72,13 +72,14 @@
 
 struct network_options {
     std::size_t m_size = 3;
-    std::uint64_t m_loss = 10;       ///< percent
-    std::uint64_t m_crash = 4;       ///< per 1,000 ticks and host
-    std::uint64_t m_disk_loss = 2;   ///< per 1,000 ticks and host
-    std::uint64_t m_partition = 3;   ///< per 1,000 ticks
-    std::uint64_t m_most_delay = 8;  ///< ticks, usually
-    std::uint64_t m_sync_pause = 4;  ///< ticks between two syncs of a host, on average
-    bool m_sync_before_send = true;  ///< off: messages leave, and acks count, before the sync
+    std::uint64_t m_loss = 10;        ///< percent
+    std::uint64_t m_crash = 4;        ///< per 1,000 ticks and host
+    std::uint64_t m_disk_loss = 2;    ///< per 1,000 ticks and host
+    std::uint64_t m_partition = 3;    ///< per 1,000 ticks
+    std::uint64_t m_most_delay = 8;   ///< ticks, usually
+    std::uint64_t m_compaction = 10;  ///< per 1,000 ticks and host
+    std::uint64_t m_sync_pause = 4;   ///< ticks between two syncs of a host, on average
+    bool m_sync_before_send = true;   ///< off: messages leave, and acks count, before the sync
     replica_options m_replica;
 };
 
@@ -442,7 +443,7 @@
         if (draw(faulty ? m_options.m_sync_pause : 2) == 0) {
             sync(id);
         }
-        if (happens(10)) {
+        if (happens(m_options.m_compaction)) {
             compact_host(id);
         }
     }
@@ -583,9 +584,11 @@
 }
 
 /// A settled network, and the host that leads it.
-network settled_network(std::size_t size, replica_options replica = {})
+network settled_network(std::size_t size, replica_options replica = {},
+                        std::uint64_t compaction = 10)
 {
     network_options options;
+    options.m_compaction = compaction;
     options.m_size = size;
     options.m_replica = std::move(replica);
     network net(7, options);
@@ -681,7 +684,7 @@
 
 TEST(consensus, a_replica_that_restarts_alone_keeps_what_was_committed)
 {
-    auto net = settled_network(3);
+    auto net = settled_network(3, {}, 0);
     net.run(20, false);
     const auto before = net.m_hosts[0].m_state;
     net.crash(0, one_tick);
