--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -59,6 +59,15 @@
     return result;
 }
 
+/// A connection that broke under an answer means that the upstream's process went away.
+const char* reason_of(const absl::Status& result)
+{
+    if (absl::IsCancelled(result)) {
+        return "cancelled";
+    }
+    return absl::IsUnavailable(result) ? "upstream_died" : "upstream_silent";
+}
+
 ledger::outcome outcome_of(const absl::Status& result, http::progress how_far)
 {
     if (result.ok()) {
@@ -128,7 +137,7 @@
     auto& chunk = *message.mutable_reply_chunk();
     link::to_wire(id, *chunk.mutable_attempt());
     chunk.set_last(true);
-    chunk.set_outcome(wire::OUTCOME_NOT_RUN);
+    chunk.set_outcome(to_wire(why.m_outcome));
     chunk.set_reason(ledger::to_string(why.m_refusal));
     constexpr std::uint64_t us_per_ms = 1000;
     chunk.set_retry_after_ms(link::remaining_us(why.m_retry_at, now) / us_per_ms);
@@ -137,7 +146,9 @@
 
 void gate::begin(const attempt_pointer& running, const wire::Dispatch& message)
 {
-    send_chunk(*running, {});
+    wire::Envelope accepted;
+    link::to_wire(running->m_id, *accepted.mutable_accepted()->mutable_attempt());
+    m_node->reply(running->m_entry, std::move(accepted));
     http::request wanted;
     wanted.m_method = message.method();
     wanted.m_target = message.target();
@@ -191,7 +202,7 @@
     chunk.set_last(true);
     chunk.set_outcome(to_wire(outcome));
     if (!result.ok()) {
-        chunk.set_reason(absl::IsCancelled(result) ? "cancelled" : "upstream_failed");
+        chunk.set_reason(reason_of(result));
         log_event(
             log_level::info, "attempt_failed",
             {{"attempt", running->m_id.m_sequence}, {"reason", std::string(result.message())}});
@@ -218,10 +229,7 @@
     ledger::outcome known = ledger::outcome::unknown;
     {
         const std::lock_guard lock(m_mutex);
-        const bool is_meant =
-            message.agent_incarnation() == m_ledger.m_options.m_incarnation.value();
-        // An earlier life may have run it: only that life could have said that it did not.
-        known = is_meant ? ledger::tombstone(m_ledger, id, now) : ledger::outcome::unknown;
+        known = ledger::tombstone(m_ledger, id, incarnation(message.agent_incarnation()), now);
     }
     wire::Envelope answer;
     auto& reply = *answer.mutable_tombstone_reply();
@@ -259,6 +267,12 @@
     m_ledger.m_leaving = false;
 }
 
+void gate::set_incarnation(incarnation fresh)
+{
+    const std::lock_guard lock(m_mutex);
+    ledger::renew(m_ledger, fresh);
+}
+
 void gate::set_slots(std::uint32_t slots)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -38,6 +38,7 @@
     route* m_route = nullptr;
     request_phase m_phase = request_phase::fresh;
     std::uint32_t m_attempts = 0;
+    std::uint32_t m_busy_refusals = 0;  ///< of the attempts: refused for lack of room
     std::vector<upstream_id> m_tried;
     upstream_index m_running_on = 0;  ///< while running
     incarnation m_running_incarnation;
@@ -53,6 +54,7 @@
 
 /// When a request started and ended on an upstream.
 struct ended_run {
+    bool m_is_urgent = false;
     time_point m_started_at{};
     time_point m_ended_at{};
 };
@@ -66,8 +68,11 @@
     std::uint32_t m_ordinary_in_flight = 0;
     std::uint32_t m_others_running = 0;  ///< of other entries, by the last report
     std::uint32_t m_others_waiting = 0;
+    std::uint32_t m_others_urgent = 0;
     double m_pending_work = 0.0;         ///< prompt tokens of own dispatches without a first token
     double m_tokens_since_report = 0.0;  ///< own dispatches that the report can't have counted
+    double m_recent_work = 0.0;          ///< of own dispatches, decayed until the last of them
+    time_point m_last_dispatch{};        ///< own
     time_point m_closed_until{};         ///< it said `not_run`: it is fuller than we knew
     bool m_runs_alone = false;
     ticket m_held_for;  ///< a suspect waits until it is empty; 0: none
@@ -118,7 +123,7 @@
     std::vector<std::unique_ptr<upstream_state>> m_upstreams;
     std::vector<upstream_index> m_unused;
     std::vector<std::unique_ptr<route>> m_routes;
-    double m_mean_step_seconds = 0.0;
+    time_point m_reserved_until{};  ///< slots are kept for urgent work, which was seen lately
 };
 
 /// Position of a class in the arrays.
@@ -146,6 +151,10 @@
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
+/// Slots that ordinary work may hold there.
+std::uint32_t ordinary_slots_of(const upstream_state& upstream, const route_options& options,
+                                std::uint32_t slots);
+
 /// Frees the position of a removed upstream once nothing of it is left.
 void free_if_unused(route_table& table, upstream_index index);
 
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -14,6 +14,7 @@
 #include "dewbeam/caller"
 #include "dewbeam/dispatch"
 #include "dewbeam/http"
+#include "dewbeam/replies"
 
 namespace dewbeam::entry {
 
@@ -23,6 +24,7 @@
     first,      ///< the first byte of an answer went by
     completed,  ///< the whole answer was given to the caller
     not_run,    ///< the attempt was not run
+    busy,       ///< the same, since the upstream had no room
     stale,      ///< the same, since the entry's configuration was old
     unknown,    ///< the attempt's end is unknown
     broken,     ///< a chunk is missing: the attempt must be cancelled, its end is unknown
@@ -33,14 +35,10 @@
     attempt_id m_id;
     std::string m_agent_address;
     incarnation m_agent;
-    std::uint64_t m_next_chunk = 0;
     time_point m_ack_deadline = no_deadline;        ///< until the agent says that it began
     time_point m_tombstone_deadline = no_deadline;  ///< until the agent answers a tombstone
+    time_point m_gap_deadline = no_deadline;        ///< until a missing chunk comes
     bool m_is_acknowledged = false;
-    int m_status = 0;  ///< of the answer's head; 0: none yet
-    http::fields m_head;
-    std::string m_body;           ///< of a whole answer, until it is complete
-    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
 };
 
 /// How a request was answered, for metrics and service-level burn.
@@ -63,8 +61,12 @@
         std::string m_pool;
         std::string m_selector;
         std::string m_workspace;
+        std::string m_workspace_class;  ///< for service-level burn
+        configuration::service_target m_target;
         caller::call m_call;
-        http::request m_request;  ///< as it goes to the upstream
+        http::request m_request;    ///< as it goes to the upstream
+        model_id m_caller_model;    ///< as the caller named it
+        std::string m_caller_body;  ///< where the selector's model replaced the caller's
         time_point m_arrival{};
         time_point m_deadline = no_deadline;
         bool m_idempotent = true;
@@ -78,12 +80,23 @@
 
     /// The request now owns `attempt`; chunks of earlier ones are dropped from here on. Gives the
     /// message to the agent, or nothing where the request is over.
+    /// `newest` is the configuration that the entry knows now.
     std::optional<wire::Dispatch> own(const dispatch::action& action, owned_attempt attempt,
-                                      time_point now);
+                                      configuration_version newest, time_point now);
+
+    /// Ends this object so that another one can answer the caller in its place, under a newer
+    /// configuration. False where part of the answer was delivered, or it is over.
+    bool supersede();
+
+    /// The way to the caller.
+    [[nodiscard]] const std::shared_ptr<http::exchange>& answer() const { return m_answer; }
 
     /// Takes a chunk; delivers to the caller what is in order.
     chunk_effect take(const wire::ReplyChunk& chunk, time_point now);
 
+    /// The agent says that an attempt began.
+    void take(const wire::Accepted& message);
+
     /// Takes the answer to a tombstone; `none` where it is not about the attempt owned now.
     chunk_effect take(const wire::TombstoneReply& reply);
 
@@ -100,6 +113,9 @@
     /// Whether the agent is late with its answer to the tombstone.
     [[nodiscard]] bool is_tombstone_late(time_point now) const;
 
+    /// Whether a chunk is missing for too long.
+    [[nodiscard]] bool is_broken(time_point now) const;
+
     /// Ends the request with an error, in the way that still fits what the caller has seen.
     void fail(const caller::error& fault);
 
@@ -110,23 +126,28 @@
     [[nodiscard]] request_result result() const;
 
 private:
-    chunk_effect take_end(const wire::ReplyChunk& chunk);
-    void take_head(const wire::ReplyChunk& chunk);
-    void take_data(const std::string& data, time_point now);
-    void deliver_events(const std::string& data);
+    chunk_effect take_delivery(replies::delivery&& out, time_point now);
+    chunk_effect take_end(const replies::delivery& out, const std::string& reason);
+    void begin_answer();
+    void deliver_events(const std::string& bytes);
     void finish();
     [[nodiscard]] bool streams() const;
-    [[nodiscard]] bool resumes_here() const;
+    [[nodiscard]] bool resumes_here(const wire::ReplyChunk& chunk) const;
     [[nodiscard]] http::fields answer_fields() const;
 
     facts m_facts;
     std::shared_ptr<http::exchange> m_answer;
     mutable std::mutex m_mutex;
     owned_attempt m_attempt;
+    replies::reply_stream m_stream;
+    int m_status = 0;  ///< of the answer's head; 0: none yet
+    http::fields m_head;
+    std::string m_body;           ///< of a whole answer, until it is complete
+    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
+    std::uint64_t m_delivered_events = 0;
     bool m_is_over = false;
     bool m_is_streaming = false;    ///< the caller has the head of a stream
     bool m_has_stream_end = false;  ///< the caller has the last event of a stream
-    std::uint64_t m_delivered_events = 0;
     request_result m_result;
 };
 
--- a/dewbeam/src/entry/member_table.h
+++ b/dewbeam/src/entry/member_table.h
@@ -14,9 +14,6 @@
 
 namespace dewbeam::entry {
 
-/// Reads an announcement; times are put on this host's clock.
-membership::member from_wire(const wire::Announcement& source, time_point now);
-
 /// A member as status pages show it.
 nlohmann::json to_json(const membership::member& member);
 
