--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -88,8 +88,6 @@
             return absl::InvalidArgumentError("/upstream/labels: " +
                                               std::string(labels.status().message()));
         }
-        // Handlers run from here on, so the gate waits for its node behind the mutex.
-        const std::lock_guard lock(m_start_mutex);
         auto node = platform::start_node(m_settings, m_incarnation,
                                          {[this](const link::peer& from, wire::Envelope&& message) {
                                               on_message(from, message);
@@ -109,6 +107,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
@@ -176,7 +175,9 @@
 
     void on_message(const link::peer& from, const wire::Envelope& message)
     {
-        const std::lock_guard lock(m_start_mutex);
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
         if (message.has_dispatch()) {
             m_gate->dispatch(from, message, platform::now());
         }
@@ -323,7 +324,7 @@
     engine::load_poller m_load;
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
-    std::mutex m_start_mutex;
+    std::atomic<bool> m_is_started = false;  ///< the node and the server are there
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
     std::atomic<bool> m_is_stopping = false;
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/control/control_server.h"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -8,6 +9,7 @@
 #include "dewbeam/configuration"
 #include "dewbeam/http"
 #include "dewbeam/link"
+#include "dewbeam/src/control/replica_runner.h"
 #include "dewbeam/src/platform/listeners.h"
 
 namespace dewbeam::control {
@@ -18,6 +20,19 @@
 
 constexpr time_span subscription_lease = std::chrono::seconds(3);
 
+const char* to_text(configuration::change_status value)
+{
+    switch (value) {
+        case configuration::change_status::accepted:
+            return "accepted";
+        case configuration::change_status::conflict:
+            return "conflict";
+        case configuration::change_status::invalid:
+            break;
+    }
+    return "invalid";
+}
+
 json to_json(const mistakes& items)
 {
     json list = json::array();
@@ -28,6 +43,89 @@
     return list;
 }
 
+wire::ClaimReply::Decision to_wire(claims::decision value)
+{
+    switch (value) {
+        case claims::decision::granted:
+            return wire::ClaimReply::DECISION_GRANTED;
+        case claims::decision::running:
+            return wire::ClaimReply::DECISION_RUNNING;
+        case claims::decision::finished:
+            return wire::ClaimReply::DECISION_FINISHED;
+        case claims::decision::unknown:
+            return wire::ClaimReply::DECISION_UNKNOWN;
+        case claims::decision::mismatch:
+            return wire::ClaimReply::DECISION_MISMATCH;
+        case claims::decision::withdrawn:
+            return wire::ClaimReply::DECISION_WITHDRAWN;
+        case claims::decision::full:
+            break;
+    }
+    return wire::ClaimReply::DECISION_FULL;
+}
+
+ledger::outcome to_outcome(wire::Outcome value)
+{
+    if (value == wire::OUTCOME_COMPLETED) {
+        return ledger::outcome::completed;
+    }
+    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
+}
+
+wire::ClaimReply to_wire(const claim_answer& answer, std::uint64_t request)
+{
+    wire::ClaimReply reply;
+    reply.set_request(request);
+    const auto* verdict = std::get_if<claims::verdict>(&answer);
+    if (verdict == nullptr) {
+        reply.set_decision(wire::ClaimReply::DECISION_NO_QUORUM);
+        return reply;
+    }
+    reply.set_decision(to_wire(verdict->m_decision));
+    link::to_wire(verdict->m_attempt, *reply.mutable_attempt());
+    reply.set_agent(verdict->m_agent.value());
+    if (verdict->m_answer) {
+        reply.set_answer_held(true);
+        reply.set_status(verdict->m_answer->m_status);
+        reply.set_body(verdict->m_answer->m_body);
+        for (const auto& item : verdict->m_answer->m_headers) {
+            auto& header = *reply.add_headers();
+            header.set_name(item.m_name);
+            header.set_value(item.m_value);
+        }
+    }
+    return reply;
+}
+
+claim_outcome to_claim_outcome(const wire::ClaimResult& source)
+{
+    claim_outcome result;
+    result.m_key = claims::claim_key(source.key());
+    result.m_attempt = link::from_wire(source.attempt());
+    result.m_outcome = to_outcome(source.outcome());
+    if (source.answer_held()) {
+        auto& answer = result.m_answer.emplace();
+        answer.m_status = source.status();
+        answer.m_body = source.body();
+        for (const auto& item : source.headers()) {
+            answer.m_headers.push_back({item.name(), item.value()});
+        }
+    }
+    return result;
+}
+
+http::response no_quorum_response()
+{
+    caller::error fault;
+    fault.m_status = 503;
+    fault.m_type = "control_error";
+    fault.m_code = "no_quorum";
+    fault.m_message =
+        "no majority of the control hosts answered; send the change again under the same id";
+    fault.m_retry_after = std::chrono::seconds(1);
+    return caller::to_response(fault, "");
+}
+
 http::response change_response(const configuration::change_result& result)
 {
     switch (result.m_status) {
@@ -81,15 +179,21 @@
             return node.status();
         }
         m_node = *std::move(node);
+        auto runner = replica_runner::start(runner_settings(), runner_hooks_of());
+        if (!runner.ok()) {
+            return runner.status();
+        }
+        m_runner = *std::move(runner);
         auto server = platform::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
-                answer->respond(handle(request));
+                handle(request, answer);
             });
         if (!server.ok()) {
             return server.status();
         }
         m_server = *std::move(server);
+        m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
@@ -97,75 +201,129 @@
     platform::program_hooks hooks()
     {
         platform::program_hooks result;
-        result.m_is_ready = [] { return true; };
-        result.m_in_flight = [] { return std::size_t{0}; };
+        result.m_is_ready = [this] { return m_runner->status().m_is_caught_up; };
+        result.m_in_flight = [this] { return m_in_flight.load(); };
         result.m_announce_leave = [this] { m_server->wind_down(); };
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
         result.m_tick = [this](time_point now) { tick(now); };
         return result;
     }
 
+    ~implementation()
+    {
+        if (m_runner) {
+            m_runner->stop();
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
 private:
-    http::response handle(const http::request& request)
+    runner_options runner_settings() const
+    {
+        runner_options options;
+        options.m_data_folder = setting_value<std::string>(m_settings, "/data_folder");
+        options.m_addresses = platform::link_addresses(m_settings, "/controls");
+        options.m_replica = setting_value<std::uint64_t>(m_settings, "/replica");
+        options.m_life = m_incarnation;
+        return options;
+    }
+
+    runner_hooks runner_hooks_of()
+    {
+        runner_hooks hooks;
+        hooks.m_send = [this](const std::string& address, wire::ConsensusMessage&& message) {
+            wire::Envelope envelope;
+            *envelope.mutable_consensus() = std::move(message);
+            m_node->send(address, std::move(envelope));
+        };
+        hooks.m_on_configuration = [this] { push_to_subscribers(); };
+        hooks.m_on_failed = [](const std::string& reason) {
+            log_event(log_level::error, "replica_failed", {{"reason", reason}});
+        };
+        return hooks;
+    }
+
+    // Operators.
+
+    void handle(const http::request& request, const std::shared_ptr<http::exchange>& answer)
     {
         const auto path = http::path_of(request.m_target);
         if (path == "/healthz") {
-            return http::json_response(200, R"({"status":"ok"})");
+            answer->respond(http::json_response(200, R"({"status":"ok"})"));
         }
-        if (path == "/readyz") {
+        else if (path == "/readyz") {
             const bool is_ready = m_frame.phase() == lifecycle::phase::serving;
-            return http::json_response(is_ready ? 200 : 503,
-                                       json{{"phase", to_string(m_frame.phase())}}.dump());
+            answer->respond(http::json_response(
+                is_ready ? 200 : 503, json{{"phase", to_string(m_frame.phase())}}.dump()));
+        }
+        else if (path == "/v1/configuration" && request.m_method == "GET") {
+            give_configuration(answer);
         }
-        if (path == "/v1/configuration" && request.m_method == "GET") {
-            return configuration_response();
+        else if (path == "/v1/changes" && request.m_method == "POST") {
+            take_change(request, answer);
         }
-        if (path == "/v1/changes" && request.m_method == "POST") {
-            return take_change(request);
+        else if (path == "/v1/status") {
+            answer->respond(status_response());
         }
-        if (path == "/v1/status") {
-            return status_response();
+        else {
+            auto fault = caller::bad_request("unknown_path", "there is no such path");
+            fault.m_status = 404;
+            answer->respond(caller::to_response(fault, ""));
         }
-        auto fault = caller::bad_request("unknown_path", "there is no such path");
-        fault.m_status = 404;
-        return caller::to_response(fault, "");
     }
 
-    http::response configuration_response()
+    /// Gives what is in force now; where no majority answers, what this host knows, and says so.
+    void give_configuration(const std::shared_ptr<http::exchange>& answer)
     {
-        const std::lock_guard lock(m_mutex);
-        return http::json_response(
-            200, json{{"number", m_store.m_number},
-                      {"version",
-                       {{"term", m_store.m_version.m_term}, {"index", m_store.m_version.m_index}}},
-                      {"document", m_store.m_source}}
-                     .dump());
+        ++m_in_flight;
+        m_runner->read_index([this, answer](bool is_confirmed) {
+            const auto current = m_runner->configuration();
+            answer->respond(http::json_response(200, json{{"number", current.m_number},
+                                                          {"version",
+                                                           {{"term", current.m_version.m_term},
+                                                            {"index", current.m_version.m_index}}},
+                                                          {"confirmed", is_confirmed},
+                                                          {"document", current.m_source}}
+                                                         .dump()));
+            --m_in_flight;
+        });
     }
 
-    http::response take_change(const http::request& request)
+    void take_change(const http::request& request, const std::shared_ptr<http::exchange>& answer)
     {
-        const auto wanted = configuration::decode_change(request.m_body);
+        auto wanted = configuration::decode_change(request.m_body);
         if (!wanted.ok()) {
-            return caller::to_response(
-                caller::bad_request("invalid_change", std::string(wanted.status().message())), "");
-        }
-        configuration::change_result result;
-        {
-            const std::lock_guard lock(m_mutex);
-            const configuration_version position{1, m_store.m_version.m_index + 1};
-            result = configuration::apply(m_store, *wanted, position);
+            answer->respond(caller::to_response(
+                caller::bad_request("invalid_change", std::string(wanted.status().message())), ""));
+            return;
         }
-        log_event(log_level::info, "change_decided",
-                  {{"change", wanted->m_id},
-                   {"status", static_cast<int>(result.m_status)},
-                   {"number", result.m_number}});
-        push_to_subscribers();
-        return change_response(result);
+        ++m_in_flight;
+        const auto id = wanted->m_id;
+        m_runner->propose_change(*std::move(wanted), [this, id,
+                                                      answer](const change_answer& ended) {
+            const auto* result = std::get_if<configuration::change_result>(&ended);
+            log_event(log_level::info, "change_decided",
+                      {{"change", id},
+                       {"status", result == nullptr ? "no_quorum" : to_text(result->m_status)},
+                       {"number", result == nullptr ? 0 : result->m_number}});
+            answer->respond(result == nullptr ? no_quorum_response() : change_response(*result));
+            --m_in_flight;
+        });
     }
 
     http::response status_response()
     {
-        const std::lock_guard lock(m_mutex);
+        const auto status = m_runner->status();
+        const auto current = m_runner->configuration();
+        json replicas = json::array();
+        for (const auto& member : status.m_members) {
+            replicas.push_back(
+                {{"replica", member.m_identity.m_id.value()}, {"votes", member.m_votes}});
+        }
         return http::json_response(
             200, json{{"host", setting_value<std::string>(m_settings, "/host")},
                       {"role", "control"},
@@ -173,30 +331,89 @@
                       {"phase", to_string(m_frame.phase())},
                       {"incarnation", m_incarnation.value()},
                       {"configuration",
-                       {{"number", m_store.m_number},
-                        {"term", m_store.m_version.m_term},
-                        {"index", m_store.m_version.m_index}}},
-                      {"cut_off", false},
-                      {"quorum", true},
+                       {{"number", current.m_number},
+                        {"term", current.m_version.m_term},
+                        {"index", current.m_version.m_index}}},
+                      {"cut_off", !status.m_has_quorum},
+                      {"quorum", status.m_has_quorum},
+                      {"leader", status.m_leader},
+                      {"replica", status.m_replica},
+                      {"term", status.m_term},
+                      {"voter", status.m_is_voter},
+                      {"caught_up", status.m_is_caught_up},
+                      {"disk_full", status.m_is_disk_full},
+                      {"failed", status.m_has_failed},
+                      {"claims", status.m_claims},
+                      {"replicas", replicas},
                       {"members", json::array()}}
                      .dump());
     }
 
+    // Messages.
+
     void on_message(const link::peer& from, const wire::Envelope& message)
     {
-        if (!message.has_subscribe()) {
-            return;
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
+        if (message.has_consensus()) {
+            m_runner->receive(message.consensus());
+        }
+        else if (message.has_subscribe()) {
+            on_subscribe(from, link::from_wire(message.subscribe().known()));
+        }
+        else if (message.has_claim_request()) {
+            on_claim(from, message.claim_request());
+        }
+        else if (message.has_claim_result()) {
+            on_claim_result(from, message.claim_result());
+        }
+    }
+
+    void on_subscribe(const link::peer& from, configuration_version known)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_subscribers[from] = platform::now() + subscription_lease;
+        }
+        if (!m_runner->status().m_is_caught_up) {
+            return;  // what this host knows may be long over; another one answers
         }
-        const std::lock_guard lock(m_mutex);
-        m_subscribers[from] = platform::now() + subscription_lease;
         auto answer = configuration_message();
-        if (link::from_wire(message.subscribe().known()) >= m_store.m_version) {
+        if (known >= link::from_wire(answer.configuration_update().version())) {
             // Nothing newer: the answer only says that control is there.
             answer.mutable_configuration_update()->clear_document();
         }
         m_node->reply(from, std::move(answer));
     }
 
+    void on_claim(const link::peer& from, const wire::ClaimRequest& message)
+    {
+        claim_request wanted;
+        wanted.m_key = claims::claim_key(message.key());
+        wanted.m_attempt = link::from_wire(message.attempt());
+        wanted.m_agent = host_id(message.agent());
+        wanted.m_fingerprint = fingerprint(message.fingerprint());
+        m_runner->propose_claim(
+            std::move(wanted), [this, from, number = message.request()](const claim_answer& ended) {
+                wire::Envelope envelope;
+                *envelope.mutable_claim_reply() = to_wire(ended, number);
+                m_node->reply(from, std::move(envelope));
+            });
+    }
+
+    void on_claim_result(const link::peer& from, const wire::ClaimResult& message)
+    {
+        m_runner->report_claim(to_claim_outcome(message),
+                               [this, from, number = message.request()](bool is_recorded) {
+                                   wire::Envelope envelope;
+                                   auto& reply = *envelope.mutable_claim_result_reply();
+                                   reply.set_request(number);
+                                   reply.set_recorded(is_recorded);
+                                   m_node->reply(from, std::move(envelope));
+                               });
+    }
+
     void on_lost(const link::peer& gone)
     {
         const std::lock_guard lock(m_mutex);
@@ -205,19 +422,24 @@
 
     wire::Envelope configuration_message() const
     {
+        const auto current = m_runner->configuration();
         wire::Envelope message;
         auto& update = *message.mutable_configuration_update();
-        link::to_wire(m_store.m_version, *update.mutable_version());
-        update.set_number(m_store.m_number);
-        update.set_document(m_store.m_source.dump());
+        link::to_wire(current.m_version, *update.mutable_version());
+        update.set_number(current.m_number);
+        update.set_document(current.m_source.dump());
         return message;
     }
 
     void push_to_subscribers()
     {
+        if (!m_is_started) {
+            return;  // subscribers ask again
+        }
+        const auto message = configuration_message();
         const std::lock_guard lock(m_mutex);
         for (const auto& [peer, deadline] : m_subscribers) {
-            m_node->reply(peer, configuration_message());
+            m_node->reply(peer, message);
         }
     }
 
@@ -230,10 +452,12 @@
     platform::program& m_frame;
     json m_settings;
     incarnation m_incarnation;
+    std::atomic<bool> m_is_started = false;  ///< all members below are there
     std::mutex m_mutex;
-    configuration::store m_store;
     std::map<link::peer, time_point> m_subscribers;  ///< lease deadline of each
+    std::atomic<std::size_t> m_in_flight = 0;        ///< operators' requests
     std::unique_ptr<link::node> m_node;
+    std::unique_ptr<replica_runner> m_runner;
     std::unique_ptr<http::server> m_server;
 };
 
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -155,8 +155,6 @@
 
     absl::Status start()
     {
-        // Handlers run from here on, so they wait for the node behind the mutex.
-        const std::lock_guard lock(m_start_mutex);
         auto node = platform::start_node(m_settings, m_incarnation,
                                          {[this](const link::peer& from, wire::Envelope&& message) {
                                               on_message(from, std::move(message));
@@ -175,6 +173,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
@@ -277,6 +276,15 @@
         answer.respond(caller::to_response(fault, request_id));
     }
 
+    void refuse_classified(const caller::error& fault, const entry_request::facts& known,
+                           http::exchange& answer, time_point now)
+    {
+        if (known.m_claim && known.m_is_claim_granted) {
+            report_claim(*known.m_claim, {}, now);
+        }
+        refuse_unread(fault, known.m_request_id, answer);
+    }
+
     /// Finds the selector of a request, and gives it to its pool.
     void classify_and_submit(entry_request::facts known,
                              const std::shared_ptr<http::exchange>& answer, time_point now)
@@ -289,7 +297,7 @@
                                     : workspace_of_token(rules, wanted.m_bearer_token);
         const bool is_refused = rules.m_tokens_required || !wanted.m_bearer_token.empty();
         if (workspace == nullptr && is_refused) {
-            refuse_unread(not_authorized(), known.m_request_id, *answer);
+            refuse_classified(not_authorized(), known, *answer, now);
             return;
         }
         if (workspace == nullptr) {
@@ -298,11 +306,11 @@
         const auto labels = caller::request_labels(wanted, workspace);
         const auto* rule = configuration::resolve(rules, labels);
         if (rule == nullptr) {
-            refuse_unread(no_selector(labels), known.m_request_id, *answer);
+            refuse_classified(no_selector(labels), known, *answer, now);
             return;
         }
         if (rule->m_key_required && wanted.m_idempotency_key.empty()) {
-            refuse_unread(key_required(rule->m_name), known.m_request_id, *answer);
+            refuse_classified(key_required(rule->m_name), known, *answer, now);
             return;
         }
         apply_rule(*rule, known);
@@ -430,9 +438,8 @@
     }
 
     /// Tells control how a claimed request ended, so that a resend can be answered.
-    void report_claim(const request_pointer& request, const request_result& result, time_point now)
+    void report_claim(const request_claim& claim, const request_result& result, time_point now)
     {
-        const auto& claim = *request->known().m_claim;
         wire::ClaimResult message;
         message.set_key(claim.m_key.value());
         link::to_wire(claim.m_attempt, *message.mutable_attempt());
@@ -572,7 +579,7 @@
         m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
                                 now - known.m_arrival);
         if (known.m_claim && request->is_claim_granted()) {
-            report_claim(request, result, now);
+            report_claim(*known.m_claim, result, now);
         }
         m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
                       result.m_first_byte - known.m_arrival, platform::wall_now());
@@ -611,7 +618,9 @@
 
     void on_message(const link::peer& from, wire::Envelope&& message)
     {
-        const std::lock_guard lock(m_start_mutex);
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
         const auto now = platform::now();
         if (message.has_reply_chunk()) {
             on_chunk(message.reply_chunk(), now);
@@ -898,7 +907,7 @@
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
-    std::mutex m_start_mutex;
+    std::atomic<bool> m_is_started = false;  ///< the node and the server are there
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
 };
--- a/test/faults_session.py
+++ b/test/faults_session.py
@@ -169,6 +169,48 @@
     def runs(self):
         return json.loads(self.site.call("bay-engine", "GET", "/runs")[2])["runs"]
 
+    def test_planned_stops_cut_nothing(self):
+        """Each program in turn is stopped and started again while callers go on."""
+        stop = threading.Event()
+        failures = []
+        answered = []
+
+        def caller(entries):
+            count = 0
+            while not stop.is_set():
+                entry = entries[count % len(entries)]
+                count += 1
+                if not self.is_ready(entry):  # as the platform's balancer sees it
+                    continue
+                status, _, body = self.site.try_call(
+                    entry, "POST", "/v1/chat/completions", {**CHAT, "max_tokens": 20}, None, 30.0)
+                (answered if status == 200 else failures).append((entry, status, body))
+
+        callers = [threading.Thread(target=caller, args=(["e1", "e2", "e3"],)) for _ in range(4)]
+        for thread in callers:
+            thread.start()
+        try:
+            for name in ("chat-0", "e1", "chat-1", "e2", "c1", "e3", "c2", "c3"):
+                process = self.site.processes[name]
+                self.assertEqual(process.stop(), 0, name)
+                process.start()
+                self.site.wait_ready([name])
+                if name.startswith("chat"):
+                    for entry in ("e1", "e2", "e3"):
+                        self.site.wait_for_upstreams(entry, 3)
+                if name.startswith("e"):
+                    self.site.wait_for_upstreams(name, 3)
+                    self.site.wait_for_number(1, [name])
+        finally:
+            stop.set()
+            for thread in callers:
+                thread.join()
+        self.assertEqual(failures, [])
+        self.assertGreater(len(answered), 20)
+
+    def is_ready(self, entry):
+        return self.site.try_call(entry, "GET", "/readyz")[0] == 200
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
