--- a/dewbeam/src/membership/protocol.cpp
+++ b/dewbeam/src/membership/protocol.cpp
@@ -180,16 +180,18 @@
     }
     state.m_are_watchers_stale = false;
     const auto& domain = state.m_self.m_failure_domain;
-    state.m_own_watchers = watchers_of(state, state.m_self.m_host, domain);
+    const auto candidates = internal::watcher_candidates(state);
+    state.m_own_watchers = watchers_of(state, state.m_self.m_host, candidates);
     if (state.m_self.m_role != role::entry) {
         return;
     }
+    state.m_watched.clear();
     for (auto& [host, item] : state.m_records) {
         if (item.m_member.m_failure_domain != domain || item.m_member.m_dead) {
             item.m_is_watched = false;
             continue;
         }
-        const auto watchers = watchers_of(state, host, domain);
+        const auto watchers = watchers_of(state, host, candidates);
         const bool is_watched =
             std::find(watchers.begin(), watchers.end(), state.m_self.m_host) != watchers.end();
         if (is_watched && !item.m_is_watched) {
@@ -198,6 +200,9 @@
                 item.m_member.m_suspect ? now + state.m_options.m_suspicion : no_deadline;
         }
         item.m_is_watched = is_watched;
+        if (is_watched) {
+            state.m_watched.push_back(host);
+        }
     }
 }
 
@@ -226,9 +231,10 @@
 
 void check_leases(view& state, time_point now, effects& out)
 {
-    for (auto& [host, item] : state.m_records) {
-        if (item.m_is_watched && !item.m_member.m_dead) {
-            check_lease(state, item, now, out);
+    for (const auto& host : state.m_watched) {
+        const auto place = state.m_records.find(host);
+        if (place != state.m_records.end() && !place->second.m_member.m_dead) {
+            check_lease(state, place->second, now, out);
         }
     }
 }
@@ -312,9 +318,10 @@
 std::vector<member> take_fresh(view& state)
 {
     std::vector<record*> fresh;
-    for (auto& [host, item] : state.m_records) {
-        if (item.m_rounds_left > 0) {
-            fresh.push_back(&item);
+    for (const auto& host : state.m_fresh) {
+        const auto place = state.m_records.find(host);
+        if (place != state.m_records.end()) {
+            fresh.push_back(&place->second);
         }
     }
     std::stable_sort(fresh.begin(), fresh.end(), [](const record* a, const record* b) {
@@ -326,6 +333,10 @@
         --item->m_rounds_left;
         deltas.push_back(item->m_member);
     }
+    std::erase_if(state.m_fresh, [&](const host_id& host) {
+        const auto* item = find(state, host);
+        return item == nullptr || item->m_rounds_left == 0;
+    });
     return deltas;
 }
 
@@ -422,7 +433,9 @@
 effects tick(view& state, time_point now, random_engine& random)
 {
     effects out;
-    forget_dead(state, now);
+    if (now >= state.m_digest_at) {
+        forget_dead(state, now);
+    }
     refresh_watches(state, now);
     check_leases(state, now, out);
     send_heartbeats(state, now, out);
--- a/dewbeam/src/membership/view.cpp
+++ b/dewbeam/src/membership/view.cpp
@@ -42,10 +42,10 @@
     return item.m_role == role::entry && !item.m_dead && !item.m_leaving;
 }
 
-/// A live entry and its place in the rendezvous.
-struct candidate {
+/// A candidate and its place in the rendezvous.
+struct placed_candidate {
     std::uint64_t m_score = 0;
-    host_id m_host;
+    const host_id* m_host = nullptr;
 };
 
 }  // namespace
@@ -165,6 +165,9 @@
     item.m_member = claim;
     item.m_member.m_load = load;
     item.m_hash = stable_hash(claim.m_host.value());
+    if (item.m_rounds_left == 0) {
+        state.m_fresh.push_back(claim.m_host);
+    }
     item.m_rounds_left = state.m_options.m_rounds;
     item.m_dead_at = claim.m_suspect ? now + state.m_options.m_suspicion : no_deadline;
     toggle_digest(state, item.m_member, item.m_hash);
@@ -211,27 +214,40 @@
     return digest;
 }
 
-std::vector<host_id> watchers_of(const view& state, const host_id& host,
-                                 const failure_domain_id& domain)
+std::vector<watcher_candidate> watcher_candidates(const view& state)
 {
-    std::vector<candidate> candidates;
+    std::vector<watcher_candidate> candidates;
     const auto consider = [&](const member& item, std::uint64_t hash) {
-        if (is_live_entry(item) && item.m_failure_domain == domain && item.m_host != host) {
-            candidates.push_back({combine_hash(hash, stable_hash(host.value())), item.m_host});
+        if (is_live_entry(item) && item.m_failure_domain == state.m_self.m_failure_domain) {
+            candidates.push_back({hash, item.m_host});
         }
     };
     consider(state.m_self, stable_hash(state.m_self.m_host.value()));
     for (const auto& [name, item] : state.m_records) {
         consider(item.m_member, item.m_hash);
     }
-    const auto count = std::min<std::size_t>(state.m_options.m_watchers, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                      candidates.end(), [](const candidate& a, const candidate& b) {
-                          return std::tie(a.m_score, a.m_host) > std::tie(b.m_score, b.m_host);
-                      });
+    return candidates;
+}
+
+std::vector<host_id> watchers_of(const view& state, const host_id& host,
+                                 const std::vector<watcher_candidate>& candidates)
+{
+    const auto hash = stable_hash(host.value());
+    std::vector<placed_candidate> placed;
+    for (const auto& item : candidates) {
+        if (item.m_host != host) {
+            placed.push_back({combine_hash(item.m_hash, hash), &item.m_host});
+        }
+    }
+    const auto count = std::min<std::size_t>(state.m_options.m_watchers, placed.size());
+    const auto comes_first = [](const placed_candidate& a, const placed_candidate& b) {
+        return a.m_score != b.m_score ? a.m_score > b.m_score : *a.m_host < *b.m_host;
+    };
+    std::partial_sort(placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(count),
+                      placed.end(), comes_first);
     std::vector<host_id> first;
     for (std::size_t i = 0; i < count; ++i) {
-        first.push_back(candidates[i].m_host);
+        first.push_back(*placed[i].m_host);
     }
     return first;
 }
