--- a/dewbeam/src/configuration/plan.cpp
+++ b/dewbeam/src/configuration/plan.cpp
@@ -176,11 +176,26 @@
     return "name before " + loser.m_name;
 }
 
+/// Whether a request that matches must have the label.
+bool demands(const selector& conditions, std::string_view key)
+{
+    const std::array selectors{&conditions};
+    return !condition_of(key, selectors).m_may_be_absent;
+}
+
+/// Whether one request can match both: an entry gives it a model or a service, never both.
+bool can_share_requests(const selector& a, const selector& b)
+{
+    const bool is_split = (demands(a, "model") && demands(b, "service")) ||
+                          (demands(a, "service") && demands(b, "model"));
+    return !is_split && can_overlap(a, b);
+}
+
 precedence precedence_of(const document& rules, const work_selector& wanted)
 {
     std::vector<const work_selector*> rivals;
     for (const auto& item : rules.m_selectors) {
-        if (&item == &wanted || can_overlap(item.m_when, wanted.m_when)) {
+        if (&item == &wanted || can_share_requests(item.m_when, wanted.m_when)) {
             rivals.push_back(&item);
         }
     }
@@ -400,6 +415,25 @@
     }
 }
 
+bool is_drained(const document& rules, const announced_upstream& upstream)
+{
+    const auto labels = effective_labels(rules, upstream.m_labels);
+    const auto* drain = labels.find(drain_label);
+    return drain != nullptr && *drain == "true";
+}
+
+/// The upstreams, where those that leave because they are drained count as staying: the document
+/// alone then says whether they take work.
+std::vector<announced_upstream> without_drains(const document& rules,
+                                               std::span<const announced_upstream> upstreams)
+{
+    std::vector<announced_upstream> result(upstreams.begin(), upstreams.end());
+    for (auto& item : result) {
+        item.m_leaving = item.m_leaving && !is_drained(rules, item);
+    }
+    return result;
+}
+
 }  // namespace
 
 bool can_overlap(const selector& a, const selector& b)
@@ -417,9 +451,7 @@
 
 bool takes_work(const document& rules, const announced_upstream& upstream)
 {
-    const auto labels = effective_labels(rules, upstream.m_labels);
-    const auto* drain = labels.find(drain_label);
-    return !upstream.m_leaving && (drain == nullptr || *drain != "true");
+    return !upstream.m_leaving && !is_drained(rules, upstream);
 }
 
 plan_report plan(const json& current, const json& patch,
@@ -434,8 +466,9 @@
         report.m_mistakes = after.m_mistakes;
         return report;
     }
-    const scene old_scene{before.m_document, ruled_upstreams(before.m_document, true, upstreams)};
-    const scene new_scene{after.m_document, ruled_upstreams(after.m_document, false, upstreams)};
+    const auto staying = without_drains(before.m_document, upstreams);
+    const scene old_scene{before.m_document, ruled_upstreams(before.m_document, true, staying)};
+    const scene new_scene{after.m_document, ruled_upstreams(after.m_document, false, staying)};
     report.m_differences = differences(before.m_document, after.m_document);
     for (const auto& item : after.m_document.m_selectors) {
         report.m_precedence.push_back(precedence_of(after.m_document, item));
--- a/dewbeam/src/operators/commands.cpp
+++ b/dewbeam/src/operators/commands.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "dewbeam/caller"
@@ -261,8 +262,11 @@
     const auto upstreams = upstreams_of(merge_members(get_statuses(wanted.m_site)));
     const auto report = configuration::plan(document, patch, upstreams);
     std::string text;
+    std::set<std::string> named;
     for (const auto& item : report.m_stranded) {
-        if (item.m_before > 0) {
+        const bool is_new =
+            item.m_before > 0 && named.insert(item.m_selector + "\n" + item.m_model.value()).second;
+        if (is_new) {
             text += "warning: no upstream is left for requests with labels '" +
                     to_string(item.m_labels) + "', selector '" + item.m_selector + "', model '" +
                     item.m_model.value() + "'\n";
--- a/dewbeam/src/operators/tables.cpp
+++ b/dewbeam/src/operators/tables.cpp
@@ -183,11 +183,16 @@
     return or_dash(text);
 }
 
+/// Whether the program keeps a list of members; a control need not.
+bool lists_members(const status_reply& reply)
+{
+    return reply.m_status.ok() && reply.m_status->contains("members") &&
+           !(*reply.m_status)["members"].empty();
+}
+
 text_table member_table(const std::vector<status_reply>& replies)
 {
-    const auto answered =
-        std::count_if(replies.begin(), replies.end(),
-                      [](const status_reply& item) { return item.m_status.ok(); });
+    const auto answered = std::count_if(replies.begin(), replies.end(), lists_members);
     text_table table{{"HOST", "ROLE", "DOMAIN", "STATE", "SEEN BY", "CONFIGURATION", "UPSTREAM",
                       "MODELS", "LABELS"},
                      {}};
--- a/test/plan_test.cpp
+++ b/test/plan_test.cpp
@@ -84,6 +84,17 @@
     EXPECT_EQ(to_string(report.m_stranded[1].m_labels), "task=alert,tier=gold");
 }
 
+TEST(plan, counts_a_drained_upstream_again_when_the_drain_ends)
+{
+    auto drained = current;
+    drained["upstreams"]["d"] = {{"match", "pool=alerts"}, {"labels", {{"dewbeam/drain", "true"}}}};
+    auto upstreams = site;
+    upstreams[2].m_leaving = true;  // as a drained upstream announces itself
+    const auto undo = json::parse(R"({"upstreams": {"d": null}})");
+    EXPECT_EQ(plan(drained, undo, upstreams).m_abilities[0].m_after, 1U);
+    EXPECT_EQ(plan(current, json::object(), upstreams).m_abilities[0].m_after, 0U);  // it stops
+}
+
 TEST(plan, names_requests_that_lose_their_selector_or_their_model)
 {
     const auto removed = plan(current, json::parse(R"({"selectors": {"alerts": null}})"), site);
@@ -103,6 +114,13 @@
         "summaries": {"when": "model=summary", "upstreams": "pool=chat"},
         "own": {"when": "workspace=arusha", "upstreams": "pool=none"}}})"),
                              site);
+    EXPECT_EQ(report.m_precedence.back().m_selector, "summaries");
+    EXPECT_EQ(report.m_precedence.back().m_order.size(), 4U);  // all overlap by their labels
+    const auto bay = plan(current, json::parse(R"({"selectors": {
+        "bay": {"when": "service=bay", "upstreams": ""},
+        "summaries": {"when": "model=summary", "upstreams": "pool=chat"}}})"),
+                          site);
+    EXPECT_EQ(bay.m_precedence.back().m_order.size(), 3U);  // not bay: a request has one of both
     std::vector<std::string> found;
     for (const auto& item : report.m_stranded) {
         found.push_back(item.m_selector + " " + item.m_workspace + " " + item.m_model.value());
