--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -50,11 +50,11 @@
 json row(const site_size& size)
 {
     member_site site(size, 20'261'202);
-    site.run(30s);
+    site.run(50s);
     const auto start = site.cost_of(membership::role::entry);
     json line{
         {"entries", size.m_entries}, {"upstreams", size.m_agents}, {"controls", size.m_controls}};
-    line["cold_start_bytes_of_entry"] = rounded((start.m_bytes_in + start.m_bytes_out) * 30);
+    line["cold_start_bytes_of_entry"] = rounded((start.m_bytes_in + start.m_bytes_out) * 50);
     site.clear_costs();
     site.run(10s);
     const auto quiet = site.cost_of(membership::role::entry);
