Prove bursts, races and full disks over whole replicas

500 changes one after the other through three hosts with real syncs, operators racing under one number, and all disks full at once: nothing is acknowledged, reads go on, and changes follow once there is room.

--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -235,7 +235,7 @@
             return;
         }
         queue_writes(out);
-        take_messages(work, std::move(out));
+        take_messages(work, out);
         if (out.m_restore) {
             restore(work, *out.m_restore);
         }
@@ -259,7 +259,7 @@
         }
     }
 
-    void take_messages(deferred_work& work, consensus::effects&& out)
+    void take_messages(deferred_work& work, consensus::effects& out)
     {
         std::move(out.m_messages.begin(), out.m_messages.end(),
                   std::back_inserter(work.m_messages));
@@ -496,6 +496,7 @@
                                         std::make_move_iterator(m_queue.end()));
         m_queue.clear();
         std::vector<consensus::writes> writes;
+        writes.reserve(group.size());
         for (auto& item : group) {
             writes.push_back(std::move(item.m_writes));
         }
--- a/test/replica_runner_test.cpp
+++ b/test/replica_runner_test.cpp
@@ -2,8 +2,12 @@
 #include "dewbeam/src/control/replica_runner.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
+#include <array>
+#include <atomic>
 #include <condition_variable>
+#include <csignal>
 #include <deque>
 #include <filesystem>
 #include <future>
@@ -273,6 +277,72 @@
     EXPECT_EQ(decision_of(all.claim(1, "k", 2)), claims::decision::granted);
 }
 
+TEST(replica_runner, a_burst_of_500_changes_is_in_force_everywhere_and_in_order)
+{
+    site all;
+    all.wait_for_leader();
+    std::atomic<int> accepted = 0;
+    for (std::uint64_t base = 0; base < 500; ++base) {
+        configuration::change wanted{"burst-" + std::to_string(base), base, {}};
+        wanted.m_patch["workspaces"]["arusha"]["weight"] = 1 + base;
+        std::promise<void> answered;
+        all.at(base % hosts)->propose_change(wanted, [&](const change_answer& got) {
+            accepted += number_of(got) == base + 1 ? 1 : 0;
+            answered.set_value();
+        });
+        answered.get_future().wait();
+    }
+    EXPECT_EQ(accepted, 500);
+    for (std::uint64_t host = 0; host < hosts; ++host) {
+        all.wait_for([&] { return all.at(host)->configuration().m_number == 500; });
+    }
+}
+
+TEST(replica_runner, operators_racing_under_one_number_get_one_winner)
+{
+    site all;
+    all.wait_for_leader();
+    std::array<std::promise<change_answer>, hosts> answers;
+    for (std::uint64_t host = 0; host < hosts; ++host) {
+        configuration::change wanted{"racer-" + std::to_string(host), 0, {}};
+        wanted.m_patch["workspaces"]["arusha"]["weight"] = 1 + host;
+        all.at(host)->propose_change(
+            wanted, [&answers, host](change_answer got) { answers[host].set_value(got); });
+    }
+    std::string winner;
+    std::vector<std::string> named;
+    for (std::uint64_t host = 0; host < hosts; ++host) {
+        const auto got = std::get<configuration::change_result>(answers[host].get_future().get());
+        if (got.m_status == configuration::change_status::accepted) {
+            EXPECT_EQ(winner, "");
+            winner = "racer-" + std::to_string(host);
+        }
+        else {
+            named.push_back(got.m_winner);
+        }
+    }
+    EXPECT_EQ(named, std::vector<std::string>(hosts - 1, winner));
+}
+
+TEST(replica_runner, full_disks_acknowledge_nothing_and_go_on_reading)
+{
+    site all;
+    all.wait_for_leader();
+    EXPECT_EQ(number_of(all.change(0, "before", 0)), 1U);
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    const rlimit none{0, before.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &none);
+    EXPECT_TRUE(std::holds_alternative<no_quorum>(all.change(1, "during", 1)));
+    for (std::uint64_t host = 0; host < hosts; ++host) {
+        EXPECT_EQ(all.at(host)->configuration().m_number, 1U);
+    }
+    ::setrlimit(RLIMIT_FSIZE, &before);
+    all.wait_for([&] { return number_of(all.change(1, "during", 1)) == 2; });
+    all.wait_for([&] { return number_of(all.change(2, "after", 2)) == 3; });
+}
+
 TEST(replica_runner, a_second_process_on_the_folder_is_refused)
 {
     site all;
