Read under random faults: a granted read holds all that was committed before it

Seen failing: an index one too small breaks all three properties. Confirming by one replica instead of a majority breaks reads_wait_for_a_majority, not the properties: the check-quorum deadline covers it there.

--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -21,7 +21,7 @@
     std::uint64_t m_runs = 0, m_sent = 0, m_lost = 0, m_delayed = 0, m_duplicated = 0,
                   m_crashes = 0, m_unsynced_lost = 0, m_lost_disks = 0, m_partitions = 0,
                   m_snapshots = 0, m_installed = 0, m_elections = 0, m_committed = 0,
-                  m_transfers = 0;
+                  m_transfers = 0, m_reads = 0;
 };
 fault_counts total;
 
@@ -32,11 +32,11 @@
         std::printf(
             "faults tried: runs=%lu messages=%lu lost=%lu delayed=%lu duplicated=%lu crashes=%lu "
             "unsynced_writes_lost=%lu lost_disks=%lu partitions=%lu snapshots=%lu installed=%lu "
-            "elections=%lu transfers=%lu commits=%lu\n",
+            "elections=%lu transfers=%lu reads=%lu commits=%lu\n",
             total.m_runs, total.m_sent, total.m_lost, total.m_delayed, total.m_duplicated,
             total.m_crashes, total.m_unsynced_lost, total.m_lost_disks, total.m_partitions,
             total.m_snapshots, total.m_installed, total.m_elections, total.m_transfers,
-            total.m_committed);
+            total.m_reads, total.m_committed);
     }
 };
 const auto* const counts_printer = testing::AddGlobalTestEnvironment(new print_counts);
@@ -124,6 +124,16 @@
         }
     }
 
+    /// Reads at a random live host; the answer must hold all that is committed by now.
+    void read()
+    {
+        const auto id = draw(m_hosts.size());
+        if (m_hosts[id].m_replica && !m_agreed.empty()) {
+            m_read_floors.push_back(m_agreed.rbegin()->first);
+            feed(id, read_request{m_read_floors.size() - 1});
+        }
+    }
+
     [[nodiscard]] std::optional<std::uint64_t> leader() const
     {
         std::optional<std::uint64_t> found;
@@ -291,6 +301,12 @@
                 send(std::move(item));
             }
         }
+        for (const auto& read : out.m_reads) {
+            total.m_reads += read.m_granted ? 1 : 0;
+            if (read.m_granted && read.m_index < m_read_floors[read.m_token]) {
+                break_promise("a read missed an acknowledged change");
+            }
+        }
         check_leader(id);
         if (!m_options.m_sync_before_send && !at.m_replica->m_pending.empty()) {
             feed(id, persisted{at.m_replica->m_batch});
@@ -428,6 +444,9 @@
         if (happens(200)) {
             propose();
         }
+        if (happens(100)) {
+            read();
+        }
     }
 
     void run_host(std::uint64_t id, bool faulty)
@@ -482,6 +501,7 @@
     std::map<std::uint64_t, identity> m_leaders;
     std::uint64_t m_last_disk = 0;
     std::uint64_t m_last_command = 0;
+    std::vector<std::uint64_t> m_read_floors;  ///< by token
 };
 
 /// Runs faults, then none, and gives the first broken promise; empty where all held.
