--- a/test/replica_runner_test.cpp
+++ b/test/replica_runner_test.cpp
@@ -32,6 +32,7 @@
 public:
     site()
     {
+        configure_log("replica_runner_test", "site", log_level::warning);  // as a program does
         auto pattern = (fs::temp_directory_path() / "dewbeam-runner-XXXXXX").string();
         m_folder = ::mkdtemp(pattern.data());
         m_carrier = std::thread([this] { carry(); });
