Join the membership; a planned stop waits for the last written byte

(1) A restarted entry was ready before it knew its upstreams; (2) a restarted agent was marked unreachable by the end of the link to the process before it, until its next load report (up to 5 s); (3) a control host crashed at its stop: the link's thread used the replica runner after it was destroyed; (4) a request counted as answered before its bytes were written.

Change: entries, agents and controls run the membership protocol; an entry is ready once it has the newest configuration that control (or, cut off, its domain) can tell and has heard of the members; a later process of a host replaces the link at once and its load is asked for; threads end before what they use; a stop waits for unwritten answers.

--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -79,7 +79,7 @@
     platform::write_address_file(settings, to_string((*server)->address()));
     platform::program_hooks hooks;
     hooks.m_is_ready = [] { return true; };
-    hooks.m_in_flight = [&] { return engine.in_flight(); };
+    hooks.m_in_flight = [&] { return engine.in_flight() + (*server)->unanswered(); };
     hooks.m_announce_leave = [&] { (*server)->wind_down(); };
     hooks.m_stop_accepting = [&] { (*server)->stop_accepting(); };
     hooks.m_tick = [](time_point) {};
--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -10,6 +10,7 @@
 #include "dewbeam/link"
 #include "dewbeam/src/agent/gate.h"
 #include "dewbeam/src/control/subscriber.h"
+#include "dewbeam/src/entry/status_page.h"
 
 namespace dewbeam::agent {
 
@@ -17,8 +18,8 @@
 
 using json = nlohmann::json;
 
-constexpr std::chrono::milliseconds announce_interval{250};
-constexpr std::chrono::milliseconds announce_lease{2000};
+constexpr std::chrono::milliseconds report_interval{250};
+constexpr std::chrono::milliseconds spreading_time{1000};
 
 configuration::label_set read_labels(const json& settings)
 {
@@ -98,6 +99,9 @@
         }
         m_node = *std::move(node);
         m_gate->use(*m_node);
+        m_membership = entry::join(
+            m_settings, entry::self_of(m_settings, membership::role::agent, *m_node, m_incarnation),
+            *m_node, {});
         auto server = platform::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
@@ -115,7 +119,11 @@
     platform::program_hooks hooks()
     {
         platform::program_hooks result;
-        result.m_is_ready = [this] { return m_load.latest().m_is_reachable; };
+        result.m_is_ready = [this] {
+            // Ready once the entries have had the time to hear of it.
+            return m_announced_at != no_deadline &&
+                   platform::now() >= m_announced_at + spreading_time;
+        };
         result.m_in_flight = [this] { return m_gate->running(); };
         result.m_announce_leave = [this] { leave(); };
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
@@ -154,23 +162,20 @@
     http::response status_response()
     {
         const auto active = m_configuration.current();
-        return http::json_response(
-            200, json{{"host", setting_value<std::string>(m_settings, "/host")},
-                      {"role", "agent"},
-                      {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
-                      {"phase", to_string(m_frame.phase())},
-                      {"incarnation", m_incarnation.load().value()},
-                      {"configuration",
-                       {{"number", active->m_number},
-                        {"term", active->m_version.m_term},
-                        {"index", active->m_version.m_index}}},
-                      {"cut_off", !m_configuration.has_heard()},
-                      {"upstream", setting_value<std::string>(m_settings, "/upstream/name")},
-                      {"upstream_reachable", m_load.latest().m_is_reachable},
-                      {"draining", is_draining()},
-                      {"running", m_gate->running()},
-                      {"members", json::array()}}
-                     .dump());
+        entry::status_facts facts;
+        facts.m_host = setting_value<std::string>(m_settings, "/host");
+        facts.m_role = membership::role::agent;
+        facts.m_failure_domain = setting_value<std::string>(m_settings, "/failure_domain");
+        facts.m_phase = m_frame.phase();
+        facts.m_incarnation = m_incarnation;
+        facts.m_number = active->m_number;
+        facts.m_version = active->m_version;
+        auto page = entry::status_page(facts, *m_membership, platform::now());
+        page["upstream"] = setting_value<std::string>(m_settings, "/upstream/name");
+        page["upstream_reachable"] = m_load.latest().m_is_reachable;
+        page["draining"] = is_draining();
+        page["running"] = m_gate->running();
+        return http::json_response(200, page.dump());
     }
 
     void on_message(const link::peer& from, const wire::Envelope& message)
@@ -178,6 +183,9 @@
         if (!m_is_started) {
             return;  // whoever sent this sends it again
         }
+        if (m_membership->take(message, platform::now())) {
+            return;
+        }
         if (message.has_dispatch()) {
             m_gate->dispatch(from, message, platform::now());
         }
@@ -188,7 +196,7 @@
             m_gate->tombstone(from, message.tombstone(), platform::now());
         }
         else if (message.has_configuration_update()) {
-            m_configuration.adopt(message.configuration_update());
+            m_configuration.adopt(message.configuration_update(), true);
         }
     }
 
@@ -220,14 +228,13 @@
         else {
             m_gate->stop_leaving();
         }
-        m_next_announcement = time_point{};
     }
 
     void leave()
     {
         m_is_stopping = true;
         m_gate->start_leaving();
-        announce();
+        m_membership->leave(platform::now());
         m_server->wind_down();
     }
 
@@ -241,10 +248,10 @@
             return;
         }
         if (m_engine_life != 0) {
-            m_incarnation = platform::new_incarnation();
-            m_gate->set_incarnation(m_incarnation);
+            m_upstream_life = platform::new_incarnation();
+            m_gate->set_incarnation(m_upstream_life);
             log_event(log_level::warning, "upstream_restarted",
-                      {{"incarnation", m_incarnation.load().value()}});
+                      {{"life", m_upstream_life.value()}});
         }
         m_engine_life = load.m_incarnation;
     }
@@ -254,14 +261,13 @@
         m_load.tick(now);
         watch_upstream_life();
         m_gate->tick(now);
-        m_configuration.tick(*m_node, now);
+        m_membership->tick(now);
+        m_configuration.tick(*m_node, platform::link_addresses(m_settings, "/entries"), now);
         if (slots() > 0) {
             m_gate->set_slots(slots());
         }
-        if (now >= m_next_announcement.load()) {
-            m_next_announcement = now + announce_interval;
-            announce();
-        }
+        announce();
+        report(now);
     }
 
     [[nodiscard]] std::uint32_t slots() const
@@ -270,54 +276,49 @@
         return own > 0 ? own : m_load.latest().m_slots;
     }
 
+    /// Says what this upstream can do; spread only where it changed.
     void announce()
     {
         const auto load = m_load.latest();
-        if (!load.m_is_reachable && !m_is_stopping) {
-            return;  // the lease ends and the entries look elsewhere
+        auto self = entry::self_of(m_settings, membership::role::agent, *m_node, m_incarnation);
+        self.m_http_address = to_string(m_server->address());
+        self.m_leaving = m_is_stopping;
+        self.m_upstream = upstream_id(setting_value<std::string>(m_settings, "/upstream/name"));
+        self.m_labels = m_labels;
+        for (const auto& model : load.m_models) {
+            self.m_models.emplace_back(model);
         }
-        for (const auto& address : platform::link_addresses(m_settings, "/entries")) {
-            wire::Envelope message;
-            *message.mutable_announcement() = announcement(load);
-            m_node->send(address, std::move(message));
+        // Without slots nothing is sent here, while the upstream can't be reached.
+        self.m_slots = load.m_is_reachable ? slots() : 0;
+        self.m_upstream_life = m_upstream_life;
+        if (self.m_slots > 0 && m_announced_at == no_deadline) {
+            m_announced_at = platform::now();
         }
+        m_membership->announce(self, platform::now());
     }
 
-    wire::Announcement announcement(const engine::load& load)
+    void report(time_point now)
     {
-        wire::Announcement result;
-        result.set_host(setting_value<std::string>(m_settings, "/host"));
-        result.set_failure_domain(setting_value<std::string>(m_settings, "/failure_domain"));
-        result.set_role(wire::Announcement::ROLE_AGENT);
-        result.set_address(m_node->address());
-        result.set_http_address(to_string(m_server->address()));
-        result.set_incarnation(m_incarnation.load().value());
-        result.set_sequence(++m_sequence);
-        result.set_lease_ms(static_cast<std::uint64_t>(announce_lease.count()));
-        result.set_leaving(is_leaving());
-        result.set_upstream(setting_value<std::string>(m_settings, "/upstream/name"));
-        link::to_wire(m_labels, *result.mutable_labels());
-        for (const auto& model : load.m_models) {
-            result.add_models(model);
+        const auto load = m_load.latest();
+        if (now < m_next_report || !load.m_is_reachable) {
+            return;
         }
-        result.set_slots(slots());
-        link::to_wire(m_configuration.current()->m_version, *result.mutable_configuration());
-        auto& report = *result.mutable_report();
-        report.set_running(load.m_running);
-        report.set_waiting(load.m_waiting);
-        report.set_free_kv_tokens(load.m_free_kv_tokens);
-        report.set_total_kv_tokens(load.m_total_kv_tokens);
-        report.set_step_us(static_cast<std::uint64_t>(load.m_step_time.count()));
-        report.set_skew(load.m_skew);
-        const auto age = platform::now() - load.m_measured_at;
-        report.set_measured_ms(static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
-        return result;
+        m_next_report = now + report_interval;
+        membership::member_load figures;
+        figures.m_running = load.m_running;
+        figures.m_waiting = load.m_waiting;
+        figures.m_free_kv = {static_cast<std::int64_t>(load.m_free_kv_tokens)};
+        figures.m_total_kv = {static_cast<std::int64_t>(load.m_total_kv_tokens)};
+        figures.m_step_time = load.m_step_time;
+        figures.m_skew = load.m_skew;
+        figures.m_measured_at = load.m_measured_at;
+        m_membership->report(figures, now);
     }
 
     platform::program& m_frame;
     json m_settings;
-    std::atomic<incarnation> m_incarnation;
+    incarnation m_incarnation;
+    incarnation m_upstream_life = m_incarnation;
     std::uint64_t m_engine_life = 0;  ///< used on the frame's thread alone
     configuration::label_set m_labels;
     http::client m_upstream;
@@ -325,11 +326,12 @@
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
     std::atomic<bool> m_is_started = false;  ///< the node and the server are there
+    std::unique_ptr<entry::membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
     std::atomic<bool> m_is_stopping = false;
-    std::atomic<std::uint64_t> m_sequence = 0;
-    std::atomic<time_point> m_next_announcement = time_point{};
+    time_point m_next_report{};
+    time_point m_announced_at = no_deadline;  ///< with room; used on the frame's thread alone
 };
 
 agent_server::agent_server(platform::program& frame, const json& settings)
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -10,6 +10,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 #include "dewbeam/src/control/replica_runner.h"
+#include "dewbeam/src/entry/status_page.h"
 #include "dewbeam/src/platform/listeners.h"
 
 namespace dewbeam::control {
@@ -155,6 +156,8 @@
         {"/controls", setting_kind::addresses, json::array(),
          "Link addresses of all control hosts, in the order of their replica numbers."},
         {"/replica", setting_kind::integer, 1, "This host's place in the list, from 1.", 1, 7},
+        {"/entries", setting_kind::addresses, json::array(),
+         "Link addresses of a few entry hosts, some in each failure domain."},
         {"/data_folder", setting_kind::text, nullptr, "Folder for the durable state."},
     };
     schema.insert(schema.end(), own.begin(), own.end());
@@ -179,6 +182,10 @@
             return node.status();
         }
         m_node = *std::move(node);
+        m_membership = entry::join(
+            m_settings,
+            entry::self_of(m_settings, membership::role::control, *m_node, m_incarnation), *m_node,
+            {});
         auto runner = replica_runner::start(runner_settings(), runner_hooks_of());
         if (!runner.ok()) {
             return runner.status();
@@ -193,6 +200,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        announce_self();
         m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
@@ -202,8 +210,11 @@
     {
         platform::program_hooks result;
         result.m_is_ready = [this] { return m_runner->status().m_is_caught_up; };
-        result.m_in_flight = [this] { return m_in_flight.load(); };
-        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_in_flight = [this] { return m_server->unanswered(); };
+        result.m_announce_leave = [this] {
+            m_membership->leave(platform::now());
+            m_server->wind_down();
+        };
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
         result.m_tick = [this](time_point now) { tick(now); };
         return result;
@@ -214,6 +225,7 @@
         if (m_runner) {
             m_runner->stop();
         }
+        m_node.reset();  // ends the thread that calls the runner
     }
 
     implementation(const implementation&) = delete;
@@ -247,6 +259,13 @@
         return hooks;
     }
 
+    void announce_self()
+    {
+        auto self = entry::self_of(m_settings, membership::role::control, *m_node, m_incarnation);
+        self.m_http_address = to_string(m_server->address());
+        m_membership->announce(self, platform::now());
+    }
+
     // Operators.
 
     void handle(const http::request& request, const std::shared_ptr<http::exchange>& answer)
@@ -279,7 +298,6 @@
     /// Gives what is in force now; where no majority answers, what this host knows, and says so.
     void give_configuration(const std::shared_ptr<http::exchange>& answer)
     {
-        ++m_in_flight;
         m_runner->read_index([this, answer](bool is_confirmed) {
             const auto current = m_runner->configuration();
             answer->respond(http::json_response(200, json{{"number", current.m_number},
@@ -289,7 +307,6 @@
                                                           {"confirmed", is_confirmed},
                                                           {"document", current.m_source}}
                                                          .dump()));
-            --m_in_flight;
         });
     }
 
@@ -301,7 +318,6 @@
                 caller::bad_request("invalid_change", std::string(wanted.status().message())), ""));
             return;
         }
-        ++m_in_flight;
         const auto id = wanted->m_id;
         m_runner->propose_change(*std::move(wanted), [this, id,
                                                       answer](const change_answer& ended) {
@@ -311,7 +327,6 @@
                        {"status", result == nullptr ? "no_quorum" : to_text(result->m_status)},
                        {"number", result == nullptr ? 0 : result->m_number}});
             answer->respond(result == nullptr ? no_quorum_response() : change_response(*result));
-            --m_in_flight;
         });
     }
 
@@ -319,34 +334,31 @@
     {
         const auto status = m_runner->status();
         const auto current = m_runner->configuration();
-        json replicas = json::array();
+        entry::status_facts facts;
+        facts.m_host = setting_value<std::string>(m_settings, "/host");
+        facts.m_role = membership::role::control;
+        facts.m_failure_domain = setting_value<std::string>(m_settings, "/failure_domain");
+        facts.m_phase = m_frame.phase();
+        facts.m_incarnation = m_incarnation;
+        facts.m_number = current.m_number;
+        facts.m_version = current.m_version;
+        auto page = entry::status_page(facts, *m_membership, platform::now());
+        page["cut_off"] = !status.m_has_quorum;
+        page["quorum"] = status.m_has_quorum;
+        page["leader"] = status.m_leader;
+        page["replica"] = status.m_replica;
+        page["term"] = status.m_term;
+        page["voter"] = status.m_is_voter;
+        page["caught_up"] = status.m_is_caught_up;
+        page["disk_full"] = status.m_is_disk_full;
+        page["failed"] = status.m_has_failed;
+        page["claims"] = status.m_claims;
+        page["replicas"] = json::array();
         for (const auto& member : status.m_members) {
-            replicas.push_back(
+            page["replicas"].push_back(
                 {{"replica", member.m_identity.m_id.value()}, {"votes", member.m_votes}});
         }
-        return http::json_response(
-            200, json{{"host", setting_value<std::string>(m_settings, "/host")},
-                      {"role", "control"},
-                      {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
-                      {"phase", to_string(m_frame.phase())},
-                      {"incarnation", m_incarnation.value()},
-                      {"configuration",
-                       {{"number", current.m_number},
-                        {"term", current.m_version.m_term},
-                        {"index", current.m_version.m_index}}},
-                      {"cut_off", !status.m_has_quorum},
-                      {"quorum", status.m_has_quorum},
-                      {"leader", status.m_leader},
-                      {"replica", status.m_replica},
-                      {"term", status.m_term},
-                      {"voter", status.m_is_voter},
-                      {"caught_up", status.m_is_caught_up},
-                      {"disk_full", status.m_is_disk_full},
-                      {"failed", status.m_has_failed},
-                      {"claims", status.m_claims},
-                      {"replicas", replicas},
-                      {"members", json::array()}}
-                     .dump());
+        return http::json_response(200, page.dump());
     }
 
     // Messages.
@@ -356,6 +368,9 @@
         if (!m_is_started) {
             return;  // whoever sent this sends it again
         }
+        if (m_membership->take(message, platform::now())) {
+            return;
+        }
         if (message.has_consensus()) {
             m_runner->receive(message.consensus());
         }
@@ -445,6 +460,10 @@
 
     void tick(time_point now)
     {
+        m_membership->tick(now);
+        if (m_runner->status().m_has_quorum) {
+            m_membership->note_quorum(now);
+        }
         const std::lock_guard lock(m_mutex);
         std::erase_if(m_subscribers, [now](const auto& item) { return item.second <= now; });
     }
@@ -455,7 +474,7 @@
     std::atomic<bool> m_is_started = false;  ///< all members below are there
     std::mutex m_mutex;
     std::map<link::peer, time_point> m_subscribers;  ///< lease deadline of each
-    std::atomic<std::size_t> m_in_flight = 0;        ///< operators' requests
+    std::unique_ptr<entry::membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<replica_runner> m_runner;
     std::unique_ptr<http::server> m_server;
--- a/dewbeam/src/control/subscriber.cpp
+++ b/dewbeam/src/control/subscriber.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds ask_interval{500};
+constexpr std::chrono::milliseconds control_silence{2000};
 
 active_pointer parse(const wire::Configuration& message)
 {
@@ -50,12 +51,19 @@
     return m_has_heard;
 }
 
-bool subscriber::adopt(const wire::Configuration& message)
+bool subscriber::knows_any() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current->m_version != configuration_version{};
+}
+
+bool subscriber::adopt(const wire::Configuration& message, bool is_from_control)
 {
     const auto version = link::from_wire(message.version());
     {
         const std::lock_guard lock(m_mutex);
-        m_has_heard = true;
+        m_has_heard = m_has_heard || is_from_control;
+        m_heard_control_since_ask = m_heard_control_since_ask || is_from_control;
         if (version <= m_current->m_version) {
             return false;
         }
@@ -87,9 +95,9 @@
     return result;
 }
 
-void subscriber::tick(link::node& node, time_point now)
+void subscriber::tick(link::node& node, const std::vector<std::string>& peers, time_point now)
 {
-    std::string target;
+    std::vector<std::string> targets;
     wire::Envelope message;
     {
         const std::lock_guard lock(m_mutex);
@@ -97,10 +105,20 @@
             return;
         }
         m_next_ask = now + ask_interval;
-        target = m_controls[m_in_use];
+        if (m_heard_control_since_ask) {
+            m_control_deadline = now + control_silence;
+        }
+        m_heard_control_since_ask = false;
+        if (m_control_deadline <= now) {
+            targets = peers;
+            m_in_use = (m_in_use + 1) % m_controls.size();
+        }
+        targets.push_back(m_controls[m_in_use]);
         link::to_wire(m_current->m_version, *message.mutable_subscribe()->mutable_known());
     }
-    node.send(target, std::move(message));
+    for (const auto& target : targets) {
+        node.send(target, message);
+    }
 }
 
 void subscriber::peer_lost(const std::string& address)
--- a/dewbeam/src/control/subscriber.h
+++ b/dewbeam/src/control/subscriber.h
@@ -37,14 +37,19 @@
     /// Whether a control host answered since the start.
     [[nodiscard]] bool has_heard() const;
 
+    /// Whether a process of any kind gave a configuration since the start.
+    [[nodiscard]] bool knows_any() const;
+
     /// Takes a configuration from any process; true where it is newer and now in force.
-    bool adopt(const wire::Configuration& message);
+    /// `is_from_control` says that a control host sent it.
+    bool adopt(const wire::Configuration& message, bool is_from_control);
 
     /// The configuration as a message, for a process that knows an older one.
     [[nodiscard]] wire::Configuration message() const;
 
-    /// Asks a control host for news when it is time.
-    void tick(link::node& node, time_point now);
+    /// Asks a control host for news when it is time; where none answers, the `peers` as well, so
+    /// that a cut-off domain keeps the newest configuration that one of its hosts has.
+    void tick(link::node& node, const std::vector<std::string>& peers, time_point now);
 
     /// Takes the next control host where the one in use was lost.
     void peer_lost(const std::string& address);
@@ -55,8 +60,10 @@
     mutable std::mutex m_mutex;
     active_pointer m_current;
     bool m_has_heard = false;
+    bool m_heard_control_since_ask = false;
     std::size_t m_in_use = 0;
     time_point m_next_ask{};
+    time_point m_control_deadline{};  ///< after that control counts as silent
 };
 
 }  // namespace dewbeam::control
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -22,6 +23,7 @@
 #include "dewbeam/src/entry/pool_table.h"
 #include "dewbeam/src/entry/refusals.h"
 #include "dewbeam/src/entry/request_table.h"
+#include "dewbeam/src/entry/status_page.h"
 #include "dewbeam/src/entry/suspicion_wire.h"
 
 namespace dewbeam::entry {
@@ -31,6 +33,14 @@
 using json = nlohmann::json;
 
 constexpr std::chrono::milliseconds scan_interval{50};
+/// How long a start waits for control before it takes the word of the domain's other hosts.
+constexpr std::chrono::seconds learning_limit{4};
+/// From the first member that is heard of until the others are known too.
+constexpr std::chrono::milliseconds settling_time{700};
+constexpr std::chrono::milliseconds peers_interval{500};
+constexpr std::chrono::seconds report_interest_interval{5};
+/// Agents of each model whose load reports one entry asks for.
+constexpr std::size_t report_subset = 64;
 
 dispatch::attempt_end to_end(chunk_effect effect)
 {
@@ -164,6 +174,9 @@
             return node.status();
         }
         m_node = *std::move(node);
+        m_membership =
+            join(m_settings, self_of(m_settings, membership::role::entry, *m_node, m_incarnation),
+                 *m_node, membership_hooks_of());
         auto server = platform::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
@@ -173,6 +186,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        announce_self();
         m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
@@ -181,9 +195,14 @@
     platform::program_hooks hooks()
     {
         platform::program_hooks result;
-        result.m_is_ready = [this] { return m_configuration.has_heard(); };
-        result.m_in_flight = [this] { return m_requests.size() + m_claims.unrecorded(); };
-        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_is_ready = [this] { return is_ready(platform::now()); };
+        result.m_in_flight = [this] {
+            return m_requests.size() + m_claims.unrecorded() + m_server->unanswered();
+        };
+        result.m_announce_leave = [this] {
+            m_membership->leave(platform::now());
+            m_server->wind_down();
+        };
         result.m_stop_accepting = [this] {
             m_server->stop_accepting();
             m_burn.save();
@@ -193,6 +212,37 @@
     }
 
 private:
+    /// Ready once the newest configuration that can be learned is here, and the members with it.
+    /// Control decides; where it stays silent, the hosts of the domain do.
+    bool is_ready(time_point now) const
+    {
+        const bool is_patient = now < m_started_at + learning_limit;
+        const bool knows_configuration =
+            m_configuration.has_heard() || (!is_patient && m_configuration.knows_any());
+        const bool knows_members = now >= m_members_heard_at.load() + settling_time || !is_patient;
+        return knows_configuration && knows_members;
+    }
+
+    membership_hooks membership_hooks_of()
+    {
+        membership_hooks hooks;
+        hooks.m_on_change = [this](const membership::member& member) { on_member(member); };
+        hooks.m_on_report = [this](const host_id& host, incarnation,
+                                   const membership::member_load& load) {
+            if (const auto changed = m_members.take_load(host, load)) {
+                update_pools(*changed, platform::now());
+            }
+        };
+        return hooks;
+    }
+
+    void announce_self()
+    {
+        auto self = self_of(m_settings, membership::role::entry, *m_node, m_incarnation);
+        self.m_http_address = to_string(m_server->address());
+        m_membership->announce(self, platform::now());
+    }
+
     dispatch::broker_options broker_options() const
     {
         dispatch::broker_options options;
@@ -622,6 +672,9 @@
             return;  // whoever sent this sends it again
         }
         const auto now = platform::now();
+        if (m_membership->take(message, now)) {
+            return;
+        }
         if (message.has_reply_chunk()) {
             on_chunk(message.reply_chunk(), now);
         }
@@ -634,11 +687,8 @@
         else if (message.has_tombstone_reply()) {
             on_tombstone_reply(message.tombstone_reply(), now);
         }
-        else if (message.has_announcement()) {
-            on_announcement(message.announcement(), now);
-        }
         else if (message.has_configuration_update()) {
-            m_configuration.adopt(message.configuration_update());
+            m_configuration.adopt(message.configuration_update(), is_from_control(from));
         }
         else if (message.has_claim_reply()) {
             m_claims.take(*m_node, message.claim_reply(), now);
@@ -650,6 +700,20 @@
             on_suspicion(message.suspicion(), now);
         }
         else if (message.has_subscribe()) {
+            tell_configuration(from);
+        }
+    }
+
+    [[nodiscard]] bool is_from_control(const link::peer& from) const
+    {
+        const auto controls = platform::link_addresses(m_settings, "/controls");
+        return std::find(controls.begin(), controls.end(), from.m_address) != controls.end();
+    }
+
+    /// Another host of a cut-off domain asks for the newest configuration.
+    void tell_configuration(const link::peer& from)
+    {
+        if (m_configuration.knows_any()) {
             wire::Envelope answer;
             *answer.mutable_configuration_update() = m_configuration.message();
             m_node->reply(from, std::move(answer));
@@ -709,9 +773,20 @@
             return;
         }
         const auto now = platform::now();
+        for (const auto& member : m_members.set_unreachable(gone.m_address)) {
+            // A report shows when the agent can be reached again.
+            m_next_interest = time_point{};
+            update_pools(member, now);
+        }
+        end_attempts_at(gone.m_address, now);
+    }
+
+    /// The process at an address is gone, or can't be heard: its attempts end here.
+    void end_attempts_at(const std::string& address, time_point now)
+    {
         for (const auto& request : m_requests.all()) {
             const auto attempt = request->attempt();
-            if (attempt.m_agent_address == gone.m_address) {
+            if (attempt.m_agent_address == address) {
                 end_attempt(request, attempt.m_id, dispatch::attempt_end::upstream_died, now);
             }
         }
@@ -719,12 +794,42 @@
 
     // Members.
 
-    void on_announcement(const wire::Announcement& message, time_point now)
+    void on_member(const membership::member& member)
+    {
+        const auto now = platform::now();
+        if (m_members_heard_at.load() == no_heard) {
+            m_members_heard_at = now;
+        }
+        if (member.m_role != membership::role::agent) {
+            return;
+        }
+        if (!member.m_dead) {
+            if (m_members.is_new_process(member)) {
+                // Its load is wanted at once, and nothing more comes from the process before it.
+                m_next_interest = time_point{};
+                m_node->close(member.m_address);
+                end_attempts_at(member.m_address, now);
+            }
+            update_pools(m_members.take(member), now);
+        }
+        else if (m_members.remove(member)) {
+            log_event(log_level::info, "upstream_gone", {{"upstream", member.m_upstream.value()}});
+            remove_from_pools(member, now);
+        }
+    }
+
+    /// Link addresses of the other entries that are there.
+    std::vector<std::string> other_entries() const
     {
-        const auto changed = m_members.take(message, now);
-        if (changed) {
-            update_pools(*changed, now);
+        std::vector<std::string> result;
+        for (const auto& member : m_membership->members()) {
+            const bool is_other =
+                member.m_role == membership::role::entry && member.m_address != m_node->address();
+            if (is_other && !member.m_dead) {
+                result.push_back(member.m_address);
+            }
         }
+        return result;
     }
 
     void update_pools(const membership::member& member, time_point now)
@@ -765,10 +870,8 @@
                       {{"pool", item.m_pool},
                        {"content", item.m_record.m_content.value()},
                        {"deaths", item.m_record.m_deaths.size()}});
-            for (const auto& address : platform::link_addresses(m_settings, "/entries")) {
-                if (address != m_node->address()) {
-                    m_node->send(address, message);
-                }
+            for (const auto& address : other_entries()) {
+                m_node->send(address, message);
             }
         }
     }
@@ -783,7 +886,8 @@
 
     void tick(time_point now)
     {
-        m_configuration.tick(*m_node, now);
+        m_membership->tick(now);
+        m_configuration.tick(*m_node, m_peers, now);
         m_claims.tick(*m_node, now);
         perform(m_pools.tick(now), now);
         if (now < m_next_scan) {
@@ -792,9 +896,13 @@
         m_next_scan = now + scan_interval;
         m_burn.tick(platform::wall_now());
         spread_suspicions(now);
-        for (const auto& member : m_members.remove_expired(now)) {
-            log_event(log_level::info, "lease_ended", {{"upstream", member.m_upstream.value()}});
-            remove_from_pools(member, now);
+        if (now >= m_next_peers) {
+            m_next_peers = now + peers_interval;
+            m_peers = other_entries();
+        }
+        if (now >= m_next_interest.load()) {
+            m_next_interest = now + report_interest_interval;
+            m_membership->want_reports(report_subset);
         }
         for (const auto& request : m_requests.all()) {
             watch(request, now);
@@ -841,23 +949,16 @@
     std::string status_text()
     {
         const auto active = m_configuration.current();
-        json members = json::array();
-        for (const auto& member : m_members.all()) {
-            members.push_back(to_json(member));
-        }
-        return json{{"host", setting_value<std::string>(m_settings, "/host")},
-                    {"role", "entry"},
-                    {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
-                    {"phase", to_string(m_frame.phase())},
-                    {"incarnation", m_incarnation.value()},
-                    {"configuration",
-                     {{"number", active->m_number},
-                      {"term", active->m_version.m_term},
-                      {"index", active->m_version.m_index}}},
-                    {"cut_off", !m_configuration.has_heard()},
-                    {"in_flight", m_requests.size()},
-                    {"members", members}}
-            .dump();
+        status_facts facts;
+        facts.m_host = setting_value<std::string>(m_settings, "/host");
+        facts.m_failure_domain = setting_value<std::string>(m_settings, "/failure_domain");
+        facts.m_phase = m_frame.phase();
+        facts.m_incarnation = m_incarnation;
+        facts.m_number = active->m_number;
+        facts.m_version = active->m_version;
+        auto page = status_page(facts, *m_membership, platform::now());
+        page["in_flight"] = m_requests.size();
+        return page.dump();
     }
 
     /// `{"pool": "model:NAME", "content": N}`: the content may run again, on every entry.
@@ -907,7 +1008,16 @@
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
+    std::atomic<time_point> m_next_interest = time_point{};
+    time_point m_next_peers{};
+    std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
+    time_point m_started_at = platform::now();
+    /// `no_heard` until the first member is heard of; ready at once is right for a lone entry only
+    /// after the learning limit.
+    static constexpr time_point no_heard = no_deadline - settling_time;
+    std::atomic<time_point> m_members_heard_at = no_heard;
     std::atomic<bool> m_is_started = false;  ///< the node and the server are there
+    std::unique_ptr<membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
 };
--- a/dewbeam/src/entry/member_table.cpp
+++ b/dewbeam/src/entry/member_table.cpp
@@ -1,68 +1,77 @@
 #include "dewbeam/src/entry/member_table.h"
 
-#include <utility>
+namespace dewbeam::entry {
 
-#include "dewbeam/src/entry/member_wire.h"
+membership::member member_table::as_seen(const entry& item)
+{
+    auto result = item.m_member;
+    result.m_leaving = result.m_leaving || result.m_suspect || item.m_is_unreachable;
+    // Membership keeps the lease; what it holds dead is removed.
+    result.m_lease_deadline = no_deadline;
+    return result;
+}
 
-namespace dewbeam::entry {
+bool member_table::is_new_process(const membership::member& fresh) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_members.find(fresh.m_host);
+    return place != m_members.end() && place->second.m_member.m_incarnation < fresh.m_incarnation;
+}
 
-nlohmann::json to_json(const membership::member& member)
+membership::member member_table::take(const membership::member& fresh)
 {
-    nlohmann::json labels = nlohmann::json::object();
-    for (const auto& label : member.m_labels) {
-        labels[label.m_key] = label.m_value;
+    const std::lock_guard lock(m_mutex);
+    auto& item = m_members[fresh.m_host];
+    const bool is_new_process = item.m_member.m_incarnation != fresh.m_incarnation;
+    const auto load = item.m_member.m_load;
+    item.m_member = fresh;
+    if (is_new_process) {
+        item.m_is_unreachable = false;
     }
-    nlohmann::json models = nlohmann::json::array();
-    for (const auto& model : member.m_models) {
-        models.push_back(model.value());
+    else {
+        item.m_member.m_load = load;
     }
-    return {{"host", member.m_host.value()},
-            {"role", membership::to_string(member.m_role)},
-            {"failure_domain", member.m_failure_domain.value()},
-            {"address", member.m_address},
-            {"http_address", member.m_http_address},
-            {"upstream", member.m_upstream.value()},
-            {"labels", labels},
-            {"models", models},
-            {"slots", member.m_slots},
-            {"incarnation", member.m_incarnation.value()},
-            {"leaving", member.m_leaving},
-            {"suspect", member.m_suspect},
-            {"dead", member.m_dead},
-            {"configuration",
-             {{"term", member.m_configuration.m_term}, {"index", member.m_configuration.m_index}}}};
+    m_addresses[fresh.m_upstream] = fresh.m_address;
+    return as_seen(item);
 }
 
-std::optional<membership::member> member_table::take(const wire::Announcement& message,
-                                                     time_point now)
+bool member_table::remove(const membership::member& dead)
 {
-    auto fresh = from_wire(message, now);
     const std::lock_guard lock(m_mutex);
-    const auto place = m_members.find(fresh.m_host);
-    if (place != m_members.end() && !membership::is_newer(fresh, place->second)) {
-        return std::nullopt;
+    const auto place = m_members.find(dead.m_host);
+    const bool is_known =
+        place != m_members.end() && place->second.m_member.m_incarnation <= dead.m_incarnation;
+    if (is_known) {
+        m_addresses.erase(place->second.m_member.m_upstream);
+        m_members.erase(place);
     }
-    if (fresh.m_role == membership::role::agent) {
-        m_addresses[fresh.m_upstream] = fresh.m_address;
+    return is_known;
+}
+
+std::optional<membership::member> member_table::take_load(const host_id& host,
+                                                          const membership::member_load& load)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_members.find(host);
+    if (place == m_members.end()) {
+        return std::nullopt;
     }
-    m_members[fresh.m_host] = fresh;
-    return fresh;
+    place->second.m_member.m_load = load;
+    place->second.m_is_unreachable = false;
+    return as_seen(place->second);
 }
 
-std::vector<membership::member> member_table::remove_expired(time_point now)
+std::vector<membership::member> member_table::set_unreachable(const std::string& address)
 {
-    std::vector<membership::member> gone;
+    std::vector<membership::member> result;
     const std::lock_guard lock(m_mutex);
-    for (auto place = m_members.begin(); place != m_members.end();) {
-        if (place->second.m_lease_deadline > now) {
-            ++place;
-            continue;
+    for (auto& [host, item] : m_members) {
+        if (item.m_member.m_address == address) {
+            item.m_is_unreachable = true;
+            result.push_back(as_seen(item));
         }
-        m_addresses.erase(place->second.m_upstream);
-        gone.push_back(std::move(place->second));
-        place = m_members.erase(place);
     }
-    return gone;
+    return result;
 }
 
 std::string member_table::address_of(const upstream_id& upstream) const
@@ -76,8 +85,8 @@
 {
     const std::lock_guard lock(m_mutex);
     std::vector<membership::member> result;
-    for (const auto& [host, member] : m_members) {
-        result.push_back(member);
+    for (const auto& [host, item] : m_members) {
+        result.push_back(as_seen(item));
     }
     return result;
 }
--- a/dewbeam/src/entry/member_table.h
+++ b/dewbeam/src/entry/member_table.h
@@ -1,30 +1,36 @@
 /// \file
-/// The members that an entry has heard of, with their leases.
+/// The agents that an entry may dispatch to, with their newest load.
 #pragma once
 
 #include <map>
 #include <mutex>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "dewbeam.pb.h"
 #include "dewbeam/membership"
 
 namespace dewbeam::entry {
 
-/// A member as status pages show it.
-nlohmann::json to_json(const membership::member& member);
-
-/// All members. Thread-safe.
+/// All agents that are not held dead. Thread-safe.
 class member_table {
 public:
-    /// Takes an announcement; gives the member where it is not older than what is known.
-    std::optional<membership::member> take(const wire::Announcement& message, time_point now);
+    /// Whether `fresh` is a later process of a host that is known.
+    [[nodiscard]] bool is_new_process(const membership::member& fresh) const;
+
+    /// Takes what membership learned of an agent; gives it as the pools should see it.
+    membership::member take(const membership::member& fresh);
+
+    /// Forgets an agent that is held dead; false where a later incarnation is known.
+    bool remove(const membership::member& dead);
 
-    /// Removes those whose lease ended, and gives them.
-    std::vector<membership::member> remove_expired(time_point now);
+    /// Takes a load report, which shows that the agent can be reached from here.
+    std::optional<membership::member> take_load(const host_id& host,
+                                                const membership::member_load& load);
+
+    /// The link to an agent went silent: nothing goes there until it is heard of again. Gives
+    /// those that listen at `address`.
+    std::vector<membership::member> set_unreachable(const std::string& address);
 
     /// The link address of an upstream's agent; empty where it is not known.
     [[nodiscard]] std::string address_of(const upstream_id& upstream) const;
@@ -33,8 +39,15 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
+    struct entry {
+        membership::member m_member;
+        bool m_is_unreachable = false;
+    };
+
+    static membership::member as_seen(const entry& item);
+
     mutable std::mutex m_mutex;
-    std::map<host_id, membership::member> m_members;
+    std::map<host_id, entry> m_members;
     std::map<upstream_id, std::string> m_addresses;
 };
 
--- a/dewbeam/src/entry/member_wire.cpp
+++ b/dewbeam/src/entry/member_wire.cpp
@@ -73,6 +73,7 @@
         out.add_models(model.value());
     }
     out.set_slots(item.m_slots);
+    out.set_upstream_life(item.m_upstream_life.value());
     if (item.m_configuration.m_index != 0) {
         link::to_wire(item.m_configuration, *out.mutable_configuration());
     }
@@ -99,6 +100,7 @@
         item.m_models.emplace_back(model);
     }
     item.m_slots = source.slots();
+    item.m_upstream_life = incarnation(source.upstream_life());
     item.m_configuration = link::from_wire(source.configuration());
     if (source.has_report()) {
         item.m_load = from_wire(source.report(), now);
--- a/dewbeam/src/entry/membership_runner.cpp
+++ b/dewbeam/src/entry/membership_runner.cpp
@@ -16,7 +16,7 @@
 {
     return a.m_http_address == b.m_http_address && a.m_leaving == b.m_leaving &&
            a.m_upstream == b.m_upstream && a.m_labels == b.m_labels && a.m_models == b.m_models &&
-           a.m_slots == b.m_slots;
+           a.m_slots == b.m_slots && a.m_upstream_life == b.m_upstream_life;
 }
 
 }  // namespace
@@ -85,6 +85,7 @@
     renewed.m_labels = self.m_labels;
     renewed.m_models = self.m_models;
     renewed.m_slots = self.m_slots;
+    renewed.m_upstream_life = self.m_upstream_life;
     membership::announce_self(m_view, renewed, now);
     m_tick_at = now;
 }
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -36,7 +36,7 @@
     info.m_name = member.m_upstream;
     info.m_failure_domain = member.m_failure_domain;
     info.m_labels = labels;
-    info.m_incarnation = member.m_incarnation;
+    info.m_incarnation = member.m_upstream_life;
     info.m_slots = member.m_slots;
     info.m_leaving = member.m_leaving || (drain != nullptr && *drain == "true");
     info.m_lease_deadline = member.m_lease_deadline;
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -298,6 +298,7 @@
     tcp::acceptor m_acceptor;
     std::optional<asio::ssl::context> m_tls;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_unanswered = 0;
     std::atomic<bool> m_is_stopping = false;
     std::atomic<bool> m_is_winding_down = false;
     std::mutex m_mutex;
@@ -532,9 +533,11 @@
         auto answer = std::make_shared<queued_exchange>(executor, limits.m_most_unsent_bytes);
         lowest(stream).expires_never();
         asio::co_spawn(executor, watch_caller(lowest(stream).socket(), answer), asio::detached);
+        ++state->m_unanswered;
         state->m_handler(to_request(parser.release()), answer);
         answer_writer<Stream> writer(stream, limits.m_write_limit, keep_alive, is_head);
         keep_alive = co_await writer.run(*answer);
+        --state->m_unanswered;
         lowest(stream).socket().cancel(error);  // ends the watch
     }
 }
@@ -698,6 +701,11 @@
     });
 }
 
+std::size_t server::unanswered() const
+{
+    return m_shared->m_unanswered;
+}
+
 std::size_t server::connections() const
 {
     return m_shared->m_connections;
--- a/dewbeam/src/http/server.h
+++ b/dewbeam/src/http/server.h
@@ -94,6 +94,9 @@
     /// Closes the listener, idle connections, and each other one after its current answer.
     void stop_accepting();
 
+    /// Requests whose answer is not wholly written yet.
+    [[nodiscard]] std::size_t unanswered() const;
+
     /// Connections that are open.
     [[nodiscard]] std::size_t connections() const;
 
--- a/dewbeam/src/membership/member.h
+++ b/dewbeam/src/membership/member.h
@@ -46,6 +46,7 @@
     configuration::label_set m_labels;  ///< of an agent
     std::vector<model_id> m_models;     ///< of an agent; empty before a plain service
     std::uint32_t m_slots = 0;          ///< of an agent
+    incarnation m_upstream_life;        ///< of an agent: named by each dispatch to it
     member_load m_load;                 ///< of an agent
     configuration_version m_configuration;
 };
--- a/dewbeam/src/platform/program.cpp
+++ b/dewbeam/src/platform/program.cpp
@@ -160,11 +160,17 @@
 }
 
 program::~program()
+{
+    stop_threads();
+}
+
+void program::stop_threads()
 {
     m_context.stop();
     for (auto& thread : m_threads) {
         thread.join();
     }
+    m_threads.clear();
 }
 
 void program::start_threads()
@@ -229,10 +235,12 @@
                 hooks.m_stop_accepting();
                 break;
             case lifecycle::command::exit_clean:
+                stop_threads();
                 log_event(log_level::info, "process_stopped");
                 return 0;
             case lifecycle::command::exit_cut:
                 log_event(log_level::error, "process_cut", {{"in_flight", hooks.m_in_flight()}});
+                stop_threads();
                 return exit_cut;
         }
     }
--- a/dewbeam/src/platform/program.h
+++ b/dewbeam/src/platform/program.h
@@ -80,6 +80,9 @@
 private:
     void start_threads();
 
+    /// Nothing runs on the context any more, so that what its handlers use may be destroyed.
+    void stop_threads();
+
     nlohmann::json m_settings;
     boost::asio::io_context m_context;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
--- a/test/control_session.py
+++ b/test/control_session.py
@@ -35,6 +35,7 @@
         for entry in ("e1", "e2", "e3"):
             self.site.wait_for_upstreams(entry, 1)
         self.change(STANDARD_CONFIGURATION, "first")
+        self.site.wait_for_number(1)
 
     def change(self, patch, change_id, control="c1"):
         """Sends a change until it is answered; the id makes a resend harmless."""
--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -127,6 +127,7 @@
         if self.tls:
             settings["http"].update(self.tls)
         settings["controls"] = self.control_links
+        settings["entries"] = self.entry_links
         settings["replica"] = index + 1
         settings["data_folder"] = os.path.join(self.work, "data-c%d" % (index + 1))
         return self.add(settings["host"], "dewbeam-control", settings)
