Run the map protocol over links and HTTP orders

Cause: the protocol had no way to an engine or another agent. Change: group_runner (messages over link::node, orders by POST /orders on a client of its own), order JSON, and a stand-in of one rank's engine that the model test, the bench and the runner's test share.

--- a/bench/group_map_bench.cpp
+++ b/bench/group_map_bench.cpp
@@ -5,6 +5,7 @@
 #include <queue>
 #include <variant>
 
+#include "dewbeam/fake_engine"
 #include "dewbeam/group_map"
 #include "dewbeam/ledger"
 #include "dewbeam/src/agent/group_wire.h"
@@ -48,7 +49,7 @@
     time_point m_next_step{};
     group_map::coordinator m_coordinator;
     std::vector<group_map::participant> m_participants;
-    std::vector<group_map::engine_state> m_engines;
+    std::vector<fake_engine::rank_engine> m_engines;
     std::priority_queue<due_event> m_due;
 
     explicit group_run(std::uint32_t ranks) : m_engines(ranks)
@@ -60,6 +61,7 @@
             group_map::participant_options own;
             own.m_rank = rank_id(rank);
             m_participants.push_back(group_map::start_participant(own, m_now));
+            m_engines[rank].m_stage_time = time_span::zero();
             carry_out(rank, group_map::tick(m_participants.back(), m_now));
         }
         carry_out(group_map::activate(m_coordinator, 0, m_now));
@@ -87,7 +89,7 @@
     void carry_out(std::uint32_t rank, const group_map::participant_effects& effects)
     {
         if (effects.m_order) {
-            push(rank, order_delay, obey(m_engines[rank], *effects.m_order));
+            push(rank, order_delay, fake_engine::obey(m_engines[rank], *effects.m_order, m_now));
         }
         if (effects.m_report) {
             ++m_messages;
@@ -96,26 +98,6 @@
         }
     }
 
-    static group_map::engine_answer obey(group_map::engine_state& engine,
-                                         const group_map::engine_order& order)
-    {
-        bool accepted = true;
-        if (order.m_kind == group_map::order_kind::stage) {
-            engine.m_staged = order.m_target.m_map;
-        }
-        else if (order.m_kind == group_map::order_kind::hold) {
-            accepted = engine.m_step <= order.m_target.m_step && !engine.m_switching;
-            engine.m_armed = accepted ? std::optional(order.m_target) : engine.m_armed;
-        }
-        else if (order.m_kind == group_map::order_kind::switch_map) {
-            engine.m_switching = true;
-        }
-        else if (order.m_kind == group_map::order_kind::release) {
-            engine.m_armed.reset();
-        }
-        return {order.m_number, accepted, order.m_number, engine};
-    }
-
     void deliver(const due_event& event)
     {
         if (const auto* message = std::get_if<group_map::command>(&event.m_body)) {
@@ -135,21 +117,15 @@
     /// All ranks begin the next step together, unless one must hold.
     void step()
     {
-        for (const auto& engine : m_engines) {
-            const bool held =
-                engine.m_armed && !engine.m_switching && engine.m_armed->m_step == engine.m_step;
-            if (held) {
+        for (auto& engine : m_engines) {
+            const auto& state = engine.m_state;
+            if (state.m_armed && !state.m_switching && state.m_armed->m_step == state.m_step) {
                 ++m_held_steps;
                 return;
             }
         }
         for (auto& engine : m_engines) {
-            if (engine.m_armed && engine.m_armed->m_step == engine.m_step) {
-                engine.m_current = engine.m_armed->m_map;
-                engine.m_armed.reset();
-                engine.m_switching = false;
-            }
-            engine.m_step = group_map::step_number(engine.m_step.value() + 1);
+            fake_engine::begin_step(engine);
         }
     }
 
--- /dev/null
+++ b/dewbeam/src/agent/group_runner.h
@@ -0,0 +1,104 @@
+/// \file
+/// Runs the expert map protocol of one rank: messages over the link, orders over HTTP.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "dewbeam/group_map"
+#include "dewbeam/http"
+#include "dewbeam/link"
+
+namespace dewbeam::agent {
+
+/// What a runner needs to know at start.
+struct group_options {
+    std::string m_group;                 ///< its name; messages of another group are dropped
+    std::vector<std::string> m_members;  ///< link addresses by rank
+    group_map::participant_options m_participant;
+    group_map::coordinator_options m_coordinator;
+    std::uint32_t m_candidates = 3;  ///< ranks that may coordinate: the first ones
+};
+
+/// Options of one rank. Incarnations and fencing numbers are the process's start time, so that
+/// later lives have larger ones.
+group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
+                                 incarnation own, bool checks_fencing);
+
+/// What a runner asks of the agent around it; called without its lock.
+struct group_hooks {
+    std::function<void(bool may_admit)> m_set_admission;
+    std::function<bool()> m_is_busy;  ///< whether the agent has unfinished requests
+    std::function<void(group_map::change_result)> m_on_result;
+};
+
+/// One rank's part of the protocol. Thread-safe.
+class group_runner : public std::enable_shared_from_this<group_runner> {
+public:
+    /// `orders` talks to this rank's engine and is used for nothing else.
+    group_runner(const group_options& options, group_hooks hooks, http::client& orders,
+                 time_point now);
+
+    /// Takes part from now on; `node` outlives the runner.
+    void start(link::node& node, time_point now);
+
+    /// A message of the group arrived.
+    void on_message(const wire::GroupMessage& message, time_point now);
+
+    /// Time passed.
+    void tick(time_point now);
+
+    /// Starts a change where this rank coordinates a settled group; whether it did.
+    bool propose(const std::string& content, time_point now);
+
+    /// What this rank's coordinator does, for status pages.
+    [[nodiscard]] group_map::phase current_phase() const;
+
+    /// This rank's engine as last read; none before the first answer.
+    [[nodiscard]] std::optional<group_map::engine_state> engine() const;
+
+    /// Whether requests may be given to the engine.
+    [[nodiscard]] bool may_admit() const;
+
+    /// No more orders or messages.
+    void stop();
+
+private:
+    /// What must be done once the lock is free.
+    struct work {
+        bool m_close_connection = false;
+        std::optional<group_map::engine_order> m_order;
+        group_map::change_result m_result = group_map::change_result::none;
+        bool m_admission_changed = false;
+    };
+
+    void collect(const group_map::participant_effects& effects, work& todo);
+    void collect(const group_map::coordinator_effects& effects, work& todo);
+    void post(std::uint32_t rank, wire::GroupMessage message);
+    void take(const wire::GroupMessage& message, work& todo, time_point now);
+    void take_own_messages(work& todo, time_point now);
+    work finish(work todo, time_point now);
+    void carry_out(const work& todo);
+    void send_order(const group_map::engine_order& order);
+    void on_answer(const std::string& body, bool is_whole);
+
+    group_options m_options;
+    group_hooks m_hooks;
+    http::client& m_orders;
+    link::node* m_node = nullptr;
+    std::mutex m_admission_mutex;  ///< taken before `m_mutex`
+    mutable std::mutex m_mutex;
+    bool m_is_stopped = false;
+    bool m_may_admit = false;
+    group_map::participant m_participant;
+    group_map::coordinator m_coordinator;
+    std::deque<wire::GroupMessage> m_own_messages;  ///< from this rank to itself
+    fencing_number m_exchange_number;               ///< of the newest order sent
+    std::shared_ptr<http::client_exchange> m_exchange;
+};
+
+}  // namespace dewbeam::agent
--- a/test/group_map_test.cpp
+++ b/test/group_map_test.cpp
@@ -7,6 +7,8 @@
 #include <queue>
 #include <variant>
 
+#include "dewbeam/fake_engine"
+
 namespace dewbeam::group_map {
 namespace {
 
@@ -55,11 +57,7 @@
     }
 };
 
-struct engine_model {
-    engine_state m_state;
-    fencing_number m_highest;
-    time_point m_staged_at = no_deadline;
-    map_id m_staging;
+struct engine_model : fake_engine::rank_engine {
     map_id m_step_map;  ///< under which it began its last step
     int m_work = 0;
     int m_old_work = 0;  ///< that an earlier agent brought
@@ -105,6 +103,7 @@
     {
         for (std::uint32_t rank = 0; rank < ranks; ++rank) {
             m_engines[rank].m_state.m_can_hold = can_hold;
+            m_engines[rank].m_checks_fencing = checks_fencing;
             start_agent(rank);
         }
     }
@@ -196,57 +195,11 @@
 
     engine_answer obey(engine_model& engine, const engine_order& order) const
     {
-        engine_answer answer{order.m_number, true, engine.m_highest, {}};
-        if (m_checks_fencing && order.m_number <= engine.m_highest) {
-            answer.m_accepted = false;
-        }
-        else {
-            engine.m_highest = m_checks_fencing ? order.m_number : fencing_number();
-            answer.m_highest = engine.m_highest;
-            answer.m_accepted = apply(engine, order);
-        }
-        answer.m_state = engine.m_state;
+        auto answer = fake_engine::obey(engine, order, m_now);
         answer.m_state.m_busy = engine.m_work + engine.m_old_work > 0;
         return answer;
     }
 
-    bool apply(engine_model& engine, const engine_order& order) const
-    {
-        auto& state = engine.m_state;
-        const bool staged = state.m_staged == order.m_target.m_map;
-        switch (order.m_kind) {
-            case order_kind::read:
-                return true;
-            case order_kind::stage:
-                if (!staged && engine.m_staging != order.m_target.m_map) {
-                    engine.m_staging = order.m_target.m_map;
-                    engine.m_staged_at = m_now + milliseconds(15);
-                }
-                return true;
-            case order_kind::hold:
-                if (!state.m_can_hold || !staged || state.m_switching ||
-                    state.m_step > order.m_target.m_step) {
-                    return false;
-                }
-                state.m_armed = order.m_target;
-                return true;
-            case order_kind::switch_map:
-                if (state.m_can_hold && state.m_armed == order.m_target) {
-                    state.m_switching = true;
-                }
-                else if (!state.m_can_hold && staged) {
-                    state.m_current = order.m_target.m_map;
-                }
-                return settled_map(state) == order.m_target.m_map;
-            case order_kind::release:
-                break;
-        }
-        if (!state.m_switching && state.m_armed == order.m_target) {
-            state.m_armed.reset();
-        }
-        return true;
-    }
-
     void deliver(const packet& item)
     {
         auto& agent = m_agents[item.m_rank];
@@ -324,13 +277,11 @@
             begun |= engine.m_state.m_step.value() > slowest;
         }
         for (auto& engine : m_engines) {
-            if (m_now >= engine.m_staged_at) {
-                engine.m_state.m_staged = engine.m_staging;
-                engine.m_staged_at = no_deadline;
-            }
+            fake_engine::tick(engine, m_now);
             if (engine.m_state.m_step.value() == slowest && (m_can_hold || work > 0 || begun) &&
                 one_life() && uniform_below(m_random, 4) > 0) {
-                begin_step(engine);
+                engine.m_step_map =
+                    fake_engine::begin_step(engine) ? engine.m_state.m_current : engine.m_step_map;
             }
         }
         finish_step(slowest);
@@ -343,21 +294,6 @@
         });
     }
 
-    static void begin_step(engine_model& engine)
-    {
-        auto& state = engine.m_state;
-        if (state.m_armed && state.m_armed->m_step == state.m_step) {
-            if (!state.m_switching) {
-                return;
-            }
-            state.m_current = state.m_armed->m_map;
-            state.m_armed.reset();
-            state.m_switching = false;
-        }
-        state.m_step = step_number(state.m_step.value() + 1);
-        engine.m_step_map = state.m_current;
-    }
-
     void finish_step(std::uint64_t step)
     {
         for (const auto& engine : m_engines) {
@@ -422,6 +358,7 @@
                 engine = engine_model();
                 engine.m_state.m_group = life;
                 engine.m_state.m_can_hold = m_can_hold;
+                engine.m_checks_fencing = m_checks_fencing;
             }
             for (auto& agent : m_agents) {
                 agent.m_unlanded = agent.m_old_unlanded = 0;
--- /dev/null
+++ b/test/group_runner_test.cpp
@@ -0,0 +1,266 @@
+// The map protocol over real links and HTTP orders, and its bytes.
+#include "dewbeam/src/agent/group_runner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <thread>
+
+#include "dewbeam/engine"
+#include "dewbeam/fake_engine"
+#include "dewbeam/platform"
+#include "dewbeam/src/agent/group_wire.h"
+
+namespace dewbeam::agent {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// One rank: an engine behind HTTP, and the agent's runner behind a node.
+struct rank_host {
+    std::mutex m_mutex;
+    fake_engine::rank_engine m_engine;
+    group_map::map_id m_step_map;
+    std::unique_ptr<http::server> m_server;
+    std::unique_ptr<http::client> m_orders;
+    std::shared_ptr<group_runner> m_runner;
+    std::unique_ptr<link::node> m_node;
+
+    std::shared_ptr<group_runner> runner()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runner;
+    }
+};
+
+/// A group in this process, in lock-step, over real sockets.
+class real_group {
+public:
+    real_group(std::size_t ranks, bool checks_fencing) : m_checks_fencing(checks_fencing)
+    {
+        for (int i = 0; i < 2; ++i) {
+            m_threads.emplace_back([this] { m_context.run(); });
+        }
+        for (std::size_t rank = 0; rank < ranks; ++rank) {
+            m_hosts.push_back(std::make_unique<rank_host>());
+            start_host(*m_hosts.back());
+        }
+        for (std::uint32_t rank = 0; rank < ranks; ++rank) {
+            start_agent(rank);
+        }
+    }
+
+    ~real_group()
+    {
+        for (auto& host : m_hosts) {
+            host->runner()->stop();
+            host->m_node.reset();
+            host->m_server.reset();
+        }
+        m_guard.reset();
+        m_context.stop();
+        for (auto& thread : m_threads) {
+            thread.join();
+        }
+    }
+    real_group(const real_group&) = delete;
+    real_group& operator=(const real_group&) = delete;
+    real_group(real_group&&) = delete;
+    real_group& operator=(real_group&&) = delete;
+
+    /// A new life of a rank's agent; nothing of the last one is left.
+    void start_agent(std::uint32_t rank)
+    {
+        auto& host = *m_hosts[rank];
+        auto options = make_group_options("g", m_members, rank_id(rank),
+                                          incarnation(++m_lives * 1'000'000), m_checks_fencing);
+        options.m_participant.m_order_lifetime = milliseconds(200);
+        auto fresh =
+            std::make_shared<group_runner>(options, group_hooks{}, *host.m_orders, platform::now());
+        if (const auto old = host.runner()) {
+            old->stop();
+        }
+        {
+            const std::lock_guard lock(host.m_mutex);
+            host.m_runner = fresh;
+        }
+        fresh->start(*host.m_node, platform::now());
+    }
+
+    group_runner& runner(std::size_t rank) { return *m_hosts[rank]->m_runner; }
+
+    /// Ticks and steps until `done`; false where that takes longer than anyone should wait.
+    template <class Condition>
+    bool run_until(Condition&& done)
+    {
+        const auto limit = platform::now() + std::chrono::seconds(20);
+        while (!done()) {
+            if (platform::now() > limit || m_two_maps) {
+                return false;
+            }
+            for (auto& host : m_hosts) {
+                host->runner()->tick(platform::now());
+            }
+            step();
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return true;
+    }
+
+    bool all_use(std::uint64_t number)
+    {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto& host) {
+            const std::lock_guard lock(host->m_mutex);
+            return host->m_engine.m_state.m_current.m_number == number;
+        });
+    }
+
+    bool is_settled() { return runner(0).current_phase() == group_map::phase::settled; }
+
+    [[nodiscard]] bool two_maps() const { return m_two_maps; }
+
+private:
+    void start_host(rank_host& host)
+    {
+        host.m_engine.m_checks_fencing = m_checks_fencing;
+        host.m_server =
+            http::server::start(
+                m_context, {parse_endpoint("127.0.0.1:0").value(), {}, "", ""},
+                [&host](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                    const auto order = engine::order_from_json(request.m_body).value();
+                    const std::lock_guard lock(host.m_mutex);
+                    answer->respond(
+                        http::json_response(200, engine::answer_to_json(fake_engine::obey(
+                                                     host.m_engine, order, platform::now()))));
+                },
+                [](int, std::string_view, std::string_view) { return std::string(); })
+                .value();
+        host.m_orders = std::make_unique<http::client>(m_context, host.m_server->address(),
+                                                       http::client_options{});
+        link::node_options options;
+        options.m_listen = parse_endpoint("127.0.0.1:0").value();
+        options.m_host = host_id("rank" + std::to_string(m_members.size()));
+        options.m_incarnation = incarnation(1);
+        host.m_node =
+            link::node::start(options, {[&host](const link::peer&, wire::Envelope&& m) {
+                                            if (const auto runner = host.runner()) {
+                                                runner->on_message(m.group(), platform::now());
+                                            }
+                                        },
+                                        [](const link::peer&) {}})
+                .value();
+        m_members.push_back(host.m_node->address());
+    }
+
+    /// Each rank begins the step that the slowest is at; all began it: compare their maps.
+    void step()
+    {
+        std::vector<std::unique_lock<std::mutex>> locks;
+        for (auto& host : m_hosts) {
+            locks.emplace_back(host->m_mutex);
+        }
+        bool all_began = true;
+        for (auto& host : m_hosts) {
+            auto& engine = host->m_engine;
+            if (engine.m_state.m_step.value() == m_step) {
+                fake_engine::begin_step(engine);
+                host->m_step_map = engine.m_state.m_current;
+            }
+            all_began &= engine.m_state.m_step.value() > m_step;
+        }
+        if (all_began) {
+            ++m_step;
+            for (auto& host : m_hosts) {
+                m_two_maps |= host->m_step_map != m_hosts.front()->m_step_map;
+            }
+        }
+    }
+
+    bool m_checks_fencing;
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard{
+        m_context.get_executor()};
+    std::vector<std::thread> m_threads;
+    std::vector<std::unique_ptr<rank_host>> m_hosts;
+    std::vector<std::string> m_members;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_step = 0;
+    bool m_two_maps = false;
+};
+
+void check_group(bool checks_fencing)
+{
+    real_group group(4, checks_fencing);
+    ASSERT_TRUE(group.run_until([&] { return group.is_settled(); }));
+    ASSERT_TRUE(group.runner(0).propose("first", platform::now()));
+    ASSERT_TRUE(group.run_until([&] { return group.all_use(1) && group.is_settled(); }));
+    for (const auto* content : {"second", "third", "fourth"}) {
+        ASSERT_TRUE(group.runner(0).propose(content, platform::now()));
+        ASSERT_TRUE(group.run_until(
+            [&] { return group.runner(0).current_phase() != group_map::phase::staging; }));
+        group.start_agent(0);
+        group.start_agent(2);
+        ASSERT_TRUE(group.run_until([&] { return group.is_settled(); }));
+    }
+    ASSERT_TRUE(group.runner(0).propose("last", platform::now()));
+    const auto last = group.runner(0).engine()->m_current.m_number + 1;
+    EXPECT_TRUE(group.run_until([&] { return group.all_use(last) || group.all_use(last + 1); }));
+    EXPECT_FALSE(group.two_maps());
+}
+
+TEST(group_runner, group_changes_maps_over_real_links_with_fencing)
+{
+    check_group(true);
+}
+
+TEST(group_runner, group_changes_maps_over_real_links_without_fencing)
+{
+    check_group(false);
+}
+
+TEST(group_wire, messages_keep_their_meaning)
+{
+    group_map::command sent;
+    sent.m_kind = group_map::command_kind::stage;
+    sent.m_epoch = {3, rank_id(1), incarnation(9)};
+    sent.m_round = group_map::round_number(4);
+    sent.m_to = rank_id(2);
+    sent.m_life = {incarnation(5), incarnation(6)};
+    sent.m_target = {{7, fingerprint(8)}, group_map::step_number(10)};
+    sent.m_content = std::make_shared<const std::string>("map");
+    const auto read = command_from_wire(to_wire("g", rank_id(1), sent)).value();
+    EXPECT_TRUE(read.m_kind == sent.m_kind && read.m_epoch == sent.m_epoch &&
+                read.m_round == sent.m_round && read.m_to == sent.m_to &&
+                read.m_life == sent.m_life && read.m_target == sent.m_target &&
+                *read.m_content == *sent.m_content);
+
+    group_map::report news;
+    news.m_promised = sent.m_epoch;
+    news.m_life = sent.m_life;
+    news.m_engine.m_group = sent.m_life.m_group;
+    news.m_engine.m_armed = sent.m_target;
+    news.m_engine.m_can_hold = false;
+    const auto told = report_from_wire(to_wire("g", news)).value();
+    EXPECT_TRUE(told.m_promised == news.m_promised && told.m_life == news.m_life &&
+                told.m_engine == news.m_engine);
+
+    const group_map::engine_answer answer{fencing_number(3), false, fencing_number(4),
+                                          news.m_engine};
+    const auto heard = engine::answer_from_json(engine::answer_to_json(answer)).value();
+    EXPECT_TRUE(heard.m_number == answer.m_number && heard.m_accepted == answer.m_accepted &&
+                heard.m_highest == answer.m_highest && heard.m_state == answer.m_state);
+}
+
+RC_GTEST_PROP(group_wire, any_bytes_are_read_or_refused, (const std::string& bytes))
+{
+    wire::GroupMessage message;
+    if (message.ParseFromString(bytes)) {
+        RC_ASSERT(!(command_from_wire(message) && report_from_wire(message)));
+    }
+    RC_ASSERT(!engine::order_from_json(bytes).ok());
+    RC_ASSERT(!engine::answer_from_json("{\"fencing\":" + bytes + "}").ok());
+}
+
+}  // namespace
+}  // namespace dewbeam::agent
