--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -13,6 +13,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 #include "dewbeam/membership"
+#include "dewbeam/src/control/claim_client.h"
 #include "dewbeam/src/control/subscriber.h"
 #include "dewbeam/src/entry/burn_book.h"
 #include "dewbeam/src/entry/entry_request.h"
@@ -37,8 +38,10 @@
         case chunk_effect::completed:
             return dispatch::attempt_end::completed;
         case chunk_effect::not_run:
-        case chunk_effect::stale:
             return dispatch::attempt_end::not_run;
+        case chunk_effect::busy:
+        case chunk_effect::stale:
+            return dispatch::attempt_end::refused_busy;
         case chunk_effect::none:
         case chunk_effect::first:
         case chunk_effect::unknown:
@@ -55,6 +58,8 @@
             return "completed";
         case dispatch::attempt_end::not_run:
             return "not_run";
+        case dispatch::attempt_end::refused_busy:
+            return "refused_busy";
         case dispatch::attempt_end::unknown:
             return "unknown";
         case dispatch::attempt_end::upstream_died:
@@ -65,6 +70,19 @@
     return "cancelled";
 }
 
+wire::Outcome to_wire(ledger::outcome value)
+{
+    switch (value) {
+        case ledger::outcome::completed:
+            return wire::OUTCOME_COMPLETED;
+        case ledger::outcome::not_run:
+            return wire::OUTCOME_NOT_RUN;
+        case ledger::outcome::unknown:
+            break;
+    }
+    return wire::OUTCOME_UNKNOWN;
+}
+
 /// Writes the model that the selector names into the body of a completion.
 std::string with_model(const std::string& body, const std::string& model)
 {
@@ -127,6 +145,7 @@
           m_burn(setting_value<std::string>(settings, "/burn_file")),
           m_configuration(platform::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
+          m_claims(platform::link_addresses(settings, "/controls")),
           m_pools(broker_options())
     {
         m_limits.m_most_json_depth = setting_value<std::size_t>(settings, "/limits/json_depth");
@@ -136,8 +155,6 @@
 
     absl::Status start()
     {
-        // Handlers run from here on, so they wait for the node behind the mutex.
-        const std::lock_guard lock(m_start_mutex);
         auto node = platform::start_node(m_settings, m_incarnation,
                                          {[this](const link::peer& from, wire::Envelope&& message) {
                                               on_message(from, std::move(message));
@@ -156,6 +173,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
@@ -164,7 +182,7 @@
     {
         platform::program_hooks result;
         result.m_is_ready = [this] { return m_configuration.has_heard(); };
-        result.m_in_flight = [this] { return m_requests.size(); };
+        result.m_in_flight = [this] { return m_requests.size() + m_claims.unrecorded(); };
         result.m_announce_leave = [this] { m_server->wind_down(); };
         result.m_stop_accepting = [this] {
             m_server->stop_accepting();
@@ -240,6 +258,7 @@
         known.m_ticket = ticket;
         known.m_request_id = request_id;
         known.m_call = std::get<caller::call>(std::move(read));
+        known.m_caller_model = known.m_call.m_model;
         known.m_request = std::move(request);
         known.m_arrival = now;
         classify_and_submit(std::move(known), answer, now);
@@ -257,6 +276,15 @@
         answer.respond(caller::to_response(fault, request_id));
     }
 
+    void refuse_classified(const caller::error& fault, const entry_request::facts& known,
+                           http::exchange& answer, time_point now)
+    {
+        if (known.m_claim && known.m_is_claim_granted) {
+            report_claim(*known.m_claim, {}, now);
+        }
+        refuse_unread(fault, known.m_request_id, answer);
+    }
+
     /// Finds the selector of a request, and gives it to its pool.
     void classify_and_submit(entry_request::facts known,
                              const std::shared_ptr<http::exchange>& answer, time_point now)
@@ -269,7 +297,7 @@
                                     : workspace_of_token(rules, wanted.m_bearer_token);
         const bool is_refused = rules.m_tokens_required || !wanted.m_bearer_token.empty();
         if (workspace == nullptr && is_refused) {
-            refuse_unread(not_authorized(), known.m_request_id, *answer);
+            refuse_classified(not_authorized(), known, *answer, now);
             return;
         }
         if (workspace == nullptr) {
@@ -278,17 +306,23 @@
         const auto labels = caller::request_labels(wanted, workspace);
         const auto* rule = configuration::resolve(rules, labels);
         if (rule == nullptr) {
-            refuse_unread(no_selector(labels), known.m_request_id, *answer);
+            refuse_classified(no_selector(labels), known, *answer, now);
             return;
         }
         if (rule->m_key_required && wanted.m_idempotency_key.empty()) {
-            refuse_unread(key_required(rule->m_name), known.m_request_id, *answer);
+            refuse_classified(key_required(rule->m_name), known, *answer, now);
             return;
         }
         apply_rule(*rule, known);
         known.m_workspace = workspace == nullptr ? "" : workspace->m_name.value();
         known.m_workspace_class = burn::workspace_class(workspace);
         known.m_configuration = active->m_version;
+        if (!rule->m_idempotent && !wanted.m_idempotency_key.empty() && !known.m_claim) {
+            known.m_claim.emplace();
+            known.m_claim->m_key = claims::claim_key(
+                caller::claim_key_of(known.m_workspace, wanted.m_idempotency_key));
+            known.m_claim->m_attempt = {m_incarnation, ++m_last_attempt};
+        }
         auto info = make_info(*rule, workspace, known);
         const request_pointer request(new entry_request(std::move(known), answer));
         start_request(request, std::move(info), answer, now);
@@ -308,6 +342,7 @@
         }
         const auto& model = rule.m_adapter.empty() ? rule.m_model.value() : rule.m_adapter;
         if (!model.empty() && model != wanted.m_model.value()) {
+            known.m_caller_body = known.m_request.m_body;
             known.m_request.m_body = with_model(known.m_request.m_body, model);
         }
         if (!rule.m_model.value().empty()) {
@@ -354,8 +389,72 @@
                        const std::shared_ptr<http::exchange>& answer, time_point now)
     {
         m_requests.add(request);
-        answer->on_gone([this, request] { caller_gone(request); });
-        perform(m_pools.submit(request->known().m_pool, std::move(info), now), now);
+        const auto& known = request->known();
+        if (!known.m_claim) {
+            answer->on_gone([this, request] { caller_gone(request); });
+        }
+        if (known.m_claim && !known.m_is_claim_granted) {
+            claim_then_submit(request, std::move(info), now);
+            return;
+        }
+        perform(m_pools.submit(known.m_pool, std::move(info), now), now);
+    }
+
+    /// A request with a key runs only once control has granted the key to it. It goes on when its
+    /// caller goes away: the answer is kept for a resend.
+    void claim_then_submit(const request_pointer& request, dispatch::request_info info,
+                           time_point now)
+    {
+        const auto& claim = *request->known().m_claim;
+        m_claims.claim(
+            *m_node, claim.m_key, claim.m_attempt, request->known().m_call.m_content,
+            [this, request, info = std::move(info)](const control::claim_reply& reply) {
+                take_claim(request, info, reply, platform::now());
+            },
+            now);
+    }
+
+    void take_claim(const request_pointer& request, const dispatch::request_info& info,
+                    const control::claim_reply& reply, time_point now)
+    {
+        if (reply.m_decision == wire::ClaimReply::DECISION_GRANTED) {
+            request->set_claim_granted();
+            perform(m_pools.submit(request->known().m_pool, info, now), now);
+            return;
+        }
+        if (reply.m_decision == wire::ClaimReply::DECISION_FINISHED && reply.m_answer) {
+            http::response whole;
+            whole.m_status = static_cast<int>(reply.m_answer->m_status);
+            for (const auto& item : reply.m_answer->m_headers) {
+                whole.m_fields.push_back({item.m_name, item.m_value});
+            }
+            whole.m_fields.push_back({"X-Dewbeam-Replayed", "true"});
+            whole.m_body = reply.m_answer->m_body;
+            request->respond(std::move(whole), ledger::outcome::completed);
+            finished(request, now);
+            return;
+        }
+        fail(request, claim_refused(reply.m_decision), now);
+    }
+
+    /// Tells control how a claimed request ended, so that a resend can be answered.
+    void report_claim(const request_claim& claim, const request_result& result, time_point now)
+    {
+        wire::ClaimResult message;
+        message.set_key(claim.m_key.value());
+        link::to_wire(claim.m_attempt, *message.mutable_attempt());
+        message.set_outcome(to_wire(result.m_outcome));
+        if (result.m_answer) {
+            message.set_answer_held(true);
+            message.set_status(result.m_answer->m_status);
+            message.set_body(result.m_answer->m_body);
+            for (const auto& item : result.m_answer->m_headers) {
+                auto& header = *message.add_headers();
+                header.set_name(item.m_name);
+                header.set_value(item.m_value);
+            }
+        }
+        m_claims.report(*m_node, std::move(message), now);
     }
 
     void caller_gone(const request_pointer& request)
@@ -396,7 +495,8 @@
         attempt.m_agent = action.m_incarnation;
         const auto id = attempt.m_id;
         const auto address = attempt.m_agent_address;
-        auto message = request->own(action, std::move(attempt), now);
+        auto message =
+            request->own(action, std::move(attempt), m_configuration.current()->m_version, now);
         if (!message) {
             give_up_stream(request, now);
             return;
@@ -440,7 +540,9 @@
     void end_attempt(const request_pointer& request, const attempt_id& id,
                      dispatch::attempt_end end, time_point now)
     {
-        if (!request->release(id)) {
+        const bool is_not_run =
+            end == dispatch::attempt_end::not_run || end == dispatch::attempt_end::refused_busy;
+        if (!request->release(id, is_not_run)) {
             return;
         }
         m_requests.remove_attempt(id);
@@ -476,6 +578,9 @@
         const auto result = request->result();
         m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
                                 now - known.m_arrival);
+        if (known.m_claim && request->is_claim_granted()) {
+            report_claim(*known.m_claim, result, now);
+        }
         m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
                       result.m_first_byte - known.m_arrival, platform::wall_now());
         log_event(log_level::info, "request_ended",
@@ -488,17 +593,34 @@
                    {"us", (now - known.m_arrival).count()}});
     }
 
-    /// The agent knows a newer configuration, which has been adopted: begins anew under it.
+    /// The agent knows a newer configuration, which this entry has adopted by now: the request is
+    /// classified anew under it, unless the caller has part of the answer.
     void resubmit(const request_pointer& request, const attempt_id& id, time_point now)
     {
-        end_attempt(request, id, dispatch::attempt_end::not_run, now);
+        if (!request->supersede()) {
+            end_attempt(request, id, dispatch::attempt_end::refused_busy, now);
+            return;
+        }
+        m_requests.remove_attempt(id);
+        m_requests.remove(request);
+        auto known = request->known();
+        known.m_is_claim_granted = request->is_claim_granted();
+        perform(m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+        known.m_ticket = dispatch::ticket(++m_last_ticket);
+        known.m_call.m_model = known.m_caller_model;
+        if (!known.m_caller_body.empty()) {
+            known.m_request.m_body = std::exchange(known.m_caller_body, {});
+        }
+        classify_and_submit(std::move(known), request->answer(), now);
     }
 
     // Messages.
 
     void on_message(const link::peer& from, wire::Envelope&& message)
     {
-        const std::lock_guard lock(m_start_mutex);
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
         const auto now = platform::now();
         if (message.has_reply_chunk()) {
             on_chunk(message.reply_chunk(), now);
@@ -518,6 +640,12 @@
         else if (message.has_configuration_update()) {
             m_configuration.adopt(message.configuration_update());
         }
+        else if (message.has_claim_reply()) {
+            m_claims.take(*m_node, message.claim_reply(), now);
+        }
+        else if (message.has_claim_result_reply()) {
+            m_claims.take(message.claim_result_reply());
+        }
         else if (message.has_suspicion()) {
             on_suspicion(message.suspicion(), now);
         }
@@ -550,6 +678,7 @@
                 break;
             case chunk_effect::completed:
             case chunk_effect::not_run:
+            case chunk_effect::busy:
             case chunk_effect::unknown:
                 break;
         }
@@ -655,6 +784,7 @@
     void tick(time_point now)
     {
         m_configuration.tick(*m_node, now);
+        m_claims.tick(*m_node, now);
         perform(m_pools.tick(now), now);
         if (now < m_next_scan) {
             return;
@@ -770,13 +900,14 @@
     metrics m_metrics;
     burn_book m_burn;
     control::subscriber m_configuration;
+    control::claim_client m_claims;
     pool_table m_pools;
     member_table m_members;
     request_table m_requests;
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
-    std::mutex m_start_mutex;
+    std::atomic<bool> m_is_started = false;  ///< the node and the server are there
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
 };
--- a/dewbeam/src/operators/commands.cpp
+++ b/dewbeam/src/operators/commands.cpp
@@ -2,15 +2,15 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 
+#include "dewbeam/caller"
 #include "dewbeam/link"
 #include "dewbeam/src/operators/burn_page.h"
 #include "dewbeam/src/operators/tables.h"
@@ -262,8 +262,11 @@
     const auto upstreams = upstreams_of(merge_members(get_statuses(wanted.m_site)));
     const auto report = configuration::plan(document, patch, upstreams);
     std::string text;
+    std::set<std::string> named;
     for (const auto& item : report.m_stranded) {
-        if (item.m_before > 0) {
+        const bool is_new =
+            item.m_before > 0 && named.insert(item.m_selector + "\n" + item.m_model.value()).second;
+        if (is_new) {
             text += "warning: no upstream is left for requests with labels '" +
                     to_string(item.m_labels) + "', selector '" + item.m_selector + "', model '" +
                     item.m_model.value() + "'\n";
@@ -341,7 +344,7 @@
     if (token.empty()) {
         return failure(exit_code::usage, "the standard input holds no token");
     }
-    return success(token_hash(token) + "\n");
+    return success(caller::token_hash(token) + "\n");
 }
 
 }  // namespace
@@ -373,17 +376,6 @@
     return absl::StrFormat("drain-%016x", stable_hash(configuration::to_string(match)));
 }
 
-std::string token_hash(const std::string& token)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(token.data()), token.size(), digest.data());
-    std::string text;
-    for (const auto byte : digest) {
-        text += absl::StrFormat("%02x", byte);
-    }
-    return text;
-}
-
 command_result run(const command_line& wanted, const std::string& input)
 {
     switch (wanted.m_command) {
