Routing: the prefix index learns the size of each cache from the reports

Cause: without cache events the index assumed 4096 blocks for every upstream. Change: blocks are total memory over the tokens that a block stands for, learned from requests.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -15,6 +15,7 @@
 /// A request is not sent off when even this share of its expected run time is beyond its deadline.
 constexpr double least_run_share = 0.5;
 constexpr double run_gain = 0.05;
+constexpr double block_gain = 0.01;
 /// Slots are kept for urgent work for so long after the last urgent request: a pool that serves
 /// ordinary work alone loses none.
 constexpr time_span reserve_span = std::chrono::minutes(10);
@@ -667,6 +668,27 @@
     }
 }
 
+/// Learns how many tokens a prefix block stands for.
+void note_block_size(broker& state, const request_info& info)
+{
+    if (info.m_prefix.empty()) {
+        return;
+    }
+    const auto tokens = static_cast<double>(info.m_prompt_tokens.m_count);
+    const double sample = tokens / static_cast<double>(info.m_prefix.size());
+    auto& mean = state.m_block_tokens;
+    mean = mean == 0.0 ? sample : mean + block_gain * (sample - mean);
+}
+
+/// How many blocks the upstream's memory holds, once both sizes are known.
+void note_cache_size(broker& state, upstream_index index)
+{
+    const auto total = state.m_table.m_upstreams[index]->m_info.m_report.m_total_kv.m_count;
+    if (total > 0 && state.m_block_tokens > 0.0) {
+        state.m_prefixes.set_capacity(index, static_cast<double>(total) / state.m_block_tokens);
+    }
+}
+
 }  // namespace
 
 const char* to_string(refusal value)
@@ -697,6 +719,7 @@
     auto& request = place->second;
     request.m_info = std::move(info);
     request.m_cost = cost_of(request.m_info);
+    note_block_size(state, request.m_info);
     request.m_route = &route_of(state.m_table, options_of(state), request.m_info.m_upstreams, now);
     ++request.m_route->m_users;
     if (request.m_info.m_class == work_class::urgent) {
@@ -791,6 +814,7 @@
     if (is_restarted) {
         state.m_prefixes.forget(index);
     }
+    note_cache_size(state, index);
     pump(state, now, random, result);
     return result;
 }
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -60,6 +60,7 @@
     std::vector<queued_deadline> m_deadlines;             ///< a heap, the earliest first
     std::vector<quarantine::suspicion> m_new_suspicions;  ///< not yet taken by the program
     std::size_t m_waiting = 0;                            ///< requests that are not running
+    double m_block_tokens = 0.0;                          ///< of a prefix block; 0: not known
 };
 
 /// A new request arrives. Its ticket must not be in the broker.
