Broker: split by job into request life, suspects, serving and the contract

Cause: broker.cpp had grown to 882 lines. The model's order of prompts, which no test held (found by turning it round), has one now.

--- /dev/null
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -0,0 +1,314 @@
+#include "dewbeam/src/dispatch/request_life.h"
+
+#include <algorithm>
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+using configuration::work_class;
+
+/// Retries and suspects that are looked at in one go.
+constexpr std::size_t most_looked_at = 32;
+/// A request is not sent off when even this share of its expected run time is beyond its deadline.
+constexpr double least_run_share = 0.5;
+constexpr double run_gain = 0.05;
+/// What producing the answer costs an upstream, in prompt tokens.
+constexpr double output_work = 300.0;
+/// Without this many lapsed entries the heap of deadlines is not worth tidying.
+constexpr std::size_t most_lapsed_deadlines = 1024;
+
+double seconds(time_span value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+time_span to_span(double value)
+{
+    return std::chrono::duration_cast<time_span>(std::chrono::duration<double>(value));
+}
+
+time_span expected_run(const pending_request& request)
+{
+    const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
+    return to_span(lane_of(request).m_run_seconds_per_token * tokens);
+}
+
+bool is_later(const queued_deadline& a, const queued_deadline& b)
+{
+    return a.m_deadline != b.m_deadline ? a.m_deadline > b.m_deadline : a.m_ticket > b.m_ticket;
+}
+
+action refuse(const broker& state, pending_request& request, refusal reason, time_point now,
+              random_engine& random)
+{
+    auto& subject = lane_of(request);
+    auto limits = state.m_options.m_queue;
+    action result;
+    result.m_kind = action::kind::refuse;
+    result.m_ticket = request.m_info.m_ticket;
+    result.m_refusal = reason;
+    result.m_retry_at = now + limits.m_shortest_return;
+    if (reason == refusal::quarantined) {
+        result.m_retry_at =
+            quarantine::ends_at(state.m_suspicions, request.m_info.m_fingerprint, now);
+    }
+    else if (reason == refusal::overloaded || reason == refusal::deadline_passed) {
+        const auto wait = admission::expected_wait(facts_of(state, request), subject.m_drain);
+        result.m_retry_at = admission::next_return(subject.m_returns, limits, subject.m_drain,
+                                                   cost_of(request.m_info), wait, now, random);
+    }
+    return result;
+}
+
+/// Urgent work is sent on by an agent that has no slot, as long as that can still end well: what
+/// the entry knows of the other entries' work is old, what the agent knows is not. Half of the
+/// retry budget is left for failures.
+bool may_wait_there(const broker& state, const pending_request& request)
+{
+    return request.m_info.m_class == work_class::ordinary ||
+           request.m_attempts >= state.m_options.m_most_attempts ||
+           state.m_retry_budget.m_tokens < state.m_options.m_retries.m_burst / 2.0 ||
+           !has_untried(state.m_table, request);
+}
+
+}  // namespace
+
+route_options options_of(const broker& state)
+{
+    const auto& options = state.m_options;
+    return {options.m_failure_domain, options.m_entry, options.m_subset_size,
+            options.m_entries_sharing, options.m_classes};
+}
+
+lane& lane_of(const pending_request& request)
+{
+    return request.m_route->m_lanes[place_of(request.m_info.m_class)];
+}
+
+bool is_waiting(const lane& subject)
+{
+    return subject.m_queue.m_size > 0;
+}
+
+double cost_of(const request_info& info)
+{
+    constexpr double least_weight = 0.01;
+    const auto tokens = (info.m_prompt_tokens + info.m_output_tokens).m_count;
+    return std::max(1.0, static_cast<double>(tokens)) /
+           std::max(info.m_selector_weight, least_weight);
+}
+
+void note_run(const pending_request& request, time_point now)
+{
+    const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
+    const double sample = seconds(now - request.m_dispatched_at) / tokens;
+    auto& mean = lane_of(request).m_run_seconds_per_token;
+    mean = mean == 0.0 ? sample : mean + run_gain * (sample - mean);
+}
+
+void begin_waiting(broker& state, pending_request& request, request_phase phase)
+{
+    request.m_phase = phase;
+    ++state.m_waiting;
+    if (request.m_info.m_deadline == no_deadline) {
+        return;
+    }
+    auto& heap = state.m_deadlines;
+    if (heap.size() > 2 * state.m_waiting + most_lapsed_deadlines) {
+        std::erase_if(heap, [&](const queued_deadline& item) {
+            const auto place = state.m_requests.find(item.m_ticket);
+            return place == state.m_requests.end() ||
+                   place->second.m_phase == request_phase::running;
+        });
+        std::make_heap(heap.begin(), heap.end(), is_later);
+    }
+    heap.push_back({request.m_info.m_deadline, request.m_info.m_ticket});
+    std::push_heap(heap.begin(), heap.end(), is_later);
+}
+
+void end_hold(broker& state, const pending_request& request, time_point now)
+{
+    for (const auto index : std::vector<upstream_index>(request.m_route->m_members)) {
+        auto& upstream = *state.m_table.m_upstreams[index];
+        if (upstream.m_held_for == request.m_info.m_ticket) {
+            upstream.m_held_for = ticket{};
+            refresh(state.m_table, options_of(state), index, now);
+        }
+    }
+}
+
+void stop_waiting(broker& state, pending_request& request, time_point now)
+{
+    switch (request.m_phase) {
+        case request_phase::queued:
+            if (request.m_flow != nullptr) {
+                fairness::erase(lane_of(request).m_queue, request);
+            }
+            break;
+        case request_phase::retrying:
+            request.m_route->m_retries.erase(request.m_route->m_retries.iterator_to(request));
+            break;
+        case request_phase::suspect:
+            request.m_route->m_suspects.erase(request.m_route->m_suspects.iterator_to(request));
+            end_hold(state, request, now);
+            break;
+        case request_phase::fresh:
+        case request_phase::running:
+            return;
+    }
+    request.m_phase = request_phase::fresh;
+    --state.m_waiting;
+}
+
+void wait_as_suspect(broker& state, pending_request& request, time_point now)
+{
+    request.m_alone_from = now + state.m_options.m_suspect_pause;
+    begin_waiting(state, request, request_phase::suspect);
+    request.m_route->m_suspects.push_back(request);
+}
+
+void forget(broker& state, pending_request& request)
+{
+    --request.m_route->m_users;
+    state.m_requests.erase(ticket(request.m_info.m_ticket));
+}
+
+admission::queue_facts facts_of(const broker& state, const pending_request& request)
+{
+    const auto& queue = lane_of(request).m_queue;
+    const auto* own = fairness::find_flow(queue, request.m_info.m_workspace);
+    const double weight = std::max(0.01, request.m_info.m_workspace_weight);
+    const double others = queue.m_weight - (own != nullptr ? own->m_weight : 0.0);
+    const double share = weight / (weight + std::max(0.0, others));
+    admission::queue_facts facts;
+    facts.m_queued = state.m_waiting;
+    facts.m_own_queued = own != nullptr ? own->m_items.size() : 0;
+    const double own_backlog = own != nullptr ? own->m_backlog : 0.0;
+    // Its turn comes after its own share of the queue, at worst after everything.
+    facts.m_cost_before = std::min(own_backlog, queue.m_backlog * share);
+    facts.m_share = share;
+    facts.m_run_time = expected_run(request);
+    return facts;
+}
+
+quarantine::standing standing_of(const broker& state, const request_info& info, time_point now)
+{
+    if (info.m_fingerprint == fingerprint{} || state.m_suspicions.m_records.empty()) {
+        return quarantine::standing::clear;
+    }
+    return quarantine::standing_of(state.m_suspicions, info.m_fingerprint, now);
+}
+
+std::optional<refusal> lost_cause(const broker& state, const pending_request& request,
+                                  time_point now)
+{
+    const auto& info = request.m_info;
+    if (info.m_deadline <= now) {
+        return refusal::deadline_passed;
+    }
+    if (standing_of(state, info, now) == quarantine::standing::quarantined) {
+        return refusal::quarantined;
+    }
+    if (request.m_route->m_able == 0) {
+        return refusal::no_able_upstream;
+    }
+    const auto least_run = to_span(seconds(expected_run(request)) * least_run_share);
+    if (info.m_deadline != no_deadline && now + least_run > info.m_deadline) {
+        return refusal::overloaded;
+    }
+    return std::nullopt;
+}
+
+void give_up(broker& state, pending_request& request, refusal reason, time_point now,
+             random_engine& random, actions& result)
+{
+    stop_waiting(state, request, now);
+    result.push_back(refuse(state, request, reason, now, random));
+    forget(state, request);
+}
+
+void start(broker& state, pending_request& request, const choice& chosen, bool alone,
+           time_point now, actions& result)
+{
+    auto& upstream = *state.m_table.m_upstreams[chosen.m_index];
+    if (request.m_attempts == 0) {
+        retry::count_first_try(state.m_retry_budget, state.m_options.m_retries);
+    }
+    ++request.m_attempts;
+    request.m_phase = request_phase::running;
+    request.m_running_on = chosen.m_index;
+    request.m_running_incarnation = upstream.m_info.m_incarnation;
+    request.m_runs_alone = alone;
+    request.m_has_first_token = false;
+    request.m_dispatched_at = now;
+    request.m_prompt_work = chosen.m_missing_tokens;
+    request.m_work_before = upstream.m_pending_work;
+    request.m_tried.push_back(upstream.m_info.m_name);
+    ++upstream.m_in_flight;
+    upstream.m_ordinary_in_flight += request.m_info.m_class == work_class::ordinary ? 1 : 0;
+    upstream.m_pending_work += chosen.m_missing_tokens;
+    upstream.m_tokens_since_report += static_cast<double>(request.m_info.m_prompt_tokens.m_count);
+    upstream.m_runs_alone = alone;
+    upstream.m_recent_work = recent_work(upstream, now) + chosen.m_missing_tokens + output_work;
+    upstream.m_last_dispatch = now;
+    upstream.m_running.push_back(request);
+    state.m_prefixes.note_dispatch(chosen.m_index, request.m_info.m_prefix);
+    refresh(state.m_table, options_of(state), chosen.m_index, now);
+    action step;
+    step.m_ticket = request.m_info.m_ticket;
+    step.m_upstream = upstream.m_info.m_name;
+    step.m_incarnation = upstream.m_info.m_incarnation;
+    step.m_alone = alone;
+    step.m_may_wait = alone || may_wait_there(state, request);
+    result.push_back(std::move(step));
+}
+
+void release(broker& state, pending_request& request, time_point now)
+{
+    const auto index = request.m_running_on;
+    auto& upstream = *state.m_table.m_upstreams[index];
+    upstream.m_running.erase(upstream.m_running.iterator_to(request));
+    --upstream.m_in_flight;
+    upstream.m_ordinary_in_flight -= request.m_info.m_class == work_class::ordinary ? 1 : 0;
+    upstream.m_pending_work -= request.m_has_first_token ? 0.0 : request.m_prompt_work;
+    upstream.m_runs_alone = upstream.m_runs_alone && !request.m_runs_alone;
+    upstream.m_ended.push_back(
+        {request.m_info.m_class == work_class::urgent, request.m_dispatched_at, now});
+    constexpr std::size_t most_ended = 256;
+    if (upstream.m_ended.size() > most_ended) {
+        upstream.m_ended.pop_front();
+    }
+    request.m_phase = request_phase::fresh;
+    refresh(state.m_table, options_of(state), index, now);
+    free_if_unused(state.m_table, index);
+}
+
+void refuse_lapsed(broker& state, time_point now, random_engine& random, actions& result)
+{
+    auto& heap = state.m_deadlines;
+    while (!heap.empty() && heap.front().m_deadline <= now) {
+        std::pop_heap(heap.begin(), heap.end(), is_later);
+        const auto lapsed = heap.back();
+        heap.pop_back();
+        const auto place = state.m_requests.find(lapsed.m_ticket);
+        if (place != state.m_requests.end() && place->second.m_phase != request_phase::running &&
+            place->second.m_info.m_deadline == lapsed.m_deadline) {
+            give_up(state, place->second, refusal::deadline_passed, now, random, result);
+        }
+    }
+}
+
+std::vector<pending_request*> first_of(fairness::item_list& list)
+{
+    std::vector<pending_request*> result;
+    for (auto& item : list) {
+        if (result.size() == most_looked_at) {
+            break;
+        }
+        result.push_back(&static_cast<pending_request&>(item));
+    }
+    return result;
+}
+
+}  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -253,6 +253,14 @@
     }
 }
 
+void refresh_members(route_table& table, const route_options& options, const route& subject,
+                     time_point now)
+{
+    for (const auto index : subject.m_members) {
+        refresh(table, options, index, now);
+    }
+}
+
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name)
 {
     const auto place = table.m_names.find(name);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -148,6 +148,10 @@
 void refresh(route_table& table, const route_options& options, upstream_index index,
              time_point now);
 
+/// Works this out anew for all members of a route: leases may have ended since the last tick.
+void refresh_members(route_table& table, const route_options& options, const route& subject,
+                     time_point now);
+
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
--- /dev/null
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -0,0 +1,192 @@
+#include "dewbeam/src/dispatch/serve.h"
+
+#include <algorithm>
+
+#include "dewbeam/src/dispatch/request_life.h"
+#include "dewbeam/src/dispatch/suspects.h"
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+using configuration::work_class;
+
+choice_context context_of(const broker& state, time_point now)
+{
+    return {state.m_table,
+            state.m_prefixes,
+            state.m_speed,
+            state.m_options.m_choice,
+            state.m_options.m_failure_domain,
+            now};
+}
+
+bool is_open(const route& subject, std::size_t place)
+{
+    return !subject.m_open[place].m_near.empty() || !subject.m_open[place].m_far.empty();
+}
+
+/// The lane of a class that was served least and can go, or whose requests must be refused.
+route* next_route(const broker& state, std::size_t place)
+{
+    route* best = nullptr;
+    for (const auto& candidate : state.m_table.m_routes) {
+        const auto& subject = candidate->m_lanes[place];
+        if (!is_waiting(subject) || (candidate->m_able > 0 && !is_open(*candidate, place))) {
+            continue;
+        }
+        if (best == nullptr || subject.m_served < best->m_lanes[place].m_served) {
+            best = candidate.get();
+        }
+    }
+    return best;
+}
+
+double head_cost(route& subject, std::size_t place)
+{
+    return fairness::front(subject.m_lanes[place].m_queue)->m_cost;
+}
+
+/// Which lane goes next: urgent first, but for what ordinary work is due.
+struct turn {
+    route* m_route = nullptr;
+    std::size_t m_place = 0;
+    double m_ordinary_cost = 0.0;  ///< of the ordinary head that waits meanwhile; 0: none
+};
+
+/// Cost of an ordinary request that waits, whether or not it can go now; 0 where none waits.
+double waiting_ordinary_cost(const broker& state)
+{
+    const auto place = place_of(work_class::ordinary);
+    for (const auto& candidate : state.m_table.m_routes) {
+        if (is_waiting(candidate->m_lanes[place])) {
+            return head_cost(*candidate, place);
+        }
+    }
+    return 0.0;
+}
+
+turn next_turn(const broker& state)
+{
+    auto* urgent = next_route(state, place_of(work_class::urgent));
+    auto* ordinary = next_route(state, place_of(work_class::ordinary));
+    if (ordinary == nullptr) {
+        return {urgent, place_of(work_class::urgent),
+                urgent == nullptr ? 0.0 : waiting_ordinary_cost(state)};
+    }
+    const double cost = head_cost(*ordinary, place_of(work_class::ordinary));
+    if (urgent == nullptr || fairness::ordinary_is_due(state.m_class_share, cost)) {
+        return {ordinary, place_of(work_class::ordinary), 0.0};
+    }
+    return {urgent, place_of(work_class::urgent), cost};
+}
+
+void charge(broker& state, const turn& served, double cost)
+{
+    auto& subject = served.m_route->m_lanes[served.m_place];
+    admission::note_drained(subject.m_drain, cost);
+    subject.m_served += cost / std::max(1.0, subject.m_queue.m_weight);
+    if (served.m_place == place_of(work_class::ordinary)) {
+        fairness::ordinary_went(state.m_class_share, cost);
+    }
+    else if (served.m_ordinary_cost > 0.0) {
+        fairness::urgent_went(state.m_class_share, state.m_options.m_classes, cost,
+                              served.m_ordinary_cost);
+    }
+}
+
+/// Serves the head of one lane; false when nothing could be done for it.
+bool serve(broker& state, const turn& next, time_point now, random_engine& random, actions& result)
+{
+    auto& queue = next.m_route->m_lanes[next.m_place].m_queue;
+    auto& request = static_cast<pending_request&>(*fairness::front(queue));
+    if (const auto reason = lost_cause(state, request, now)) {
+        give_up(state, request, *reason, now, random, result);
+        return true;
+    }
+    if (standing_of(state, request.m_info, now) == quarantine::standing::suspect) {
+        stop_waiting(state, request, now);
+        wait_as_suspect(state, request, now);
+        return true;
+    }
+    const auto chosen = choose(context_of(state, now), request, random);
+    if (!chosen) {
+        refresh_members(state.m_table, options_of(state), *next.m_route, now);
+        return !is_open(*next.m_route, next.m_place);
+    }
+    fairness::pop(queue, request);
+    --state.m_waiting;
+    charge(state, next, request.m_cost);
+    start(state, request, *chosen, false, now, result);
+    return true;
+}
+
+void serve_retries(broker& state, route& subject, time_point now, random_engine& random,
+                   actions& result)
+{
+    for (auto* request : first_of(subject.m_retries)) {
+        if (const auto reason = lost_cause(state, *request, now)) {
+            give_up(state, *request, *reason, now, random, result);
+            continue;
+        }
+        if (standing_of(state, request->m_info, now) == quarantine::standing::suspect) {
+            stop_waiting(state, *request, now);
+            wait_as_suspect(state, *request, now);
+            continue;
+        }
+        const auto chosen = choose(context_of(state, now), *request, random);
+        if (chosen) {
+            stop_waiting(state, *request, now);
+            start(state, *request, *chosen, false, now, result);
+        }
+    }
+}
+
+void measure_drain(broker& state, time_point now)
+{
+    for (const auto& subject : state.m_table.m_routes) {
+        for (auto& item : subject->m_lanes) {
+            admission::advance(item.m_drain, is_waiting(item), now);
+        }
+    }
+}
+
+}  // namespace
+
+void pump(broker& state, time_point now, random_engine& random, actions& result)
+{
+    for (std::size_t i = 0; i < state.m_table.m_routes.size(); ++i) {
+        auto& subject = *state.m_table.m_routes[i];
+        if (!subject.m_suspects.empty()) {
+            serve_suspects(state, subject, now, random, result);
+        }
+        if (!subject.m_retries.empty()) {
+            serve_retries(state, subject, now, random, result);
+        }
+    }
+    for (auto next = next_turn(state); next.m_route != nullptr; next = next_turn(state)) {
+        if (!serve(state, next, now, random, result)) {
+            break;
+        }
+    }
+    measure_drain(state, now);
+}
+
+void catch_up(const broker& state, pending_request& request)
+{
+    auto& own = lane_of(request);
+    if (is_waiting(own)) {
+        return;
+    }
+    const auto place = place_of(request.m_info.m_class);
+    std::optional<double> least;
+    for (const auto& other : state.m_table.m_routes) {
+        const auto& subject = other->m_lanes[place];
+        if (is_waiting(subject)) {
+            least = std::min(least.value_or(subject.m_served), subject.m_served);
+        }
+    }
+    own.m_served = std::max(own.m_served, least.value_or(own.m_served));
+}
+
+}  // namespace dewbeam::dispatch
--- /dev/null
+++ b/dewbeam/src/dispatch/suspects.cpp
@@ -0,0 +1,107 @@
+#include "dewbeam/src/dispatch/suspects.h"
+
+#include <algorithm>
+
+#include "dewbeam/src/dispatch/request_life.h"
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+/// Whether the upstream that is held for a suspect is still the right kind.
+bool may_run_alone(const broker& state, const pending_request& request, upstream_index index)
+{
+    const auto& upstream = *state.m_table.m_upstreams[index];
+    return upstream.m_is_able &&
+           (!was_tried(request, upstream) || !has_untried(state.m_table, request));
+}
+
+/// The upstream that a suspect may wait for: untried if there is one, then the emptiest.
+std::optional<upstream_index> choose_alone(const broker& state, const pending_request& request)
+{
+    const bool may_repeat = !has_untried(state.m_table, request);
+    std::optional<upstream_index> best;
+    std::uint32_t best_load = 0;
+    for (const auto index : request.m_route->m_members) {
+        const auto& upstream = *state.m_table.m_upstreams[index];
+        if (!upstream.m_is_able || upstream.m_runs_alone || upstream.m_held_for != ticket{} ||
+            (!may_repeat && was_tried(request, upstream))) {
+            continue;
+        }
+        const auto load = upstream.m_in_flight + upstream.m_others_running;
+        if (!best || load < best_load) {
+            best = index;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+std::size_t alone_count(const broker& state, const route& subject)
+{
+    return static_cast<std::size_t>(
+        std::count_if(subject.m_members.begin(), subject.m_members.end(), [&](upstream_index i) {
+            const auto& upstream = *state.m_table.m_upstreams[i];
+            return upstream.m_runs_alone || upstream.m_held_for != ticket{};
+        }));
+}
+
+std::optional<upstream_index> held_for(const broker& state, const pending_request& request)
+{
+    for (const auto index : request.m_route->m_members) {
+        if (state.m_table.m_upstreams[index]->m_held_for == request.m_info.m_ticket) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Holds an upstream for a suspect where the limit allows.
+std::optional<upstream_index> hold(broker& state, pending_request& request, time_point now)
+{
+    const auto& subject = *request.m_route;
+    const auto limit = std::max<std::size_t>(
+        1, static_cast<std::size_t>(subject.m_able * state.m_options.m_alone_share));
+    if (alone_count(state, subject) >= limit) {
+        return std::nullopt;
+    }
+    const auto index = choose_alone(state, request);
+    if (index) {
+        state.m_table.m_upstreams[*index]->m_held_for = request.m_info.m_ticket;
+        refresh(state.m_table, options_of(state), *index, now);
+    }
+    return index;
+}
+
+}  // namespace
+
+void serve_suspects(broker& state, route& subject, time_point now, random_engine& random,
+                    actions& result)
+{
+    refresh_members(state.m_table, options_of(state), subject, now);
+    for (auto* request : first_of(subject.m_suspects)) {
+        if (const auto reason = lost_cause(state, *request, now)) {
+            give_up(state, *request, *reason, now, random, result);
+            continue;
+        }
+        auto index = held_for(state, *request);
+        if (index && !may_run_alone(state, *request, *index)) {
+            end_hold(state, *request, now);
+            index.reset();
+        }
+        if (!index) {
+            index = hold(state, *request, now);
+        }
+        if (!index) {
+            continue;
+        }
+        const bool is_empty = state.m_table.m_upstreams[*index]->m_in_flight == 0;
+        if (is_empty && request->m_alone_from <= now) {
+            const auto prompt = static_cast<double>(request->m_info.m_prompt_tokens.m_count);
+            stop_waiting(state, *request, now);
+            start(state, *request, {*index, prompt, 0.0}, true, now, result);
+        }
+    }
+}
+
+}  // namespace dewbeam::dispatch
--- a/test/engine_model_test.cpp
+++ b/test/engine_model_test.cpp
@@ -73,6 +73,20 @@
     EXPECT_EQ(run_until_idle(subject).front().m_number, 3U);
 }
 
+TEST(engine_model, urgent_prompts_are_computed_first)
+{
+    auto subject = make_engine({});
+    add(subject, make_request(1, 2000, 5));
+    std::vector<engine_event> events;
+    const auto now = step(subject, time_point{}, events);
+    auto urgent = make_request(2, 200, 5);
+    urgent.m_is_urgent = true;
+    add(subject, urgent);
+    step(subject, now, events);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events.front().m_number, 2U);
+}
+
 TEST(engine_model, poison_crashes_and_a_crash_loses_all)
 {
     auto subject = make_engine({});
