--- a/test/plan_test.cpp
+++ b/test/plan_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <filesystem>
+#include <fstream>
 #include <set>
 
 #include "dewbeam/configuration"
@@ -129,6 +131,35 @@
     EXPECT_NE(std::find(found.begin(), found.end(), "own arusha "), found.end());
 }
 
+/// An example of the repository, found from the build folder or any other folder inside it.
+json example(const char* name)
+{
+    auto folder = std::filesystem::current_path();
+    while (!std::filesystem::exists(folder / "examples" / name) && folder.has_relative_path()) {
+        folder = folder.parent_path();
+    }
+    std::ifstream file(folder / "examples" / name);
+    return json::parse(file);
+}
+
+TEST(plan, accepts_the_examples)
+{
+    const std::vector<announced_upstream> kilima{upstream("u1", "pool=ad-copy", "ad-copy"),
+                                                 upstream("u2", "service=trafficking", "")};
+    const auto first = plan(json::object(), example("kilima.json"), kilima);
+    EXPECT_EQ(to_string(first.m_mistakes), "");
+    EXPECT_TRUE(first.m_stranded.empty());
+    EXPECT_EQ(first.m_abilities.size(), 5U);
+    const std::vector<announced_upstream> lone_star{upstream("u1", "pool=assistant", "assistant"),
+                                                    upstream("u2", "service=bays", "")};
+    const auto second = plan(json::object(), example("lone-star.json"), lone_star);
+    EXPECT_EQ(to_string(second.m_mistakes), "");
+    EXPECT_TRUE(second.m_stranded.empty());
+    EXPECT_EQ(second.m_abilities.size(), 6U);
+    const auto night = plan(json::object(), example("lone-star.json"), {lone_star.data(), 1});
+    EXPECT_FALSE(night.m_stranded.empty());  // no service is there
+}
+
 TEST(plan, of_nothing_changes_nothing)
 {
     const auto report = plan(current, json::object(), site);
