Golden sessions for the burn report and a load run; name who stopped badly

One of 22 runs ended with a program's exit code -11 after a planned stop; the transcript now names the program and its log goes to standard error.

--- a/test/golden_session.py
+++ b/test/golden_session.py
@@ -82,15 +82,17 @@
         return result
 
     def run_ctl(self, *arguments, given=None):
-        ports = {program: ",".join("127.0.0.1:%d" % p.http_port()
-                                   for p in self.site.processes.values() if p.program == program)
-                 for program in ("dewbeam-control", "dewbeam-entry")}
         return subprocess.run(
             [os.path.join(self.bin, "dewbeamctl"), *arguments,
-             "--control", ports["dewbeam-control"], "--entry", ports["dewbeam-entry"]],
+             "--control", ",".join(self.addresses("dewbeam-control")),
+             "--entry", ",".join(self.addresses("dewbeam-entry"))],
             input=None if given is None else json.dumps(given), capture_output=True, text=True,
             timeout=60, check=False)
 
+    def addresses(self, program):
+        return ["127.0.0.1:%d" % process.http_port()
+                for process in self.site.processes.values() if process.program == program]
+
     def runs(self, engine):
         return json.loads(self.site.call(engine, "GET", "/runs")[2])["runs"]
 
@@ -105,6 +107,7 @@
         line = re.sub(r"127\.0\.0\.1:\d+", "IP:PORT", line)
         line = re.sub(r"< Date: .*", "< Date: TIME", line)
         line = re.sub(r"change-[0-9a-f]{16}", "CHANGE", line)
+        line = re.sub(r"version \d+\.\d+", "version TERM.INDEX", line)
         head = re.match(r"< X-Request-Id: (\S+)", line)
         if head:
             self.ids.setdefault(head[1], "ID-%d" % (len(self.ids) + 1))
@@ -255,8 +258,43 @@
     session.note("runs on bay-1: %d" % session.runs("bay-1-engine"))
 
 
+def burn_report(session):
+    session.start()
+    for index in range(6):
+        session.site.call("e%d" % (index % 3 + 1), "POST", "/v1/chat/completions", CHAT,
+                          {"X-Dewbeam-Workspace": "arusha"})
+    session.call("e1", "POST", "/v1/chat/completions", "{")
+    session.note("six answers and a mistake of the caller's own, which doesn't count")
+    session.ctl("burn")
+    session.site.processes["e3"].kill()
+    session.note("entry e3 was killed: it is named, and its requests are in no figure")
+    session.ctl("burn")
+
+
+def load_run(session):
+    session.start()
+    work = [{"name": "briefs", "share": 3, "model": "ad-copy", "prompt_words": [2, 20]},
+            {"name": "whole", "path": "/v1/completions", "model": "ad-copy", "stream": False},
+            {"name": "unlocks", "path": "/services/bay/unlock", "stream": False, "key": True}]
+    experiment = {"entries": session.addresses("dewbeam-entry"), "seed": 3, "most_requests": 60,
+                  "time_limit_ms": 60000, "most_resends": 5, "work": work,
+                  "arrivals": {"kind": "poisson", "rate": 60, "duration_ms": 5000}}
+    path = os.path.join(session.site.work, "experiment.json")
+    with open(path, "w") as file:
+        json.dump(experiment, file)
+    result = subprocess.run([os.path.join(session.bin, "dewbeam-load"), path],
+                            capture_output=True, text=True, timeout=120, check=False)
+    for item in json.loads(result.stdout)["work"]:
+        session.note("%s: %d answered, %d wrong, %d refused, %d failed, %d timed out" % (
+            item["name"], item["answered"], item["wrong"], item["refused"], item["failed"],
+            item["timed_out"]))
+    session.note("exit code of dewbeam-load: %d" % result.returncode)
+    session.note("runs of the bay service: %d" %
+                 (session.runs("bay-1-engine") + session.runs("bay-2-engine")))
+
+
 SESSIONS = [whole_answer, streamed_answer, cancelled, bad_inputs, no_selector_matches,
-            configuration_change, drain, operator_race, same_key]
+            configuration_change, drain, operator_race, same_key, burn_report, load_run]
 
 
 def transcript(script, bin_folder):
@@ -265,8 +303,10 @@
             session = Session(site, bin_folder)
             script(session)
             codes = site.stop_all()
-            session.note("exit codes of all programs after a planned stop: %s" %
-                         sorted(set(codes.values())))
+            bad = {name: code for name, code in codes.items() if code != 0}
+            session.note("planned stop of everything: %s" % (bad or "every exit code is 0"))
+            for name in bad:
+                sys.stderr.write("--- %s\n%s" % (name, site.processes[name].log()[-1500:]))
             return session.text()
 
 
