--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -36,6 +36,9 @@
     routing::prefix_options m_prefixes;
     std::uint32_t m_most_attempts = 3;
     double m_alone_share = 0.25;  ///< upstreams of a route that may run suspects at once
+    /// A suspect starts no sooner, so that what other entries have learned of it arrives first:
+    /// longer than a suspicion takes from entry to entry.
+    time_span m_suspect_pause = std::chrono::milliseconds(200);
 };
 
 /// A deadline of a waiting request.
@@ -57,6 +60,7 @@
     std::vector<queued_deadline> m_deadlines;             ///< a heap, the earliest first
     std::vector<quarantine::suspicion> m_new_suspicions;  ///< not yet taken by the program
     std::size_t m_waiting = 0;                            ///< requests that are not running
+    double m_block_tokens = 0.0;                          ///< of a prefix block; 0: not known
 };
 
 /// A new request arrives. Its ticket must not be in the broker.
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -47,6 +47,7 @@
     double m_prompt_work = 0.0;  ///< prompt tokens that its upstream must compute for it
     double m_work_before = 0.0;  ///< and those that were queued there before it
     time_point m_dispatched_at{};
+    time_point m_alone_from{};  ///< of a suspect: when it may start
 };
 
 using running_list =
@@ -148,6 +149,10 @@
 void refresh(route_table& table, const route_options& options, upstream_index index,
              time_point now);
 
+/// Works this out anew for all members of a route: leases may have ended since the last tick.
+void refresh_members(route_table& table, const route_options& options, const route& subject,
+                     time_point now);
+
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -13,6 +14,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 #include "dewbeam/membership"
+#include "dewbeam/src/control/claim_client.h"
 #include "dewbeam/src/control/subscriber.h"
 #include "dewbeam/src/entry/burn_book.h"
 #include "dewbeam/src/entry/entry_request.h"
@@ -21,6 +23,7 @@
 #include "dewbeam/src/entry/pool_table.h"
 #include "dewbeam/src/entry/refusals.h"
 #include "dewbeam/src/entry/request_table.h"
+#include "dewbeam/src/entry/status_page.h"
 #include "dewbeam/src/entry/suspicion_wire.h"
 
 namespace dewbeam::entry {
@@ -30,6 +33,14 @@
 using json = nlohmann::json;
 
 constexpr std::chrono::milliseconds scan_interval{50};
+/// How long a start waits for control before it takes the word of the domain's other hosts.
+constexpr std::chrono::seconds learning_limit{4};
+/// From the first member that is heard of until the others are known too.
+constexpr std::chrono::milliseconds settling_time{700};
+constexpr std::chrono::milliseconds peers_interval{500};
+constexpr std::chrono::seconds report_interest_interval{5};
+/// Agents of each model whose load reports one entry asks for.
+constexpr std::size_t report_subset = 64;
 
 dispatch::attempt_end to_end(chunk_effect effect)
 {
@@ -69,6 +80,19 @@
     return "cancelled";
 }
 
+wire::Outcome to_wire(ledger::outcome value)
+{
+    switch (value) {
+        case ledger::outcome::completed:
+            return wire::OUTCOME_COMPLETED;
+        case ledger::outcome::not_run:
+            return wire::OUTCOME_NOT_RUN;
+        case ledger::outcome::unknown:
+            break;
+    }
+    return wire::OUTCOME_UNKNOWN;
+}
+
 /// Writes the model that the selector names into the body of a completion.
 std::string with_model(const std::string& body, const std::string& model)
 {
@@ -131,6 +155,7 @@
           m_burn(setting_value<std::string>(settings, "/burn_file")),
           m_configuration(platform::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
+          m_claims(platform::link_addresses(settings, "/controls")),
           m_pools(broker_options())
     {
         m_limits.m_most_json_depth = setting_value<std::size_t>(settings, "/limits/json_depth");
@@ -140,8 +165,6 @@
 
     absl::Status start()
     {
-        // Handlers run from here on, so they wait for the node behind the mutex.
-        const std::lock_guard lock(m_start_mutex);
         auto node = platform::start_node(m_settings, m_incarnation,
                                          {[this](const link::peer& from, wire::Envelope&& message) {
                                               on_message(from, std::move(message));
@@ -151,6 +174,9 @@
             return node.status();
         }
         m_node = *std::move(node);
+        m_membership =
+            join(m_settings, self_of(m_settings, membership::role::entry, *m_node, m_incarnation),
+                 *m_node, membership_hooks_of());
         auto server = platform::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
@@ -160,6 +186,8 @@
             return server.status();
         }
         m_server = *std::move(server);
+        announce_self();
+        m_is_started = true;
         platform::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
@@ -167,9 +195,14 @@
     platform::program_hooks hooks()
     {
         platform::program_hooks result;
-        result.m_is_ready = [this] { return m_configuration.has_heard(); };
-        result.m_in_flight = [this] { return m_requests.size(); };
-        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_is_ready = [this] { return is_ready(platform::now()); };
+        result.m_in_flight = [this] {
+            return m_requests.size() + m_claims.unrecorded() + m_server->unanswered();
+        };
+        result.m_announce_leave = [this] {
+            m_membership->leave(platform::now());
+            m_server->wind_down();
+        };
         result.m_stop_accepting = [this] {
             m_server->stop_accepting();
             m_burn.save();
@@ -179,6 +212,37 @@
     }
 
 private:
+    /// Ready once the newest configuration that can be learned is here, and the members with it.
+    /// Control decides; where it stays silent, the hosts of the domain do.
+    bool is_ready(time_point now) const
+    {
+        const bool is_patient = now < m_started_at + learning_limit;
+        const bool knows_configuration =
+            m_configuration.has_heard() || (!is_patient && m_configuration.knows_any());
+        const bool knows_members = now >= m_members_heard_at.load() + settling_time || !is_patient;
+        return knows_configuration && knows_members;
+    }
+
+    membership_hooks membership_hooks_of()
+    {
+        membership_hooks hooks;
+        hooks.m_on_change = [this](const membership::member& member) { on_member(member); };
+        hooks.m_on_report = [this](const host_id& host, incarnation,
+                                   const membership::member_load& load) {
+            if (const auto changed = m_members.take_load(host, load)) {
+                update_pools(*changed, platform::now());
+            }
+        };
+        return hooks;
+    }
+
+    void announce_self()
+    {
+        auto self = self_of(m_settings, membership::role::entry, *m_node, m_incarnation);
+        self.m_http_address = to_string(m_server->address());
+        m_membership->announce(self, platform::now());
+    }
+
     dispatch::broker_options broker_options() const
     {
         dispatch::broker_options options;
@@ -262,6 +326,15 @@
         answer.respond(caller::to_response(fault, request_id));
     }
 
+    void refuse_classified(const caller::error& fault, const entry_request::facts& known,
+                           http::exchange& answer, time_point now)
+    {
+        if (known.m_claim && known.m_is_claim_granted) {
+            report_claim(*known.m_claim, {}, now);
+        }
+        refuse_unread(fault, known.m_request_id, answer);
+    }
+
     /// Finds the selector of a request, and gives it to its pool.
     void classify_and_submit(entry_request::facts known,
                              const std::shared_ptr<http::exchange>& answer, time_point now)
@@ -274,7 +347,7 @@
                                     : workspace_of_token(rules, wanted.m_bearer_token);
         const bool is_refused = rules.m_tokens_required || !wanted.m_bearer_token.empty();
         if (workspace == nullptr && is_refused) {
-            refuse_unread(not_authorized(), known.m_request_id, *answer);
+            refuse_classified(not_authorized(), known, *answer, now);
             return;
         }
         if (workspace == nullptr) {
@@ -283,17 +356,23 @@
         const auto labels = caller::request_labels(wanted, workspace);
         const auto* rule = configuration::resolve(rules, labels);
         if (rule == nullptr) {
-            refuse_unread(no_selector(labels), known.m_request_id, *answer);
+            refuse_classified(no_selector(labels), known, *answer, now);
             return;
         }
         if (rule->m_key_required && wanted.m_idempotency_key.empty()) {
-            refuse_unread(key_required(rule->m_name), known.m_request_id, *answer);
+            refuse_classified(key_required(rule->m_name), known, *answer, now);
             return;
         }
         apply_rule(*rule, known);
         known.m_workspace = workspace == nullptr ? "" : workspace->m_name.value();
         known.m_workspace_class = burn::workspace_class(workspace);
         known.m_configuration = active->m_version;
+        if (!rule->m_idempotent && !wanted.m_idempotency_key.empty() && !known.m_claim) {
+            known.m_claim.emplace();
+            known.m_claim->m_key = claims::claim_key(
+                caller::claim_key_of(known.m_workspace, wanted.m_idempotency_key));
+            known.m_claim->m_attempt = {m_incarnation, ++m_last_attempt};
+        }
         auto info = make_info(*rule, workspace, known);
         const request_pointer request(new entry_request(std::move(known), answer));
         start_request(request, std::move(info), answer, now);
@@ -360,8 +439,72 @@
                        const std::shared_ptr<http::exchange>& answer, time_point now)
     {
         m_requests.add(request);
-        answer->on_gone([this, request] { caller_gone(request); });
-        perform(m_pools.submit(request->known().m_pool, std::move(info), now), now);
+        const auto& known = request->known();
+        if (!known.m_claim) {
+            answer->on_gone([this, request] { caller_gone(request); });
+        }
+        if (known.m_claim && !known.m_is_claim_granted) {
+            claim_then_submit(request, std::move(info), now);
+            return;
+        }
+        perform(m_pools.submit(known.m_pool, std::move(info), now), now);
+    }
+
+    /// A request with a key runs only once control has granted the key to it. It goes on when its
+    /// caller goes away: the answer is kept for a resend.
+    void claim_then_submit(const request_pointer& request, dispatch::request_info info,
+                           time_point now)
+    {
+        const auto& claim = *request->known().m_claim;
+        m_claims.claim(
+            *m_node, claim.m_key, claim.m_attempt, request->known().m_call.m_content,
+            [this, request, info = std::move(info)](const control::claim_reply& reply) {
+                take_claim(request, info, reply, platform::now());
+            },
+            now);
+    }
+
+    void take_claim(const request_pointer& request, const dispatch::request_info& info,
+                    const control::claim_reply& reply, time_point now)
+    {
+        if (reply.m_decision == wire::ClaimReply::DECISION_GRANTED) {
+            request->set_claim_granted();
+            perform(m_pools.submit(request->known().m_pool, info, now), now);
+            return;
+        }
+        if (reply.m_decision == wire::ClaimReply::DECISION_FINISHED && reply.m_answer) {
+            http::response whole;
+            whole.m_status = static_cast<int>(reply.m_answer->m_status);
+            for (const auto& item : reply.m_answer->m_headers) {
+                whole.m_fields.push_back({item.m_name, item.m_value});
+            }
+            whole.m_fields.push_back({"X-Dewbeam-Replayed", "true"});
+            whole.m_body = reply.m_answer->m_body;
+            request->respond(std::move(whole), ledger::outcome::completed);
+            finished(request, now);
+            return;
+        }
+        fail(request, claim_refused(reply.m_decision), now);
+    }
+
+    /// Tells control how a claimed request ended, so that a resend can be answered.
+    void report_claim(const request_claim& claim, const request_result& result, time_point now)
+    {
+        wire::ClaimResult message;
+        message.set_key(claim.m_key.value());
+        link::to_wire(claim.m_attempt, *message.mutable_attempt());
+        message.set_outcome(to_wire(result.m_outcome));
+        if (result.m_answer) {
+            message.set_answer_held(true);
+            message.set_status(result.m_answer->m_status);
+            message.set_body(result.m_answer->m_body);
+            for (const auto& item : result.m_answer->m_headers) {
+                auto& header = *message.add_headers();
+                header.set_name(item.m_name);
+                header.set_value(item.m_value);
+            }
+        }
+        m_claims.report(*m_node, std::move(message), now);
     }
 
     void caller_gone(const request_pointer& request)
@@ -447,7 +590,9 @@
     void end_attempt(const request_pointer& request, const attempt_id& id,
                      dispatch::attempt_end end, time_point now)
     {
-        if (!request->release(id)) {
+        const bool is_not_run =
+            end == dispatch::attempt_end::not_run || end == dispatch::attempt_end::refused_busy;
+        if (!request->release(id, is_not_run)) {
             return;
         }
         m_requests.remove_attempt(id);
@@ -483,6 +628,9 @@
         const auto result = request->result();
         m_metrics.request_ended(known.m_selector, result, result.m_first_byte - known.m_arrival,
                                 now - known.m_arrival);
+        if (known.m_claim && request->is_claim_granted()) {
+            report_claim(*known.m_claim, result, now);
+        }
         m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
                       result.m_first_byte - known.m_arrival, platform::wall_now());
         log_event(log_level::info, "request_ended",
@@ -506,6 +654,7 @@
         m_requests.remove_attempt(id);
         m_requests.remove(request);
         auto known = request->known();
+        known.m_is_claim_granted = request->is_claim_granted();
         perform(m_pools.cancel(known.m_pool, known.m_ticket, now), now);
         known.m_ticket = dispatch::ticket(++m_last_ticket);
         known.m_call.m_model = known.m_caller_model;
@@ -519,8 +668,13 @@
 
     void on_message(const link::peer& from, wire::Envelope&& message)
     {
-        const std::lock_guard lock(m_start_mutex);
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
         const auto now = platform::now();
+        if (m_membership->take(message, now)) {
+            return;
+        }
         if (message.has_reply_chunk()) {
             on_chunk(message.reply_chunk(), now);
         }
@@ -533,16 +687,33 @@
         else if (message.has_tombstone_reply()) {
             on_tombstone_reply(message.tombstone_reply(), now);
         }
-        else if (message.has_announcement()) {
-            on_announcement(message.announcement(), now);
-        }
         else if (message.has_configuration_update()) {
-            m_configuration.adopt(message.configuration_update());
+            m_configuration.adopt(message.configuration_update(), is_from_control(from));
+        }
+        else if (message.has_claim_reply()) {
+            m_claims.take(*m_node, message.claim_reply(), now);
+        }
+        else if (message.has_claim_result_reply()) {
+            m_claims.take(message.claim_result_reply());
         }
         else if (message.has_suspicion()) {
             on_suspicion(message.suspicion(), now);
         }
         else if (message.has_subscribe()) {
+            tell_configuration(from);
+        }
+    }
+
+    [[nodiscard]] bool is_from_control(const link::peer& from) const
+    {
+        const auto controls = platform::link_addresses(m_settings, "/controls");
+        return std::find(controls.begin(), controls.end(), from.m_address) != controls.end();
+    }
+
+    /// Another host of a cut-off domain asks for the newest configuration.
+    void tell_configuration(const link::peer& from)
+    {
+        if (m_configuration.knows_any()) {
             wire::Envelope answer;
             *answer.mutable_configuration_update() = m_configuration.message();
             m_node->reply(from, std::move(answer));
@@ -602,9 +773,20 @@
             return;
         }
         const auto now = platform::now();
+        for (const auto& member : m_members.set_unreachable(gone.m_address)) {
+            // A report shows when the agent can be reached again.
+            m_next_interest = time_point{};
+            update_pools(member, now);
+        }
+        end_attempts_at(gone.m_address, now);
+    }
+
+    /// The process at an address is gone, or can't be heard: its attempts end here.
+    void end_attempts_at(const std::string& address, time_point now)
+    {
         for (const auto& request : m_requests.all()) {
             const auto attempt = request->attempt();
-            if (attempt.m_agent_address == gone.m_address) {
+            if (attempt.m_agent_address == address) {
                 end_attempt(request, attempt.m_id, dispatch::attempt_end::upstream_died, now);
             }
         }
@@ -612,14 +794,44 @@
 
     // Members.
 
-    void on_announcement(const wire::Announcement& message, time_point now)
+    void on_member(const membership::member& member)
     {
-        const auto changed = m_members.take(message, now);
-        if (changed) {
-            update_pools(*changed, now);
+        const auto now = platform::now();
+        if (m_members_heard_at.load() == no_heard) {
+            m_members_heard_at = now;
+        }
+        if (member.m_role != membership::role::agent) {
+            return;
+        }
+        if (!member.m_dead) {
+            if (m_members.is_new_process(member)) {
+                // Its load is wanted at once, and nothing more comes from the process before it.
+                m_next_interest = time_point{};
+                m_node->close(member.m_address);
+                end_attempts_at(member.m_address, now);
+            }
+            update_pools(m_members.take(member), now);
+        }
+        else if (m_members.remove(member)) {
+            log_event(log_level::info, "upstream_gone", {{"upstream", member.m_upstream.value()}});
+            remove_from_pools(member, now);
         }
     }
 
+    /// Link addresses of the other entries that are there.
+    std::vector<std::string> other_entries() const
+    {
+        std::vector<std::string> result;
+        for (const auto& member : m_membership->members()) {
+            const bool is_other =
+                member.m_role == membership::role::entry && member.m_address != m_node->address();
+            if (is_other && !member.m_dead) {
+                result.push_back(member.m_address);
+            }
+        }
+        return result;
+    }
+
     void update_pools(const membership::member& member, time_point now)
     {
         const auto active = m_configuration.current();
@@ -658,10 +870,8 @@
                       {{"pool", item.m_pool},
                        {"content", item.m_record.m_content.value()},
                        {"deaths", item.m_record.m_deaths.size()}});
-            for (const auto& address : platform::link_addresses(m_settings, "/entries")) {
-                if (address != m_node->address()) {
-                    m_node->send(address, message);
-                }
+            for (const auto& address : other_entries()) {
+                m_node->send(address, message);
             }
         }
     }
@@ -676,7 +886,9 @@
 
     void tick(time_point now)
     {
-        m_configuration.tick(*m_node, now);
+        m_membership->tick(now);
+        m_configuration.tick(*m_node, m_peers, now);
+        m_claims.tick(*m_node, now);
         perform(m_pools.tick(now), now);
         if (now < m_next_scan) {
             return;
@@ -684,9 +896,13 @@
         m_next_scan = now + scan_interval;
         m_burn.tick(platform::wall_now());
         spread_suspicions(now);
-        for (const auto& member : m_members.remove_expired(now)) {
-            log_event(log_level::info, "lease_ended", {{"upstream", member.m_upstream.value()}});
-            remove_from_pools(member, now);
+        if (now >= m_next_peers) {
+            m_next_peers = now + peers_interval;
+            m_peers = other_entries();
+        }
+        if (now >= m_next_interest.load()) {
+            m_next_interest = now + report_interest_interval;
+            m_membership->want_reports(report_subset);
         }
         for (const auto& request : m_requests.all()) {
             watch(request, now);
@@ -733,23 +949,16 @@
     std::string status_text()
     {
         const auto active = m_configuration.current();
-        json members = json::array();
-        for (const auto& member : m_members.all()) {
-            members.push_back(to_json(member));
-        }
-        return json{{"host", setting_value<std::string>(m_settings, "/host")},
-                    {"role", "entry"},
-                    {"failure_domain", setting_value<std::string>(m_settings, "/failure_domain")},
-                    {"phase", to_string(m_frame.phase())},
-                    {"incarnation", m_incarnation.value()},
-                    {"configuration",
-                     {{"number", active->m_number},
-                      {"term", active->m_version.m_term},
-                      {"index", active->m_version.m_index}}},
-                    {"cut_off", !m_configuration.has_heard()},
-                    {"in_flight", m_requests.size()},
-                    {"members", members}}
-            .dump();
+        status_facts facts;
+        facts.m_host = setting_value<std::string>(m_settings, "/host");
+        facts.m_failure_domain = setting_value<std::string>(m_settings, "/failure_domain");
+        facts.m_phase = m_frame.phase();
+        facts.m_incarnation = m_incarnation;
+        facts.m_number = active->m_number;
+        facts.m_version = active->m_version;
+        auto page = status_page(facts, *m_membership, platform::now());
+        page["in_flight"] = m_requests.size();
+        return page.dump();
     }
 
     /// `{"pool": "model:NAME", "content": N}`: the content may run again, on every entry.
@@ -792,13 +1001,23 @@
     metrics m_metrics;
     burn_book m_burn;
     control::subscriber m_configuration;
+    control::claim_client m_claims;
     pool_table m_pools;
     member_table m_members;
     request_table m_requests;
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
-    std::mutex m_start_mutex;
+    std::atomic<time_point> m_next_interest = time_point{};
+    time_point m_next_peers{};
+    std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
+    time_point m_started_at = platform::now();
+    /// `no_heard` until the first member is heard of; ready at once is right for a lone entry only
+    /// after the learning limit.
+    static constexpr time_point no_heard = no_deadline - settling_time;
+    std::atomic<time_point> m_members_heard_at = no_heard;
+    std::atomic<bool> m_is_started = false;  ///< the node and the server are there
+    std::unique_ptr<membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
 };
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -89,6 +89,31 @@
     EXPECT_EQ(f.add(make_request(2)).at(0).m_upstream, upstream_id("far"));
 }
 
+TEST(broker, a_group_that_waits_on_a_straggler_rank_is_passed_over)
+{
+    fixture f;
+    auto slow = make_upstream("slow", 16);
+    slow.m_report.m_skew = 3.0;
+    slow.m_report.m_measured_at = f.m_now;
+    f.put(slow);
+    f.put(make_upstream("sound", 16));
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        EXPECT_EQ(f.add(make_request(id)).at(0).m_upstream, upstream_id("sound"));
+    }
+}
+
+TEST(broker, urgent_work_may_be_sent_on_only_while_that_can_end_well)
+{
+    fixture f;
+    f.put(make_upstream("u1", 4));
+    f.put(make_upstream("u2", 4));
+    auto urgent = make_request(1);
+    urgent.m_class = work_class::urgent;
+    EXPECT_FALSE(f.add(urgent).at(0).m_may_wait);
+    EXPECT_TRUE(f.end(1, attempt_end::not_run).at(0).m_may_wait);
+    EXPECT_TRUE(f.add(make_request(2)).at(0).m_may_wait);
+}
+
 TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
 {
     fixture f;
@@ -194,7 +219,8 @@
     auto poison = make_request(1);
     poison.m_fingerprint = fingerprint{666};
     f.add(poison);
-    const auto alone = f.end(1, attempt_end::upstream_died);
+    EXPECT_TRUE(f.end(1, attempt_end::upstream_died).empty());
+    const auto alone = f.pass(f.m_broker.m_options.m_suspect_pause);
     ASSERT_EQ(alone.size(), 1U);
     EXPECT_TRUE(alone.at(0).m_alone);
     const auto last = f.end(1, attempt_end::upstream_died);
@@ -210,6 +236,21 @@
     EXPECT_EQ(other.add(poison).at(0).m_kind, action::kind::dispatch);
 }
 
+TEST(broker, a_suspect_that_is_sent_again_waits_for_what_other_entries_learn)
+{
+    fixture f;
+    f.put(make_upstream("u1", 4));
+    auto poison = make_request(1);
+    poison.m_fingerprint = fingerprint{666};
+    quarantine::suspicion record{fingerprint{666}, {{upstream_id("x"), incarnation{1}, f.m_now}}};
+    merge_suspicion(f.m_broker, record, f.m_now, f.m_random);
+    EXPECT_TRUE(f.add(poison).empty());
+    record.m_deaths.push_back({upstream_id("y"), incarnation{1}, f.m_now + milliseconds(1)});
+    const auto answer = merge_suspicion(f.m_broker, record, f.m_now, f.m_random);
+    ASSERT_EQ(answer.size(), 1U);
+    EXPECT_EQ(answer.at(0).m_refusal, refusal::quarantined);
+}
+
 TEST(broker, a_suspect_waits_until_its_upstream_is_empty_and_is_cleared_when_it_ends)
 {
     fixture f;
@@ -220,7 +261,8 @@
         f.add(request);
     }
     EXPECT_TRUE(f.end(1, attempt_end::upstream_died).empty());
-    const auto alone = f.end(2, attempt_end::upstream_died);
+    EXPECT_TRUE(f.end(2, attempt_end::upstream_died).empty());
+    const auto alone = f.pass(f.m_broker.m_options.m_suspect_pause);
     ASSERT_EQ(alone.size(), 1U);
     EXPECT_TRUE(f.add(make_request(3)).empty());
     const auto next = f.end(alone.at(0).m_ticket.value(), attempt_end::completed);
--- a/test/plan_test.cpp
+++ b/test/plan_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <filesystem>
+#include <fstream>
 #include <set>
 
 #include "dewbeam/configuration"
@@ -84,6 +86,17 @@
     EXPECT_EQ(to_string(report.m_stranded[1].m_labels), "task=alert,tier=gold");
 }
 
+TEST(plan, counts_a_drained_upstream_again_when_the_drain_ends)
+{
+    auto drained = current;
+    drained["upstreams"]["d"] = {{"match", "pool=alerts"}, {"labels", {{"dewbeam/drain", "true"}}}};
+    auto upstreams = site;
+    upstreams[2].m_leaving = true;  // as a drained upstream announces itself
+    const auto undo = json::parse(R"({"upstreams": {"d": null}})");
+    EXPECT_EQ(plan(drained, undo, upstreams).m_abilities[0].m_after, 1U);
+    EXPECT_EQ(plan(current, json::object(), upstreams).m_abilities[0].m_after, 0U);  // it stops
+}
+
 TEST(plan, names_requests_that_lose_their_selector_or_their_model)
 {
     const auto removed = plan(current, json::parse(R"({"selectors": {"alerts": null}})"), site);
@@ -103,6 +116,13 @@
         "summaries": {"when": "model=summary", "upstreams": "pool=chat"},
         "own": {"when": "workspace=arusha", "upstreams": "pool=none"}}})"),
                              site);
+    EXPECT_EQ(report.m_precedence.back().m_selector, "summaries");
+    EXPECT_EQ(report.m_precedence.back().m_order.size(), 4U);  // all overlap by their labels
+    const auto bay = plan(current, json::parse(R"({"selectors": {
+        "bay": {"when": "service=bay", "upstreams": ""},
+        "summaries": {"when": "model=summary", "upstreams": "pool=chat"}}})"),
+                          site);
+    EXPECT_EQ(bay.m_precedence.back().m_order.size(), 3U);  // not bay: a request has one of both
     std::vector<std::string> found;
     for (const auto& item : report.m_stranded) {
         found.push_back(item.m_selector + " " + item.m_workspace + " " + item.m_model.value());
@@ -111,6 +131,35 @@
     EXPECT_NE(std::find(found.begin(), found.end(), "own arusha "), found.end());
 }
 
+/// An example of the repository, found from the build folder or any other folder inside it.
+json example(const char* name)
+{
+    auto folder = std::filesystem::current_path();
+    while (!std::filesystem::exists(folder / "examples" / name) && folder.has_relative_path()) {
+        folder = folder.parent_path();
+    }
+    std::ifstream file(folder / "examples" / name);
+    return json::parse(file);
+}
+
+TEST(plan, accepts_the_examples)
+{
+    const std::vector<announced_upstream> kilima{upstream("u1", "pool=ad-copy", "ad-copy"),
+                                                 upstream("u2", "service=trafficking", "")};
+    const auto first = plan(json::object(), example("kilima.json"), kilima);
+    EXPECT_EQ(to_string(first.m_mistakes), "");
+    EXPECT_TRUE(first.m_stranded.empty());
+    EXPECT_EQ(first.m_abilities.size(), 5U);
+    const std::vector<announced_upstream> lone_star{upstream("u1", "pool=assistant", "assistant"),
+                                                    upstream("u2", "service=bays", "")};
+    const auto second = plan(json::object(), example("lone-star.json"), lone_star);
+    EXPECT_EQ(to_string(second.m_mistakes), "");
+    EXPECT_TRUE(second.m_stranded.empty());
+    EXPECT_EQ(second.m_abilities.size(), 6U);
+    const auto night = plan(json::object(), example("lone-star.json"), {lone_star.data(), 1});
+    EXPECT_FALSE(night.m_stranded.empty());  // no service is there
+}
+
 TEST(plan, of_nothing_changes_nothing)
 {
     const auto report = plan(current, json::object(), site);
