Broker: run times from a slow spell fade and keep nothing out for good

Cause: a request is refused when its expected run passes its deadline, and only completed runs change that expectation: after a slow spell (50 runs of 5 s) every request with a deadline of 1 s was refused for ever by an idle pool. Seen failing in after_a_slow_spell_short_deadlines_are_served_again before the change. Change: an idle route expects nothing, so that one request at a time finds out; without news the expectation fades over 30 s; the newest runs count for a tenth. The test of the refusal now keeps another request running, since an idle pool must try.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -32,8 +32,9 @@
     }
     auto limits = state.m_options.m_queue;
     limits.m_most_queued = state.m_options.m_most_queued;
-    const bool may_wait = admission::may_wait(
-        facts_of(state, request), limits, lane_of(request).m_drain, now, request.m_info.m_deadline);
+    const bool may_wait =
+        admission::may_wait(facts_of(state, request, now), limits, lane_of(request).m_drain, now,
+                            request.m_info.m_deadline);
     return may_wait ? std::nullopt : std::optional(refusal::overloaded);
 }
 
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/dispatch/request_life.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dewbeam::dispatch {
 
@@ -12,7 +13,9 @@
 constexpr std::size_t most_looked_at = 32;
 /// A request is not sent off when even this share of its expected run time is beyond its deadline.
 constexpr double least_run_share = 0.5;
-constexpr double run_gain = 0.05;
+constexpr double run_gain = 0.1;
+/// Seconds for which a measured run time holds without news.
+constexpr double run_lifetime = 30.0;
 /// What producing the answer costs an upstream, in prompt tokens.
 constexpr double output_work = 300.0;
 /// Without this many lapsed entries the heap of deadlines is not worth tidying.
@@ -28,10 +31,17 @@
     return std::chrono::duration_cast<time_span>(std::chrono::duration<double>(value));
 }
 
-time_span expected_run(const pending_request& request)
+/// Expected time of the whole run. An idle route is given none, and without news it fades: what was
+/// learned in a slow spell must not keep everything out, so that nothing new is learned.
+time_span expected_run(const pending_request& request, time_point now)
 {
+    if (request.m_route->m_users <= 1) {
+        return time_span::zero();
+    }
     const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
-    return to_span(lane_of(request).m_run_seconds_per_token * tokens);
+    const auto& subject = lane_of(request);
+    const double fading = std::exp(-seconds(now - subject.m_run_noted_at) / run_lifetime);
+    return to_span(subject.m_run_seconds_per_token * tokens * fading);
 }
 
 bool is_later(const queued_deadline& a, const queued_deadline& b)
@@ -54,7 +64,7 @@
             quarantine::ends_at(state.m_suspicions, request.m_info.m_fingerprint, now);
     }
     else if (reason == refusal::overloaded || reason == refusal::deadline_passed) {
-        const auto wait = admission::expected_wait(facts_of(state, request), subject.m_drain);
+        const auto wait = admission::expected_wait(facts_of(state, request, now), subject.m_drain);
         result.m_retry_at = admission::next_return(subject.m_returns, limits, subject.m_drain,
                                                    cost_of(request.m_info), wait, now, random);
     }
@@ -103,6 +113,7 @@
 {
     const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
     const double sample = seconds(now - request.m_dispatched_at) / tokens;
+    lane_of(request).m_run_noted_at = now;
     auto& mean = lane_of(request).m_run_seconds_per_token;
     mean = mean == 0.0 ? sample : mean + run_gain * (sample - mean);
 }
@@ -174,7 +185,7 @@
     state.m_requests.erase(ticket(request.m_info.m_ticket));
 }
 
-admission::queue_facts facts_of(const broker& state, const pending_request& request)
+admission::queue_facts facts_of(const broker& state, const pending_request& request, time_point now)
 {
     const auto& queue = lane_of(request).m_queue;
     const auto* own = fairness::find_flow(queue, request.m_info.m_workspace);
@@ -188,7 +199,7 @@
     // Its turn comes after its own share of the queue, at worst after everything.
     facts.m_cost_before = std::min(own_backlog, queue.m_backlog * share);
     facts.m_share = share;
-    facts.m_run_time = expected_run(request);
+    facts.m_run_time = expected_run(request, now);
     return facts;
 }
 
@@ -213,7 +224,7 @@
     if (request.m_route->m_able == 0) {
         return refusal::no_able_upstream;
     }
-    const auto least_run = to_span(seconds(expected_run(request)) * least_run_share);
+    const auto least_run = to_span(seconds(expected_run(request, now)) * least_run_share);
     if (info.m_deadline != no_deadline && now + least_run > info.m_deadline) {
         return refusal::overloaded;
     }
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -40,7 +40,8 @@
 void forget(broker& state, pending_request& request);
 
 /// What one more request of this workspace would meet in its queue.
-admission::queue_facts facts_of(const broker& state, const pending_request& request);
+admission::queue_facts facts_of(const broker& state, const pending_request& request,
+                                time_point now);
 
 /// Where the request's content stands.
 quarantine::standing standing_of(const broker& state, const request_info& info, time_point now);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -88,6 +88,7 @@
     admission::return_line m_returns;
     double m_served = 0.0;                 ///< cost served over the weight of its flows
     double m_run_seconds_per_token = 0.0;  ///< mean run time by output bound; 0: not known
+    time_point m_run_noted_at{};           ///< when that was last measured
 };
 
 /// Upstreams of one class with room: in the own failure domain and elsewhere.
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -501,11 +501,54 @@
     EXPECT_GT(answer.at(0).m_retry_at, f.m_now);
     f.pass(seconds(2));
     f.end(1, attempt_end::completed);  // took 2.1 s
+    f.put(make_upstream("u", 2));
+    f.add(make_request(4));
     late.m_ticket = ticket{3};
     late.m_deadline = f.m_now + milliseconds(500);
     EXPECT_EQ(f.add(late).at(0).m_refusal, refusal::overloaded);
 }
 
+TEST(broker, after_a_slow_spell_short_deadlines_are_served_again)
+{
+    fixture f;
+    f.put(make_upstream("u", 4));
+    std::uint64_t id = 1;
+    for (; id <= 50; ++id) {
+        f.add(make_request(id));
+        f.pass(seconds(5));
+        f.end(id, attempt_end::completed);
+    }
+    const auto send = [&] {
+        auto request = make_request(id++);
+        request.m_deadline = f.m_now + seconds(1);
+        return f.add(request).at(0).m_kind;
+    };
+    for (int i = 0; i < 30; ++i) {
+        ASSERT_EQ(send(), action::kind::dispatch) << "an idle pool refuses nothing";
+        f.pass(milliseconds(10));
+        f.end(id - 1, attempt_end::completed);
+    }
+    EXPECT_EQ(send(), action::kind::dispatch);
+    EXPECT_EQ(send(), action::kind::dispatch);
+}
+
+TEST(broker, one_hung_request_does_not_keep_what_a_slow_spell_taught)
+{
+    fixture f;
+    f.put(make_upstream("u", 4));
+    f.add(make_request(1));  // never ends
+    f.add(make_request(2));
+    f.pass(seconds(5));
+    f.end(2, attempt_end::completed);
+    auto request = make_request(3);
+    request.m_deadline = f.m_now + seconds(1);
+    EXPECT_EQ(f.add(request).at(0).m_refusal, refusal::overloaded);
+    f.pass(seconds(120));
+    request.m_ticket = ticket{4};
+    request.m_deadline = f.m_now + seconds(1);
+    EXPECT_EQ(f.add(request).at(0).m_kind, action::kind::dispatch);
+}
+
 TEST(broker, large_pools_use_a_subset_and_leases_end_at_a_tick)
 {
     fixture f;
