Broker: a report that is not renewed closes no upstream for good

Cause: the count of other entries' work had no age: with the last report saying full, an upstream whose reports stop while its lease goes on got nothing for ever. Seen failing in a_report_that_is_not_renewed_closes_no_upstream_for_good before the change. Change: after 3 s without a report the entry counts on its own share of the slots; the agent answers not_run where it is full.

--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t most_idle_routes = 64;
+/// A report that is older says nothing of now; the agent answers `not_run` where it is full.
+constexpr time_span report_lifetime = std::chrono::seconds(3);
 
 bool is_near(const route_options& options, const upstream_state& upstream)
 {
@@ -125,14 +127,22 @@
     upstream.m_others_waiting = less_or_zero(report.m_waiting, own_waiting);
 }
 
-/// Slots that this entry may count on.
-std::uint32_t usable_slots(const upstream_state& upstream, const route_options& options)
+/// Whether the upstream's last report still says something of the other entries' work.
+bool has_fresh_report(const upstream_state& upstream, time_point now)
 {
-    const auto& info = upstream.m_info;
-    if (info.m_report.m_measured_at != time_point{} || options.m_entries_sharing <= 1) {
-        return info.m_slots;
+    const auto measured = upstream.m_info.m_report.m_measured_at;
+    return measured != time_point{} && now - measured < report_lifetime;
+}
+
+/// Slots that this entry may count on; only its share where nothing is known of the others.
+std::uint32_t usable_slots(const upstream_state& upstream, const route_options& options,
+                           bool is_reported)
+{
+    const auto slots = upstream.m_info.m_slots;
+    if (is_reported || options.m_entries_sharing <= 1) {
+        return slots;
     }
-    return std::max(1U, info.m_slots / options.m_entries_sharing);  // nothing known of the others
+    return std::max(1U, slots / options.m_entries_sharing);
 }
 
 bool has_room(const route_table& table, const upstream_state& upstream,
@@ -142,8 +152,10 @@
         upstream.m_held_for != ticket{}) {
         return false;
     }
-    const auto slots = usable_slots(upstream, options);
-    const bool has_slot = upstream.m_in_flight + upstream.m_others_running < slots;
+    const bool is_reported = has_fresh_report(upstream, now);
+    const auto others = is_reported ? upstream.m_others_running : 0;
+    const auto slots = usable_slots(upstream, options, is_reported);
+    const bool has_slot = upstream.m_in_flight + others < slots;
     if (table.m_reserved_until <= now) {
         return has_slot;
     }
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -549,6 +549,19 @@
     EXPECT_EQ(f.add(request).at(0).m_kind, action::kind::dispatch);
 }
 
+TEST(broker, a_report_that_is_not_renewed_closes_no_upstream_for_good)
+{
+    fixture f;
+    auto info = make_upstream("u", 4);
+    info.m_report.m_running = 4;
+    f.m_now += seconds(1);
+    info.m_report.m_measured_at = f.m_now;
+    f.put(info);
+    EXPECT_TRUE(f.add(make_request(1)).empty());
+    EXPECT_TRUE(f.pass(seconds(1)).empty());
+    EXPECT_EQ(f.pass(seconds(4)).size(), 1U);
+}
+
 TEST(broker, large_pools_use_a_subset_and_leases_end_at_a_tick)
 {
     fixture f;
