--- a/bench/fairness_bench.cpp
+++ b/bench/fairness_bench.cpp
@@ -21,8 +21,7 @@
 constexpr double urgent_share = 0.1;
 constexpr double overload = 1.5;
 constexpr double ordinary_floor = 0.2;
-/// Requests a second that the engines finish when they always have work: measured by this bench's
-/// `capacity` run.
+/// Ordinary work of the unloaded run, as a share of the capacity; its urgent work is the same.
 constexpr double unloaded_share = 0.3;
 
 /// What one run offers.
