--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -23,6 +23,11 @@
         {"/kv_tokens", setting_kind::integer, 100'000, "KV cache (tokens).", 1},
         {"/service_us", setting_kind::integer, 0, "Time of one call of a plain service (us).", 0,
          60'000'000},
+        {"/group_incarnation", setting_kind::integer, 1,
+         "Incarnation of the lock-step group that it is a rank of.", 1},
+        {"/checks_fencing", setting_kind::boolean, true,
+         "Whether it refuses an order with an old fencing number."},
+        {"/can_hold", setting_kind::boolean, true, "Whether it can hold at a step."},
         {"/crash_marker", setting_kind::text, "", "A prompt with this text ends the process."},
     };
     schema.insert(schema.end(), own.begin(), own.end());
@@ -41,6 +46,9 @@
     options.m_kv_tokens = setting_value<std::uint64_t>(settings, "/kv_tokens");
     options.m_service_time = time_span(setting_value<std::int64_t>(settings, "/service_us"));
     options.m_crash_marker = setting_value<std::string>(settings, "/crash_marker");
+    options.m_group = incarnation(setting_value<std::uint64_t>(settings, "/group_incarnation"));
+    options.m_checks_fencing = setting_value<bool>(settings, "/checks_fencing");
+    options.m_can_hold = setting_value<bool>(settings, "/can_hold");
     return options;
 }
 
--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -9,6 +9,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 #include "dewbeam/src/agent/gate.h"
+#include "dewbeam/src/agent/group_runner.h"
 #include "dewbeam/src/control/subscriber.h"
 
 namespace dewbeam::agent {
@@ -57,6 +58,11 @@
          "How long the upstream may be silent within one answer (ms).", 10, 3'600'000},
         {"/upstream/checks_fencing", setting_kind::boolean, true,
          "Whether the engine refuses an order with an old fencing number."},
+        {"/group/name", setting_kind::text, "",
+         "Name of the lock-step group that the upstream is a rank of; empty: none."},
+        {"/group/rank", setting_kind::integer, 0, "Rank of the upstream in its group.", 0, 255},
+        {"/group/members", setting_kind::addresses, json::array(),
+         "Link addresses of the agents of the group, by rank."},
     };
     schema.insert(schema.end(), own.begin(), own.end());
     return schema;
@@ -98,6 +104,9 @@
         }
         m_node = *std::move(node);
         m_gate->use(*m_node);
+        if (auto status = start_group(); !status.ok()) {
+            return status;
+        }
         auto server = platform::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
@@ -124,6 +133,60 @@
     }
 
 private:
+    /// Takes part in the expert map protocol, where the settings name a group.
+    absl::Status start_group()
+    {
+        const auto name = setting_value<std::string>(m_settings, "/group/name");
+        if (name.empty()) {
+            return absl::OkStatus();
+        }
+        const auto rank = setting_value<std::uint32_t>(m_settings, "/group/rank");
+        auto members = platform::link_addresses(m_settings, "/group/members");
+        if (rank >= members.size()) {
+            return absl::InvalidArgumentError("/group/rank: must be a place in /group/members");
+        }
+        m_orders = std::make_unique<http::client>(
+            m_frame.context(),
+            parse_endpoint(setting_value<std::string>(m_settings, "/upstream/address")).value(),
+            upstream_options(m_settings));
+        group_hooks hooks;
+        hooks.m_set_admission = [this](bool may_admit) { m_gate->set_paused(!may_admit); };
+        hooks.m_is_busy = [this] { return m_gate->running() > 0; };
+        hooks.m_on_result = [](group_map::change_result result) {
+            log_event(log_level::info, "expert_map_change",
+                      {{"committed", result == group_map::change_result::committed}});
+        };
+        m_group = std::make_shared<group_runner>(
+            make_group_options(name, std::move(members), rank_id(rank), m_incarnation,
+                               setting_value<bool>(m_settings, "/upstream/checks_fencing")),
+            std::move(hooks), *m_orders, platform::now());
+        m_gate->set_paused(true);  // until the group's map is known to be settled
+        m_group->start(*m_node, platform::now());
+        return absl::OkStatus();
+    }
+
+    http::response propose_map(const http::request& request)
+    {
+        if (!json::accept(request.m_body)) {
+            return caller::to_response(
+                caller::bad_request("bad_map", "the expert map must be a JSON document"), "");
+        }
+        const bool taken = m_group && m_group->propose(request.m_body, platform::now());
+        return http::json_response(taken ? 202 : 409, json{{"taken", taken}}.dump());
+    }
+
+    [[nodiscard]] json group_status() const
+    {
+        if (!m_group) {
+            return nullptr;
+        }
+        const auto engine = m_group->engine();
+        return {{"phase", group_map::to_string(m_group->current_phase())},
+                {"map", engine ? json(engine->m_current.m_number) : json()},
+                {"map_content", engine ? json(engine->m_current.m_content.value()) : json()},
+                {"step", engine ? json(engine->m_step.value()) : json()}};
+    }
+
     ledger::ledger_options gate_options() const
     {
         ledger::ledger_options options;
@@ -146,6 +209,9 @@
         if (path == "/v1/status") {
             return status_response();
         }
+        if (path == "/v1/expert-map" && request.m_method == "POST") {
+            return propose_map(request);
+        }
         auto fault = caller::bad_request("unknown_path", "there is no such path");
         fault.m_status = 404;
         return caller::to_response(fault, "");
@@ -169,6 +235,7 @@
                       {"upstream_reachable", m_load.latest().m_is_reachable},
                       {"draining", is_draining()},
                       {"running", m_gate->running()},
+                      {"group", group_status()},
                       {"members", json::array()}}
                      .dump());
     }
@@ -187,6 +254,9 @@
         else if (message.has_tombstone()) {
             m_gate->tombstone(from, message.tombstone(), platform::now());
         }
+        else if (message.has_group() && m_group) {
+            m_group->on_message(message.group(), platform::now());
+        }
         else if (message.has_configuration_update()) {
             m_configuration.adopt(message.configuration_update());
         }
@@ -254,6 +324,9 @@
         m_load.tick(now);
         watch_upstream_life();
         m_gate->tick(now);
+        if (m_group) {
+            m_group->tick(now);
+        }
         m_configuration.tick(*m_node, now);
         if (slots() > 0) {
             m_gate->set_slots(slots());
@@ -324,6 +397,8 @@
     engine::load_poller m_load;
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
+    std::unique_ptr<http::client> m_orders;  ///< to the engine, about the expert map alone
+    std::shared_ptr<group_runner> m_group;   ///< none: the upstream is no rank of a group
     std::atomic<bool> m_is_started = false;  ///< the node and the server are there
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -273,6 +273,12 @@
     ledger::renew(m_ledger, fresh);
 }
 
+void gate::set_paused(bool paused)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.m_paused = paused;
+}
+
 void gate::set_slots(std::uint32_t slots)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -48,6 +48,9 @@
 
     void set_slots(std::uint32_t slots);
 
+    /// While paused every dispatch is refused; what runs goes on.
+    void set_paused(bool paused);
+
     /// Forgets old attempts.
     void tick(time_point now);
 
--- a/dewbeam/src/fake_engine/fake_engine.cpp
+++ b/dewbeam/src/fake_engine/fake_engine.cpp
@@ -13,6 +13,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dewbeam/src/engine/order_json.h"
+#include "dewbeam/src/fake_engine/rank_engine.h"
+
 namespace dewbeam::fake_engine {
 
 namespace {
@@ -110,6 +113,9 @@
     implementation(asio::io_context& context, engine_options options)
         : m_options(std::move(options)), m_timer(asio::make_strand(context))
     {
+        m_rank.m_checks_fencing = m_options.m_checks_fencing;
+        m_rank.m_state.m_group = m_options.m_group;
+        m_rank.m_state.m_can_hold = m_options.m_can_hold;
     }
 
     void begin() { schedule(); }
@@ -125,6 +131,9 @@
         else if (path == "/runs") {
             answer->respond(http::json_response(200, runs_report()));
         }
+        else if (path == "/orders" && request.m_method == "POST") {
+            take_order(request, *answer);
+        }
         else if (path == "/faults" && request.m_method == "POST") {
             set_faults(request, *answer);
         }
@@ -203,6 +212,9 @@
         if (std::chrono::steady_clock::now() < m_stalled_until) {
             return;
         }
+        if (!begin_step(m_rank)) {
+            return;  // held until the next expert map is committed or given up
+        }
         std::erase_if(m_running, [](const job_pointer& work) { return work->m_is_gone.load(); });
         std::erase_if(m_waiting, [](const job_pointer& work) { return work->m_is_gone.load(); });
         admit();
@@ -288,6 +300,21 @@
         });
     }
 
+    void take_order(const http::request& request, http::exchange& answer)
+    {
+        const auto order = dewbeam::engine::order_from_json(request.m_body);
+        if (!order.ok()) {
+            answer.respond(error_answer(400, std::string(order.status().message())));
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        const auto now = time_point(std::chrono::duration_cast<time_span>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+        auto done = obey(m_rank, *order, now);
+        done.m_state.m_busy = !m_running.empty() || !m_waiting.empty();
+        answer.respond(http::json_response(200, dewbeam::engine::answer_to_json(done)));
+    }
+
     void set_faults(const http::request& request, http::exchange& answer)
     {
         const auto body = json::parse(request.m_body, nullptr, false);
@@ -333,6 +360,7 @@
     asio::steady_timer m_timer;
     std::atomic<bool> m_is_stopped = false;
     mutable std::mutex m_mutex;
+    rank_engine m_rank;
     std::vector<job_pointer> m_running;
     std::deque<job_pointer> m_waiting;
     std::atomic<std::size_t> m_calls = 0;  ///< of plain services, under way
--- a/dewbeam/src/fake_engine/fake_engine.h
+++ b/dewbeam/src/fake_engine/fake_engine.h
@@ -27,6 +27,9 @@
     std::uint64_t m_kv_tokens = 100'000;
     time_span m_service_time = time_span::zero();  ///< of one call of a plain service
     std::string m_crash_marker;                    ///< a prompt with this text ends the process
+    incarnation m_group;                           ///< of the lock-step group that it is a rank of
+    bool m_checks_fencing = true;                  ///< refuses orders with old fencing numbers
+    bool m_can_hold = true;  ///< can hold at a step until a new expert map is committed
 };
 
 /// The words of an answer to `prompt`.
--- a/dewbeam/src/ledger/ledger.cpp
+++ b/dewbeam/src/ledger/ledger.cpp
@@ -85,6 +85,9 @@
     if (state.m_leaving) {
         return refusal::leaving;
     }
+    if (state.m_paused) {
+        return refusal::paused;
+    }
     if (now < state.m_thawed_at) {
         return refusal::thawing;
     }
@@ -149,7 +152,8 @@
     if (reason == refusal::thawing) {
         return state.m_thawed_at;
     }
-    const bool wants_room = reason == refusal::full || reason == refusal::runs_alone;
+    const bool wants_room =
+        reason == refusal::full || reason == refusal::runs_alone || reason == refusal::paused;
     return wants_room ? now + state.m_mean_run / std::max<std::int64_t>(1, state.m_running) : now;
 }
 
@@ -188,9 +192,11 @@
         case refusal::forgotten:
             return "forgotten";
         case refusal::thawing:
+            return "thawing";
+        case refusal::paused:
             break;
     }
-    return "thawing";
+    return "paused";
 }
 
 outcome outcome_of(const attempt_ledger& state, refusal value)
--- a/dewbeam/src/ledger/ledger.h
+++ b/dewbeam/src/ledger/ledger.h
@@ -47,6 +47,7 @@
     runs_alone,  ///< it, or one that runs, must be alone
     forgotten,   ///< so old that the ledger can't tell whether it was offered before
     thawing,     ///< this process slept; the offer may have waited as long
+    paused,      ///< the group changes its expert map, and its engine can't hold at a step
 };
 
 /// Field term of a refusal for logs and replies.
@@ -103,6 +104,7 @@
     ledger_options m_options;
     configuration_version m_configuration;
     bool m_leaving = false;
+    bool m_paused = false;
     std::uint32_t m_running = 0;
     std::uint32_t m_running_urgent = 0;
     std::uint32_t m_running_alone = 0;
