--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -385,6 +385,9 @@
         figures.m_step_time = load.m_step_time;
         figures.m_skew = load.m_skew;
         figures.m_measured_at = load.m_measured_at;
+        const auto classes = m_gate->classes();
+        figures.m_urgent = classes.m_urgent;
+        figures.m_ordinary_slots = classes.m_ordinary_slots;
         m_membership->report(figures, now);
     }
 
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -109,6 +109,7 @@
     ledger::decision decided;
     {
         const std::lock_guard lock(m_mutex);
+        reserve_for_urgent(now);
         decided = ledger::offer(m_ledger, offer, now);
         if (decided.m_refusal == ledger::refusal::none) {
             m_running.emplace(offer.m_id, running);
@@ -288,9 +289,25 @@
 void gate::tick(time_point now)
 {
     const std::lock_guard lock(m_mutex);
+    reserve_for_urgent(now);
     ledger::expire(m_ledger, now);
 }
 
+void gate::reserve_for_urgent(time_point now)
+{
+    fairness::note_urgent(m_urgent_demand, m_ledger.m_running_urgent, now);
+    auto& options = m_ledger.m_options;
+    options.m_urgent_slots =
+        options.m_slots - fairness::ordinary_slots({}, options.m_slots, m_urgent_demand);
+}
+
+gate::class_figures gate::classes() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& options = m_ledger.m_options;
+    return {m_ledger.m_running_urgent, options.m_slots - options.m_urgent_slots};
+}
+
 std::size_t gate::running() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 
+#include "dewbeam/fairness"
 #include "dewbeam/http"
 #include "dewbeam/ledger"
 #include "dewbeam/link"
@@ -57,6 +58,13 @@
     /// Attempts that run.
     [[nodiscard]] std::size_t running() const;
 
+    /// What the gate lets each class hold, for the load reports.
+    struct class_figures {
+        std::uint32_t m_urgent = 0;  ///< urgent attempts that run
+        std::uint32_t m_ordinary_slots = 0;
+    };
+    [[nodiscard]] class_figures classes() const;
+
 private:
     struct attempt;
     using attempt_pointer = std::shared_ptr<attempt>;
@@ -72,7 +80,10 @@
     control::subscriber& m_configuration;
     link::node* m_node = nullptr;
     mutable std::mutex m_mutex;
+    void reserve_for_urgent(time_point now);
+
     ledger::attempt_ledger m_ledger;
+    fairness::urgent_demand m_urgent_demand;
     std::map<attempt_id, attempt_pointer> m_running;
 };
 
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -18,6 +18,7 @@
 #include "dewbeam/src/control/subscriber.h"
 #include "dewbeam/src/entry/burn_book.h"
 #include "dewbeam/src/entry/entry_request.h"
+#include "dewbeam/src/entry/loss_memory.h"
 #include "dewbeam/src/entry/member_table.h"
 #include "dewbeam/src/entry/metrics.h"
 #include "dewbeam/src/entry/pool_table.h"
@@ -786,9 +787,14 @@
     {
         for (const auto& request : m_requests.all()) {
             const auto attempt = request->attempt();
-            if (attempt.m_agent_address == address) {
-                end_attempt(request, attempt.m_id, dispatch::attempt_end::upstream_died, now);
+            if (attempt.m_agent_address != address) {
+                continue;
             }
+            const bool is_suspect = m_losses.note(request->known().m_call.m_content, now);
+            end_attempt(
+                request, attempt.m_id,
+                is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::unknown,
+                now);
         }
     }
 
@@ -1005,6 +1011,7 @@
     pool_table m_pools;
     member_table m_members;
     request_table m_requests;
+    loss_memory m_losses;
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
--- a/dewbeam/src/entry/member_wire.cpp
+++ b/dewbeam/src/entry/member_wire.cpp
@@ -117,6 +117,8 @@
     out.set_total_kv_tokens(static_cast<std::uint64_t>(load.m_total_kv.m_count));
     out.set_step_us(static_cast<std::uint64_t>(load.m_step_time.count()));
     out.set_skew(load.m_skew);
+    out.set_urgent(load.m_urgent);
+    out.set_ordinary_slots(load.m_ordinary_slots);
     out.set_measured_ms(milliseconds_of(now - load.m_measured_at));
     for (const auto prefix : load.m_cached_prefixes) {
         out.add_cached_prefixes(prefix);
@@ -137,6 +139,8 @@
     load.m_step_time =
         time_span(static_cast<std::int64_t>(std::min(source.step_us(), longest_step)));
     load.m_skew = source.skew();
+    load.m_urgent = source.urgent();
+    load.m_ordinary_slots = source.ordinary_slots();
     load.m_measured_at = now - span_of(source.measured_ms());
     load.m_cached_prefixes.assign(source.cached_prefixes().begin(), source.cached_prefixes().end());
     load.m_event_sequence = source.event_sequence();
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -42,6 +42,8 @@
     info.m_lease_deadline = member.m_lease_deadline;
     info.m_report.m_running = member.m_load.m_running;
     info.m_report.m_waiting = member.m_load.m_waiting;
+    info.m_report.m_urgent = member.m_load.m_urgent;
+    info.m_report.m_ordinary_slots = member.m_load.m_ordinary_slots;
     info.m_report.m_free_kv = member.m_load.m_free_kv;
     info.m_report.m_total_kv = member.m_load.m_total_kv;
     info.m_report.m_step_time = member.m_load.m_step_time;
--- a/dewbeam/src/membership/member.h
+++ b/dewbeam/src/membership/member.h
@@ -24,6 +24,8 @@
     token_count m_total_kv;
     time_span m_step_time = time_span::zero();
     double m_skew = 1.0;
+    std::uint32_t m_urgent = 0;          ///< urgent ones of those that run or wait
+    std::uint32_t m_ordinary_slots = 0;  ///< what ordinary work may hold; 0: not said
     time_point m_measured_at{};
     std::vector<std::uint64_t> m_cached_prefixes;
     std::uint64_t m_event_sequence = 0;
