--- a/dewbeam/src/consensus/replication.cpp
+++ b/dewbeam/src/consensus/replication.cpp
@@ -281,6 +281,12 @@
         reply_to_append(at, received, true, self.m_commit);
         return;
     }
+    if (term_at(self.m_log, index) == received.m_snapshot->m_position.m_term) {
+        // A late snapshot: the entries behind it may be acknowledged, so they stay.
+        self.m_commit = index;
+        reply_to_append(at, received, true, index);
+        return;
+    }
     reset(self.m_log, received.m_snapshot);
     self.m_commit = index;
     self.m_applied = index;
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -578,6 +578,30 @@
     EXPECT_EQ(find_broken_promise(128, options), "");
 }
 
+/// A late snapshot dropped entries behind it that were acknowledged (seed 110278 showed it).
+TEST(consensus, a_late_snapshot_drops_nothing_that_was_acknowledged)
+{
+    EXPECT_EQ(find_broken_promise(110278, {}), "");
+    random_engine random(1);
+    auto self = make_replica({}, {replica_id(0), disk_id(1)}, {}, {}, random);
+    message entries;
+    entries.m_from = {replica_id(1), disk_id(1)};
+    entries.m_term = 1;
+    for (std::uint64_t index = 1; index <= 3; ++index) {
+        entries.m_entries.push_back({{1, index}, entry_kind::command, "c", {}});
+    }
+    step(self, entries, {}, random);
+    message late;
+    late.m_kind = message_kind::install;
+    late.m_from = entries.m_from;
+    late.m_term = 1;
+    late.m_snapshot = std::make_shared<snapshot>(snapshot{{1, 2}, {}, "s"});
+    const auto out = step(self, late, {}, random);
+    EXPECT_EQ(last(self.m_log).m_index, 3U);
+    EXPECT_EQ(out.m_committed.size(), 2U);
+    EXPECT_FALSE(out.m_restore);
+}
+
 // Each mechanism switched off must be seen to break a promise under the same faults.
 
 TEST(consensus_broken, blank_disk_that_votes_loses_changes)
