--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -89,6 +89,7 @@
     admission::return_line m_returns;
     double m_served = 0.0;                 ///< cost served over the weight of its flows
     double m_run_seconds_per_token = 0.0;  ///< mean run time by output bound; 0: not known
+    time_point m_run_noted_at{};           ///< when that was last measured
 };
 
 /// Upstreams of one class with room: in the own failure domain and elsewhere.
@@ -149,6 +150,10 @@
 void refresh(route_table& table, const route_options& options, upstream_index index,
              time_point now);
 
+/// Works this out anew for all members of a route: leases may have ended since the last tick.
+void refresh_members(route_table& table, const route_options& options, const route& subject,
+                     time_point now);
+
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -36,12 +36,14 @@
     info.m_name = member.m_upstream;
     info.m_failure_domain = member.m_failure_domain;
     info.m_labels = labels;
-    info.m_incarnation = member.m_incarnation;
+    info.m_incarnation = member.m_upstream_life;
     info.m_slots = member.m_slots;
     info.m_leaving = member.m_leaving || (drain != nullptr && *drain == "true");
     info.m_lease_deadline = member.m_lease_deadline;
     info.m_report.m_running = member.m_load.m_running;
     info.m_report.m_waiting = member.m_load.m_waiting;
+    info.m_report.m_urgent = member.m_load.m_urgent;
+    info.m_report.m_ordinary_slots = member.m_load.m_ordinary_slots;
     info.m_report.m_free_kv = member.m_load.m_free_kv;
     info.m_report.m_total_kv = member.m_load.m_total_kv;
     info.m_report.m_step_time = member.m_load.m_step_time;
--- a/dewbeam/src/membership/member.h
+++ b/dewbeam/src/membership/member.h
@@ -24,6 +24,8 @@
     token_count m_total_kv;
     time_span m_step_time = time_span::zero();
     double m_skew = 1.0;
+    std::uint32_t m_urgent = 0;          ///< urgent ones of those that run or wait
+    std::uint32_t m_ordinary_slots = 0;  ///< what ordinary work may hold; 0: not said
     time_point m_measured_at{};
     std::vector<std::uint64_t> m_cached_prefixes;
     std::uint64_t m_event_sequence = 0;
@@ -46,6 +48,7 @@
     configuration::label_set m_labels;  ///< of an agent
     std::vector<model_id> m_models;     ///< of an agent; empty before a plain service
     std::uint32_t m_slots = 0;          ///< of an agent
+    incarnation m_upstream_life;        ///< of an agent: named by each dispatch to it
     member_load m_load;                 ///< of an agent
     configuration_version m_configuration;
 };
