Refuse a key without a majority at once; end link threads before what they use

Change: link::node::stop joins the thread and leaves the node usable; a control host that knows of no majority says so at once, and the entry asks another one only while a majority can be heard; a stop waits 5 s for results; unknown workspaces are refused by name; slow senders get 408.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -87,6 +87,18 @@
     {
     }
 
+    ~implementation()
+    {
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
     absl::Status start()
     {
         const auto labels =
--- a/dewbeam/src/caller/errors.cpp
+++ b/dewbeam/src/caller/errors.cpp
@@ -49,7 +49,9 @@
 http::response to_response(const error& fault, std::string_view request_id)
 {
     auto result = http::json_response(fault.m_status, to_json(fault));
-    result.m_fields.push_back({"X-Request-Id", std::string(request_id)});
+    if (!request_id.empty()) {
+        result.m_fields.push_back({"X-Request-Id", std::string(request_id)});
+    }
     if (fault.m_outcome != run_outcome::none) {
         result.m_fields.push_back({"X-Dewbeam-Outcome", to_text(fault.m_outcome)});
     }
--- a/dewbeam/src/control/claim_client.cpp
+++ b/dewbeam/src/control/claim_client.cpp
@@ -97,7 +97,8 @@
     }
 }
 
-void claim_client::take(link::node& node, const wire::ClaimReply& reply, time_point now)
+void claim_client::take(link::node& node, const wire::ClaimReply& reply, bool hears_quorum,
+                        time_point now)
 {
     pending_claim ended;
     {
@@ -106,9 +107,13 @@
         if (place == m_claims.end()) {
             return;
         }
-        if (reply.decision() == wire::ClaimReply::DECISION_NO_QUORUM &&
-            place->second.m_deadline > now) {
-            return;  // another control host may have the majority on its side
+        auto& pending = place->second;
+        const bool may_ask_another = hears_quorum && pending.m_refusals + 1 < m_controls.size();
+        if (reply.decision() == wire::ClaimReply::DECISION_NO_QUORUM && may_ask_another) {
+            ++pending.m_refusals;
+            next_control();
+            send(node, pending.m_request);
+            return;
         }
         ended = std::move(place->second);
         m_claims.erase(place);
@@ -160,6 +165,18 @@
     }
 }
 
+void claim_client::peer_lost(link::node& node, const std::string& address)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_controls.empty() || m_controls[m_in_use] != address) {
+        return;
+    }
+    next_control();
+    for (const auto& [number, pending] : m_claims) {
+        send(node, pending.m_request);
+    }
+}
+
 std::size_t claim_client::unrecorded() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/control/claim_client.h
+++ b/dewbeam/src/control/claim_client.h
@@ -38,12 +38,17 @@
     /// Says how a claimed attempt ended.
     void report(link::node& node, wire::ClaimResult result, time_point now);
 
-    void take(link::node& node, const wire::ClaimReply& reply, time_point now);
+    /// `hears_quorum`: a majority of control can be heard from here, so that another control host
+    /// may grant what this one could not.
+    void take(link::node& node, const wire::ClaimReply& reply, bool hears_quorum, time_point now);
     void take(const wire::ClaimResultReply& reply);
 
     /// Asks again, and gives up, where it is time.
     void tick(link::node& node, time_point now);
 
+    /// A control host was lost: what waits for it is asked of the next one.
+    void peer_lost(link::node& node, const std::string& address);
+
     /// Results that control has not recorded yet; a planned stop waits for them.
     [[nodiscard]] std::size_t unrecorded() const;
 
@@ -51,6 +56,7 @@
     struct pending_claim {
         wire::ClaimRequest m_request;
         claim_handler m_done;
+        std::size_t m_refusals = 0;  ///< control hosts that have no majority
         time_point m_ask_again_at{};
         time_point m_deadline{};
     };
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -225,7 +225,9 @@
         if (m_runner) {
             m_runner->stop();
         }
-        m_node.reset();  // ends the thread that calls the runner
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
     }
 
     implementation(const implementation&) = delete;
@@ -404,6 +406,13 @@
 
     void on_claim(const link::peer& from, const wire::ClaimRequest& message)
     {
+        if (!m_runner->status().m_has_quorum) {
+            // Known at once: the caller is told to come back instead of being kept waiting.
+            wire::Envelope envelope;
+            *envelope.mutable_claim_reply() = to_wire(claim_answer(no_quorum{}), message.request());
+            m_node->reply(from, std::move(envelope));
+            return;
+        }
         claim_request wanted;
         wanted.m_key = claims::claim_key(message.key());
         wanted.m_attempt = link::from_wire(message.attempt());
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -38,6 +38,8 @@
 constexpr std::chrono::seconds learning_limit{4};
 /// From the first member that is heard of until the others are known too.
 constexpr std::chrono::milliseconds settling_time{700};
+/// How long a planned stop waits for control to record how claimed requests ended.
+constexpr std::chrono::seconds report_limit{5};
 constexpr std::chrono::milliseconds peers_interval{500};
 constexpr std::chrono::seconds report_interest_interval{5};
 /// Agents of each model whose load reports one entry asks for.
@@ -164,6 +166,18 @@
             setting_value<std::int64_t>(settings, "/limits/output_tokens");
     }
 
+    ~implementation()
+    {
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
     absl::Status start()
     {
         auto node = platform::start_node(m_settings, m_incarnation,
@@ -198,7 +212,9 @@
         platform::program_hooks result;
         result.m_is_ready = [this] { return is_ready(platform::now()); };
         result.m_in_flight = [this] {
-            return m_requests.size() + m_claims.unrecorded() + m_server->unanswered();
+            const bool waits_for_control = platform::now() < m_report_deadline.load();
+            return m_requests.size() + m_server->unanswered() +
+                   (waits_for_control ? m_claims.unrecorded() : 0);
         };
         result.m_announce_leave = [this] {
             m_membership->leave(platform::now());
@@ -206,6 +222,7 @@
         };
         result.m_stop_accepting = [this] {
             m_server->stop_accepting();
+            m_report_deadline = platform::now() + report_limit;
             m_burn.save();
         };
         result.m_tick = [this](time_point now) { tick(now); };
@@ -353,6 +370,10 @@
         }
         if (workspace == nullptr) {
             workspace = configuration::find_workspace(rules, workspace_id(wanted.m_workspace));
+            if (workspace == nullptr && !wanted.m_workspace.empty()) {
+                refuse_classified(unknown_workspace(), known, *answer, now);
+                return;
+            }
         }
         const auto labels = caller::request_labels(wanted, workspace);
         const auto* rule = configuration::resolve(rules, labels);
@@ -692,7 +713,8 @@
             m_configuration.adopt(message.configuration_update(), is_from_control(from));
         }
         else if (message.has_claim_reply()) {
-            m_claims.take(*m_node, message.claim_reply(), now);
+            m_claims.take(*m_node, message.claim_reply(), m_membership->reach(now).m_hears_quorum,
+                          now);
         }
         else if (message.has_claim_result_reply()) {
             m_claims.take(message.claim_result_reply());
@@ -770,6 +792,7 @@
     void on_lost(const link::peer& gone)
     {
         m_configuration.peer_lost(gone.m_address);
+        m_claims.peer_lost(*m_node, gone.m_address);
         if (gone.m_address.empty()) {
             return;
         }
@@ -1015,6 +1038,7 @@
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::atomic<std::uint64_t> m_last_attempt = 0;
     time_point m_next_scan{};
+    std::atomic<time_point> m_report_deadline = no_deadline;
     std::atomic<time_point> m_next_interest = time_point{};
     time_point m_next_peers{};
     std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -73,6 +73,15 @@
     return fault;
 }
 
+caller::error unknown_workspace()
+{
+    auto fault = caller::bad_request("unknown_workspace",
+                                     "there is no workspace of this name in the configuration",
+                                     "X-Dewbeam-Workspace");
+    fault.m_outcome = caller::run_outcome::not_run;
+    return fault;
+}
+
 caller::error key_required(const std::string& selector)
 {
     auto fault = caller::bad_request(
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -17,6 +17,9 @@
 /// The token is missing or belongs to no workspace.
 caller::error not_authorized();
 
+/// The workspace that the caller names does not exist.
+caller::error unknown_workspace();
+
 /// The selector needs an Idempotency-Key and the caller sent none.
 caller::error key_required(const std::string& selector);
 
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -482,18 +482,49 @@
     co_return error;
 }
 
+/// Ends a read that takes too long, and leaves the connection open for the answer that says so:
+/// the deadline of a `tcp_stream` would close it.
+class read_deadline {
+public:
+    read_deadline(const strand& executor, tcp::socket& socket, time_span limit)
+        : m_timer(executor, limit), m_is_over(std::make_shared<bool>(false))
+    {
+        m_timer.async_wait([&socket, is_over = m_is_over](const error_code& error) {
+            if (!error && !*is_over) {
+                *is_over = true;
+                error_code ignored;
+                socket.cancel(ignored);
+            }
+        });
+    }
+
+    /// The read ended with `error`; gives a timeout in its place where this deadline ended it.
+    error_code finish(error_code error)
+    {
+        const bool has_expired = std::exchange(*m_is_over, true);
+        m_timer.cancel();
+        return has_expired && error ? error_code(beast::error::timeout) : error;
+    }
+
+private:
+    asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_is_over;  ///< shared with a wait that may outlive this object
+};
+
 using request_parser = bhttp::request_parser<bhttp::string_body>;
 
 /// Reads one request, and tells a caller that asks first to go on.
 template <class Stream>
 asio::awaitable<error_code> read_request(Stream& stream, beast::flat_buffer& buffer,
-                                         request_parser& parser, time_span limit)
+                                         request_parser& parser, const strand& executor,
+                                         time_span limit)
 {
     error_code error;
-    lowest(stream).expires_after(limit);
+    lowest(stream).expires_never();
+    read_deadline deadline(executor, lowest(stream).socket(), limit);
     co_await bhttp::async_read_header(stream, buffer, parser, to_value(error));
     if (error) {
-        co_return error;
+        co_return deadline.finish(error);
     }
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
         bhttp::response<bhttp::empty_body> go_on{bhttp::status::continue_, 11};
@@ -502,7 +533,7 @@
     if (!error) {
         co_await bhttp::async_read(stream, buffer, parser, to_value(error));
     }
-    co_return error;
+    co_return deadline.finish(error);
 }
 
 /// Serves the requests of one connection, one after the other.
@@ -523,7 +554,7 @@
         if (error) {
             break;
         }
-        error = co_await read_request(stream, buffer, parser, limits.m_read_limit);
+        error = co_await read_request(stream, buffer, parser, executor, limits.m_read_limit);
         if (error) {
             co_await refuse_request(*state, stream, explain(error));
             break;
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -149,13 +149,18 @@
     }
 
     ~implementation()
+    {
+        stop();
+        ::close(m_wake);
+    }
+
+    void stop()
     {
         m_stop = true;
         wake();
         if (m_thread.joinable()) {
             m_thread.join();
         }
-        ::close(m_wake);
     }
 
     implementation(const implementation&) = delete;
@@ -196,7 +201,7 @@
         bool was_empty = false;
         {
             const std::lock_guard lock(m_mutex);
-            if (m_queue.size() >= m_options.m_most_queued) {
+            if (m_stop || m_queue.size() >= m_options.m_most_queued) {
                 return false;
             }
             was_empty = m_queue.empty();
@@ -518,6 +523,11 @@
     return m_implementation->enqueue({to, m_implementation->encode(message)});
 }
 
+void node::stop()
+{
+    m_implementation->stop();
+}
+
 void node::close(const std::string& address)
 {
     m_implementation->enqueue({{address, {}}, {}, true});
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -76,6 +76,10 @@
     /// Answers on the connection that a message came from; false where the queue is full.
     bool reply(const peer& to, wire::Envelope message);
 
+    /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
+    /// replying stay allowed and give false.
+    void stop();
+
     /// Closes the connection to `address`; what was queued on it may be lost.
     void close(const std::string& address);
 
