Test that watches are drawn again after a return, seen failing

The test passed with the mechanism switched off, since watches were not drawn while the member was dead; now they are.

--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -291,6 +291,11 @@
         }
         subject.run(15s);
         EXPECT_TRUE(subject.all_agree(control, is_running));
+        // Watches are drawn anew while the control is dead.
+        for (const std::size_t entry : {0, 1}) {
+            subject.m_processes[entry].m_view.m_are_watchers_stale = !is_running;
+        }
+        subject.run(2s);
     }
 }
 
