--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -36,8 +36,8 @@
 constexpr std::chrono::milliseconds scan_interval{50};
 /// How long a start waits for control before it takes the word of the domain's other hosts.
 constexpr std::chrono::seconds learning_limit{4};
-/// From the first member that is heard of until the others are known too.
-constexpr std::chrono::milliseconds settling_time{700};
+/// Without a new member for this long all are known: digests are compared each second.
+constexpr std::chrono::milliseconds settling_time{1500};
 /// How long a planned stop waits for control to record how claimed requests ended.
 constexpr std::chrono::seconds report_limit{5};
 constexpr std::chrono::milliseconds peers_interval{500};
@@ -826,7 +826,7 @@
     void on_member(const membership::member& member)
     {
         const auto now = platform::now();
-        if (m_members_heard_at.load() == no_heard) {
+        if (m_frame.phase() == lifecycle::phase::starting) {
             m_members_heard_at = now;
         }
         if (member.m_role != membership::role::agent) {
@@ -1043,8 +1043,8 @@
     time_point m_next_peers{};
     std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
     time_point m_started_at = platform::now();
-    /// `no_heard` until the first member is heard of; ready at once is right for a lone entry only
-    /// after the learning limit.
+    /// When membership last brought news during the start; `no_heard` until then: a lone entry is
+    /// ready after the learning limit.
     static constexpr time_point no_heard = no_deadline - settling_time;
     std::atomic<time_point> m_members_heard_at = no_heard;
     std::atomic<bool> m_is_started = false;  ///< the node and the server are there
