--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -19,6 +19,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::chrono::milliseconds push_interval{200};
 constexpr time_span subscription_lease = std::chrono::seconds(3);
 
 const char* to_text(configuration::change_status value)
@@ -254,7 +255,7 @@
             *envelope.mutable_consensus() = std::move(message);
             m_node->send(address, std::move(envelope));
         };
-        hooks.m_on_configuration = [this] { push_to_subscribers(); };
+        hooks.m_on_configuration = [this] { m_has_news = true; };
         hooks.m_on_failed = [](const std::string& reason) {
             log_event(log_level::error, "replica_failed", {{"reason", reason}});
         };
@@ -455,11 +456,14 @@
         return message;
     }
 
-    void push_to_subscribers()
+    /// Sends the newest configuration to all subscribers. A burst of changes goes out as a few
+    /// whole documents, not as one for each change.
+    void push_news(time_point now)
     {
-        if (!m_is_started) {
-            return;  // subscribers ask again
+        if (now < m_next_push || !m_has_news.exchange(false)) {
+            return;
         }
+        m_next_push = now + push_interval;
         const auto message = configuration_message();
         const std::lock_guard lock(m_mutex);
         for (const auto& [peer, deadline] : m_subscribers) {
@@ -473,6 +477,7 @@
         if (m_runner->status().m_has_quorum) {
             m_membership->note_quorum(now);
         }
+        push_news(now);
         const std::lock_guard lock(m_mutex);
         std::erase_if(m_subscribers, [now](const auto& item) { return item.second <= now; });
     }
@@ -483,6 +488,8 @@
     std::atomic<bool> m_is_started = false;  ///< all members below are there
     std::mutex m_mutex;
     std::map<link::peer, time_point> m_subscribers;  ///< lease deadline of each
+    std::atomic<bool> m_has_news = false;            ///< subscribers have an older configuration
+    time_point m_next_push{};                        ///< used on the frame's thread alone
     std::unique_ptr<entry::membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<replica_runner> m_runner;
