Prove the restart of an entry inside a cut-off domain, and rules for busy upstreams

test_restart_inside_a_cut_off_domain: all other domains frozen, the domain's own control host killed, an entry restarted: it takes the configuration from the domain's other entry and serves; status says that the domain is cut off, and no more once it is joined again.

broker: ten refusals for lack of room cost no retry and the request goes on. ledger: room is kept for a suspect that must run alone, and given back where it does not come.

--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -114,6 +114,22 @@
     EXPECT_TRUE(f.add(make_request(2)).at(0).m_may_wait);
 }
 
+TEST(broker, refusals_for_lack_of_room_cost_no_retry_and_the_request_goes_on)
+{
+    fixture f;
+    f.put(make_upstream("u", 4));
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    const auto retries = f.m_broker.m_retry_budget.m_retries;
+    constexpr int refusals = 10;
+    for (int i = 0; i < refusals; ++i) {
+        EXPECT_TRUE(f.end(1, attempt_end::refused_busy).empty());
+        const auto again = f.pass(milliseconds(100));
+        ASSERT_EQ(again.size(), 1U);
+        EXPECT_EQ(again[0].m_upstream, upstream_id("u"));
+    }
+    EXPECT_EQ(f.m_broker.m_retry_budget.m_retries, retries);
+}
+
 TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
 {
     fixture f;
--- a/test/control_session.py
+++ b/test/control_session.py
@@ -207,6 +207,40 @@
         self.site.wait_for(runs_again, "the key to be granted")
         self.assertEqual(self.runs(), 2)
 
+    def test_restart_inside_a_cut_off_domain(self):
+        """All of the other domains is silent: the domain goes on, says so, and its entry that is
+        restarted takes the newest configuration from the domain's other host."""
+        fourth = self.site.add_entry(0, "e4")
+        fourth.start()
+        self.site.wait_ready(["e4"])
+        self.change({"selectors": {"late": {"when": "task=late", "upstreams": ""}}}, "second")
+        self.site.wait_for_number(2)
+        silent = ("c2", "c3", "e2", "e3")
+        for name in silent:
+            self.site.processes[name].send(signal.SIGSTOP)
+        for name in ("e1", "c1"):
+            self.site.wait_for(lambda n=name: self.status(n)["cut_off"], "%s to be cut off" % name)
+        status, answer = self.site.apply(selector(1), "cut", "c1", base=2)
+        self.assertEqual(status, 503, answer)
+        self.site.processes["c1"].kill()  # so that only e4 can tell
+        first = self.site.processes["e1"]
+        self.assertEqual(first.stop(), 0)
+        first.start()
+        self.site.wait_ready(["e1"])
+        self.assertEqual(self.site.configuration_number("e1"), 2)
+        self.site.wait_for_upstreams("e1", 1)
+        status, _, _ = self.site.call("e1", "POST", "/services/bay/unlock", {"bay": 1})
+        self.assertEqual(status, 200)
+        for name in silent:
+            self.site.processes[name].send(signal.SIGCONT)
+        self.site.processes["c1"].start()
+        self.change(selector(2), "healed")
+        self.site.wait_for(lambda: not self.status("e1")["cut_off"], "e1 to be joined again")
+
+    def status(self, name):
+        status, _, body = self.site.try_call(name, "GET", "/v1/status")
+        return json.loads(body) if status == 200 else {"cut_off": None}
+
     def runs(self):
         return json.loads(self.site.call("bay-engine", "GET", "/runs")[2])["runs"]
 
--- a/test/ledger_test.cpp
+++ b/test/ledger_test.cpp
@@ -67,6 +67,29 @@
     EXPECT_EQ(running_attempts(state), std::vector{make_offer(3).m_id});
 }
 
+TEST(ledger, room_is_kept_for_a_suspect_that_was_refused_since_others_ran)
+{
+    auto state = make_ledger(4);
+    offer(state, make_offer(1), start);
+    EXPECT_EQ(offer(state, make_offer(2, false, true), start).m_refusal, refusal::runs_alone);
+    EXPECT_EQ(offer(state, make_offer(3), start).m_refusal, refusal::runs_alone);
+    finish(state, {incarnation(9), 1}, outcome::completed, start);
+    EXPECT_EQ(offer(state, make_offer(4), start + milliseconds(10)).m_refusal, refusal::runs_alone);
+    EXPECT_EQ(offer(state, make_offer(5, false, true), start + milliseconds(20)).m_refusal,
+              refusal::none);
+    finish(state, {incarnation(9), 5}, outcome::completed, start + milliseconds(30));
+    EXPECT_EQ(offer(state, make_offer(6), start + milliseconds(40)).m_refusal, refusal::none);
+}
+
+TEST(ledger, room_that_a_suspect_never_takes_is_given_back)
+{
+    auto state = make_ledger(4);
+    offer(state, make_offer(1), start);
+    offer(state, make_offer(2, false, true), start);
+    const auto later = start + state.m_options.m_alone_hold;
+    EXPECT_EQ(offer(state, make_offer(3), later).m_refusal, refusal::none);
+}
+
 TEST(ledger, leaving_refuses_everything_and_drains)
 {
     auto state = make_ledger(4);
--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -132,8 +132,10 @@
         settings["data_folder"] = os.path.join(self.work, "data-c%d" % (index + 1))
         return self.add(settings["host"], "dewbeam-control", settings)
 
-    def add_entry(self, index):
-        settings = self._settings("e%d" % (index + 1), DOMAINS[index], self.entry_links[index])
+    def add_entry(self, index, host=None):
+        """The entry of a domain, or one more there under the name `host`."""
+        settings = self._settings(host or "e%d" % (index + 1), DOMAINS[index],
+                                  None if host else self.entry_links[index])
         if self.tls:
             settings["http"].update(self.tls)
         settings["controls"] = self.control_links
