--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -145,6 +145,7 @@
                     m_unsent -= first.m_data.size();
                     co_return first;
                 }
+                m_is_waiting = true;
             }
             error_code error;
             co_await m_timer.async_wait(to_value(error));
@@ -165,11 +166,13 @@
     void push(piece item, bool is_last)
     {
         bool is_too_slow = false;
+        bool must_wake = false;
         {
             const std::lock_guard lock(m_mutex);
             if (m_is_closed || m_is_gone) {
                 return;
             }
+            must_wake = std::exchange(m_is_waiting, false);
             m_is_closed = is_last;
             m_unsent += item.m_data.size();
             is_too_slow = m_unsent > m_most_unsent;
@@ -180,7 +183,9 @@
             set_gone();
             return;
         }
-        wake();
+        if (must_wake) {
+            wake();
+        }
     }
 
     void wake()
@@ -197,6 +202,7 @@
     bool m_is_closed = false;  ///< the last piece is queued
     bool m_is_gone = false;
     bool m_is_over = false;
+    bool m_is_waiting = false;  ///< the connection sleeps until the next piece
     std::function<void()> m_on_gone;
 };
 
