--- /dev/null
+++ b/dewbeam/src/http/answer_writer.h
@@ -0,0 +1,110 @@
+/// \file
+/// Writes the pieces of one answer to its connection. Internal to the module.
+#pragma once
+
+#include <utility>
+
+#include "dewbeam/src/http/queued_exchange.h"
+
+namespace dewbeam::http::internal {
+
+/// A whole response in Beast's form.
+inline bhttp::response<bhttp::string_body> to_beast(response&& whole, bool keep_alive, bool is_head)
+{
+    bhttp::response<bhttp::string_body> result{static_cast<bhttp::status>(whole.m_status), 11};
+    for (const auto& item : whole.m_fields) {
+        result.insert(item.m_name, item.m_value);
+    }
+    result.keep_alive(keep_alive);
+    if (is_head) {
+        result.content_length(whole.m_body.size());
+    }
+    else {
+        result.body() = std::move(whole.m_body);
+        result.prepare_payload();
+    }
+    return result;
+}
+
+/// Writes the pieces of one answer; gives whether the connection may go on.
+template <class Stream>
+class answer_writer {
+public:
+    answer_writer(Stream& stream, time_span limit, bool keep_alive, bool is_head)
+        : m_stream(stream), m_limit(limit), m_keep_alive(keep_alive), m_is_head(is_head)
+    {
+    }
+
+    /// Writes until the answer's end; false where the connection must be closed.
+    asio::awaitable<bool> run(queued_exchange& answer)
+    {
+        for (;;) {
+            auto item = co_await answer.next();
+            if (!item || item->m_kind == piece::kind::cut) {
+                answer.set_over();
+                co_return false;
+            }
+            const auto kind = item->m_kind;
+            const auto error = co_await write(std::move(*item));
+            if (error) {
+                answer.set_gone();
+                co_return false;
+            }
+            if (kind == piece::kind::whole || kind == piece::kind::end) {
+                answer.set_over();
+                co_return m_keep_alive;
+            }
+        }
+    }
+
+private:
+    asio::awaitable<error_code> write(piece item)
+    {
+        lowest(m_stream).expires_after(m_limit);
+        error_code error;
+        switch (item.m_kind) {
+            case piece::kind::whole: {
+                auto message = to_beast(std::move(item.m_response), m_keep_alive, m_is_head);
+                bhttp::response_serializer<bhttp::string_body> serializer(message);
+                if (m_is_head) {
+                    co_await bhttp::async_write_header(m_stream, serializer, to_value(error));
+                }
+                else {
+                    co_await bhttp::async_write(m_stream, serializer, to_value(error));
+                }
+                break;
+            }
+            case piece::kind::head: {
+                bhttp::response<bhttp::empty_body> head{
+                    static_cast<bhttp::status>(item.m_response.m_status), 11};
+                for (const auto& one : item.m_response.m_fields) {
+                    head.insert(one.m_name, one.m_value);
+                }
+                head.keep_alive(m_keep_alive);
+                head.chunked(true);
+                bhttp::response_serializer<bhttp::empty_body> serializer(head);
+                co_await bhttp::async_write_header(m_stream, serializer, to_value(error));
+                break;
+            }
+            case piece::kind::data:
+                if (!item.m_data.empty()) {
+                    co_await asio::async_write(
+                        m_stream, bhttp::make_chunk(asio::buffer(item.m_data)), to_value(error));
+                }
+                break;
+            case piece::kind::end:
+                co_await asio::async_write(m_stream, bhttp::make_chunk_last(), to_value(error));
+                break;
+            case piece::kind::cut:
+                break;
+        }
+        co_return error;
+    }
+
+    Stream& m_stream;
+    time_span m_limit;
+    bool m_keep_alive;
+    bool m_is_head;
+};
+
+}  // namespace dewbeam::http::internal
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -6,222 +6,19 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <boost/beast/ssl.hpp>
 #include <boost/intrusive/list.hpp>
-#include <deque>
 #include <mutex>
 #include <optional>
 #include <utility>
-#include <variant>
+
+#include "dewbeam/src/http/answer_writer.h"
 
 namespace dewbeam::http {
 
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace bhttp = boost::beast::http;
-using tcp = asio::ip::tcp;
-using error_code = boost::system::error_code;
-
-/// Completes with the error as a value instead of an exception.
-auto to_value(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
-/// One step of an answer that waits to be written.
-struct piece {
-    enum class kind { whole, head, data, end, cut };
-    kind m_kind = kind::data;
-    response m_response;
-    std::string m_data;
-};
-
-using strand = asio::strand<asio::io_context::executor_type>;
-
-/// Answers queue here; the connection's coroutine writes them.
-class queued_exchange : public exchange, public std::enable_shared_from_this<queued_exchange> {
-public:
-    queued_exchange(const strand& executor, std::size_t most_unsent)
-        : m_executor(executor), m_timer(executor), m_most_unsent(most_unsent)
-    {
-        m_timer.expires_at(asio::steady_timer::time_point::max());
-    }
-
-    void respond(response whole) override
-    {
-        push({piece::kind::whole, std::move(whole), {}}, true);
-    }
-
-    void start(int status, fields head) override
-    {
-        response first;
-        first.m_status = status;
-        first.m_fields = std::move(head);
-        push({piece::kind::head, std::move(first), {}}, false);
-    }
-
-    void write(std::string bytes) override
-    {
-        push({piece::kind::data, {}, std::move(bytes)}, false);
-    }
-
-    void finish() override { push({piece::kind::end, {}, {}}, true); }
-
-    void abort() override { push({piece::kind::cut, {}, {}}, true); }
-
-    void on_gone(std::function<void()> action) override
-    {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_is_over) {
-                return;
-            }
-            if (!m_is_gone) {
-                m_on_gone = std::move(action);
-                return;
-            }
-        }
-        action();
-    }
-
-    /// The connection broke or its reader is too slow; calls the handler's action once.
-    void set_gone()
-    {
-        std::function<void()> action;
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_is_gone) {
-                return;
-            }
-            m_is_gone = true;
-            if (!m_is_over) {
-                action = std::move(m_on_gone);
-            }
-            m_on_gone = nullptr;
-        }
-        if (action) {
-            action();
-        }
-        wake();
-    }
-
-    /// The whole answer was written.
-    void set_over()
-    {
-        const std::lock_guard lock(m_mutex);
-        m_is_over = true;
-        m_on_gone = nullptr;
-    }
-
-    /// Whether the answer is over, one way or the other.
-    [[nodiscard]] bool is_finished() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_is_gone || m_is_over;
-    }
-
-    /// The next step, or nothing where the caller went away.
-    asio::awaitable<std::optional<piece>> next()
-    {
-        for (;;) {
-            {
-                const std::lock_guard lock(m_mutex);
-                if (m_is_gone) {
-                    co_return std::nullopt;
-                }
-                if (!m_pieces.empty()) {
-                    piece first = std::move(m_pieces.front());
-                    m_pieces.pop_front();
-                    merge_data(first);
-                    m_unsent -= first.m_data.size();
-                    co_return first;
-                }
-                m_is_waiting = true;
-            }
-            error_code error;
-            co_await m_timer.async_wait(to_value(error));
-        }
-    }
-
-private:
-    /// Joins data pieces that wait behind one another into one write.
-    void merge_data(piece& first)
-    {
-        while (first.m_kind == piece::kind::data && !m_pieces.empty() &&
-               m_pieces.front().m_kind == piece::kind::data) {
-            first.m_data += m_pieces.front().m_data;
-            m_pieces.pop_front();
-        }
-    }
-
-    void push(piece item, bool is_last)
-    {
-        bool is_too_slow = false;
-        bool must_wake = false;
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_is_closed || m_is_gone) {
-                return;
-            }
-            must_wake = std::exchange(m_is_waiting, false);
-            m_is_closed = is_last;
-            m_unsent += item.m_data.size();
-            is_too_slow = m_unsent > m_most_unsent;
-            m_pieces.push_back(std::move(item));
-        }
-        if (is_too_slow) {
-            log_event(log_level::warning, "caller_reads_too_slowly", {{"unsent", m_most_unsent}});
-            set_gone();
-            return;
-        }
-        if (must_wake) {
-            wake();
-        }
-    }
-
-    void wake()
-    {
-        asio::post(m_executor, [self = shared_from_this()] { self->m_timer.cancel(); });
-    }
-
-    strand m_executor;
-    asio::steady_timer m_timer;
-    std::size_t m_most_unsent;
-    mutable std::mutex m_mutex;
-    std::deque<piece> m_pieces;
-    std::size_t m_unsent = 0;
-    bool m_is_closed = false;  ///< the last piece is queued
-    bool m_is_gone = false;
-    bool m_is_over = false;
-    bool m_is_waiting = false;  ///< the connection sleeps until the next piece
-    std::function<void()> m_on_gone;
-};
-
-bhttp::response<bhttp::string_body> to_beast(response&& whole, bool keep_alive, bool is_head)
-{
-    bhttp::response<bhttp::string_body> result{static_cast<bhttp::status>(whole.m_status), 11};
-    for (const auto& item : whole.m_fields) {
-        result.insert(item.m_name, item.m_value);
-    }
-    result.keep_alive(keep_alive);
-    if (is_head) {
-        result.content_length(whole.m_body.size());
-    }
-    else {
-        result.body() = std::move(whole.m_body);
-        result.prepare_payload();
-    }
-    return result;
-}
+using namespace internal;
 
 request to_request(bhttp::request<bhttp::string_body>&& source)
 {
@@ -343,16 +140,6 @@
     std::shared_ptr<connection_slot> m_slot;
 };
 
-beast::tcp_stream& lowest(beast::tcp_stream& stream)
-{
-    return stream;
-}
-
-beast::tcp_stream& lowest(beast::ssl_stream<beast::tcp_stream>& stream)
-{
-    return stream.next_layer();
-}
-
 /// Calls `set_gone` when the caller closes its side while an answer is under way.
 asio::awaitable<void> watch_caller(tcp::socket& socket, std::shared_ptr<queued_exchange> answer)
 {
@@ -370,87 +157,6 @@
     }
 }
 
-/// Writes the pieces of one answer; gives whether the connection may go on.
-template <class Stream>
-class answer_writer {
-public:
-    answer_writer(Stream& stream, time_span limit, bool keep_alive, bool is_head)
-        : m_stream(stream), m_limit(limit), m_keep_alive(keep_alive), m_is_head(is_head)
-    {
-    }
-
-    /// Writes until the answer's end; false where the connection must be closed.
-    asio::awaitable<bool> run(queued_exchange& answer)
-    {
-        for (;;) {
-            auto item = co_await answer.next();
-            if (!item || item->m_kind == piece::kind::cut) {
-                answer.set_over();
-                co_return false;
-            }
-            const auto kind = item->m_kind;
-            const auto error = co_await write(std::move(*item));
-            if (error) {
-                answer.set_gone();
-                co_return false;
-            }
-            if (kind == piece::kind::whole || kind == piece::kind::end) {
-                answer.set_over();
-                co_return m_keep_alive;
-            }
-        }
-    }
-
-private:
-    asio::awaitable<error_code> write(piece item)
-    {
-        lowest(m_stream).expires_after(m_limit);
-        error_code error;
-        switch (item.m_kind) {
-            case piece::kind::whole: {
-                auto message = to_beast(std::move(item.m_response), m_keep_alive, m_is_head);
-                bhttp::response_serializer<bhttp::string_body> serializer(message);
-                if (m_is_head) {
-                    co_await bhttp::async_write_header(m_stream, serializer, to_value(error));
-                }
-                else {
-                    co_await bhttp::async_write(m_stream, serializer, to_value(error));
-                }
-                break;
-            }
-            case piece::kind::head: {
-                bhttp::response<bhttp::empty_body> head{
-                    static_cast<bhttp::status>(item.m_response.m_status), 11};
-                for (const auto& one : item.m_response.m_fields) {
-                    head.insert(one.m_name, one.m_value);
-                }
-                head.keep_alive(m_keep_alive);
-                head.chunked(true);
-                bhttp::response_serializer<bhttp::empty_body> serializer(head);
-                co_await bhttp::async_write_header(m_stream, serializer, to_value(error));
-                break;
-            }
-            case piece::kind::data:
-                if (!item.m_data.empty()) {
-                    co_await asio::async_write(
-                        m_stream, bhttp::make_chunk(asio::buffer(item.m_data)), to_value(error));
-                }
-                break;
-            case piece::kind::end:
-                co_await asio::async_write(m_stream, bhttp::make_chunk_last(), to_value(error));
-                break;
-            case piece::kind::cut:
-                break;
-        }
-        co_return error;
-    }
-
-    Stream& m_stream;
-    time_span m_limit;
-    bool m_keep_alive;
-    bool m_is_head;
-};
-
 template <class Shared, class Stream>
 asio::awaitable<void> refuse_request(Shared& state, Stream& stream, const read_fault& fault)
 {
