Split the entry server into small modules with one job each

Cause: entry_server.cpp had grown to 1073 lines in one class that held callers' requests, classification, claims, attempts, members, suspicions, time and pages.

Change: what the parts share stands in entry_state, with the members in the order they had, so that they begin and end as before; the server still stops the node first. No lock, atomic, log line, metric, status or order of calls was meant to change.

--- /dev/null
+++ b/dewbeam/src/entry/attempts.cpp
@@ -0,0 +1,176 @@
+#include "dewbeam/src/entry/attempts.h"
+
+#include <utility>
+
+#include "dewbeam/src/entry/endings.h"
+#include "dewbeam/src/entry/refusals.h"
+#include "dewbeam/src/entry/suspicions.h"
+
+namespace dewbeam::entry {
+
+namespace {
+
+const char* to_text(dispatch::attempt_end end)
+{
+    switch (end) {
+        case dispatch::attempt_end::completed:
+            return "completed";
+        case dispatch::attempt_end::not_run:
+            return "not_run";
+        case dispatch::attempt_end::refused_busy:
+            return "refused_busy";
+        case dispatch::attempt_end::unknown:
+            return "unknown";
+        case dispatch::attempt_end::upstream_died:
+            return "upstream_died";
+        case dispatch::attempt_end::cancelled:
+            break;
+    }
+    return "cancelled";
+}
+
+/// A stream whose answer contradicted itself can't go on anywhere.
+void give_up_stream(entry_state& state, const request_pointer& request, time_point now)
+{
+    if (!request->is_over()) {
+        fail_request(state, request, broken_stream(), now);
+    }
+    perform(state, state.m_pools.cancel(request->known().m_pool, request->known().m_ticket, now),
+            now);
+}
+
+void begin_attempt(entry_state& state, const request_pointer& request,
+                   const dispatch::action& action, time_point now)
+{
+    owned_attempt attempt;
+    attempt.m_id = {state.m_incarnation, ++state.m_last_attempt};
+    attempt.m_agent_address = state.m_members.address_of(action.m_upstream);
+    attempt.m_agent = action.m_incarnation;
+    const auto id = attempt.m_id;
+    const auto address = attempt.m_agent_address;
+    auto message =
+        request->own(action, std::move(attempt), state.m_configuration.current()->m_version, now);
+    if (!message) {
+        give_up_stream(state, request, now);
+        return;
+    }
+    state.m_requests.add_attempt(id, request);
+    state.m_metrics.dispatched();
+    log_event(log_level::debug, "attempt_dispatched",
+              {{"request", request->known().m_request_id},
+               {"attempt", id.m_sequence},
+               {"upstream", action.m_upstream.value()}});
+    wire::Envelope envelope;
+    *envelope.mutable_dispatch() = *std::move(message);
+    if (address.empty() || !state.m_node->send(address, std::move(envelope))) {
+        end_attempt(state, request, id, dispatch::attempt_end::not_run, now);
+    }
+}
+
+void send_tombstone(entry_state& state, const owned_attempt& attempt)
+{
+    wire::Envelope message;
+    auto& tombstone = *message.mutable_tombstone();
+    link::to_wire(attempt.m_id, *tombstone.mutable_attempt());
+    tombstone.set_agent_incarnation(attempt.m_agent.value());
+    state.m_node->send(attempt.m_agent_address, std::move(message));
+}
+
+}  // namespace
+
+void perform(entry_state& state, const dispatch::actions& wanted, time_point now)
+{
+    for (const auto& action : wanted) {
+        const auto request = state.m_requests.find(action.m_ticket);
+        if (!request) {
+            continue;  // over in the meantime
+        }
+        if (action.m_kind == dispatch::action::kind::refuse) {
+            fail_request(state, request, to_error(action, now), now);
+        }
+        else {
+            begin_attempt(state, request, action, now);
+        }
+    }
+}
+
+void cancel_attempt(entry_state& state, const request_pointer& request)
+{
+    const auto attempt = request->attempt();
+    if (attempt.m_id.m_sequence == 0) {
+        return;
+    }
+    state.m_requests.remove_attempt(attempt.m_id);
+    wire::Envelope message;
+    link::to_wire(attempt.m_id, *message.mutable_cancel()->mutable_attempt());
+    state.m_node->send(attempt.m_agent_address, std::move(message));
+}
+
+void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
+                 dispatch::attempt_end end, time_point now)
+{
+    const bool is_not_run =
+        end == dispatch::attempt_end::not_run || end == dispatch::attempt_end::refused_busy;
+    if (!request->release(id, is_not_run)) {
+        return;
+    }
+    state.m_requests.remove_attempt(id);
+    if (end != dispatch::attempt_end::completed) {
+        state.m_metrics.attempt_failed(to_text(end));
+        log_event(log_level::info, "attempt_ended",
+                  {{"request", request->known().m_request_id},
+                   {"attempt", id.m_sequence},
+                   {"end", to_text(end)}});
+    }
+    const auto& known = request->known();
+    if (end == dispatch::attempt_end::completed) {
+        finish_request(state, request, now);
+    }
+    const auto wanted = state.m_pools.attempt_ended(known.m_pool, known.m_ticket, end, now);
+    if (end == dispatch::attempt_end::upstream_died) {
+        // The other entries must know before the caller can ask one of them again.
+        spread_suspicions(state, now);
+    }
+    perform(state, wanted, now);
+}
+
+void end_attempts_at(entry_state& state, const std::string& address, time_point now)
+{
+    for (const auto& request : state.m_requests.all()) {
+        const auto attempt = request->attempt();
+        if (attempt.m_agent_address != address) {
+            continue;
+        }
+        const bool is_suspect = state.m_losses.note(request->known().m_call.m_content, now);
+        end_attempt(
+            state, request, attempt.m_id,
+            is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::unknown,
+            now);
+    }
+}
+
+void watch_deadlines(entry_state& state, const request_pointer& request, time_point now)
+{
+    const auto attempt = request->attempt();
+    if (attempt.m_id.m_sequence == 0) {
+        return;
+    }
+    if (request->known().m_deadline <= now) {
+        cancel_attempt(state, request);
+        fail_request(state, request, deadline_exceeded(), now);
+        perform(state,
+                state.m_pools.cancel(request->known().m_pool, request->known().m_ticket, now), now);
+    }
+    else if (request->begin_tombstone(now)) {
+        send_tombstone(state, attempt);
+    }
+    else if (request->is_broken(now)) {
+        cancel_attempt(state, request);
+        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, now);
+    }
+    else if (request->is_tombstone_late(now)) {
+        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, now);
+    }
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/attempts.h
@@ -0,0 +1,28 @@
+/// \file
+/// The attempts of requests at agents: begun, cancelled, ended, and watched for their deadlines.
+#pragma once
+
+#include <string>
+
+#include "dewbeam/src/entry/entry_request.h"
+#include "dewbeam/src/entry/entry_state.h"
+
+namespace dewbeam::entry {
+
+/// Carries out what a broker decided, in its order.
+void perform(entry_state& state, const dispatch::actions& wanted, time_point now);
+
+/// Tells the agent that the answer is not wanted any more.
+void cancel_attempt(entry_state& state, const request_pointer& request);
+
+/// Ends the attempt for the request, which is then retried or refused.
+void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
+                 dispatch::attempt_end end, time_point now);
+
+/// The process at an address is gone, or can't be heard: its attempts end here.
+void end_attempts_at(entry_state& state, const std::string& address, time_point now);
+
+/// Deadlines of one request in flight.
+void watch_deadlines(entry_state& state, const request_pointer& request, time_point now);
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/entry_state.cpp
@@ -0,0 +1,42 @@
+#include "dewbeam/src/entry/entry_state.h"
+
+#include <utility>
+
+namespace dewbeam::entry {
+
+namespace {
+
+dispatch::broker_options broker_options_of(const nlohmann::json& settings)
+{
+    dispatch::broker_options options;
+    options.m_failure_domain =
+        failure_domain_id(setting_value<std::string>(settings, "/failure_domain"));
+    options.m_entry = host_id(setting_value<std::string>(settings, "/host"));
+    options.m_most_queued = setting_value<std::size_t>(settings, "/limits/queued");
+    return options;
+}
+
+caller::call_limits call_limits_of(const nlohmann::json& settings)
+{
+    caller::call_limits limits;
+    limits.m_most_json_depth = setting_value<std::size_t>(settings, "/limits/json_depth");
+    limits.m_most_output_tokens = setting_value<std::int64_t>(settings, "/limits/output_tokens");
+    return limits;
+}
+
+}  // namespace
+
+entry_state::entry_state(platform::program& frame, const nlohmann::json& settings,
+                         std::function<void()> on_configuration)
+    : m_frame(frame),
+      m_settings(settings),
+      m_incarnation(platform::new_incarnation()),
+      m_limits(call_limits_of(settings)),
+      m_burn(setting_value<std::string>(settings, "/burn_file")),
+      m_configuration(platform::link_addresses(settings, "/controls"), std::move(on_configuration)),
+      m_claims(platform::link_addresses(settings, "/controls")),
+      m_pools(broker_options_of(settings))
+{
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/member_feed.cpp
@@ -0,0 +1,74 @@
+#include "dewbeam/src/entry/member_feed.h"
+
+#include "dewbeam/src/entry/attempts.h"
+
+namespace dewbeam::entry {
+
+namespace {
+
+void remove_from_pools(entry_state& state, const membership::member& member, time_point now)
+{
+    for (const auto& pool : pools_of(member)) {
+        perform(state, state.m_pools.remove_upstream(pool, member.m_upstream, now), now);
+    }
+}
+
+void on_member(entry_state& state, const membership::member& member)
+{
+    const auto now = platform::now();
+    if (state.m_frame.phase() == lifecycle::phase::starting) {
+        state.m_members_heard_at = now;
+    }
+    if (member.m_role != membership::role::agent) {
+        return;
+    }
+    if (!member.m_dead) {
+        if (state.m_members.is_new_process(member)) {
+            // Its load is wanted at once, and nothing more comes from the process before it.
+            state.m_next_interest = time_point{};
+            state.m_node->close(member.m_address);
+            end_attempts_at(state, member.m_address, now);
+        }
+        update_pools(state, state.m_members.take(member), now);
+    }
+    else if (state.m_members.remove(member)) {
+        log_event(log_level::info, "upstream_gone", {{"upstream", member.m_upstream.value()}});
+        remove_from_pools(state, member, now);
+    }
+}
+
+}  // namespace
+
+membership_hooks membership_hooks_of(entry_state& state)
+{
+    membership_hooks hooks;
+    hooks.m_on_change = [&state](const membership::member& member) { on_member(state, member); };
+    hooks.m_on_report = [&state](const host_id& host, incarnation,
+                                 const membership::member_load& load) {
+        if (const auto changed = state.m_members.take_load(host, load)) {
+            update_pools(state, *changed, platform::now());
+        }
+    };
+    return hooks;
+}
+
+void update_pools(entry_state& state, const membership::member& member, time_point now)
+{
+    const auto active = state.m_configuration.current();
+    const auto labels = configuration::effective_labels(active->m_document, member.m_labels);
+    const auto info = to_upstream(member, labels);
+    for (const auto& pool : pools_of(member)) {
+        perform(state, state.m_pools.update_upstream(pool, info, now), now);
+    }
+}
+
+void configuration_changed(entry_state& state)
+{
+    const auto now = platform::now();
+    state.m_metrics.set_configuration_number(state.m_configuration.current()->m_number);
+    for (const auto& member : state.m_members.all()) {
+        update_pools(state, member, now);
+    }
+}
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/member_feed.h
@@ -0,0 +1,19 @@
+/// \file
+/// From the membership and the configuration to the pools: which upstreams there are, and under
+/// which labels.
+#pragma once
+
+#include "dewbeam/src/entry/entry_state.h"
+
+namespace dewbeam::entry {
+
+/// What the membership calls. `state` must outlive the runner that takes them.
+membership_hooks membership_hooks_of(entry_state& state);
+
+/// Shows the pools a member as it is now.
+void update_pools(entry_state& state, const membership::member& member, time_point now);
+
+/// Shows the pools all members under the labels of a new configuration.
+void configuration_changed(entry_state& state);
+
+}  // namespace dewbeam::entry
--- /dev/null
+++ b/dewbeam/src/entry/messages.cpp
@@ -0,0 +1,143 @@
+#include "dewbeam/src/entry/messages.h"
+
+#include <utility>
+
+#include "dewbeam/src/entry/attempts.h"
+#include "dewbeam/src/entry/intake.h"
+#include "dewbeam/src/entry/member_feed.h"
+#include "dewbeam/src/entry/peers.h"
+#include "dewbeam/src/entry/suspicion_wire.h"
+
+namespace dewbeam::entry {
+
+namespace {
+
+dispatch::attempt_end to_end(chunk_effect effect)
+{
+    switch (effect) {
+        case chunk_effect::completed:
+            return dispatch::attempt_end::completed;
+        case chunk_effect::not_run:
+            return dispatch::attempt_end::not_run;
+        case chunk_effect::busy:
+        case chunk_effect::stale:
+            return dispatch::attempt_end::refused_busy;
+        case chunk_effect::none:
+        case chunk_effect::first:
+        case chunk_effect::unknown:
+        case chunk_effect::broken:
+            break;
+    }
+    return dispatch::attempt_end::unknown;
+}
+
+void on_chunk(entry_state& state, const wire::ReplyChunk& chunk, time_point now)
+{
+    const auto id = link::from_wire(chunk.attempt());
+    const auto request = state.m_requests.find(id);
+    if (!request) {
+        return;
+    }
+    const auto effect = request->take(chunk, now);
+    switch (effect) {
+        case chunk_effect::none:
+            return;
+        case chunk_effect::first:
+            state.m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+            return;
+        case chunk_effect::stale:
+            resubmit(state, request, id, now);
+            return;
+        case chunk_effect::broken:
+            cancel_attempt(state, request);
+            break;
+        case chunk_effect::completed:
+        case chunk_effect::not_run:
+        case chunk_effect::busy:
+        case chunk_effect::unknown:
+            break;
+    }
+    auto end = to_end(effect);
+    if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_died") {
+        end = dispatch::attempt_end::upstream_died;
+    }
+    end_attempt(state, request, id, end, now);
+}
+
+void on_tombstone_reply(entry_state& state, const wire::TombstoneReply& reply, time_point now)
+{
+    const auto id = link::from_wire(reply.attempt());
+    const auto request = state.m_requests.find(id);
+    if (!request) {
+        return;
+    }
+    const auto effect = request->take(reply);
+    if (effect != chunk_effect::none) {
+        end_attempt(state, request, id, to_end(effect), now);
+    }
+}
+
+void on_suspicion(entry_state& state, const wire::Suspicion& message, time_point now)
+{
+    const auto record = from_wire(message, now, platform::wall_now());
+    perform(state, state.m_pools.merge_suspicion(message.pool(), record, now), now);
+}
+
+}  // namespace
+
+void on_message(entry_state& state, const link::peer& from, wire::Envelope&& message)
+{
+    if (!state.m_is_started) {
+        return;  // whoever sent this sends it again
+    }
+    const auto now = platform::now();
+    if (state.m_membership->take(message, now)) {
+        return;
+    }
+    if (message.has_reply_chunk()) {
+        on_chunk(state, message.reply_chunk(), now);
+    }
+    else if (message.has_accepted()) {
+        if (const auto request =
+                state.m_requests.find(link::from_wire(message.accepted().attempt()))) {
+            request->take(message.accepted());
+        }
+    }
+    else if (message.has_tombstone_reply()) {
+        on_tombstone_reply(state, message.tombstone_reply(), now);
+    }
+    else if (message.has_configuration_update()) {
+        state.m_configuration.adopt(message.configuration_update(), is_from_control(state, from));
+    }
+    else if (message.has_claim_reply()) {
+        state.m_claims.take(*state.m_node, message.claim_reply(),
+                            state.m_membership->reach(now).m_hears_quorum, now);
+    }
+    else if (message.has_claim_result_reply()) {
+        state.m_claims.take(message.claim_result_reply());
+    }
+    else if (message.has_suspicion()) {
+        on_suspicion(state, message.suspicion(), now);
+    }
+    else if (message.has_subscribe()) {
+        tell_configuration(state, from);
+    }
+}
+
+void on_lost(entry_state& state, const link::peer& gone)
+{
+    state.m_configuration.peer_lost(gone.m_address);
+    state.m_claims.peer_lost(*state.m_node, gone.m_address);
+    if (gone.m_address.empty()) {
+        return;
+    }
+    const auto now = platform::now();
+    for (const auto& member : state.m_members.set_unreachable(gone.m_address)) {
+        // A report shows when the agent can be reached again.
+        state.m_next_interest = time_point{};
+        update_pools(state, member, now);
+    }
+    end_attempts_at(state, gone.m_address, now);
+}
+
+}  // namespace dewbeam::entry
