--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -34,7 +34,7 @@
         });
     }
 
-    ~fixture() override
+    void TearDown() override
     {
         m_context.stop();
         m_thread.join();
