--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -9,6 +9,8 @@
 #include "dewbeam/configuration"
 #include "dewbeam/http"
 #include "dewbeam/link"
+#include "dewbeam/src/control/change_page.h"
+#include "dewbeam/src/control/claim_wire.h"
 #include "dewbeam/src/control/replica_runner.h"
 #include "dewbeam/src/entry/status_page.h"
 #include "dewbeam/src/platform/listeners.h"
@@ -22,130 +24,6 @@
 constexpr std::chrono::milliseconds push_interval{200};
 constexpr time_span subscription_lease = std::chrono::seconds(3);
 
-const char* to_text(configuration::change_status value)
-{
-    switch (value) {
-        case configuration::change_status::accepted:
-            return "accepted";
-        case configuration::change_status::conflict:
-            return "conflict";
-        case configuration::change_status::invalid:
-            break;
-    }
-    return "invalid";
-}
-
-json to_json(const mistakes& items)
-{
-    json list = json::array();
-    for (const auto& item : items) {
-        list.push_back(
-            {{"path", item.m_path}, {"value", item.m_value}, {"allowed", item.m_allowed}});
-    }
-    return list;
-}
-
-wire::ClaimReply::Decision to_wire(claims::decision value)
-{
-    switch (value) {
-        case claims::decision::granted:
-            return wire::ClaimReply::DECISION_GRANTED;
-        case claims::decision::running:
-            return wire::ClaimReply::DECISION_RUNNING;
-        case claims::decision::finished:
-            return wire::ClaimReply::DECISION_FINISHED;
-        case claims::decision::unknown:
-            return wire::ClaimReply::DECISION_UNKNOWN;
-        case claims::decision::mismatch:
-            return wire::ClaimReply::DECISION_MISMATCH;
-        case claims::decision::withdrawn:
-            return wire::ClaimReply::DECISION_WITHDRAWN;
-        case claims::decision::full:
-            break;
-    }
-    return wire::ClaimReply::DECISION_FULL;
-}
-
-ledger::outcome to_outcome(wire::Outcome value)
-{
-    if (value == wire::OUTCOME_COMPLETED) {
-        return ledger::outcome::completed;
-    }
-    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
-}
-
-wire::ClaimReply to_wire(const claim_answer& answer, std::uint64_t request)
-{
-    wire::ClaimReply reply;
-    reply.set_request(request);
-    const auto* verdict = std::get_if<claims::verdict>(&answer);
-    if (verdict == nullptr) {
-        reply.set_decision(wire::ClaimReply::DECISION_NO_QUORUM);
-        return reply;
-    }
-    reply.set_decision(to_wire(verdict->m_decision));
-    link::to_wire(verdict->m_attempt, *reply.mutable_attempt());
-    reply.set_agent(verdict->m_agent.value());
-    if (verdict->m_answer) {
-        reply.set_answer_held(true);
-        reply.set_status(verdict->m_answer->m_status);
-        reply.set_body(verdict->m_answer->m_body);
-        for (const auto& item : verdict->m_answer->m_headers) {
-            auto& header = *reply.add_headers();
-            header.set_name(item.m_name);
-            header.set_value(item.m_value);
-        }
-    }
-    return reply;
-}
-
-claim_outcome to_claim_outcome(const wire::ClaimResult& source)
-{
-    claim_outcome result;
-    result.m_key = claims::claim_key(source.key());
-    result.m_attempt = link::from_wire(source.attempt());
-    result.m_outcome = to_outcome(source.outcome());
-    if (source.answer_held()) {
-        auto& answer = result.m_answer.emplace();
-        answer.m_status = source.status();
-        answer.m_body = source.body();
-        for (const auto& item : source.headers()) {
-            answer.m_headers.push_back({item.name(), item.value()});
-        }
-    }
-    return result;
-}
-
-http::response no_quorum_response()
-{
-    caller::error fault;
-    fault.m_status = 503;
-    fault.m_type = "control_error";
-    fault.m_code = "no_quorum";
-    fault.m_message =
-        "no majority of the control hosts answered; send the change again under the same id";
-    fault.m_retry_after = std::chrono::seconds(1);
-    return caller::to_response(fault, "");
-}
-
-http::response change_response(const configuration::change_result& result)
-{
-    switch (result.m_status) {
-        case configuration::change_status::accepted:
-            return http::json_response(
-                200, json{{"status", "accepted"}, {"number", result.m_number}}.dump());
-        case configuration::change_status::conflict:
-            return http::json_response(409, json{{"status", "conflict"},
-                                                 {"number", result.m_number},
-                                                 {"winner", result.m_winner}}
-                                                .dump());
-        case configuration::change_status::invalid:
-            break;
-    }
-    return http::json_response(
-        422, json{{"status", "invalid"}, {"mistakes", to_json(result.m_mistakes)}}.dump());
-}
-
 }  // namespace
 
 std::vector<setting> control_schema()
@@ -322,14 +200,13 @@
             return;
         }
         const auto id = wanted->m_id;
-        m_runner->propose_change(*std::move(wanted), [this, id,
-                                                      answer](const change_answer& ended) {
+        m_runner->propose_change(*std::move(wanted), [id, answer](const change_answer& ended) {
             const auto* result = std::get_if<configuration::change_result>(&ended);
             log_event(log_level::info, "change_decided",
                       {{"change", id},
                        {"status", result == nullptr ? "no_quorum" : to_text(result->m_status)},
                        {"number", result == nullptr ? 0 : result->m_number}});
-            answer->respond(result == nullptr ? no_quorum_response() : change_response(*result));
+            answer->respond(change_response(ended));
         });
     }
 
@@ -414,17 +291,12 @@
             m_node->reply(from, std::move(envelope));
             return;
         }
-        claim_request wanted;
-        wanted.m_key = claims::claim_key(message.key());
-        wanted.m_attempt = link::from_wire(message.attempt());
-        wanted.m_agent = host_id(message.agent());
-        wanted.m_fingerprint = fingerprint(message.fingerprint());
-        m_runner->propose_claim(
-            std::move(wanted), [this, from, number = message.request()](const claim_answer& ended) {
-                wire::Envelope envelope;
-                *envelope.mutable_claim_reply() = to_wire(ended, number);
-                m_node->reply(from, std::move(envelope));
-            });
+        m_runner->propose_claim(to_claim_request(message), [this, from, number = message.request()](
+                                                               const claim_answer& ended) {
+            wire::Envelope envelope;
+            *envelope.mutable_claim_reply() = to_wire(ended, number);
+            m_node->reply(from, std::move(envelope));
+        });
     }
 
     void on_claim_result(const link::peer& from, const wire::ClaimResult& message)
