Let the coordinating rank's agent call the expert planner

Cause: the expert planner and the stall detector had tests and benches, but no program called them: a group kept the map it started with, and routing never heard of a stall.

Change: each agent of a group asks its engine once a second for `GET /experts` (tokens of each expert, steps, the settled map). agent::expert_balancer feeds the planner where its rank coordinates, proposes its plans through group_runner and settles them by the change's result. A new coordinator reads the map in force from the engine. The preference is that of the first selector, by name, whose upstreams match; /group/store_bytes_per_s and /group/expert_bytes say what a move costs. A busy engine that runs no step for 2 s is reported with a skew of 100. The stand-in of an engine counts tokens by a power law (/experts/skew_percent) and tells at `GET /maps` the first step of each map it ran under. An entry's status page shows the loads that agents reported.

Tried: a skew of 10 for a stall.

Left: an agent judges its own rank's silence alone, since it is told no other rank's step time.

--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -28,12 +28,34 @@
         {"/checks_fencing", setting_kind::boolean, true,
          "Whether it refuses an order with an old fencing number."},
         {"/can_hold", setting_kind::boolean, true, "Whether it can hold at a step."},
+        {"/experts/experts", setting_kind::integer, 0,
+         "Experts of each layer; 0: it says nothing of experts.", 0, 4096},
+        {"/experts/layers", setting_kind::integer, 1, "Layers with experts.", 1, 1024},
+        {"/experts/slots_per_rank", setting_kind::integer, 1, "Experts that a rank holds a layer.",
+         1, 4096},
+        {"/experts/tokens_per_step", setting_kind::integer, 4096,
+         "Tokens of the whole group in a step.", 0, 10'000'000},
+        {"/experts/skew_percent", setting_kind::integer, 0,
+         "Exponent of the power law of the tokens of experts (hundredths); 0: all the same.", 0,
+         1000},
         {"/crash_marker", setting_kind::text, "", "A prompt with this text ends the process."},
     };
     schema.insert(schema.end(), own.begin(), own.end());
     return schema;
 }
 
+fake_engine::expert_options read_experts(const nlohmann::json& settings)
+{
+    constexpr double hundredth = 0.01;
+    fake_engine::expert_options options;
+    options.m_experts = setting_value<std::uint32_t>(settings, "/experts/experts");
+    options.m_layers = setting_value<std::uint32_t>(settings, "/experts/layers");
+    options.m_slots_per_rank = setting_value<std::uint32_t>(settings, "/experts/slots_per_rank");
+    options.m_tokens_per_step = setting_value<double>(settings, "/experts/tokens_per_step");
+    options.m_skew = hundredth * setting_value<double>(settings, "/experts/skew_percent");
+    return options;
+}
+
 fake_engine::engine_options read_options(const nlohmann::json& settings)
 {
     fake_engine::engine_options options;
@@ -49,6 +71,7 @@
     options.m_group = incarnation(setting_value<std::uint64_t>(settings, "/group_incarnation"));
     options.m_checks_fencing = setting_value<bool>(settings, "/checks_fencing");
     options.m_can_hold = setting_value<bool>(settings, "/can_hold");
+    options.m_experts = read_experts(settings);
     return options;
 }
 
--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -8,6 +8,7 @@
 #include "dewbeam/engine"
 #include "dewbeam/http"
 #include "dewbeam/link"
+#include "dewbeam/src/agent/expert_balancer.h"
 #include "dewbeam/src/agent/gate.h"
 #include "dewbeam/src/agent/group_runner.h"
 #include "dewbeam/src/control/subscriber.h"
@@ -64,6 +65,10 @@
         {"/group/rank", setting_kind::integer, 0, "Rank of the upstream in its group.", 0, 255},
         {"/group/members", setting_kind::addresses, json::array(),
          "Link addresses of the agents of the group, by rank."},
+        {"/group/store_bytes_per_s", setting_kind::integer, 10'000'000'000,
+         "What the weight store gives the whole group (bytes a second).", 1},
+        {"/group/expert_bytes", setting_kind::integer, 20'000'000,
+         "Size of the weights of one expert of one layer (bytes).", 1},
     };
     schema.insert(schema.end(), own.begin(), own.end());
     return schema;
@@ -172,7 +177,8 @@
         group_hooks hooks;
         hooks.m_set_admission = [this](bool may_admit) { m_gate->set_paused(!may_admit); };
         hooks.m_is_busy = [this] { return m_gate->running() > 0; };
-        hooks.m_on_result = [](group_map::change_result result) {
+        hooks.m_on_result = [this](group_map::change_result result) {
+            m_balancer->on_result(result, platform::now());
             log_event(log_level::info, "expert_map_change",
                       {{"committed", result == group_map::change_result::committed}});
         };
@@ -180,11 +186,39 @@
             make_group_options(name, std::move(members), rank_id(rank), m_incarnation,
                                setting_value<bool>(m_settings, "/upstream/checks_fencing")),
             std::move(hooks), *m_orders, platform::now());
+        m_balancer = std::make_shared<expert_balancer>(balancer_settings(), balancer_calls(),
+                                                       m_upstream, platform::now());
         m_gate->set_paused(true);  // until the group's map is known to be settled
         m_group->start(*m_node, platform::now());
         return absl::OkStatus();
     }
 
+    [[nodiscard]] balancer_options balancer_settings() const
+    {
+        balancer_options options;
+        options.m_ranks = static_cast<std::uint32_t>(
+            platform::link_addresses(m_settings, "/group/members").size());
+        options.m_move.m_expert_size = {
+            setting_value<std::int64_t>(m_settings, "/group/expert_bytes")};
+        options.m_move.m_store_rate = {
+            setting_value<std::int64_t>(m_settings, "/group/store_bytes_per_s")};
+        return options;
+    }
+
+    balancer_hooks balancer_calls()
+    {
+        balancer_hooks hooks;
+        hooks.m_phase = [this] { return m_group->current_phase(); };
+        hooks.m_propose = [this](const std::string& content) {
+            return m_group->propose(content, platform::now());
+        };
+        hooks.m_is_busy = [this] { return m_gate->running() > 0; };
+        hooks.m_preference = [this] {
+            return balance_of(m_configuration.current()->m_document, m_labels);
+        };
+        return hooks;
+    }
+
     http::response propose_map(const http::request& request)
     {
         if (!json::accept(request.m_body)) {
@@ -204,7 +238,8 @@
         return {{"phase", group_map::to_string(m_group->current_phase())},
                 {"map", engine ? json(engine->m_current.m_number) : json()},
                 {"map_content", engine ? json(engine->m_current.m_content.value()) : json()},
-                {"step", engine ? json(engine->m_step.value()) : json()}};
+                {"step", engine ? json(engine->m_step.value()) : json()},
+                {"balance", m_balancer->status(platform::now())}};
     }
 
     ledger::ledger_options gate_options() const
@@ -345,6 +380,7 @@
         m_gate->tick(now);
         if (m_group) {
             m_group->tick(now);
+            m_balancer->tick(now);
         }
         m_membership->tick(now);
         m_configuration.tick(*m_node, platform::link_addresses(m_settings, "/entries"), now);
@@ -395,7 +431,7 @@
         figures.m_free_kv = {static_cast<std::int64_t>(load.m_free_kv_tokens)};
         figures.m_total_kv = {static_cast<std::int64_t>(load.m_total_kv_tokens)};
         figures.m_step_time = load.m_step_time;
-        figures.m_skew = load.m_skew;
+        figures.m_skew = m_balancer ? m_balancer->skew_for_routing(load.m_skew, now) : load.m_skew;
         figures.m_measured_at = load.m_measured_at;
         const auto classes = m_gate->classes();
         figures.m_urgent = classes.m_urgent;
@@ -413,9 +449,10 @@
     engine::load_poller m_load;
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
-    std::unique_ptr<http::client> m_orders;  ///< to the engine, about the expert map alone
-    std::shared_ptr<group_runner> m_group;   ///< none: the upstream is no rank of a group
-    std::atomic<bool> m_is_started = false;  ///< the node and the server are there
+    std::unique_ptr<http::client> m_orders;       ///< to the engine, about the expert map alone
+    std::shared_ptr<group_runner> m_group;        ///< none: the upstream is no rank of a group
+    std::shared_ptr<expert_balancer> m_balancer;  ///< there where `m_group` is
+    std::atomic<bool> m_is_started = false;       ///< the node and the server are there
     std::unique_ptr<entry::membership_runner> m_membership;
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -987,6 +987,7 @@
         facts.m_version = active->m_version;
         auto page = status_page(facts, *m_membership, platform::now());
         page["in_flight"] = m_requests.size();
+        page["loads"] = loads_to_json(m_members.all());
         return page.dump();
     }
 
--- a/dewbeam/src/entry/status_page.cpp
+++ b/dewbeam/src/entry/status_page.cpp
@@ -40,6 +40,18 @@
             {"dead", member.m_dead}};
 }
 
+json loads_to_json(const std::vector<membership::member>& agents)
+{
+    json list = json::array();
+    for (const auto& agent : agents) {
+        list.push_back({{"upstream", agent.m_upstream.value()},
+                        {"running", agent.m_load.m_running},
+                        {"waiting", agent.m_load.m_waiting},
+                        {"skew", agent.m_load.m_skew}});
+    }
+    return list;
+}
+
 json status_page(const status_facts& facts, const membership_runner& members, time_point now)
 {
     json list = json::array();
--- a/dewbeam/src/entry/status_page.h
+++ b/dewbeam/src/entry/status_page.h
@@ -17,6 +17,9 @@
 /// A member as status pages show it.
 nlohmann::json to_json(const membership::member& member);
 
+/// What agents last reported to an entry, as its status page shows it.
+nlohmann::json loads_to_json(const std::vector<membership::member>& agents);
+
 /// `{"host", "role", "failure_domain", "phase", "incarnation", "configuration", "cut_off",
 /// "reach", "members"}`; the program adds its own.
 struct status_facts {
--- a/dewbeam/src/fake_engine/fake_engine.cpp
+++ b/dewbeam/src/fake_engine/fake_engine.cpp
@@ -7,12 +7,14 @@
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <cmath>
 #include <cstdlib>
 #include <deque>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dewbeam/src/engine/expert_json.h"
 #include "dewbeam/src/engine/order_json.h"
 #include "dewbeam/src/fake_engine/rank_engine.h"
 
@@ -103,6 +105,24 @@
 
 }  // namespace
 
+/// The order of popularity is another one in each layer.
+experts::group_counts tokens_per_step(const expert_options& options)
+{
+    experts::group_counts counts(options.m_layers);
+    double whole = 0;
+    for (std::uint32_t place = 0; place < options.m_experts; ++place) {
+        whole += std::pow(place + 1, -options.m_skew);
+    }
+    for (std::uint32_t layer = 0; layer < options.m_layers; ++layer) {
+        for (std::uint32_t expert = 0; expert < options.m_experts; ++expert) {
+            const auto place = (expert + layer) % options.m_experts;
+            const double share = std::pow(place + 1, -options.m_skew) / whole;
+            counts[layer].push_back(options.m_tokens_per_step * share);
+        }
+    }
+    return counts;
+}
+
 std::string answer_word(std::uint64_t prompt_hash, std::uint64_t index)
 {
     return absl::StrFormat("w%d-%x ", index, prompt_hash);
@@ -128,6 +148,12 @@
         if (path == "/load") {
             answer->respond(http::json_response(200, load_report()));
         }
+        else if (path == "/experts" && m_options.m_experts.m_experts > 0) {
+            answer->respond(http::json_response(200, experts_report()));
+        }
+        else if (path == "/maps") {
+            answer->respond(http::json_response(200, maps_report()));
+        }
         else if (path == "/runs") {
             answer->respond(http::json_response(200, runs_report()));
         }
@@ -348,6 +374,42 @@
             .dump();
     }
 
+    std::string experts_report() const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto settled = group_map::settled_map(m_rank.m_state);
+        const auto& own = m_options.m_experts;
+        dewbeam::engine::expert_report report;
+        report.m_map_version = settled.m_number;
+        report.m_map = content_of(m_rank, settled);
+        report.m_shape = {1, own.m_slots_per_rank, own.m_experts, own.m_layers};
+        report.m_steps = m_rank.m_state.m_step.value();
+        report.m_step_time = m_options.m_step;
+        report.m_counts = tokens_per_step(own);
+        for (auto& layer : report.m_counts) {
+            for (double& tokens : layer) {
+                tokens *= static_cast<double>(report.m_steps);
+            }
+        }
+        return dewbeam::engine::report_to_json(report);
+    }
+
+    /// The maps that steps were run under, each with its first step.
+    std::string maps_report() const
+    {
+        const std::lock_guard lock(m_mutex);
+        json maps = json::array();
+        for (const auto& known : m_rank.m_known) {
+            if (known.m_first_step) {
+                maps.push_back({{"number", known.m_map.m_number},
+                                {"content", known.m_content ? *known.m_content : ""},
+                                {"first_step", known.m_first_step->value()}});
+            }
+        }
+        return json{{"maps", maps}, {"steps", m_rank.m_state.m_step.value()}}.dump(
+            -1, ' ', false, json::error_handler_t::replace);
+    }
+
     std::string runs_report() const
     {
         const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/fake_engine/fake_engine.h
+++ b/dewbeam/src/fake_engine/fake_engine.h
@@ -13,10 +13,23 @@
 #include <vector>
 
 #include "dewbeam/base"
+#include "dewbeam/experts"
 #include "dewbeam/http"
 
 namespace dewbeam::fake_engine {
 
+/// The experts of a rank's stand-in; tokens of a step lie on them by a power law.
+struct expert_options {
+    std::uint32_t m_experts = 0;  ///< of each layer; 0: it says nothing of experts
+    std::uint32_t m_layers = 1;
+    std::uint32_t m_slots_per_rank = 1;
+    double m_tokens_per_step = 0;  ///< of the whole group, in each layer
+    double m_skew = 0;             ///< exponent of the power law; 0: all experts get the same
+};
+
+/// Tokens of each expert in one step.
+experts::group_counts tokens_per_step(const expert_options& options);
+
 /// What the stand-in is and how it behaves.
 struct engine_options {
     std::string m_host;
@@ -30,6 +43,7 @@
     incarnation m_group;                           ///< of the lock-step group that it is a rank of
     bool m_checks_fencing = true;                  ///< refuses orders with old fencing numbers
     bool m_can_hold = true;  ///< can hold at a step until a new expert map is committed
+    expert_options m_experts;
 };
 
 /// The words of an answer to `prompt`.
--- a/dewbeam/src/fake_engine/rank_engine.cpp
+++ b/dewbeam/src/fake_engine/rank_engine.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/fake_engine/rank_engine.h"
 
+#include <algorithm>
+
 namespace dewbeam::fake_engine {
 
 namespace {
@@ -10,12 +12,23 @@
 using group_map::settled_map;
 using group_map::step_number;
 
+void note_told(rank_engine& engine, const engine_order& order)
+{
+    const auto& map = order.m_target.m_map;
+    const bool is_known = std::any_of(engine.m_known.begin(), engine.m_known.end(),
+                                      [&](const known_map& known) { return known.m_map == map; });
+    if (!is_known) {
+        engine.m_known.push_back({map, order.m_content, std::nullopt});
+    }
+}
+
 void stage(rank_engine& engine, const engine_order& order, time_point now)
 {
     const auto& wanted = order.m_target.m_map;
     if (engine.m_state.m_staged != wanted && engine.m_staging != wanted) {
         engine.m_staging = wanted;
         engine.m_staged_at = now + engine.m_stage_time;
+        note_told(engine, order);
     }
 }
 
@@ -30,13 +43,25 @@
     return possible;
 }
 
-bool switch_map(engine_state& state, const engine_order& order)
+/// The current map is used from the next step on.
+void note_use(rank_engine& engine)
+{
+    for (auto& known : engine.m_known) {
+        if (known.m_map == engine.m_state.m_current && !known.m_first_step) {
+            known.m_first_step = engine.m_state.m_step;
+        }
+    }
+}
+
+bool switch_map(rank_engine& engine, const engine_order& order)
 {
+    auto& state = engine.m_state;
     if (state.m_can_hold && state.m_armed == order.m_target) {
         state.m_switching = true;
     }
     else if (!state.m_can_hold && state.m_staged == order.m_target.m_map) {
         state.m_current = order.m_target.m_map;
+        note_use(engine);
     }
     return settled_map(state) == order.m_target.m_map;
 }
@@ -53,7 +78,7 @@
         case order_kind::hold:
             return hold(state, order);
         case order_kind::switch_map:
-            return switch_map(state, order);
+            return switch_map(engine, order);
         case order_kind::release:
             break;
     }
@@ -88,6 +113,7 @@
             return false;
         }
         state.m_current = state.m_armed->m_map;
+        note_use(engine);
         state.m_armed.reset();
         state.m_switching = false;
     }
@@ -95,6 +121,16 @@
     return true;
 }
 
+std::string content_of(const rank_engine& engine, const group_map::map_id& map)
+{
+    for (const auto& known : engine.m_known) {
+        if (known.m_map == map && known.m_content) {
+            return *known.m_content;
+        }
+    }
+    return {};
+}
+
 void tick(rank_engine& engine, time_point now)
 {
     if (now >= engine.m_staged_at) {
