--- a/dewbeam/src/entry/pages.cpp
+++ b/dewbeam/src/entry/pages.cpp
@@ -34,6 +34,7 @@
     facts.m_version = active->m_version;
     auto page = status_page(facts, *state.m_membership, platform::now());
     page["in_flight"] = state.m_requests.size();
+    page["loads"] = loads_to_json(state.m_members.all());
     return page.dump();
 }
 
