Clamp the times in messages before they are added to the clock

Cause: a dispatch's remaining time and the wall-clock times in suspicions were added to the clock as they came. A large number overflowed a signed sum, which is undefined; as built, a deadline far ahead would be one long passed, and a death long ago was one far ahead. Other times were clamped already.

Change: link::deadline_after gives no_deadline for more than the clock holds; the times of deaths are kept within a range whose sums fit.

Found by reading: no test had sent such numbers.

--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -31,7 +31,7 @@
     offer.m_configuration = link::from_wire(source.configuration());
     offer.m_urgent = source.urgent();
     offer.m_alone = source.alone();
-    offer.m_deadline = now + time_span(source.remaining_us());
+    offer.m_deadline = link::deadline_after(source.remaining_us(), now);
     offer.m_fingerprint = fingerprint(source.fingerprint());
     return offer;
 }
--- a/dewbeam/src/entry/suspicion_wire.cpp
+++ b/dewbeam/src/entry/suspicion_wire.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/entry/suspicion_wire.h"
 
+#include <algorithm>
+
 namespace dewbeam::entry {
 
 namespace {
@@ -11,7 +13,9 @@
 
 time_point from_wall(std::int64_t at, time_point now, time_point wall_now)
 {
-    return now - (wall_now.time_since_epoch() - time_span(at));
+    constexpr std::int64_t latest = std::int64_t{1} << 62U;  // sums with it stay in range
+    const time_span kept(std::clamp<std::int64_t>(at, 0, latest));
+    return now - (wall_now.time_since_epoch() - kept);
 }
 
 }  // namespace
--- a/dewbeam/src/link/wire.cpp
+++ b/dewbeam/src/link/wire.cpp
@@ -68,4 +68,11 @@
     return deadline <= now ? 0 : static_cast<std::uint64_t>((deadline - now).count());
 }
 
+time_point deadline_after(std::uint64_t remaining_us, time_point now)
+{
+    const auto room = link::remaining_us(no_deadline, now);
+    return remaining_us >= room ? no_deadline
+                                : now + time_span(static_cast<std::int64_t>(remaining_us));
+}
+
 }  // namespace dewbeam::link
--- a/dewbeam/src/link/wire.h
+++ b/dewbeam/src/link/wire.h
@@ -27,4 +27,8 @@
 /// Microseconds from `now` until `deadline`; 0 where it has passed.
 std::uint64_t remaining_us(time_point deadline, time_point now);
 
+/// The deadline that another process said is `remaining_us` away; `no_deadline` for more than the
+/// clock holds.
+time_point deadline_after(std::uint64_t remaining_us, time_point now);
+
 }  // namespace dewbeam::link
