Let an assignment to a ledger drop its lists before their records

Cause: attempt_ledger held its map of records before the intrusive lists through them. The move assignment freed the records first, and then the lists' swap followed the freed hooks.

Change: the lists stand before the map.

--- a/dewbeam/src/ledger/ledger.h
+++ b/dewbeam/src/ledger/ledger.h
@@ -110,9 +110,11 @@
     std::uint32_t m_running_alone = 0;
     /// Until then only an attempt that must be alone may begin: one was refused since others ran.
     time_point m_held_for_alone_until{};
-    std::unordered_map<attempt_id, record> m_records;
+    // The lists stand before the records in them: an assignment lets go of the old ones in this
+    // order.
     record_list m_began;  ///< those that run
     record_list m_ended;  ///< the others, first to forget first
+    std::unordered_map<attempt_id, record> m_records;
     /// For an entry's life: every sequence below is refused.
     std::unordered_map<incarnation, std::uint64_t> m_marks;
     time_span m_mean_run = std::chrono::milliseconds(100);  ///< moving mean, for `m_retry_at`
