Take the address of an HTTP server when it starts

Cause: server::address() asked the acceptor, on the caller's thread, while stop_accepting closed it on its strand. The programs ask at each tick, so a program that drains announced 0.0.0.0:0 as its address.

Ruled out: a watch of a caller that begins after its connection is gone; co_spawn dispatches, so on the connection's strand it begins at once. The test of an answer aborted before its first byte, written for that, stays.

Change: the address is kept from the start. The test's fixture ends in TearDown, as lint asks.

--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -295,7 +295,8 @@
     server_options m_options;
     request_handler m_handler;
     error_body m_make_error_body;
-    tcp::acceptor m_acceptor;
+    tcp::acceptor m_acceptor;  ///< used on its strand once the server has started
+    endpoint m_address;        ///< set before the server starts
     std::optional<asio::ssl::context> m_tls;
     std::atomic<std::size_t> m_connections = 0;
     std::atomic<std::size_t> m_unanswered = 0;
@@ -643,6 +644,13 @@
     }
 }
 
+endpoint address_of(const tcp::acceptor& acceptor)
+{
+    error_code error;
+    const auto local = acceptor.local_endpoint(error);
+    return {local.address().to_string(), local.port()};
+}
+
 absl::Status to_status(std::string_view what, const error_code& error)
 {
     return absl::UnavailableError(std::string(what) + ": " + error.message());
@@ -695,15 +703,14 @@
     if (error) {
         return to_status("can't listen on " + to_string(listen), error);
     }
+    state->m_address = address_of(acceptor);
     asio::co_spawn(acceptor.get_executor(), accept_all(state), asio::detached);
     return std::unique_ptr<server>(new server(std::move(state)));
 }
 
 endpoint server::address() const
 {
-    error_code error;
-    const auto local = m_shared->m_acceptor.local_endpoint(error);
-    return {local.address().to_string(), local.port()};
+    return m_shared->m_address;
 }
 
 void server::wind_down()
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -34,7 +34,7 @@
         });
     }
 
-    ~fixture() override
+    void TearDown() override
     {
         m_context.stop();
         m_thread.join();
@@ -170,6 +170,27 @@
     EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << answer;
 }
 
+TEST_F(http_server, address_stays_when_it_stops_accepting)
+{
+    start({}, always_ok());
+    const auto before = m_server->address();
+    m_server->stop_accepting();
+    boost::system::error_code error;
+    while (!error) {
+        asio::ip::tcp::socket probe(m_client_context);
+        probe.connect({asio::ip::make_address("127.0.0.1"), before.m_port}, error);
+    }
+    EXPECT_NE(before.m_port, 0);
+    EXPECT_EQ(to_string(m_server->address()), to_string(before));
+}
+
+TEST_F(http_server, answer_aborted_before_its_first_byte_closes_the_connection)
+{
+    start({}, [](request&&, const std::shared_ptr<exchange>& answer) { answer->abort(); });
+    EXPECT_EQ(exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "");
+    EXPECT_EQ(exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "");
+}
+
 TEST_F(http_server, caller_that_goes_away_is_reported_once)
 {
     std::promise<void> gone;
