--- a/tool/dewbeam_bench.py
+++ b/tool/dewbeam_bench.py
@@ -268,19 +268,38 @@
     return result.stdout.strip() or "unknown"
 
 
+def met_text(result):
+    """Whether a bench met its aim, in its own words."""
+    met = result.get("is_met", result.get("met"))
+    if isinstance(met, dict):
+        return ", ".join("%s: %s" % (key, "met" if value else "not met")
+                         for key, value in met.items())
+    return {True: "met", False: "not met", None: "see its page"}[met]
+
+
+def write_figures(name, result):
+    """docs/figures/NAME.md: every figure of one bench."""
+    folder = os.path.join(ROOT, "docs", "figures")
+    os.makedirs(folder, exist_ok=True)
+    lines = ["# %s" % name, "", "Aim: %s" % result.get("aim", "slopes, no aim"), "",
+             "| figure | value |", "|---|---|"]
+    lines += ["| %s | %s |" % leaf for leaf in flatten(result) if leaf[0] not in ("aim", "bench")]
+    with open(os.path.join(folder, name + ".md"), "w") as file:
+        file.write("\n".join(lines) + "\n")
+
+
 def write_page(results):
     """docs/MEASUREMENTS.md between its markers; text around them is kept."""
     folder = os.path.join(ROOT, "docs", "plots")
     os.makedirs(folder, exist_ok=True)
-    lines = ["Measured at commit `%s` by `tool/bench all`.\n" % commit()]
-    for title, path in plots(results, folder):
-        lines.append("![%s](%s)\n" % (title, path))
+    lines = ["Measured at commit `%s` by `tool/bench all`.\n" % commit(),
+             "| bench | aim | outcome | all figures |", "|---|---|---|---|"]
     for name, result in results.items():
-        lines.append("### %s\n\nAim: %s\n" % (name, result.get("aim", "slopes, no aim")))
-        lines.append("| figure | value |\n|---|---|")
-        lines += ["| %s | %s |" % leaf for leaf in flatten(result)
-                  if leaf[0] not in ("aim", "bench")]
-        lines.append("")
+        write_figures(name, result)
+        lines.append("| %s | %s | %s | [figures](figures/%s.md) |"
+                     % (name, result.get("aim", "slopes, no aim"), met_text(result), name))
+    lines.append("")
+    lines += ["![%s](%s)\n" % drawn for drawn in plots(results, folder)]
     page = os.path.join(ROOT, "docs", "MEASUREMENTS.md")
     begin, end = "<!-- figures begin -->", "<!-- figures end -->"
     with open(page) as file:
