Let one pair of conversions serve all outcomes on the wire

Cause: the same switch between ledger outcomes and their wire form stood in five files. Change: link/wire holds it once.

--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-wire::Outcome to_wire(ledger::outcome value)
-{
-    switch (value) {
-        case ledger::outcome::completed:
-            return wire::OUTCOME_COMPLETED;
-        case ledger::outcome::not_run:
-            return wire::OUTCOME_NOT_RUN;
-        case ledger::outcome::unknown:
-            break;
-    }
-    return wire::OUTCOME_UNKNOWN;
-}
-
 ledger::offered_attempt to_offer(const wire::Envelope& message, time_point now)
 {
     const auto& source = message.dispatch();
@@ -138,7 +125,7 @@
     auto& chunk = *message.mutable_reply_chunk();
     link::to_wire(id, *chunk.mutable_attempt());
     chunk.set_last(true);
-    chunk.set_outcome(to_wire(why.m_outcome));
+    chunk.set_outcome(link::to_wire(why.m_outcome));
     chunk.set_reason(ledger::to_string(why.m_refusal));
     constexpr std::uint64_t us_per_ms = 1000;
     chunk.set_retry_after_ms(link::remaining_us(why.m_retry_at, now) / us_per_ms);
@@ -201,7 +188,7 @@
     }
     wire::ReplyChunk chunk;
     chunk.set_last(true);
-    chunk.set_outcome(to_wire(outcome));
+    chunk.set_outcome(link::to_wire(outcome));
     if (!result.ok()) {
         chunk.set_reason(reason_of(result));
         log_event(
@@ -235,7 +222,7 @@
     wire::Envelope answer;
     auto& reply = *answer.mutable_tombstone_reply();
     link::to_wire(id, *reply.mutable_attempt());
-    reply.set_outcome(to_wire(known));
+    reply.set_outcome(link::to_wire(known));
     m_node->reply(from, std::move(answer));
 }
 
--- a/dewbeam/src/control/claim_wire.cpp
+++ b/dewbeam/src/control/claim_wire.cpp
@@ -27,14 +27,6 @@
     return wire::ClaimReply::DECISION_FULL;
 }
 
-ledger::outcome to_outcome(wire::Outcome value)
-{
-    if (value == wire::OUTCOME_COMPLETED) {
-        return ledger::outcome::completed;
-    }
-    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
-}
-
 }  // namespace
 
 claim_request to_claim_request(const wire::ClaimRequest& message)
@@ -77,7 +69,7 @@
     claim_outcome result;
     result.m_key = claims::claim_key(source.key());
     result.m_attempt = link::from_wire(source.attempt());
-    result.m_outcome = to_outcome(source.outcome());
+    result.m_outcome = link::from_wire(source.outcome());
     if (source.answer_held()) {
         auto& answer = result.m_answer.emplace();
         answer.m_status = source.status();
--- a/dewbeam/src/control/wire.cpp
+++ b/dewbeam/src/control/wire.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/control/wire.h"
 
+#include "dewbeam/link"
+
 namespace dewbeam::control {
 
 namespace {
@@ -77,31 +79,6 @@
     return made;
 }
 
-wire::Outcome to_wire(ledger::outcome from)
-{
-    switch (from) {
-        case ledger::outcome::completed:
-            return wire::OUTCOME_COMPLETED;
-        case ledger::outcome::not_run:
-            return wire::OUTCOME_NOT_RUN;
-        case ledger::outcome::unknown:
-            break;
-    }
-    return wire::OUTCOME_UNKNOWN;
-}
-
-ledger::outcome from_wire(wire::Outcome from)
-{
-    switch (from) {
-        case wire::OUTCOME_COMPLETED:
-            return ledger::outcome::completed;
-        case wire::OUTCOME_NOT_RUN:
-            return ledger::outcome::not_run;
-        default:
-            return ledger::outcome::unknown;
-    }
-}
-
 /// Writes the body of a command.
 struct body_writer {
     wire::LogCommand& m_to;
@@ -124,7 +101,7 @@
         auto* made = m_to.mutable_claim_result();
         made->set_key(from.m_key.value());
         put(made->mutable_attempt(), from.m_attempt);
-        made->set_outcome(to_wire(from.m_outcome));
+        made->set_outcome(link::to_wire(from.m_outcome));
         made->set_answer_held(from.m_answer.has_value());
         if (from.m_answer) {
             put_answer(*made, *from.m_answer);
@@ -159,7 +136,7 @@
     claims::claim_report made;
     made.m_key = claims::claim_key(body.key());
     made.m_attempt = take(body.attempt());
-    made.m_outcome = from_wire(body.outcome());
+    made.m_outcome = link::from_wire(body.outcome());
     if (body.answer_held()) {
         made.m_answer = take_answer(body);
     }
--- a/dewbeam/src/entry/endings.cpp
+++ b/dewbeam/src/entry/endings.cpp
@@ -4,23 +4,6 @@
 
 namespace dewbeam::entry {
 
-namespace {
-
-wire::Outcome to_wire(ledger::outcome value)
-{
-    switch (value) {
-        case ledger::outcome::completed:
-            return wire::OUTCOME_COMPLETED;
-        case ledger::outcome::not_run:
-            return wire::OUTCOME_NOT_RUN;
-        case ledger::outcome::unknown:
-            break;
-    }
-    return wire::OUTCOME_UNKNOWN;
-}
-
-}  // namespace
-
 void refuse_unread(entry_state& state, const caller::error& fault, const std::string& request_id,
                    http::exchange& answer)
 {
@@ -39,7 +22,7 @@
     wire::ClaimResult message;
     message.set_key(claim.m_key.value());
     link::to_wire(claim.m_attempt, *message.mutable_attempt());
-    message.set_outcome(to_wire(result.m_outcome));
+    message.set_outcome(link::to_wire(result.m_outcome));
     if (result.m_answer) {
         message.set_answer_held(true);
         message.set_status(result.m_answer->m_status);
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -30,14 +30,6 @@
     return false;
 }
 
-ledger::outcome to_outcome(wire::Outcome value)
-{
-    if (value == wire::OUTCOME_COMPLETED) {
-        return ledger::outcome::completed;
-    }
-    return value == wire::OUTCOME_NOT_RUN ? ledger::outcome::not_run : ledger::outcome::unknown;
-}
-
 chunk_effect to_effect(ledger::outcome outcome, const std::string& reason)
 {
     if (outcome != ledger::outcome::not_run) {
@@ -63,7 +55,7 @@
     }
     chunk.m_data = source.data();
     chunk.m_last = source.last();
-    chunk.m_outcome = to_outcome(source.outcome());
+    chunk.m_outcome = link::from_wire(source.outcome());
     return chunk;
 }
 
@@ -296,7 +288,7 @@
     if (m_is_over || link::from_wire(reply.attempt()) != m_attempt.m_id) {
         return chunk_effect::none;
     }
-    return to_effect(to_outcome(reply.outcome()), {});
+    return to_effect(link::from_wire(reply.outcome()), {});
 }
 
 owned_attempt entry_request::attempt() const
--- a/dewbeam/src/link/wire.cpp
+++ b/dewbeam/src/link/wire.cpp
@@ -24,6 +24,31 @@
     return {source.term(), source.index()};
 }
 
+wire::Outcome to_wire(ledger::outcome value)
+{
+    switch (value) {
+        case ledger::outcome::completed:
+            return wire::OUTCOME_COMPLETED;
+        case ledger::outcome::not_run:
+            return wire::OUTCOME_NOT_RUN;
+        case ledger::outcome::unknown:
+            break;
+    }
+    return wire::OUTCOME_UNKNOWN;
+}
+
+ledger::outcome from_wire(wire::Outcome value)
+{
+    switch (value) {
+        case wire::OUTCOME_COMPLETED:
+            return ledger::outcome::completed;
+        case wire::OUTCOME_NOT_RUN:
+            return ledger::outcome::not_run;
+        default:
+            return ledger::outcome::unknown;
+    }
+}
+
 void to_wire(const http::fields& source, google::protobuf::RepeatedPtrField<wire::Header>& out)
 {
     out.Clear();
--- a/dewbeam/src/link/wire.h
+++ b/dewbeam/src/link/wire.h
@@ -6,6 +6,7 @@
 #include "dewbeam/base"
 #include "dewbeam/configuration"
 #include "dewbeam/http"
+#include "dewbeam/ledger"
 
 namespace dewbeam::link {
 
@@ -15,6 +16,10 @@
 void to_wire(const configuration_version& version, wire::Version& out);
 configuration_version from_wire(const wire::Version& source);
 
+/// An outcome that is not set on the wire counts as `unknown`.
+wire::Outcome to_wire(ledger::outcome value);
+ledger::outcome from_wire(wire::Outcome value);
+
 /// Replaces the fields in `out`.
 void to_wire(const http::fields& source, google::protobuf::RepeatedPtrField<wire::Header>& out);
 http::fields from_wire(const google::protobuf::RepeatedPtrField<wire::Header>& source);
