Give each site a block of ports of its own, below the range of outgoing connections

Cause: ports were probed, released and bound later by a program; another run, or an outgoing connection, could take one in between, so a program ended at its start and the session waited in vain. path_session failed so with eight tests at a time. After: path_session passes.

--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -18,18 +18,42 @@
 START_LIMIT_S = 30.0
 
 
+FIRST_PORT, LAST_PORT, BLOCK = 12000, 32000, 200
+
+
 def free_port():
-    """A port that is free now, above none that this process has handed out before."""
+    """A free port below the range from which the system takes ports for outgoing connections. Each
+    run owns a block of ports while it holds the block's first one, so runs side by side don't clash."""
     while True:
+        if free_port.next >= free_port.end:
+            take_block()
+        port = free_port.next
+        free_port.next += 1
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in free_port.taken:
-            free_port.taken.add(port)
-            return port
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+
 
+free_port.next = free_port.end = 0
+free_port.held = []
 
-free_port.taken = set()
+
+def take_block():
+    for first in range(FIRST_PORT, LAST_PORT, BLOCK):
+        owner = socket.socket()
+        try:
+            owner.bind(("127.0.0.1", first))
+        except OSError:
+            owner.close()
+            continue
+        free_port.held.append(owner)
+        free_port.next, free_port.end = first + 1, first + BLOCK
+        return
+    raise OSError("no block of ports is free")
 
 
 class Process:
