--- a/app/dewbeam_agent.cpp
+++ b/app/dewbeam_agent.cpp
@@ -7,12 +7,12 @@
 {
     using namespace dewbeam;
     const auto schema = agent::agent_schema();
-    const auto started = platform::start_program(
+    const auto started = program::start_program(
         {"dewbeam-agent", "The gate before one engine or plain service.", schema}, argc, argv);
     if (started.m_must_exit) {
         return started.m_exit_code;
     }
-    platform::program frame(started.m_settings);
+    program::program frame(started.m_settings);
     agent::agent_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
--- a/app/dewbeam_control.cpp
+++ b/app/dewbeam_control.cpp
@@ -7,13 +7,13 @@
 {
     using namespace dewbeam;
     const auto schema = control::control_schema();
-    const auto started = platform::start_program(
+    const auto started = program::start_program(
         {"dewbeam-control", "Keeps the configuration of a dewbeam deployment.", schema}, argc,
         argv);
     if (started.m_must_exit) {
         return started.m_exit_code;
     }
-    platform::program frame(started.m_settings);
+    program::program frame(started.m_settings);
     control::control_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
--- a/app/dewbeam_entry.cpp
+++ b/app/dewbeam_entry.cpp
@@ -7,12 +7,12 @@
 {
     using namespace dewbeam;
     const auto schema = entry::entry_schema();
-    const auto started = platform::start_program(
+    const auto started = program::start_program(
         {"dewbeam-entry", "Brings requests to upstreams that can serve them.", schema}, argc, argv);
     if (started.m_must_exit) {
         return started.m_exit_code;
     }
-    platform::program frame(started.m_settings);
+    program::program frame(started.m_settings);
     entry::entry_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -2,7 +2,7 @@
 #include <iostream>
 
 #include "dewbeam/fake_engine"
-#include "dewbeam/platform"
+#include "dewbeam/program"
 
 namespace {
 
@@ -11,7 +11,7 @@
 std::vector<setting> make_schema()
 {
     constexpr std::int64_t most_us = 10'000'000;
-    auto schema = platform::common_settings();
+    auto schema = program::common_settings();
     const std::vector<setting> own{
         {"/listen", setting_kind::address, "127.0.0.1:0", "Address of the stand-in."},
         {"/models", setting_kind::names, nlohmann::json::array(),
@@ -85,7 +85,7 @@
 int main(int argc, char** argv)
 {
     const auto schema = make_schema();
-    const auto started = platform::start_program(
+    const auto started = program::start_program(
         {"dewbeam-fake-engine", "Stand-in of a model engine or a plain service; for tests only.",
          schema},
         argc, argv);
@@ -93,7 +93,7 @@
         return started.m_exit_code;
     }
     const auto& settings = started.m_settings;
-    platform::program frame(settings);
+    program::program frame(settings);
     fake_engine::engine engine(frame.context(), read_options(settings));
     http::server_options options;
     options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/listen")).value();
@@ -107,8 +107,8 @@
         std::cerr << server.status().message() << "\n";
         return 2;
     }
-    platform::write_address_file(settings, to_string((*server)->address()));
-    platform::program_hooks hooks;
+    program::write_address_file(settings, to_string((*server)->address()));
+    program::program_hooks hooks;
     hooks.m_is_ready = [] { return true; };
     hooks.m_in_flight = [&] { return engine.in_flight() + (*server)->unanswered(); };
     hooks.m_announce_leave = [&] { (*server)->wind_down(); };
--- /dev/null
+++ b/app/dewbeam_registrar.cpp
@@ -0,0 +1,25 @@
+// dewbeam-registrar: keeps announced upstreams and the operator's revisions.
+#include <iostream>
+
+#include "dewbeam/registrar"
+#include "platform/formats.h"
+
+int main(int argc, char** argv)
+{
+    using namespace dewbeam;
+    const auto schema = registrar::registrar_schema();
+    const auto started = program::start_program(
+        {"dewbeam-registrar", "Keeps announced upstreams and the operator's revisions.", schema},
+        argc, argv);
+    if (started.m_must_exit) {
+        return started.m_exit_code;
+    }
+    program::program frame(started.m_settings);
+    registrar::registrar_server server(frame, started.m_settings, platform::control_format());
+    const auto status = server.start();
+    if (!status.ok()) {
+        std::cerr << status.message() << "\n";
+        return 2;
+    }
+    return frame.run(server.hooks());
+}
--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -42,8 +42,8 @@
 
 std::vector<setting> agent_schema()
 {
-    auto schema = platform::common_settings();
-    const auto listeners = platform::listener_settings();
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
     schema.insert(schema.end(), listeners.begin(), listeners.end());
     const std::vector<setting> own{
         {"/controls", setting_kind::addresses, json::array(), "Link addresses of control hosts."},
@@ -76,17 +76,17 @@
 
 class agent_server::implementation {
 public:
-    implementation(platform::program& frame, const json& settings)
+    implementation(program::program& frame, const json& settings)
         : m_frame(frame),
           m_settings(settings),
-          m_incarnation(platform::new_incarnation()),
+          m_incarnation(program::new_incarnation()),
           m_labels(read_labels(settings)),
           m_upstream(
               frame.context(),
               parse_endpoint(setting_value<std::string>(settings, "/upstream/address")).value(),
               upstream_options(settings)),
           m_load(m_upstream),
-          m_configuration(platform::link_addresses(settings, "/controls"),
+          m_configuration(program::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
           m_gate(std::make_shared<gate>(gate_options(), m_upstream, m_configuration))
     {
@@ -112,11 +112,11 @@
             return absl::InvalidArgumentError("/upstream/labels: " +
                                               std::string(labels.status().message()));
         }
-        auto node = platform::start_node(m_settings, m_incarnation,
-                                         {[this](const link::peer& from, wire::Envelope&& message) {
-                                              on_message(from, message);
-                                          },
-                                          [this](const link::peer& gone) { on_lost(gone); }});
+        auto node = program::start_node(m_settings, m_incarnation,
+                                        {[this](const link::peer& from, wire::Envelope&& message) {
+                                             on_message(from, message);
+                                         },
+                                         [this](const link::peer& gone) { on_lost(gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -128,7 +128,7 @@
         if (auto status = start_group(); !status.ok()) {
             return status;
         }
-        auto server = platform::start_http(
+        auto server = program::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 answer->respond(handle(request));
@@ -138,17 +138,17 @@
         }
         m_server = *std::move(server);
         m_is_started = true;
-        platform::write_address_file(m_settings, to_string(m_server->address()));
+        program::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
 
-    platform::program_hooks hooks()
+    program::program_hooks hooks()
     {
-        platform::program_hooks result;
+        program::program_hooks result;
         result.m_is_ready = [this] {
             // Ready once the entries have had the time to hear of it.
             return m_announced_at != no_deadline &&
-                   platform::now() >= m_announced_at + spreading_time;
+                   program::now() >= m_announced_at + spreading_time;
         };
         result.m_in_flight = [this] { return m_gate->running(); };
         result.m_announce_leave = [this] { leave(); };
@@ -166,7 +166,7 @@
             return absl::OkStatus();
         }
         const auto rank = setting_value<std::uint32_t>(m_settings, "/group/rank");
-        auto members = platform::link_addresses(m_settings, "/group/members");
+        auto members = program::link_addresses(m_settings, "/group/members");
         if (rank >= members.size()) {
             return absl::InvalidArgumentError("/group/rank: must be a place in /group/members");
         }
@@ -178,18 +178,18 @@
         hooks.m_set_admission = [this](bool may_admit) { m_gate->set_paused(!may_admit); };
         hooks.m_is_busy = [this] { return m_gate->running() > 0; };
         hooks.m_on_result = [this](group_map::change_result result) {
-            m_balancer->on_result(result, platform::now());
+            m_balancer->on_result(result, program::now());
             log_event(log_level::info, "expert_map_change",
                       {{"committed", result == group_map::change_result::committed}});
         };
         m_group = std::make_shared<group_runner>(
             make_group_options(name, std::move(members), rank_id(rank), m_incarnation,
                                setting_value<bool>(m_settings, "/upstream/checks_fencing")),
-            std::move(hooks), *m_orders, platform::now());
+            std::move(hooks), *m_orders, program::now());
         m_balancer = std::make_shared<expert_balancer>(balancer_settings(), balancer_calls(),
-                                                       m_upstream, platform::now());
+                                                       m_upstream, program::now());
         m_gate->set_paused(true);  // until the group's map is known to be settled
-        m_group->start(*m_node, platform::now());
+        m_group->start(*m_node, program::now());
         return absl::OkStatus();
     }
 
@@ -197,7 +197,7 @@
     {
         balancer_options options;
         options.m_ranks = static_cast<std::uint32_t>(
-            platform::link_addresses(m_settings, "/group/members").size());
+            program::link_addresses(m_settings, "/group/members").size());
         options.m_move.m_expert_size = {
             setting_value<std::int64_t>(m_settings, "/group/expert_bytes")};
         options.m_move.m_store_rate = {
@@ -210,7 +210,7 @@
         balancer_hooks hooks;
         hooks.m_phase = [this] { return m_group->current_phase(); };
         hooks.m_propose = [this](const std::string& content) {
-            return m_group->propose(content, platform::now());
+            return m_group->propose(content, program::now());
         };
         hooks.m_is_busy = [this] { return m_gate->running() > 0; };
         hooks.m_preference = [this] {
@@ -225,7 +225,7 @@
             return caller::to_response(
                 caller::bad_request("bad_map", "the expert map must be a JSON document"), "");
         }
-        const bool taken = m_group && m_group->propose(request.m_body, platform::now());
+        const bool taken = m_group && m_group->propose(request.m_body, program::now());
         return http::json_response(taken ? 202 : 409, json{{"taken", taken}}.dump());
     }
 
@@ -239,7 +239,7 @@
                 {"map", engine ? json(engine->m_current.m_number) : json()},
                 {"map_content", engine ? json(engine->m_current.m_content.value()) : json()},
                 {"step", engine ? json(engine->m_step.value()) : json()},
-                {"balance", m_balancer->status(platform::now())}};
+                {"balance", m_balancer->status(program::now())}};
     }
 
     ledger::ledger_options gate_options() const
@@ -283,7 +283,7 @@
         facts.m_incarnation = m_incarnation;
         facts.m_number = active->m_number;
         facts.m_version = active->m_version;
-        auto page = entry::status_page(facts, *m_membership, platform::now());
+        auto page = entry::status_page(facts, *m_membership, program::now());
         page["upstream"] = setting_value<std::string>(m_settings, "/upstream/name");
         page["upstream_reachable"] = m_load.latest().m_is_reachable;
         page["draining"] = is_draining();
@@ -297,20 +297,20 @@
         if (!m_is_started) {
             return;  // whoever sent this sends it again
         }
-        if (m_membership->take(message, platform::now())) {
+        if (m_membership->take(message, program::now())) {
             return;
         }
         if (message.has_dispatch()) {
-            m_gate->dispatch(from, message, platform::now());
+            m_gate->dispatch(from, message, program::now());
         }
         else if (message.has_cancel()) {
             m_gate->cancel(link::from_wire(message.cancel().attempt()));
         }
         else if (message.has_tombstone()) {
-            m_gate->tombstone(from, message.tombstone(), platform::now());
+            m_gate->tombstone(from, message.tombstone(), program::now());
         }
         else if (message.has_group() && m_group) {
-            m_group->on_message(message.group(), platform::now());
+            m_group->on_message(message.group(), program::now());
         }
         else if (message.has_configuration_update()) {
             m_configuration.adopt(message.configuration_update(), true);
@@ -351,7 +351,7 @@
     {
         m_is_stopping = true;
         m_gate->start_leaving();
-        m_membership->leave(platform::now());
+        m_membership->leave(program::now());
         m_server->wind_down();
     }
 
@@ -365,7 +365,7 @@
             return;
         }
         if (m_engine_life != 0) {
-            m_upstream_life = platform::new_incarnation();
+            m_upstream_life = program::new_incarnation();
             m_gate->set_incarnation(m_upstream_life);
             log_event(log_level::warning, "upstream_restarted",
                       {{"life", m_upstream_life.value()}});
@@ -383,7 +383,7 @@
             m_balancer->tick(now);
         }
         m_membership->tick(now);
-        m_configuration.tick(*m_node, platform::link_addresses(m_settings, "/entries"), now);
+        m_configuration.tick(*m_node, program::link_addresses(m_settings, "/entries"), now);
         if (slots() > 0) {
             m_gate->set_slots(slots());
         }
@@ -413,9 +413,9 @@
         self.m_slots = load.m_is_reachable ? slots() : 0;
         self.m_upstream_life = m_upstream_life;
         if (self.m_slots > 0 && m_announced_at == no_deadline) {
-            m_announced_at = platform::now();
+            m_announced_at = program::now();
         }
-        m_membership->announce(self, platform::now());
+        m_membership->announce(self, program::now());
     }
 
     void report(time_point now)
@@ -439,7 +439,7 @@
         m_membership->report(figures, now);
     }
 
-    platform::program& m_frame;
+    program::program& m_frame;
     json m_settings;
     incarnation m_incarnation;
     incarnation m_upstream_life = m_incarnation;
@@ -461,7 +461,7 @@
     time_point m_announced_at = no_deadline;  ///< with room; used on the frame's thread alone
 };
 
-agent_server::agent_server(platform::program& frame, const json& settings)
+agent_server::agent_server(program::program& frame, const json& settings)
     : m_implementation(std::make_unique<implementation>(frame, settings))
 {
 }
@@ -473,7 +473,7 @@
     return m_implementation->start();
 }
 
-platform::program_hooks agent_server::hooks()
+program::program_hooks agent_server::hooks()
 {
     return m_implementation->hooks();
 }
--- a/dewbeam/src/agent/agent_server.h
+++ b/dewbeam/src/agent/agent_server.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "dewbeam/platform"
+#include "dewbeam/program"
 
 namespace dewbeam::agent {
 
@@ -14,7 +14,7 @@
 /// One agent before one engine or plain service.
 class agent_server {
 public:
-    agent_server(platform::program& frame, const nlohmann::json& settings);
+    agent_server(program::program& frame, const nlohmann::json& settings);
     ~agent_server();
     agent_server(const agent_server&) = delete;
     agent_server& operator=(const agent_server&) = delete;
@@ -25,7 +25,7 @@
     absl::Status start();
 
     /// What the program's frame calls.
-    platform::program_hooks hooks();
+    program::program_hooks hooks();
 
 private:
     class implementation;
--- a/dewbeam/src/agent/expert_balancer.cpp
+++ b/dewbeam/src/agent/expert_balancer.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::agent {
 
@@ -118,7 +118,7 @@
     handlers.m_on_end = [buffer, weak = weak_from_this()](const absl::Status& result,
                                                           http::progress) {
         if (const auto self = weak.lock()) {
-            self->on_answer(read_answer(result, *buffer), platform::now());
+            self->on_answer(read_answer(result, *buffer), program::now());
         }
     };
     m_engine.start({"GET", "/experts", {}, {}}, std::move(handlers));
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::agent {
 
@@ -182,7 +182,7 @@
     const auto outcome = outcome_of(result, how_far);
     {
         const std::lock_guard lock(m_mutex);
-        ledger::finish(m_ledger, running->m_id, outcome, platform::now());
+        ledger::finish(m_ledger, running->m_id, outcome, program::now());
         m_running.erase(running->m_id);
         running->m_exchange.reset();
     }
--- a/dewbeam/src/agent/group_runner.cpp
+++ b/dewbeam/src/agent/group_runner.cpp
@@ -4,7 +4,7 @@
 
 #include "dewbeam/src/agent/group_wire.h"
 #include "dewbeam/src/engine/order_json.h"
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::agent {
 
@@ -268,7 +268,7 @@
         if (m_is_stopped) {
             return;
         }
-        const auto now = platform::now();
+        const auto now = program::now();
         collect(group_map::answered(m_participant, *answer, now), todo);
         todo = finish(std::move(todo), now);
     }
--- a/dewbeam/src/base/log.cpp
+++ b/dewbeam/src/base/log.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/base/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -49,6 +50,10 @@
     }
 }
 
+/// Lines that may wait for a slow reader of standard output; about 400 bytes each. Beyond that the
+/// oldest ones are dropped, since requests must not wait for a log.
+constexpr std::size_t most_waiting_lines = 1024;
+
 std::string program_prefix;
 
 }  // namespace
@@ -72,8 +77,10 @@
 
 void configure_log(std::string_view program, std::string_view host, log_level least)
 {
-    auto logger = std::make_shared<spdlog::logger>(
-        "dewbeam", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    spdlog::init_thread_pool(most_waiting_lines, 1);
+    auto logger = std::make_shared<spdlog::async_logger>(
+        "dewbeam", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->set_level(to_spdlog(least));
     logger->flush_on(spdlog::level::info);
--- a/dewbeam/src/base/log.h
+++ b/dewbeam/src/base/log.h
@@ -30,6 +30,8 @@
 };
 
 /// Sets the program's name, written in every line, and the least level that is written.
+///
+/// Lines go to standard output by a thread of their own: whoever logs never waits for a reader.
 void configure_log(std::string_view program, std::string_view host, log_level least);
 
 /// Writes one line: time, level, program, host, event, then the fields in order.
--- a/dewbeam/src/base/settings.cpp
+++ b/dewbeam/src/base/settings.cpp
@@ -31,8 +31,8 @@
 
 std::string range_text(const setting& row)
 {
-    return "a whole number from " + std::to_string(row.m_least) + " to " +
-           std::to_string(row.m_most);
+    const std::string kind = row.m_kind == setting_kind::integer ? "a whole number" : "a number";
+    return kind + " from " + std::to_string(row.m_least) + " to " + std::to_string(row.m_most);
 }
 
 std::string choices_text(const setting& row)
@@ -52,6 +52,7 @@
         case setting_kind::name:
             return "a name of 1 to 63 letters, digits, '.', '_' or '-'";
         case setting_kind::integer:
+        case setting_kind::number:
             return range_text(row);
         case setting_kind::boolean:
             return "true or false";
@@ -118,6 +119,9 @@
             return is_integer_in_range(row, value);
         case setting_kind::boolean:
             return value.is_boolean();
+        case setting_kind::number:
+            return value.is_number() && value.get<double>() >= static_cast<double>(row.m_least) &&
+                   value.get<double>() <= static_cast<double>(row.m_most);
         case setting_kind::address:
             return value.is_string() && is_endpoint(value.get_ref<const std::string&>());
         case setting_kind::addresses:
--- a/dewbeam/src/base/settings.h
+++ b/dewbeam/src/base/settings.h
@@ -22,6 +22,7 @@
     name,       ///< letters, digits, `.`, `_` and `-`; 1 to 63 characters
     integer,    ///< a whole number from `m_least` to `m_most`
     boolean,    ///< true or false
+    number,     ///< any number from `m_least` to `m_most`
     address,    ///< `IP:PORT`; IPv6 in brackets; port 0 asks for a free one
     addresses,  ///< a list of addresses without duplicates
     names,      ///< a list of names without duplicates
--- a/dewbeam/src/consensus/members.cpp
+++ b/dewbeam/src/consensus/members.cpp
@@ -27,7 +27,7 @@
 void found_log(context& at)
 {
     auto& self = at.m_self;
-    if (!is_blank(self) || !is_founder(self) ||
+    if (!self.m_options.m_may_found || !is_blank(self) || !is_founder(self) ||
         self.m_blank.size() + 1 < self.m_options.m_seeds.size()) {
         return;
     }
@@ -41,6 +41,27 @@
     self.m_election_at = at.m_now;
 }
 
+bool is_alive(const replica& self, const peer_progress& peer, time_point now)
+{
+    return peer.m_heard_until + self.m_options.m_dead_after > now;
+}
+
+std::size_t count_live_voters(const replica& self, time_point now)
+{
+    std::size_t result = is_voter(self) ? 1 : 0;
+    for (const auto& peer : self.m_peers) {
+        result += peer.m_member.m_votes && is_alive(self, peer, now) ? 1 : 0;
+    }
+    return result;
+}
+
+/// Whether the membership lacks a voter that works.
+bool needs_voter(const replica& self, time_point now)
+{
+    const auto wanted = self.m_options.m_wanted_voters;
+    return wanted == 0 || count_live_voters(self, now) < wanted;
+}
+
 /// The member that a prober replaces: the same replica on an older disk.
 bool is_newer_disk(const member& known, const identity& prober)
 {
@@ -66,7 +87,7 @@
 void promote_learners(context& at)
 {
     auto& self = at.m_self;
-    if (!may_change_membership(self)) {
+    if (!may_change_membership(self) || !needs_voter(self, at.m_now)) {
         return;
     }
     for (const auto& peer : self.m_peers) {
@@ -79,11 +100,32 @@
     }
 }
 
+void drop_dead_voter(context& at)
+{
+    auto& self = at.m_self;
+    const auto wanted = self.m_options.m_wanted_voters;
+    auto next = newest_membership(self.m_log).m_members;
+    if (wanted == 0 || count_voters(next) <= wanted || !may_change_membership(self)) {
+        return;
+    }
+    for (const auto& peer : self.m_peers) {
+        if (peer.m_member.m_votes && !is_alive(self, peer, at.m_now)) {
+            std::erase_if(next, [&](const member& item) {
+                return item.m_identity.m_id == peer.m_member.m_identity.m_id;
+            });
+            change_membership(at, std::move(next));
+            return;
+        }
+    }
+}
+
 void probe(context& at)
 {
     auto& self = at.m_self;
     found_log(at);
-    for (const auto id : self.m_options.m_seeds) {
+    auto asked = self.m_options.m_seeds;
+    asked.insert(asked.end(), self.m_known.begin(), self.m_known.end());
+    for (const auto id : asked) {
         if (id == self.m_self.m_id) {
             continue;
         }
@@ -110,11 +152,14 @@
     auto& self = at.m_self;
     const auto& members = newest_membership(self.m_log).m_members;
     const auto* known = find_member(members, newcomer.m_id);
-    if (known == nullptr || !is_newer_disk(*known, newcomer) || !may_change_membership(self)) {
+    const bool is_welcome =
+        known == nullptr ? self.m_options.m_wanted_voters > 0 : is_newer_disk(*known, newcomer);
+    if (!is_welcome || !may_change_membership(self)) {
         return;
     }
     auto next = members;
-    put_member(next, {newcomer, !self.m_options.m_identify_disks && known->m_votes});
+    const bool keeps_vote = known != nullptr && known->m_votes && !self.m_options.m_identify_disks;
+    put_member(next, {newcomer, keeps_vote});
     change_membership(at, std::move(next));
 }
 
--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -93,6 +93,7 @@
         internal::broadcast(at);
     }
     internal::promote_learners(at);
+    internal::drop_dead_voter(at);
 }
 
 void handle(context& at, const tick&)
@@ -109,7 +110,11 @@
     // A membership that is not committed may never come to be: only a committed one ends the
     // probes.
     const auto* own = find_member(membership_in_force(self.m_log, self.m_commit), self.m_self.m_id);
-    const bool is_settled = own != nullptr && own->m_votes && own->m_identity == self.m_self;
+    // With `m_wanted_voters` a learner may stay one; it is settled while a leader is heard.
+    const bool may_stay_learner =
+        self.m_options.m_wanted_voters > 0 && self.m_leader_until > at.m_now;
+    const bool is_settled =
+        own != nullptr && own->m_identity == self.m_self && (own->m_votes || may_stay_learner);
     if (!is_settled && self.m_probe_at <= at.m_now) {
         self.m_probe_at = at.m_now + self.m_options.m_heartbeat_span;
         internal::probe(at);
@@ -210,6 +215,11 @@
     }
 }
 
+void handle(context& at, const known_replicas& heard_of)
+{
+    at.m_self.m_known = heard_of.m_ids;
+}
+
 void handle(context& at, const member_change& wanted)
 {
     at.m_out.m_refused = !internal::on_member_change(at, wanted);
@@ -317,7 +327,12 @@
     auto& self = at.m_self;
     const bool is_for_me =
         received.m_to == self.m_self.m_id && received.m_from.m_id != self.m_self.m_id;
-    if (!is_for_me || is_disruptive(self, received, at.m_now)) {
+    if (!is_for_me) {
+        return;
+    }
+    if (is_disruptive(self, received, at.m_now)) {
+        // One that was dropped while it was away does not know it and asks for votes.
+        internal::admit(at, received.m_from);
         return;
     }
     if (carries_term(received)) {
--- a/dewbeam/src/consensus/replica.h
+++ b/dewbeam/src/consensus/replica.h
@@ -9,7 +9,8 @@
 /// id founds the log once every other seed has answered its probe as blank; where one is not
 /// blank, a log exists and the replica joins it. A replica under a new disk takes the place of its
 /// old disk as a learner, in one change that removes the old vote, and a second change promotes it
-/// once it holds and has synced everything committed.
+/// once it holds and has synced everything committed. With `m_wanted_voters` a replica under a new
+/// id is let in the same way, so that one that is gone for good is replaced without an operator.
 #pragma once
 
 #include <deque>
@@ -28,6 +29,15 @@
     std::uint64_t m_most_unacknowledged = 8'192;  ///< entries in flight to one replica
     std::uint64_t m_kept_entries = 1'024;         ///< left behind a snapshot for slow replicas
 
+    bool m_may_found = true;  ///< false: a log exists somewhere, so a blank replica only joins it
+    /// Voters that the leader keeps by itself: replicas that ask are let in as learners and
+    /// promoted while fewer voters are alive, and dead voters beyond this number are dropped. 0:
+    /// members change by `member_change` alone.
+    std::size_t m_wanted_voters = 0;
+    /// A voter that was not heard for so long is dead. Longer than a restart takes to elect a
+    /// leader and to answer it; shorter than the time until the next loss must be borne.
+    time_span m_dead_after = std::chrono::seconds(2);
+
     // Mechanisms that tests switch off to see the proofs fail; always on in the programs.
     bool m_pre_vote = true;
     bool m_check_quorum = true;
@@ -92,7 +102,8 @@
     std::optional<replica_id> m_transfer_to;
 
     std::uint64_t m_nonce = 0;
-    std::vector<identity> m_blank;  ///< seeds that answered as blank
+    std::vector<identity> m_blank;    ///< seeds that answered as blank
+    std::vector<replica_id> m_known;  ///< asked beside the seeds
     time_point m_probe_at{};
 };
 
--- a/dewbeam/src/consensus/state_machine.cpp
+++ b/dewbeam/src/consensus/state_machine.cpp
@@ -22,6 +22,10 @@
         claims::apply(m_state.m_claims, report);
         return report_accepted{};
     }
+    command_result operator()(const revisions::revision& wanted) const
+    {
+        return revisions::apply(m_state.m_revisions, wanted);
+    }
 };
 
 }  // namespace
--- a/dewbeam/src/consensus/state_machine.h
+++ b/dewbeam/src/consensus/state_machine.h
@@ -1,11 +1,13 @@
 /// \file
-/// What the log is for: configuration and idempotency claims behind one kind of command.
+/// What the log is for: configuration, revisions and idempotency claims behind one kind of
+/// command.
 #pragma once
 
 #include <variant>
 
 #include "dewbeam/claims"
 #include "dewbeam/configuration"
+#include "dewbeam/revisions"
 #include "dewbeam/src/consensus/types.h"
 
 namespace dewbeam::consensus {
@@ -22,19 +24,22 @@
 /// A command of the log.
 struct command {
     command_id m_id;
-    std::variant<configuration::change, claims::claim, claims::claim_report> m_body;
+    std::variant<configuration::change, claims::claim, claims::claim_report, revisions::revision>
+        m_body;
 };
 
 /// A claim report has no answer but that it stands.
 struct report_accepted {};
 
 /// What a command gives; the alternatives follow those of `command::m_body`.
-using command_result = std::variant<configuration::change_result, claims::verdict, report_accepted>;
+using command_result = std::variant<configuration::change_result, claims::verdict, report_accepted,
+                                    revisions::revision_result>;
 
 /// The replicated state.
 struct replicated_state {
     configuration::store m_configuration;
     claims::table m_claims;
+    revisions::revision_store m_revisions;
 };
 
 /// Applies the command that stands at `place` of the log.
--- a/dewbeam/src/consensus/step.h
+++ b/dewbeam/src/consensus/step.h
@@ -59,8 +59,11 @@
 bool may_change_membership(const replica& self);
 void change_membership(context& at, membership next);
 void promote_learners(context& at);
+/// Drops a dead voter where there are more voters than wanted.
+void drop_dead_voter(context& at);
 void probe(context& at);
-/// Lets a replica of a known id on a newer disk in, as a learner.
+/// Lets a replica of a known id on a newer disk in, as a learner; with `m_wanted_voters` one of an
+/// unknown id too.
 void admit(context& at, const identity& newcomer);
 void on_probe(context& at, const message& received);
 void on_blank(context& at, const message& received);
--- a/dewbeam/src/consensus/types.h
+++ b/dewbeam/src/consensus/types.h
@@ -179,8 +179,14 @@
     bool m_remove = false;
 };
 
+/// Replicas that the host has heard of in other ways: a blank or excluded one asks them too, since
+/// the seeds in its settings may be gone.
+struct known_replicas {
+    std::vector<replica_id> m_ids;
+};
+
 /// Everything that a replica reacts to.
 using input = std::variant<tick, message, persisted, proposal, read_request, compaction,
-                           transfer_request, member_change>;
+                           transfer_request, member_change, known_replicas>;
 
 }  // namespace dewbeam::consensus
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -13,7 +13,7 @@
 #include "dewbeam/src/control/claim_wire.h"
 #include "dewbeam/src/control/replica_runner.h"
 #include "dewbeam/src/entry/status_page.h"
-#include "dewbeam/src/platform/listeners.h"
+#include "dewbeam/src/program/listeners.h"
 
 namespace dewbeam::control {
 
@@ -28,8 +28,8 @@
 
 std::vector<setting> control_schema()
 {
-    auto schema = platform::common_settings();
-    const auto listeners = platform::listener_settings();
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
     schema.insert(schema.end(), listeners.begin(), listeners.end());
     const std::vector<setting> own{
         {"/controls", setting_kind::addresses, json::array(),
@@ -45,18 +45,18 @@
 
 class control_server::implementation {
 public:
-    implementation(platform::program& frame, const json& settings)
-        : m_frame(frame), m_settings(settings), m_incarnation(platform::new_incarnation())
+    implementation(program::program& frame, const json& settings)
+        : m_frame(frame), m_settings(settings), m_incarnation(program::new_incarnation())
     {
     }
 
     absl::Status start()
     {
-        auto node = platform::start_node(m_settings, m_incarnation,
-                                         {[this](const link::peer& from, wire::Envelope&& message) {
-                                              on_message(from, message);
-                                          },
-                                          [this](const link::peer& gone) { on_lost(gone); }});
+        auto node = program::start_node(m_settings, m_incarnation,
+                                        {[this](const link::peer& from, wire::Envelope&& message) {
+                                             on_message(from, message);
+                                         },
+                                         [this](const link::peer& gone) { on_lost(gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -70,7 +70,7 @@
             return runner.status();
         }
         m_runner = *std::move(runner);
-        auto server = platform::start_http(
+        auto server = program::start_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 handle(request, answer);
@@ -81,17 +81,17 @@
         m_server = *std::move(server);
         announce_self();
         m_is_started = true;
-        platform::write_address_file(m_settings, to_string(m_server->address()));
+        program::write_address_file(m_settings, to_string(m_server->address()));
         return absl::OkStatus();
     }
 
-    platform::program_hooks hooks()
+    program::program_hooks hooks()
     {
-        platform::program_hooks result;
+        program::program_hooks result;
         result.m_is_ready = [this] { return m_runner->status().m_is_caught_up; };
         result.m_in_flight = [this] { return m_server->unanswered(); };
         result.m_announce_leave = [this] {
-            m_membership->leave(platform::now());
+            m_membership->leave(program::now());
             m_server->wind_down();
         };
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
@@ -119,7 +119,7 @@
     {
         runner_options options;
         options.m_data_folder = setting_value<std::string>(m_settings, "/data_folder");
-        options.m_addresses = platform::link_addresses(m_settings, "/controls");
+        options.m_addresses = program::link_addresses(m_settings, "/controls");
         options.m_replica = setting_value<std::uint64_t>(m_settings, "/replica");
         options.m_life = m_incarnation;
         return options;
@@ -144,7 +144,7 @@
     {
         auto self = entry::self_of(m_settings, membership::role::control, *m_node, m_incarnation);
         self.m_http_address = to_string(m_server->address());
-        m_membership->announce(self, platform::now());
+        m_membership->announce(self, program::now());
     }
 
     // Operators.
@@ -222,7 +222,7 @@
         facts.m_incarnation = m_incarnation;
         facts.m_number = current.m_number;
         facts.m_version = current.m_version;
-        auto page = entry::status_page(facts, *m_membership, platform::now());
+        auto page = entry::status_page(facts, *m_membership, program::now());
         page["cut_off"] = !status.m_has_quorum;
         page["quorum"] = status.m_has_quorum;
         page["leader"] = status.m_leader;
@@ -248,7 +248,7 @@
         if (!m_is_started) {
             return;  // whoever sent this sends it again
         }
-        if (m_membership->take(message, platform::now())) {
+        if (m_membership->take(message, program::now())) {
             return;
         }
         if (message.has_consensus()) {
@@ -269,7 +269,7 @@
     {
         {
             const std::lock_guard lock(m_mutex);
-            m_subscribers[from] = platform::now() + subscription_lease;
+            m_subscribers[from] = program::now() + subscription_lease;
         }
         if (!m_runner->status().m_is_caught_up) {
             return;  // what this host knows may be long over; another one answers
@@ -354,7 +354,7 @@
         std::erase_if(m_subscribers, [now](const auto& item) { return item.second <= now; });
     }
 
-    platform::program& m_frame;
+    program::program& m_frame;
     json m_settings;
     incarnation m_incarnation;
     std::atomic<bool> m_is_started = false;  ///< all members below are there
@@ -368,7 +368,7 @@
     std::unique_ptr<http::server> m_server;
 };
 
-control_server::control_server(platform::program& frame, const json& settings)
+control_server::control_server(program::program& frame, const json& settings)
     : m_implementation(std::make_unique<implementation>(frame, settings))
 {
 }
@@ -380,7 +380,7 @@
     return m_implementation->start();
 }
 
-platform::program_hooks control_server::hooks()
+program::program_hooks control_server::hooks()
 {
     return m_implementation->hooks();
 }
--- a/dewbeam/src/control/control_server.h
+++ b/dewbeam/src/control/control_server.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "dewbeam/platform"
+#include "dewbeam/program"
 
 namespace dewbeam::control {
 
@@ -14,7 +14,7 @@
 /// One control host.
 class control_server {
 public:
-    control_server(platform::program& frame, const nlohmann::json& settings);
+    control_server(program::program& frame, const nlohmann::json& settings);
     ~control_server();
     control_server(const control_server&) = delete;
     control_server& operator=(const control_server&) = delete;
@@ -25,7 +25,7 @@
     absl::Status start();
 
     /// What the program's frame calls.
-    platform::program_hooks hooks();
+    program::program_hooks hooks();
 
 private:
     class implementation;
--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -18,7 +18,6 @@
 using consensus::replica_id;
 using storage::write_outcome;
 
-constexpr time_span tick_span = std::chrono::milliseconds(10);
 constexpr time_span resend_span = std::chrono::milliseconds(250);
 constexpr time_span full_disk_pause = std::chrono::milliseconds(500);
 constexpr time_span withdrawal_limit = std::chrono::hours(1);
@@ -85,6 +84,7 @@
           m_disk(std::move(disk)),
           m_random(m_options.m_life.value() ^ m_disk->disk().value())
     {
+        m_options.m_consensus.m_seeds = m_options.m_seeds;
         for (std::uint64_t id = 1; id <= m_options.m_addresses.size(); ++id) {
             m_options.m_consensus.m_seeds.push_back(replica_id(id));
         }
@@ -182,6 +182,19 @@
         return {store.m_version, store.m_number, store.m_source};
     }
 
+    [[nodiscard]] revisions::revision_store revision() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_state.m_revisions;
+    }
+
+    void note_replicas(std::vector<consensus::replica_id> known)
+    {
+        deferred_work work;
+        const std::lock_guard lock(m_mutex);
+        react(work, consensus::known_replicas{std::move(known)});
+    }
+
     [[nodiscard]] runner_status status() const
     {
         const std::lock_guard lock(m_mutex);
@@ -229,6 +242,7 @@
             return;
         }
         const auto version = m_state.m_configuration.m_version;
+        const auto revision = m_state.m_revisions.m_number;
         auto out = consensus::step(m_replica, event, steady_now(), m_random);
         if (out.m_diverged) {
             fail(work, "the leader contradicts a committed entry");
@@ -246,7 +260,8 @@
             take_read(work, item);
         }
         finish_reads(work);
-        if (version < m_state.m_configuration.m_version) {
+        if (version < m_state.m_configuration.m_version ||
+            revision < m_state.m_revisions.m_number) {
             work.m_calls.push_back(m_hooks.m_on_configuration);
         }
     }
@@ -461,7 +476,7 @@
     {
         std::unique_lock lock(m_mutex);
         while (!m_must_stop) {
-            m_wake.wait_for(lock, tick_span, [this] { return m_must_stop; });
+            m_wake.wait_for(lock, m_options.m_tick_span, [this] { return m_must_stop; });
             deferred_work work;
             const auto now = steady_now();
             react(work, consensus::tick{});
@@ -547,12 +562,21 @@
         expire(work, no_deadline);
     }
 
+    [[nodiscard]] std::string address_of(replica_id id) const
+    {
+        if (m_options.m_address_of) {
+            return m_options.m_address_of(id);
+        }
+        const auto place = id.value() - 1;
+        return place < m_options.m_addresses.size() ? m_options.m_addresses[place] : std::string();
+    }
+
     void carry_out(deferred_work work)
     {
         for (const auto& item : work.m_messages) {
-            const auto place = item.m_to.value() - 1;
-            if (place < m_options.m_addresses.size()) {
-                m_hooks.m_send(m_options.m_addresses[place], to_wire(item));
+            const auto address = address_of(item.m_to);
+            if (!address.empty()) {
+                m_hooks.m_send(address, to_wire(item));
             }
         }
         for (const auto& call : work.m_calls) {
@@ -567,7 +591,7 @@
         std::unique_lock lock(m_mutex);
         m_is_draining = true;
         while (!m_must_stop && !m_has_failed && !m_commands.empty() && steady_now() < give_up_at) {
-            m_wake.wait_for(lock, tick_span);
+            m_wake.wait_for(lock, m_options.m_tick_span);
         }
     }
 
@@ -586,7 +610,7 @@
             }
             lock.unlock();
             carry_out(std::move(work));
-            std::this_thread::sleep_for(tick_span);
+            std::this_thread::sleep_for(m_options.m_tick_span);
             lock.lock();
         }
     }
@@ -632,7 +656,8 @@
 absl::StatusOr<std::unique_ptr<replica_runner>> replica_runner::start(runner_options options,
                                                                       runner_hooks hooks)
 {
-    require(options.m_replica >= 1 && options.m_replica <= options.m_addresses.size(),
+    require(options.m_address_of ||
+                (options.m_replica >= 1 && options.m_replica <= options.m_addresses.size()),
             "a runner's place must be in its list of addresses");
     auto disk = storage::replica_storage::open(options.m_data_folder,
                                                consensus::disk_id(options.m_life.value()));
@@ -658,6 +683,16 @@
         });
 }
 
+void replica_runner::propose_revision(revisions::revision wanted,
+                                      std::function<void(revision_answer)> done)
+{
+    m_implementation->propose(
+        std::move(wanted), [done = std::move(done)](const consensus::command_result* result) {
+            done(result != nullptr ? revision_answer(std::get<revisions::revision_result>(*result))
+                                   : revision_answer(no_quorum{}));
+        });
+}
+
 void replica_runner::propose_claim(claim_request wanted, std::function<void(claim_answer)> done)
 {
     m_implementation->propose(m_implementation->to_claim(std::move(wanted)),
@@ -686,6 +721,16 @@
     return m_implementation->configuration();
 }
 
+revisions::revision_store replica_runner::revision() const
+{
+    return m_implementation->revision();
+}
+
+void replica_runner::note_replicas(std::vector<consensus::replica_id> known)
+{
+    m_implementation->note_replicas(std::move(known));
+}
+
 runner_status replica_runner::status() const
 {
     return m_implementation->status();
--- a/dewbeam/src/control/replica_runner.h
+++ b/dewbeam/src/control/replica_runner.h
@@ -19,12 +19,16 @@
 struct runner_options {
     std::string m_data_folder;
     std::vector<std::string> m_addresses;  ///< link addresses of all replicas, from replica 1 on
-    std::uint64_t m_replica = 1;           ///< this host's place in the list, from 1
-    incarnation m_life;                    ///< of this process; names a new disk too
+    std::uint64_t m_replica = 1;           ///< this host's id; with `m_addresses` its place there
+    /// Where `m_addresses` is empty: the ids of the first members, and the address of an id.
+    std::vector<consensus::replica_id> m_seeds{};
+    std::function<std::string(consensus::replica_id)> m_address_of{};
+    incarnation m_life;                        ///< of this process; names a new disk too
     consensus::replica_options m_consensus{};  ///< `m_seeds` is filled in from the addresses
     time_span m_answer_limit = std::chrono::seconds(2);  ///< then a caller hears `no_quorum`
     time_span m_claim_retention = std::chrono::hours(24);
-    std::size_t m_snapshot_entries = 4'096;  ///< applied since the last snapshot
+    time_span m_tick_span = std::chrono::milliseconds(10);  ///< how exact the replica's timers are
+    std::size_t m_snapshot_entries = 4'096;                 ///< applied since the last snapshot
     byte_count m_snapshot_bytes{8L * 1024 * 1024};
 };
 
@@ -32,7 +36,7 @@
 struct runner_hooks {
     /// Sends to the replica at a link address; a loss is made good by the protocol.
     std::function<void(const std::string& address, wire::ConsensusMessage&&)> m_send;
-    /// A newer configuration is in force: read it by `current_configuration`.
+    /// A newer configuration or revision is in force: read it by `configuration` or `revision`.
     std::function<void()> m_on_configuration;
     /// The disk failed or contradicts the log: this replica does nothing any more.
     std::function<void(const std::string& reason)> m_on_failed;
@@ -42,6 +46,9 @@
 /// tells. A claim was withdrawn: it will not be granted any more.
 struct no_quorum {};
 
+/// Whether a document that an operator sent is in force, or why not.
+using revision_answer = std::variant<revisions::revision_result, no_quorum>;
+
 using change_answer = std::variant<configuration::change_result, no_quorum>;
 using claim_answer = std::variant<claims::verdict, no_quorum>;
 
@@ -106,6 +113,9 @@
     /// Proposes a change of the configuration.
     void propose_change(configuration::change wanted, std::function<void(change_answer)> done);
 
+    /// Proposes a whole configuration under the operator's number.
+    void propose_revision(revisions::revision wanted, std::function<void(revision_answer)> done);
+
     /// Claims an idempotency key; `granted` is safe to act on.
     void propose_claim(claim_request wanted, std::function<void(claim_answer)> done);
 
@@ -118,6 +128,12 @@
     /// What is in force here; never older than what an earlier call gave.
     [[nodiscard]] current_configuration configuration() const;
 
+    /// The document with the highest number here; never older than what an earlier call gave.
+    [[nodiscard]] revisions::revision_store revision() const;
+
+    /// Replicas that were heard of in other ways.
+    void note_replicas(std::vector<consensus::replica_id> known);
+
     [[nodiscard]] runner_status status() const;
 
     /// Takes a message of another replica, as it came from the link.
--- a/dewbeam/src/control/wire.cpp
+++ b/dewbeam/src/control/wire.cpp
@@ -109,6 +109,12 @@
         put_times(from.m_time, from.m_forget_at);
         m_to.set_withdraws(from.m_withdraws ? from.m_withdraws->m_number : 0);
     }
+    void operator()(const revisions::revision& from) const
+    {
+        auto* made = m_to.mutable_revision();
+        made->set_number(from.m_number.value());
+        made->set_content(from.m_content);
+    }
     void put_times(time_point now, time_point forget_at) const
     {
         m_to.set_time_us(to_us(now));
@@ -116,6 +122,11 @@
     }
 };
 
+revisions::revision take_revision(const wire::Revision& from)
+{
+    return {revisions::revision_number(from.number()), from.content()};
+}
+
 claims::claim take_claim(const wire::LogCommand& from)
 {
     const auto& body = from.claim();
@@ -367,6 +378,9 @@
         case wire::LogCommand::kClaimResult:
             made.m_body = take_report(from);
             return made;
+        case wire::LogCommand::kRevision:
+            made.m_body = take_revision(from.revision());
+            return made;
         case wire::LogCommand::BODY_NOT_SET:
             break;
     }
@@ -386,6 +400,11 @@
         answer->set_key(key.value());
         put_answer(*answer, *from.m_claims.m_claims.at(key).m_answer);
     }
+    const auto& revision = from.m_revisions;
+    if (revision.m_number != revisions::revision_number{}) {
+        made.mutable_revision()->set_number(revision.m_number.value());
+        made.mutable_revision()->set_content(*revision.m_content);
+    }
     return made.SerializeAsString();
 }
 
@@ -404,6 +423,7 @@
     if (auto status = take_claims(made.m_claims, from); !status.ok()) {
         return status;
     }
+    revisions::apply(made.m_revisions, take_revision(from.revision()));
     return made;
 }
 
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/dispatch/broker.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dewbeam/src/dispatch/request_life.h"
@@ -57,7 +58,7 @@
         ++request.m_busy_refusals;
         request.m_tried.pop_back();
     }
-    else if (request.m_attempts - request.m_busy_refusals >= state.m_options.m_most_attempts ||
+    else if (request.m_attempts - request.m_busy_refusals >= most_attempts(state, request) ||
              !retry::take_retry(state.m_retry_budget)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
@@ -66,7 +67,8 @@
         wait_as_suspect(state, request, now);
         return;
     }
-    begin_waiting(state, request, request_phase::retrying);
+    begin_waiting(state, request, request_phase::retrying,
+                  now + state.m_options.m_longest_retry_wait);
     request.m_route->m_retries.push_back(request);
 }
 
@@ -160,7 +162,7 @@
     }
     else {
         catch_up(state, request);
-        begin_waiting(state, request, request_phase::queued);
+        begin_waiting(state, request, request_phase::queued, request.m_info.m_wait_deadline);
         fairness::push(lane_of(request).m_queue, request, request.m_info.m_workspace,
                        request.m_info.m_workspace_weight);
     }
@@ -179,7 +181,11 @@
     subject.m_has_first_token = true;
     state.m_table.m_upstreams[subject.m_running_on]->m_pending_work -= subject.m_prompt_work;
     const double work = subject.m_work_before + subject.m_prompt_work;
-    routing::note_first_token(state.m_speed, work, seconds(now - subject.m_dispatched_at));
+    const double passed = seconds(now - subject.m_dispatched_at);
+    routing::note_first_token(state.m_speed, work, passed);
+    note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
+    note_first_token_time(state.m_pool_speed, passed, now);
+    state.m_answered_dispatch = std::max(state.m_answered_dispatch, subject.m_dispatched_at);
 }
 
 actions attempt_ended(broker& state, ticket request, attempt_end end, time_point now,
@@ -277,6 +283,40 @@
     }
 }
 
+bool note_result(broker& state, const upstream_id& name, bool is_good, time_point now)
+{
+    const auto index = find_upstream(state.m_table, name);
+    if (!index) {
+        return false;
+    }
+    auto& subject = state.m_table.m_upstreams[*index]->m_health;
+    if (is_good) {
+        note_success(subject, state.m_options.m_health, now);
+        return false;
+    }
+    const bool is_closed = note_failure(subject, state.m_options.m_health, now);
+    refresh(state.m_table, options_of(state), *index, now);
+    return is_closed;
+}
+
+bool is_outrun(const broker& state, ticket request, time_span margin)
+{
+    const auto place = state.m_requests.find(request);
+    if (place == state.m_requests.end()) {
+        return false;
+    }
+    const auto& subject = place->second;
+    return subject.m_phase == request_phase::running && !subject.m_has_first_token &&
+           subject.m_dispatched_at + margin < state.m_answered_dispatch;
+}
+
+void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries)
+{
+    state.m_options.m_entries_sharing = std::max(1U, entries);
+    state.m_options.m_retries = retries;
+    state.m_retry_budget.m_tokens = std::min(state.m_retry_budget.m_tokens, retries.m_burst);
+}
+
 std::vector<quarantine::suspicion> take_suspicions(broker& state)
 {
     return std::exchange(state.m_new_suspicions, {});
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -30,6 +30,9 @@
     host_id m_entry;                      ///< this entry, for its subset of upstreams
     std::size_t m_subset_size = 64;       ///< upstreams of a route in the own domain and elsewhere
     choice_options m_choice;
+    health_options m_health;
+    /// A request that must be sent again waits for so long for an upstream with room.
+    time_span m_longest_retry_wait = std::chrono::seconds(1);
     fairness::class_options m_classes;
     admission::queue_options m_queue;  ///< its `m_most_queued` is the one above
     retry::budget_options m_retries;
@@ -53,6 +56,8 @@
     route_table m_table;
     routing::prefix_index m_prefixes;
     routing::speed_estimate m_speed;
+    slowness m_pool_speed;             ///< mean time to a first token
+    time_point m_answered_dispatch{};  ///< latest dispatch that brought a first token
     fairness::class_share m_class_share;
     retry::budget m_retry_budget;
     quarantine::suspicion_table m_suspicions;
@@ -91,6 +96,16 @@
 /// An upstream says what its prefix cache stored or removed.
 void cache_event(broker& state, const upstream_id& name, const routing::cache_event& event);
 
+/// An upstream's fault failed an attempt, or it answered one; true where it is closed for a while.
+bool note_result(broker& state, const upstream_id& name, bool is_good, time_point now);
+
+/// Whether a running request is late by its upstream's own fault: others that were sent off more
+/// than `margin` after it, to other upstreams, have their first token already.
+bool is_outrun(const broker& state, ticket request, time_span margin);
+
+/// The entries that now share the upstreams, and this entry's retries.
+void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries);
+
 /// Suspicions that are new since the last call, to be sent to the other entries at once.
 std::vector<quarantine::suspicion> take_suspicions(broker& state);
 
--- a/dewbeam/src/dispatch/choose.cpp
+++ b/dewbeam/src/dispatch/choose.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Seconds that a waiting and a running request last, about.
-constexpr double waiting_lifetime = 0.2;
-constexpr double running_lifetime = 0.1;
 /// Seconds for which own work counts as recent.
 constexpr double recent_lifetime = 1.0;
 
@@ -40,10 +37,10 @@
 
 /// How far a figure of other entries' work still tells anything: it is as old as the report, and
 /// what it counted lasts for about `lifetime`.
-double freshness(const choice_context& context, const upstream_state& upstream, double lifetime)
+double freshness(const choice_context& context, const upstream_state& upstream, time_span lifetime)
 {
     const auto age = context.m_now - upstream.m_info.m_report.m_measured_at;
-    return std::exp(-std::max(0.0, seconds(age)) / lifetime);
+    return std::exp(-std::max(0.0, seconds(age)) / seconds(lifetime));
 }
 
 /// Tokens of memory that must become free before the request fits.
@@ -64,8 +61,10 @@
     const auto& info = state.m_request.m_info;
     const auto& upstream = *context.m_table.m_upstreams[index];
     const auto prompt = static_cast<double>(info.m_prompt_tokens.m_count);
+    const auto running_lifetime = context.m_options.m_running_lifetime;
     const double others_waiting =
-        upstream.m_others_waiting * freshness(context, upstream, waiting_lifetime);
+        upstream.m_others_waiting *
+        freshness(context, upstream, context.m_options.m_waiting_lifetime);
     const double others_running =
         upstream.m_others_running * freshness(context, upstream, running_lifetime);
     const double taken = upstream.m_in_flight + others_running;
@@ -81,7 +80,9 @@
                                                    freshness(context, upstream, running_lifetime)) /
                                      slots
                                : 0.0;
-    facts.m_slowness = std::max(1.0, upstream.m_info.m_report.m_skew);
+    facts.m_slowness =
+        std::max(upstream.m_info.m_report.m_skew,
+                 slowness_of(upstream.m_slowness, context.m_pool_speed, context.m_now));
     facts.m_missing_kv = missing_kv(upstream, info);
     facts.m_recent_tokens = recent_work(upstream, context.m_now);
     return {index, facts.m_missing_tokens, routing::expected_wait(facts, context.m_speed)};
--- a/dewbeam/src/dispatch/choose.h
+++ b/dewbeam/src/dispatch/choose.h
@@ -13,6 +13,9 @@
     std::size_t m_samples = 5;  ///< upstreams that are drawn in each domain group
     /// What another failure domain must be better by.
     time_span m_spill_margin = std::chrono::milliseconds(20);
+    /// How long the counts of other entries' work tell anything: about as long as such work lasts.
+    time_span m_waiting_lifetime = std::chrono::milliseconds(200);
+    time_span m_running_lifetime = std::chrono::milliseconds(100);
 };
 
 /// What the choice looks at beside the routes.
@@ -20,6 +23,7 @@
     const route_table& m_table;
     const routing::prefix_index& m_prefixes;
     const routing::speed_estimate& m_speed;
+    const slowness& m_pool_speed;  ///< mean time to a first token
     const choice_options& m_options;
     const failure_domain_id& m_failure_domain;
     time_point m_now{};
--- /dev/null
+++ b/dewbeam/src/dispatch/health.cpp
@@ -0,0 +1,85 @@
+#include "dewbeam/src/dispatch/health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+constexpr double time_gain = 0.2;
+/// Times vary by the request: what is below this ratio says nothing of the upstream.
+constexpr double least_ratio = 1.8;
+/// Seconds after which a measured ratio counts for a third.
+constexpr double ratio_lifetime = 2.0;
+constexpr double largest_ratio = 10.0;
+
+double seconds(time_span value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+void decay(health& state, const health_options& options, time_point now)
+{
+    const double passed = seconds(now - state.m_counted_at) / seconds(options.m_half_life);
+    const double factor = std::exp2(-std::max(0.0, passed));
+    state.m_results *= factor;
+    state.m_failures *= factor;
+    state.m_counted_at = now;
+}
+
+}  // namespace
+
+void note_success(health& state, const health_options& options, time_point now)
+{
+    decay(state, options, now);
+    state.m_results += 1.0;
+    state.m_in_a_row = 0;
+    state.m_pauses = 0;
+}
+
+bool note_failure(health& state, const health_options& options, time_point now)
+{
+    decay(state, options, now);
+    state.m_results += 1.0;
+    state.m_failures += 1.0;
+    ++state.m_in_a_row;
+    if (state.m_closed_until > now) {
+        return false;
+    }
+    const bool is_bad_share = state.m_results >= options.m_least_results &&
+                              state.m_failures > options.m_most_failure_share * state.m_results;
+    if (state.m_in_a_row < options.m_most_in_a_row && !is_bad_share) {
+        return false;
+    }
+    constexpr std::uint32_t most_doublings = 8;
+    const auto pause = options.m_first_pause * (1U << std::min(state.m_pauses, most_doublings));
+    state.m_closed_until = now + std::min<time_span>(pause, options.m_longest_pause);
+    ++state.m_pauses;
+    // After the pause one more failure closes it again.
+    state.m_in_a_row = options.m_most_in_a_row - 1;
+    return true;
+}
+
+void note_first_token_time(slowness& state, double value, time_point now)
+{
+    state.m_noted_at = now;
+    auto& mean = state.m_seconds;
+    mean = mean == 0.0 ? value : mean + time_gain * (value - mean);
+}
+
+double slowness_of(const slowness& state, const slowness& pool, time_point now)
+{
+    if (state.m_seconds <= 0.0 || pool.m_seconds <= 0.0) {
+        return 1.0;
+    }
+    const double ratio = std::min(state.m_seconds / pool.m_seconds, largest_ratio);
+    if (ratio < least_ratio) {
+        return 1.0;
+    }
+    const double fading =
+        std::exp(-std::max(0.0, seconds(now - state.m_noted_at)) / ratio_lifetime);
+    return 1.0 + (ratio - 1.0) * fading;
+}
+
+}  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -35,6 +35,7 @@
     incarnation m_incarnation;
     std::uint32_t m_slots = 1;  ///< requests that it runs at once
     bool m_leaving = false;
+    bool m_is_stalled = false;  ///< its group stands still: nothing begins there now
     time_point m_lease_deadline = no_deadline;
     load_report m_report;
 };
@@ -55,6 +56,10 @@
     fingerprint m_fingerprint;            ///< 0: none; such a request is never a suspect
     time_point m_arrival{};
     time_point m_deadline = no_deadline;
+    /// A request that has not been sent off by then is refused: its caller would not wait longer,
+    /// or the answer would be worth less than the place it takes.
+    time_point m_wait_deadline = no_deadline;
+    std::uint32_t m_most_attempts = 0;  ///< 0: as the broker's options say
     bool m_pinned_first = false;  ///< prefer `m_first`: the upstream that an earlier try named
     upstream_id m_first;
 };
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -77,7 +77,7 @@
 bool may_wait_there(const broker& state, const pending_request& request)
 {
     return request.m_info.m_class == work_class::ordinary ||
-           request.m_attempts >= state.m_options.m_most_attempts ||
+           request.m_attempts >= most_attempts(state, request) ||
            state.m_retry_budget.m_tokens < state.m_options.m_retries.m_burst / 2.0 ||
            !has_untried(state.m_table, request);
 }
@@ -101,6 +101,12 @@
     return subject.m_queue.m_size > 0;
 }
 
+std::uint32_t most_attempts(const broker& state, const pending_request& request)
+{
+    const auto own = request.m_info.m_most_attempts;
+    return own > 0 ? own : state.m_options.m_most_attempts;
+}
+
 double cost_of(const request_info& info)
 {
     constexpr double least_weight = 0.01;
@@ -118,11 +124,13 @@
     mean = mean == 0.0 ? sample : mean + run_gain * (sample - mean);
 }
 
-void begin_waiting(broker& state, pending_request& request, request_phase phase)
+void begin_waiting(broker& state, pending_request& request, request_phase phase,
+                   time_point waits_until)
 {
     request.m_phase = phase;
     ++state.m_waiting;
-    if (request.m_info.m_deadline == no_deadline) {
+    request.m_waits_until = std::min(request.m_info.m_deadline, waits_until);
+    if (request.m_waits_until == no_deadline) {
         return;
     }
     auto& heap = state.m_deadlines;
@@ -134,7 +142,7 @@
         });
         std::make_heap(heap.begin(), heap.end(), is_later);
     }
-    heap.push_back({request.m_info.m_deadline, request.m_info.m_ticket});
+    heap.push_back({request.m_waits_until, request.m_info.m_ticket});
     std::push_heap(heap.begin(), heap.end(), is_later);
 }
 
@@ -175,7 +183,7 @@
 void wait_as_suspect(broker& state, pending_request& request, time_point now)
 {
     request.m_alone_from = now + state.m_options.m_suspect_pause;
-    begin_waiting(state, request, request_phase::suspect);
+    begin_waiting(state, request, request_phase::suspect, no_deadline);
     request.m_route->m_suspects.push_back(request);
 }
 
@@ -304,8 +312,10 @@
         heap.pop_back();
         const auto place = state.m_requests.find(lapsed.m_ticket);
         if (place != state.m_requests.end() && place->second.m_phase != request_phase::running &&
-            place->second.m_info.m_deadline == lapsed.m_deadline) {
-            give_up(state, place->second, refusal::deadline_passed, now, random, result);
+            place->second.m_waits_until == lapsed.m_deadline) {
+            const auto reason = place->second.m_info.m_deadline <= now ? refusal::deadline_passed
+                                                                       : refusal::overloaded;
+            give_up(state, place->second, reason, now, random, result);
         }
     }
 }
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -18,14 +18,18 @@
 /// Whether something waits in a lane.
 bool is_waiting(const lane& subject);
 
+/// Upstreams that the request may be sent to.
+std::uint32_t most_attempts(const broker& state, const pending_request& request);
+
 /// What a request costs its workspace: tokens over the selector's weight.
 double cost_of(const request_info& info);
 
 /// An attempt took from its dispatch until `now`.
 void note_run(const pending_request& request, time_point now);
 
-/// A request begins to wait: its deadline is watched.
-void begin_waiting(broker& state, pending_request& request, request_phase phase);
+/// A request begins to wait, until `waits_until` at the latest.
+void begin_waiting(broker& state, pending_request& request, request_phase phase,
+                   time_point waits_until);
 
 /// Takes a waiting request out of the queue or list that it is in; others stay as they are.
 void stop_waiting(broker& state, pending_request& request, time_point now);
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -149,7 +149,8 @@
               const route_options& options, configuration::work_class wanted, time_point now)
 {
     if (!upstream.m_is_able || upstream.m_closed_until > now || upstream.m_runs_alone ||
-        upstream.m_held_for != ticket{}) {
+        upstream.m_held_for != ticket{} || upstream.m_info.m_is_stalled ||
+        upstream.m_health.m_closed_until > now) {
         return false;
     }
     const bool is_reported = has_fresh_report(upstream, now);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -17,6 +17,7 @@
 #include "dewbeam/admission"
 #include "dewbeam/fairness"
 #include "dewbeam/routing"
+#include "dewbeam/src/dispatch/health.h"
 #include "dewbeam/src/dispatch/request.h"
 
 namespace dewbeam::dispatch {
@@ -47,7 +48,8 @@
     double m_prompt_work = 0.0;  ///< prompt tokens that its upstream must compute for it
     double m_work_before = 0.0;  ///< and those that were queued there before it
     time_point m_dispatched_at{};
-    time_point m_alone_from{};  ///< of a suspect: when it may start
+    time_point m_alone_from{};               ///< of a suspect: when it may start
+    time_point m_waits_until = no_deadline;  ///< while it waits
 };
 
 using running_list =
@@ -75,6 +77,8 @@
     double m_recent_work = 0.0;          ///< of own dispatches, decayed until the last of them
     time_point m_last_dispatch{};        ///< own
     time_point m_closed_until{};         ///< it said `not_run`: it is fuller than we knew
+    health m_health;
+    slowness m_slowness;
     bool m_runs_alone = false;
     ticket m_held_for;  ///< a suspect waits until it is empty; 0: none
     running_list m_running;
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -16,6 +16,7 @@
     return {state.m_table,
             state.m_prefixes,
             state.m_speed,
+            state.m_pool_speed,
             state.m_options.m_choice,
             state.m_options.m_failure_domain,
             now};
--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::engine {
 
@@ -25,7 +25,7 @@
     void succeed(load fresh)
     {
         fresh.m_is_reachable = true;
-        fresh.m_measured_at = platform::now();
+        fresh.m_measured_at = program::now();
         m_latest = std::move(fresh);
         m_failures = 0;
     }
--- a/dewbeam/src/entry/endings.cpp
+++ b/dewbeam/src/entry/endings.cpp
@@ -54,7 +54,7 @@
         report_claim(state, *known.m_claim, result, now);
     }
     state.m_burn.record({known.m_selector, known.m_workspace_class}, known.m_target, result,
-                        result.m_first_byte - known.m_arrival, platform::wall_now());
+                        result.m_first_byte - known.m_arrival, program::wall_now());
     log_event(log_level::info, "request_ended",
               {{"request", known.m_request_id},
                {"selector", known.m_selector},
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -33,8 +33,8 @@
 
 std::vector<setting> entry_schema()
 {
-    auto schema = platform::common_settings();
-    const auto listeners = platform::listener_settings();
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
     schema.insert(schema.end(), listeners.begin(), listeners.end());
     const caller::call_limits limits;
     const std::vector<setting> own{
@@ -56,7 +56,7 @@
 
 class entry_server::implementation {
 public:
-    implementation(platform::program& frame, const json& settings)
+    implementation(program::program& frame, const json& settings)
         : m_state(frame, settings, [this] { configuration_changed(m_state); })
     {
     }
@@ -83,22 +83,22 @@
         }
         announce_self();
         m_state.m_is_started = true;
-        platform::write_address_file(m_state.m_settings, to_string(m_state.m_server->address()));
+        program::write_address_file(m_state.m_settings, to_string(m_state.m_server->address()));
         return absl::OkStatus();
     }
 
-    platform::program_hooks hooks()
+    program::program_hooks hooks()
     {
-        platform::program_hooks result;
-        result.m_is_ready = [this] { return is_ready(platform::now()); };
-        result.m_in_flight = [this] { return in_flight(platform::now()); };
+        program::program_hooks result;
+        result.m_is_ready = [this] { return is_ready(program::now()); };
+        result.m_in_flight = [this] { return in_flight(program::now()); };
         result.m_announce_leave = [this] {
-            m_state.m_membership->leave(platform::now());
+            m_state.m_membership->leave(program::now());
             m_state.m_server->wind_down();
         };
         result.m_stop_accepting = [this] {
             m_state.m_server->stop_accepting();
-            m_report_deadline = platform::now() + report_limit;
+            m_report_deadline = program::now() + report_limit;
             m_state.m_burn.save();
         };
         result.m_tick = [this](time_point now) { tick(now); };
@@ -109,11 +109,11 @@
     absl::Status start_link()
     {
         auto node =
-            platform::start_node(m_state.m_settings, m_state.m_incarnation,
-                                 {[this](const link::peer& from, wire::Envelope&& message) {
-                                      on_message(m_state, from, std::move(message));
-                                  },
-                                  [this](const link::peer& gone) { on_lost(m_state, gone); }});
+            program::start_node(m_state.m_settings, m_state.m_incarnation,
+                                {[this](const link::peer& from, wire::Envelope&& message) {
+                                     on_message(m_state, from, std::move(message));
+                                 },
+                                 [this](const link::peer& gone) { on_lost(m_state, gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -125,7 +125,7 @@
 
     absl::Status start_http()
     {
-        auto server = platform::start_http(
+        auto server = program::start_http(
             m_state.m_frame.context(), m_state.m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 handle(std::move(request), answer);
@@ -147,7 +147,7 @@
     {
         auto announced = self();
         announced.m_http_address = to_string(m_state.m_server->address());
-        m_state.m_membership->announce(announced, platform::now());
+        m_state.m_membership->announce(announced, program::now());
     }
 
     /// Ready once the newest configuration that can be learned is here, and the members with it.
@@ -196,7 +196,7 @@
     /// What is due less often than each tick.
     void scan(time_point now)
     {
-        m_state.m_burn.tick(platform::wall_now());
+        m_state.m_burn.tick(program::wall_now());
         spread_suspicions(m_state, now);
         if (now >= m_next_peers) {
             m_next_peers = now + peers_interval;
@@ -217,11 +217,11 @@
     time_point m_next_scan{};
     time_point m_next_peers{};
     std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
-    time_point m_started_at = platform::now();
+    time_point m_started_at = program::now();
     entry_state m_state;  ///< last: what uses the members above ends before them
 };
 
-entry_server::entry_server(platform::program& frame, const json& settings)
+entry_server::entry_server(program::program& frame, const json& settings)
     : m_implementation(std::make_unique<implementation>(frame, settings))
 {
 }
@@ -233,7 +233,7 @@
     return m_implementation->start();
 }
 
-platform::program_hooks entry_server::hooks()
+program::program_hooks entry_server::hooks()
 {
     return m_implementation->hooks();
 }
--- a/dewbeam/src/entry/entry_server.h
+++ b/dewbeam/src/entry/entry_server.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "dewbeam/platform"
+#include "dewbeam/program"
 
 namespace dewbeam::entry {
 
@@ -14,7 +14,7 @@
 /// One entry.
 class entry_server {
 public:
-    entry_server(platform::program& frame, const nlohmann::json& settings);
+    entry_server(program::program& frame, const nlohmann::json& settings);
     ~entry_server();
     entry_server(const entry_server&) = delete;
     entry_server& operator=(const entry_server&) = delete;
@@ -25,7 +25,7 @@
     absl::Status start();
 
     /// What the program's frame calls.
-    platform::program_hooks hooks();
+    program::program_hooks hooks();
 
 private:
     class implementation;
--- a/dewbeam/src/entry/entry_state.cpp
+++ b/dewbeam/src/entry/entry_state.cpp
@@ -26,15 +26,15 @@
 
 }  // namespace
 
-entry_state::entry_state(platform::program& frame, const nlohmann::json& settings,
+entry_state::entry_state(program::program& frame, const nlohmann::json& settings,
                          std::function<void()> on_configuration)
     : m_frame(frame),
       m_settings(settings),
-      m_incarnation(platform::new_incarnation()),
+      m_incarnation(program::new_incarnation()),
       m_limits(call_limits_of(settings)),
       m_burn(setting_value<std::string>(settings, "/burn_file")),
-      m_configuration(platform::link_addresses(settings, "/controls"), std::move(on_configuration)),
-      m_claims(platform::link_addresses(settings, "/controls")),
+      m_configuration(program::link_addresses(settings, "/controls"), std::move(on_configuration)),
+      m_claims(program::link_addresses(settings, "/controls")),
       m_pools(broker_options_of(settings))
 {
 }
--- a/dewbeam/src/entry/entry_state.h
+++ b/dewbeam/src/entry/entry_state.h
@@ -13,7 +13,7 @@
 #include "dewbeam/caller"
 #include "dewbeam/http"
 #include "dewbeam/link"
-#include "dewbeam/platform"
+#include "dewbeam/program"
 #include "dewbeam/src/control/claim_client.h"
 #include "dewbeam/src/control/subscriber.h"
 #include "dewbeam/src/entry/burn_book.h"
@@ -36,10 +36,10 @@
 /// holds it stops `m_node` before that, since the link's thread uses the parts that end earlier.
 struct entry_state {
     /// `on_configuration` is called after each adoption of a configuration.
-    entry_state(platform::program& frame, const nlohmann::json& settings,
+    entry_state(program::program& frame, const nlohmann::json& settings,
                 std::function<void()> on_configuration);
 
-    platform::program& m_frame;
+    program::program& m_frame;
     nlohmann::json m_settings;
     incarnation m_incarnation;
     caller::call_limits m_limits;
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -19,7 +19,7 @@
     if (!request->set_gone()) {
         return;
     }
-    const auto now = platform::now();
+    const auto now = program::now();
     cancel_attempt(state, request);
     finish_request(state, request, now);
     perform(state, state.m_pools.cancel(request->known().m_pool, request->known().m_ticket, now),
@@ -59,7 +59,7 @@
     state.m_claims.claim(
         *state.m_node, claim.m_key, claim.m_attempt, request->known().m_call.m_content,
         [&state, request, info = std::move(info)](const control::claim_reply& reply) {
-            take_claim(state, request, info, reply, platform::now());
+            take_claim(state, request, info, reply, program::now());
         },
         now);
 }
@@ -116,7 +116,7 @@
 void take_call(entry_state& state, http::request&& request,
                const std::shared_ptr<http::exchange>& answer)
 {
-    const auto now = platform::now();
+    const auto now = program::now();
     const dispatch::ticket ticket(++state.m_last_ticket);
     const auto request_id =
         absl::StrFormat("req-%x-%x", state.m_incarnation.value(), ticket.value());
--- a/dewbeam/src/entry/member_feed.cpp
+++ b/dewbeam/src/entry/member_feed.cpp
@@ -15,7 +15,7 @@
 
 void on_member(entry_state& state, const membership::member& member)
 {
-    const auto now = platform::now();
+    const auto now = program::now();
     if (state.m_frame.phase() == lifecycle::phase::starting) {
         state.m_members_heard_at = now;
     }
@@ -46,7 +46,7 @@
     hooks.m_on_report = [&state](const host_id& host, incarnation,
                                  const membership::member_load& load) {
         if (const auto changed = state.m_members.take_load(host, load)) {
-            update_pools(state, *changed, platform::now());
+            update_pools(state, *changed, program::now());
         }
     };
     return hooks;
@@ -64,7 +64,7 @@
 
 void configuration_changed(entry_state& state)
 {
-    const auto now = platform::now();
+    const auto now = program::now();
     state.m_metrics.set_configuration_number(state.m_configuration.current()->m_number);
     for (const auto& member : state.m_members.all()) {
         update_pools(state, member, now);
--- a/dewbeam/src/entry/membership_runner.h
+++ b/dewbeam/src/entry/membership_runner.h
@@ -31,7 +31,7 @@
 /// One process's membership. Thread-safe.
 ///
 /// \code
-/// membership_runner runner(options, self, hooks, seed, platform::now());
+/// membership_runner runner(options, self, hooks, seed, program::now());
 /// // in the link's handler:      if (runner.take(message, now)) { return; }
 /// // in the program's tick:      runner.tick(now);
 /// // when the agent reads loads: runner.report(load, now);
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -79,7 +79,7 @@
 
 void on_suspicion(entry_state& state, const wire::Suspicion& message, time_point now)
 {
-    const auto record = from_wire(message, now, platform::wall_now());
+    const auto record = from_wire(message, now, program::wall_now());
     perform(state, state.m_pools.merge_suspicion(message.pool(), record, now), now);
 }
 
@@ -90,7 +90,7 @@
     if (!state.m_is_started) {
         return;  // whoever sent this sends it again
     }
-    const auto now = platform::now();
+    const auto now = program::now();
     if (state.m_membership->take(message, now)) {
         return;
     }
@@ -131,7 +131,7 @@
     if (gone.m_address.empty()) {
         return;
     }
-    const auto now = platform::now();
+    const auto now = program::now();
     for (const auto& member : state.m_members.set_unreachable(gone.m_address)) {
         // A report shows when the agent can be reached again.
         state.m_next_interest = time_point{};
--- a/dewbeam/src/entry/pages.cpp
+++ b/dewbeam/src/entry/pages.cpp
@@ -32,7 +32,7 @@
     facts.m_incarnation = state.m_incarnation;
     facts.m_number = active->m_number;
     facts.m_version = active->m_version;
-    auto page = status_page(facts, *state.m_membership, platform::now());
+    auto page = status_page(facts, *state.m_membership, program::now());
     page["in_flight"] = state.m_requests.size();
     page["loads"] = loads_to_json(state.m_members.all());
     return page.dump();
@@ -52,7 +52,7 @@
             "");
     }
     state.m_pools.lift_quarantine(body["pool"], fingerprint(body["content"].get<std::uint64_t>()),
-                                  platform::now());
+                                  program::now());
     return http::json_response(200, R"({"status":"lifted"})");
 }
 
--- a/dewbeam/src/entry/peers.cpp
+++ b/dewbeam/src/entry/peers.cpp
@@ -19,7 +19,7 @@
 
 bool is_from_control(const entry_state& state, const link::peer& from)
 {
-    const auto controls = platform::link_addresses(state.m_settings, "/controls");
+    const auto controls = program::link_addresses(state.m_settings, "/controls");
     return std::find(controls.begin(), controls.end(), from.m_address) != controls.end();
 }
 
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::entry {
 
@@ -71,7 +71,8 @@
     if (!place) {
         place = std::make_shared<cell>();
         place->m_broker.m_options = m_options;
-        place->m_random = platform::seeded_engine();
+        dispatch::set_sharing(place->m_broker, m_options.m_entries_sharing, m_options.m_retries);
+        place->m_random = program::seeded_engine();
     }
     return place;
 }
@@ -191,6 +192,39 @@
     }
 }
 
+bool pool_table::note_result(const std::string& pool, const upstream_id& name, bool is_good,
+                             time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return false;
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::note_result(target->m_broker, name, is_good, now);
+}
+
+bool pool_table::is_outrun(const std::string& pool, dispatch::ticket request,
+                           time_span margin) const
+{
+    const auto target = find(pool);
+    if (!target) {
+        return false;
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::is_outrun(target->m_broker, request, margin);
+}
+
+void pool_table::set_sharing(std::uint32_t entries, const retry::budget_options& retries)
+{
+    const std::unique_lock lock(m_mutex);
+    m_options.m_entries_sharing = entries;
+    m_options.m_retries = retries;
+    for (const auto& [name, one] : m_pools) {
+        const std::lock_guard cell_lock(one->m_mutex);
+        dispatch::set_sharing(one->m_broker, entries, retries);
+    }
+}
+
 std::vector<std::string> pool_table::names() const
 {
     const std::shared_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -56,6 +56,17 @@
                                       time_point now);
     void lift_quarantine(const std::string& pool, fingerprint content, time_point now);
 
+    /// An upstream's fault failed an attempt, or it answered one; true where it is closed for it.
+    bool note_result(const std::string& pool, const upstream_id& name, bool is_good,
+                     time_point now);
+
+    /// Whether a running request is late by its upstream's own fault.
+    [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
+                                 time_span margin) const;
+
+    /// States for all pools how many entries share the upstreams, and this entry's retries.
+    void set_sharing(std::uint32_t entries, const retry::budget_options& retries);
+
     /// Names of all pools, sorted.
     [[nodiscard]] std::vector<std::string> names() const;
 
@@ -69,7 +80,7 @@
     [[nodiscard]] std::shared_ptr<cell> find(const std::string& name) const;
     std::shared_ptr<cell> find_or_make(const std::string& name);
 
-    dispatch::broker_options m_options;
+    dispatch::broker_options m_options;  ///< under m_mutex
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<cell>> m_pools;
 };
--- a/dewbeam/src/entry/status_page.cpp
+++ b/dewbeam/src/entry/status_page.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "dewbeam/platform"
+#include "dewbeam/program"
 
 namespace dewbeam::entry {
 
@@ -92,13 +92,13 @@
 {
     membership::view_options options;
     options.m_lease = member_lease;
-    options.m_seeds = platform::link_addresses(settings, "/entries");
+    options.m_seeds = program::link_addresses(settings, "/entries");
     hooks.m_send = [&node](const std::string& address, wire::Envelope message) {
         node.send(address, std::move(message));
     };
-    auto random = platform::seeded_engine();
+    auto random = program::seeded_engine();
     return std::make_unique<membership_runner>(options, self, std::move(hooks), random(),
-                                               platform::now());
+                                               program::now());
 }
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/suspicions.cpp
+++ b/dewbeam/src/entry/suspicions.cpp
@@ -9,7 +9,7 @@
 {
     for (const auto& item : state.m_pools.take_suspicions()) {
         wire::Envelope message;
-        to_wire(item, now, platform::wall_now(), *message.mutable_suspicion());
+        to_wire(item, now, program::wall_now(), *message.mutable_suspicion());
         log_event(log_level::warning, "content_suspected",
                   {{"pool", item.m_pool},
                    {"content", item.m_record.m_content.value()},
--- /dev/null
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -0,0 +1,274 @@
+#include "dewbeam/src/gateway/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewbeam::gateway {
+
+namespace {
+
+/// A refused caller is told to come back within this share of the time that it has left; most
+/// callers don't wait for longer than a third of it.
+constexpr double return_share = 0.25;
+constexpr time_span shortest_return = std::chrono::milliseconds(100);
+/// An attempt counts as late where others that began this share of the objective after it have
+/// answered.
+constexpr double outrun_share = 0.75;
+
+std::int64_t milliseconds(time_span value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+const char* outcome_of(const request_end& end)
+{
+    if (end.m_is_caller_gone) {
+        return "caller_gone";
+    }
+    if (end.m_is_cut) {
+        return "cut";
+    }
+    if (*end.m_code != '\0') {
+        return end.m_code;
+    }
+    constexpr int first_failure = 400;
+    return end.m_status < first_failure ? "answered" : "upstream_failure";
+}
+
+/// Takes a request that is over out of the books.
+void finish(gateway_state& state, const request_pointer& request, time_point now)
+{
+    if (!state.m_requests.remove(request)) {
+        return;
+    }
+    const auto& known = request->known();
+    const auto end = request->result();
+    const auto* outcome = outcome_of(end);
+    state.m_metrics.request_ended(outcome, now - known.m_arrival);
+    const bool has_first_byte = end.m_first_byte != time_point{};
+    if (has_first_byte) {
+        state.m_metrics.first_byte(end.m_first_byte - known.m_arrival);
+    }
+    log_event(
+        log_level::info, "request_ended",
+        {{"request", known.m_request_id},
+         {"route", known.m_route->m_name},
+         {"revision", known.m_book->m_revision.value()},
+         {"outcome", outcome},
+         {"status", end.m_status},
+         {"attempts", end.m_attempts},
+         {"first_byte_ms", has_first_byte ? milliseconds(end.m_first_byte - known.m_arrival) : -1},
+         {"whole_ms", milliseconds(now - known.m_arrival)}});
+}
+
+own_error to_error(const gateway_request& request, const dispatch::action& refusal, time_point now)
+{
+    own_error fault;
+    fault.m_code = dispatch::to_string(refusal.m_refusal);
+    fault.m_message = "no upstream could take the request in time";
+    // Some attempt may have run: then the status must not tell that none did.
+    fault.m_status = request.may_have_run() ? 502 : 503;
+    if (request.may_have_run()) {
+        fault.m_message = "an upstream failed while the request may have been running";
+    }
+    const auto left = std::max(time_span::zero(), request.known().m_deadline - now);
+    const auto longest = std::chrono::duration_cast<time_span>(left * return_share);
+    fault.m_retry_after = std::clamp<time_span>(refusal.m_retry_at - now,
+                                                std::min(shortest_return, longest), longest);
+    return fault;
+}
+
+/// An upstream that turned out to be another one is forgotten; its name never comes back.
+void forget_upstream(gateway_state& state, const std::string& pool, const upstream_id& name,
+                     time_point now)
+{
+    log_event(log_level::info, "upstream_dropped",
+              {{"upstream", name.value()}, {"reason", "its address belongs to another"}});
+    state.m_upstreams.remove(name);
+    perform(state, state.m_pools.remove_upstream(pool, name, now), now);
+}
+
+fingerprint content_of(const gateway_request::facts& known)
+{
+    const auto content = stable_hash(known.m_request.m_body, stable_hash(known.m_call.m_path));
+    return fingerprint(combine_hash(content, stable_hash(known.m_workspace.value())));
+}
+
+/// What the broker and the books learn of an attempt's end.
+void end_attempt(gateway_state& state, const request_pointer& request, const upstream_id& upstream,
+                 attempt_outcome outcome, time_point now)
+{
+    const auto& known = request->known();
+    state.m_metrics.attempt_ended(outcome.m_reason);
+    const bool is_completed = outcome.m_end == dispatch::attempt_end::completed;
+    if (is_completed || outcome.m_is_upstream_fault) {
+        const bool is_closed =
+            state.m_pools.note_result(known.m_pool, upstream, !outcome.m_is_upstream_fault, now);
+        if (is_closed) {
+            log_event(log_level::warning, "upstream_closed",
+                      {{"upstream", upstream.value()}, {"reason", outcome.m_reason}});
+        }
+    }
+    if (!is_completed) {
+        log_event(log_level::info, "attempt_failed",
+                  {{"request", known.m_request_id},
+                   {"upstream", upstream.value()},
+                   {"reason", outcome.m_reason},
+                   {"not_run", outcome.m_end == dispatch::attempt_end::not_run}});
+    }
+    if (outcome.m_is_other_upstream) {
+        forget_upstream(state, known.m_pool, upstream, now);
+    }
+    // One broken connection makes no suspect of what ran on it; a second one does.
+    if (outcome.m_end == dispatch::attempt_end::upstream_died &&
+        !state.m_losses.note(content_of(known), now)) {
+        outcome.m_end = dispatch::attempt_end::unknown;
+    }
+    if (is_completed) {
+        finish(state, request, now);
+    }
+    perform(state, state.m_pools.attempt_ended(known.m_pool, known.m_ticket, outcome.m_end, now),
+            now);
+}
+
+http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
+                                  const upstream_id& upstream, attempt_number attempt)
+{
+    http::client_handlers result;
+    result.m_on_head = [&state, request, upstream, attempt](int status, const http::fields& head) {
+        const auto now = program::now();
+        auto answer = state.m_format.m_read_answer(status, head);
+        const bool is_plain_success = status / 100 == 2 && !answer.m_is_event_stream;
+        if (!request->take_head(attempt, state.m_format, std::move(answer), head, now)) {
+            if (request->abandon(attempt)) {
+                end_attempt(state, request, upstream,
+                            {dispatch::attempt_end::unknown, true, false, "foreign_answer"}, now);
+            }
+            return;
+        }
+        if (is_plain_success) {
+            state.m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+        }
+    };
+    result.m_on_data = [&state, request, attempt](std::string bytes) {
+        const auto now = program::now();
+        if (request->take_data(attempt, std::move(bytes), now)) {
+            state.m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+        }
+    };
+    result.m_on_end = [&state, request, upstream, attempt](const absl::Status& ended,
+                                                           http::progress how_far) {
+        const auto now = program::now();
+        state.m_upstreams.end_attempt(upstream, ended.ok(), now);
+        if (const auto outcome = request->take_end(attempt, ended, how_far)) {
+            end_attempt(state, request, upstream, *outcome, now);
+        }
+    };
+    return result;
+}
+
+void begin_attempt(gateway_state& state, const request_pointer& request,
+                   const dispatch::action& action, time_point now)
+{
+    const auto& known = request->known();
+    const auto target = state.m_upstreams.find(action.m_upstream);
+    if (!target.m_client) {
+        perform(state,
+                state.m_pools.attempt_ended(known.m_pool, known.m_ticket,
+                                            dispatch::attempt_end::not_run, now),
+                now);
+        return;
+    }
+    const auto begun = request->begin(action.m_upstream, now);
+    if (!begun) {
+        perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+        return;
+    }
+    state.m_metrics.attempt_begun();
+    state.m_upstreams.begin_attempt(action.m_upstream);
+    log_event(log_level::info, "attempt_begun",
+              {{"request", known.m_request_id},
+               {"attempt", begun->m_number.value()},
+               {"upstream", action.m_upstream.value()},
+               {"waited_ms", milliseconds(now - known.m_arrival)},
+               {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)}});
+    auto exchange =
+        target.m_client->start(state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
+                               handlers_of(state, request, action.m_upstream, begun->m_number));
+    request->attach(begun->m_number, std::move(exchange));
+}
+
+void end_late_attempt(gateway_state& state, const request_pointer& request, time_point now)
+{
+    const auto attempt = request->attempt();
+    const auto upstream = request->upstream();
+    if (attempt && request->abandon(*attempt)) {
+        end_attempt(state, request, upstream,
+                    {dispatch::attempt_end::unknown, true, false, "outrun_by_others"}, now);
+    }
+}
+
+bool is_late(gateway_state& state, const gateway_request& request)
+{
+    const auto& known = request.known();
+    const auto objective = known.m_route->m_latency_objective;
+    if (!routes::is_idempotent(*known.m_route) || objective <= time_span::zero() ||
+        !request.attempt()) {
+        return false;
+    }
+    const auto margin = std::chrono::duration_cast<time_span>(objective * outrun_share);
+    return state.m_pools.is_outrun(known.m_pool, known.m_ticket, margin);
+}
+
+}  // namespace
+
+void fail_request(gateway_state& state, const request_pointer& request, const own_error& fault,
+                  time_point now)
+{
+    request->fail(fault);
+    finish(state, request, now);
+}
+
+void perform(gateway_state& state, const dispatch::actions& wanted, time_point now)
+{
+    for (const auto& action : wanted) {
+        const auto request = state.m_requests.find(action.m_ticket);
+        if (!request) {
+            continue;  // over in the meantime
+        }
+        if (action.m_kind == dispatch::action::kind::refuse) {
+            fail_request(state, request, to_error(*request, action, now), now);
+        }
+        else {
+            begin_attempt(state, request, action, now);
+        }
+    }
+}
+
+void caller_gone(gateway_state& state, const request_pointer& request, time_point now)
+{
+    if (!request->set_gone()) {
+        return;
+    }
+    const auto& known = request->known();
+    finish(state, request, now);
+    perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+}
+
+void watch_request(gateway_state& state, const request_pointer& request, time_point now)
+{
+    const auto& known = request->known();
+    if (known.m_deadline <= now) {
+        const bool may_have_run = request->may_have_run();
+        fail_request(state, request,
+                     {may_have_run ? 504 : 503, "time_limit_reached", "the request's time ran out",
+                      time_span::zero()},
+                     now);
+        perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+    }
+    else if (is_late(state, *request)) {
+        end_late_attempt(state, request, now);
+    }
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,110 @@
+#include "dewbeam/src/gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace dewbeam::gateway {
+
+namespace {
+
+/// Seconds; around the objectives of plain calls (0.1) and of first events (0.4 to 0.72).
+const prometheus::Histogram::BucketBoundaries latency_bounds{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.72, 1.0, 2.0, 4.0, 8.0};
+
+double seconds(time_span span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+struct gateway_metrics::families {
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_requests_total")
+            .Help("Requests that ended, by outcome.")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_ended_attempts =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_attempts_total")
+            .Help("Attempts that ended, by reason.")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_begun_attempts =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_attempts_begun_total")
+            .Help("Attempts that were sent to upstreams.")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Histogram>& m_latency =
+        prometheus::BuildHistogram()
+            .Name("dewbeam_gateway_seconds")
+            .Help("Time from arrival to the first byte and to the end of an answer.")
+            .Register(m_registry);
+    prometheus::Family<prometheus::Gauge>& m_state =
+        prometheus::BuildGauge()
+            .Name("dewbeam_gateway_state")
+            .Help("Requests in flight, upstreams known, registries heard, revision in force.")
+            .Register(m_registry);
+    prometheus::Counter& m_begun = m_begun_attempts.Add({});
+    prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
+    prometheus::Histogram& m_whole = m_latency.Add({{"until", "end"}}, latency_bounds);
+    prometheus::Gauge& m_in_flight = m_state.Add({{"name", "in_flight"}});
+    prometheus::Gauge& m_upstreams = m_state.Add({{"name", "upstreams"}});
+    prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
+    prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
+};
+
+gateway_metrics::gateway_metrics() : m_families(std::make_unique<families>()) {}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::request_ended(const std::string& outcome, time_span whole_after)
+{
+    m_families->m_requests.Add({{"outcome", outcome}}).Increment();
+    m_families->m_whole.Observe(seconds(whole_after));
+}
+
+void gateway_metrics::first_byte(time_span after)
+{
+    m_families->m_first_byte.Observe(seconds(after));
+}
+
+void gateway_metrics::attempt_begun()
+{
+    m_families->m_begun.Increment();
+}
+
+void gateway_metrics::attempt_ended(const std::string& reason)
+{
+    m_families->m_ended_attempts.Add({{"reason", reason}}).Increment();
+}
+
+void gateway_metrics::set_in_flight(std::size_t count)
+{
+    m_families->m_in_flight.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::set_upstreams(std::size_t count)
+{
+    m_families->m_upstreams.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::set_registries(std::size_t count)
+{
+    m_families->m_registries.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::set_revision(std::uint64_t number)
+{
+    m_families->m_revision.Set(static_cast<double>(number));
+}
+
+std::string gateway_metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->m_registry.Collect());
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -0,0 +1,340 @@
+#include "dewbeam/src/gateway/gateway_request.h"
+
+#include <absl/strings/str_format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dewbeam::gateway {
+
+namespace {
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_upstream_error = 500;
+/// Largest answer that is held until it is whole. Larger ones end as unknown: a service with such
+/// answers needs streaming.
+constexpr std::size_t most_answer_bytes = 16UL * 1024 * 1024;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+/// A status that tells callers that the request was not run.
+bool is_promise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+http::response to_response(const own_error& fault, std::string_view request_id)
+{
+    auto result = http::json_response(
+        fault.m_status,
+        nlohmann::json{{"error", {{"code", fault.m_code}, {"message", fault.m_message}}}}.dump());
+    if (fault.m_retry_after > time_span::zero()) {
+        const double seconds = std::chrono::duration<double>(fault.m_retry_after).count();
+        result.m_fields.push_back({"Retry-After", absl::StrFormat("%.3f", seconds)});
+    }
+    if (!request_id.empty()) {
+        result.m_fields.push_back({"X-Request-Id", std::string(request_id)});
+    }
+    return result;
+}
+
+gateway_request::gateway_request(facts known, std::shared_ptr<http::exchange> answer)
+    : m_facts(std::move(known)), m_answer(std::move(answer))
+{
+}
+
+std::optional<attempt_start> gateway_request::begin(const upstream_id& upstream, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return std::nullopt;
+    }
+    ++m_attempts;
+    m_has_attempt = true;
+    m_upstream = upstream;
+    m_exchange.reset();
+    m_head = {};
+    m_fields.clear();
+    m_body.clear();
+    replies::drop_partial(m_events);
+    attempt_start result;
+    result.m_number = attempt_number(m_attempts);
+    result.m_forwarding.m_upstream = upstream;
+    result.m_forwarding.m_workspace = m_facts.m_workspace;
+    result.m_forwarding.m_time_left = std::max(time_span::zero(), m_facts.m_deadline - now);
+    result.m_forwarding.m_priority = m_facts.m_priority;
+    result.m_forwarding.m_last_event = m_events.m_last_id;
+    return result;
+}
+
+void gateway_request::attach(attempt_number attempt,
+                             std::shared_ptr<http::client_exchange> exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
+        exchange->cancel();
+        return;
+    }
+    m_exchange = std::move(exchange);
+}
+
+bool gateway_request::take_head(attempt_number attempt, const wire_format& format, answer_head head,
+                                const http::fields& fields, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
+        return true;  // its end is handled where it was given up
+    }
+    // An answer that names another request belongs to that one; a success must name its request.
+    const bool is_foreign = head.m_request_id != m_facts.m_call.m_request_id &&
+                            (!head.m_request_id.empty() || is_success(head.m_status));
+    if (is_foreign || (is_success(head.m_status) && !head.m_is_proven)) {
+        return false;
+    }
+    m_head = std::move(head);
+    m_fields = format.m_to_caller(fields);
+    if (is_success(m_head.m_status) && !m_head.m_is_event_stream &&
+        m_result.m_first_byte == time_point{}) {
+        m_result.m_first_byte = now;
+    }
+    return true;
+}
+
+bool gateway_request::take_data(attempt_number attempt, std::string bytes, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
+        return false;
+    }
+    const bool is_stream = is_success(m_head.m_status) && m_head.m_is_event_stream;
+    if (!is_stream) {
+        if (m_body.size() + bytes.size() <= most_answer_bytes) {
+            m_body += bytes;
+        }
+        return false;
+    }
+    auto events = replies::split_events(m_events, bytes);
+    if (events.empty()) {
+        return false;
+    }
+    const bool is_first = m_result.m_first_byte == time_point{};
+    deliver(std::move(events), now);
+    return is_first;
+}
+
+void gateway_request::deliver(std::string events, time_point now)
+{
+    if (!m_is_streaming) {
+        m_is_streaming = true;
+        m_result.m_status = m_head.m_status;
+        m_answer->start(m_head.m_status, m_fields);
+    }
+    if (m_result.m_first_byte == time_point{}) {
+        m_result.m_first_byte = now;
+    }
+    m_last_event = now;
+    m_answer->write(std::move(events));
+}
+
+std::optional<attempt_outcome> gateway_request::take_end(attempt_number attempt,
+                                                         const absl::Status& result,
+                                                         http::progress how_far)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
+        return std::nullopt;
+    }
+    drop_attempt();
+    attempt_outcome outcome;
+    if (result.ok()) {
+        outcome = judge();
+    }
+    else if (how_far == http::progress::not_sent) {
+        outcome = {dispatch::attempt_end::not_run, true, false, "unreachable"};
+    }
+    else if (absl::IsUnavailable(result)) {
+        outcome = {dispatch::attempt_end::upstream_died, true, false, "connection_broke"};
+    }
+    else {
+        outcome = {dispatch::attempt_end::unknown, true, false, "no_whole_answer"};
+    }
+    const bool is_not_run = outcome.m_end == dispatch::attempt_end::not_run;
+    m_may_have_run = m_may_have_run || !is_not_run;
+    return outcome;
+}
+
+attempt_outcome gateway_request::judge()
+{
+    using dispatch::attempt_end;
+    if (m_head.m_is_other_upstream) {
+        return {attempt_end::not_run, false, true, "other_upstream"};
+    }
+    if (m_head.m_is_not_run) {
+        return {attempt_end::not_run, false, false, "refused"};
+    }
+    if (!is_success(m_head.m_status)) {
+        return judge_failure();
+    }
+    if (m_head.m_is_event_stream) {
+        finish_stream();
+    }
+    else if (m_is_streaming) {
+        return {attempt_end::unknown, true, false, "not_a_stream"};
+    }
+    else {
+        respond_whole();
+    }
+    return {attempt_end::completed, false, false, "completed"};
+}
+
+attempt_outcome gateway_request::judge_failure()
+{
+    using dispatch::attempt_end;
+    const bool is_error = m_head.m_status >= first_upstream_error || is_promise(m_head.m_status);
+    if (m_is_streaming) {
+        return {attempt_end::unknown, is_error, false, "upstream_error"};
+    }
+    if (!is_error || (!routes::is_idempotent(*m_facts.m_route) && !is_promise(m_head.m_status))) {
+        respond_whole();
+        return {attempt_end::completed, is_error, false, "upstream_error"};
+    }
+    // Only an idempotent request is tried again. Where that can't be, its caller gets this answer,
+    // unless it would tell that the request was not run, which the upstream didn't state.
+    if (!is_promise(m_head.m_status)) {
+        m_failure = kept_failure{m_head.m_status, m_fields, std::move(m_body)};
+    }
+    return {attempt_end::unknown, true, false, "upstream_error"};
+}
+
+void gateway_request::finish_stream()
+{
+    if (!m_is_streaming) {
+        // A whole stream without any event.
+        m_result.m_status = m_head.m_status;
+        m_answer->start(m_head.m_status, m_fields);
+    }
+    if (!m_events.m_partial.empty()) {
+        m_answer->write(std::exchange(m_events.m_partial, {}));
+    }
+    m_is_over = true;
+    m_answer->finish();
+}
+
+void gateway_request::respond_whole()
+{
+    m_is_over = true;
+    m_result.m_status = m_head.m_status;
+    m_answer->respond({m_head.m_status, std::move(m_fields), std::move(m_body)});
+}
+
+void gateway_request::drop_attempt()
+{
+    m_has_attempt = false;
+    m_exchange.reset();
+}
+
+bool gateway_request::abandon(attempt_number attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
+        return false;
+    }
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    drop_attempt();
+    m_may_have_run = true;
+    return true;
+}
+
+std::optional<attempt_number> gateway_request::attempt() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt) {
+        return std::nullopt;
+    }
+    return attempt_number(m_attempts);
+}
+
+upstream_id gateway_request::upstream() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_has_attempt ? m_upstream : upstream_id();
+}
+
+time_point gateway_request::last_event_at() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_last_event;
+}
+
+void gateway_request::fail(const own_error& fault)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return;
+    }
+    m_is_over = true;
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    drop_attempt();
+    m_result.m_code = fault.m_code;
+    if (m_is_streaming) {
+        m_result.m_is_cut = true;
+        m_answer->abort();
+        return;
+    }
+    if (m_failure) {
+        m_result.m_status = m_failure->m_status;
+        m_answer->respond(
+            {m_failure->m_status, std::move(m_failure->m_fields), std::move(m_failure->m_body)});
+        return;
+    }
+    m_result.m_status = fault.m_status;
+    m_answer->respond(to_response(fault, m_facts.m_request_id));
+}
+
+bool gateway_request::set_gone()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over) {
+        return false;
+    }
+    m_is_over = true;
+    m_result.m_is_caller_gone = true;
+    m_result.m_is_cut = m_is_streaming;
+    if (m_exchange) {
+        m_exchange->cancel();
+    }
+    drop_attempt();
+    return true;
+}
+
+bool gateway_request::is_over() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_is_over;
+}
+
+bool gateway_request::may_have_run() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_may_have_run || m_has_attempt;
+}
+
+request_end gateway_request::result() const
+{
+    const std::lock_guard lock(m_mutex);
+    auto result = m_result;
+    result.m_attempts = m_attempts;
+    return result;
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -0,0 +1,373 @@
+#include "dewbeam/src/gateway/gateway_server.h"
+
+#include <utility>
+
+#include "dewbeam/link"
+#include "dewbeam/src/gateway/forwarder.h"
+#include "dewbeam/src/gateway/gateway_state.h"
+#include "dewbeam/src/gateway/intake.h"
+#include "dewbeam/src/registrar/addresses.h"
+
+namespace dewbeam::gateway {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Deadlines and late attempts are looked at this often: a small part of the shortest objective.
+constexpr time_span tick_interval = std::chrono::milliseconds(20);
+constexpr time_span slow_interval = std::chrono::milliseconds(500);
+/// How long a start waits for a registry that is sure of the newest revision.
+constexpr time_span sure_wait = std::chrono::seconds(4);
+
+/// The number of gateways is known with a delay, and the budget is counted over any span of some
+/// seconds: this much of it is used.
+constexpr double used_budget = 0.8;
+
+retry::budget_options retries_of(const json& settings, std::uint32_t gateways)
+{
+    // All gateways together must stay below the settings: each takes an equal part of the burst.
+    retry::budget_options result;
+    result.m_share = used_budget * setting_value<double>(settings, "/retries/share");
+    result.m_burst =
+        std::max(1.0, used_budget * setting_value<double>(settings, "/retries/burst") / gateways);
+    return result;
+}
+
+dispatch::broker_options broker_options_of(const json& settings)
+{
+    dispatch::broker_options result;
+    result.m_failure_domain =
+        failure_domain_id(setting_value<std::string>(settings, "/failure_domain"));
+    result.m_entry = host_id(setting_value<std::string>(settings, "/host"));
+    result.m_entries_sharing = setting_value<std::uint32_t>(settings, "/gateways");
+    result.m_retries = retries_of(settings, result.m_entries_sharing);
+    // Streamed answers last for about a second and a half; the counts of the other gateways are
+    // up to 0.3 s old.
+    result.m_choice.m_running_lifetime = std::chrono::milliseconds(1500);
+    result.m_choice.m_waiting_lifetime = std::chrono::milliseconds(500);
+    result.m_queue.m_shortest_return = std::chrono::milliseconds(300);
+    return result;
+}
+
+http::client_options client_options()
+{
+    http::client_options result;
+    result.m_connect_limit = std::chrono::milliseconds(500);
+    result.m_most_idle = 16;
+    result.m_idle_limit = std::chrono::seconds(4);
+    return result;
+}
+
+}  // namespace
+
+gateway_state::gateway_state(program::program& frame, const json& settings,
+                             const wire_format& format, feed_handlers handlers)
+    : m_frame(frame),
+      m_settings(settings),
+      m_format(format),
+      m_incarnation(program::new_incarnation()),
+      m_pools(broker_options_of(settings)),
+      m_upstreams(frame.context(), client_options()),
+      m_feed(registrar::registry_addresses(settings), std::move(handlers)),
+      m_random(program::seeded_engine())
+{
+}
+
+std::vector<setting> gateway_schema()
+{
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
+    schema.insert(schema.end(), listeners.begin(), listeners.end());
+    const auto registries = registrar::registry_settings();
+    schema.insert(schema.end(), registries.begin(), registries.end());
+    constexpr std::int64_t most_gateways = 10'000;
+    constexpr std::int64_t most_retries = 1'000'000;
+    const std::vector<setting> own{
+        {"/readiness_listen", setting_kind::address, "127.0.0.1:0",
+         "Address for questions on readiness, metrics and status."},
+        {"/gateways", setting_kind::integer, 8,
+         "Gateways of the deployment, until a registry has told how many there are.", 1,
+         most_gateways},
+        {"/retries/share", setting_kind::number, 0.1,
+         "Retries for each first try that all gateways may send.", 0, 1},
+        {"/retries/burst", setting_kind::number, 40.0,
+         "Retries beyond that share that all gateways together may send at once.", 0, most_retries},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+class gateway_server::implementation {
+public:
+    implementation(program::program& frame, const json& settings, const wire_format& format)
+        : m_state(frame, settings, format, feed_handlers_of())
+    {
+    }
+
+    absl::Status start()
+    {
+        auto node = program::start_node(
+            m_state.m_settings, m_state.m_incarnation,
+            {[this](const link::peer& from, wire::Envelope&& message) {
+                 if (m_is_started && message.has_watch_news()) {
+                     m_state.m_feed.take(*m_node, from, message.watch_news(), program::now());
+                 }
+             },
+             [this](const link::peer& gone) {
+                 log_event(log_level::warning, "registry_lost", {{"address", gone.m_address}});
+                 m_state.m_feed.lost(gone);
+             }});
+        if (!node.ok()) {
+            return node.status();
+        }
+        m_node = *std::move(node);
+        auto server = program::start_http(
+            m_state.m_frame.context(), m_state.m_settings,
+            [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                handle(std::move(request), answer);
+            });
+        if (!server.ok()) {
+            return server.status();
+        }
+        m_server = *std::move(server);
+        auto pages = program::start_http_at(
+            m_state.m_frame.context(), m_state.m_settings, "/readiness_listen",
+            [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                answer->respond(page(request));
+            });
+        if (!pages.ok()) {
+            return pages.status();
+        }
+        m_pages = *std::move(pages);
+        m_started_at = program::now();
+        m_is_started = true;
+        program::write_address_file(m_state.m_settings, to_string(m_server->address()));
+        return absl::OkStatus();
+    }
+
+    program::program_hooks hooks()
+    {
+        program::program_hooks result;
+        result.m_is_ready = [this] {
+            return m_state.m_feed.is_settled(m_started_at + sure_wait, program::now());
+        };
+        result.m_in_flight = [this] {
+            return std::max(m_state.m_requests.size(), m_server->unanswered());
+        };
+        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_tick = [this](time_point now) { tick(now); };
+        result.m_tick_interval = tick_interval;
+        return result;
+    }
+
+    ~implementation()
+    {
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+private:
+    void handle(http::request&& request, const std::shared_ptr<http::exchange>& answer)
+    {
+        if (m_state.m_format.m_is_readiness_call(request)) {
+            answer->respond(readiness());
+            return;
+        }
+        take_call(m_state, std::move(request), answer);
+    }
+
+    http::response readiness() const
+    {
+        const auto phase = m_state.m_frame.phase();
+        return http::json_response(phase == lifecycle::phase::serving ? 200 : 503,
+                                   json{{"phase", lifecycle::to_string(phase)}}.dump());
+    }
+
+    http::response page(const http::request& request) const
+    {
+        const auto path = http::path_of(request.m_target);
+        if (path == "/healthz") {
+            return http::json_response(200, R"({"status":"ok"})");
+        }
+        if (path == "/metrics") {
+            return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_state.m_metrics.text()};
+        }
+        if (path == "/v1/status") {
+            return status();
+        }
+        if (path == "/readyz" || m_state.m_format.m_is_readiness_call(request)) {
+            return readiness();
+        }
+        return to_response({404, "unknown_path", "there is no such path", time_span::zero()}, "");
+    }
+
+    http::response status() const
+    {
+        const auto now = program::now();
+        json page{{"host", setting_value<std::string>(m_state.m_settings, "/host")},
+                  {"role", "gateway"},
+                  {"phase", lifecycle::to_string(m_state.m_frame.phase())},
+                  {"revision", m_state.m_feed.revision().value()},
+                  {"registries", m_state.m_feed.heard(now)},
+                  {"in_flight", m_state.m_requests.size()},
+                  {"upstreams", json::array()}};
+        for (const auto& load : m_state.m_upstreams.loads()) {
+            page["upstreams"].push_back({{"name", load.m_name.value()},
+                                         {"pool", load.m_pool},
+                                         {"in_flight", load.m_in_flight}});
+        }
+        return http::json_response(200, page.dump());
+    }
+
+    feed_handlers feed_handlers_of()
+    {
+        feed_handlers result;
+        result.m_on_upstream = [this](const registry::record& changed) { on_upstream(changed); };
+        result.m_on_revision = [this](const revisions::revision& newer) {
+            return on_revision(newer);
+        };
+        result.m_on_load = [this](const std::string& upstream, std::uint32_t in_flight) {
+            m_others[upstream_id(upstream)] = in_flight;
+        };
+        result.m_on_loads_end = [this] { on_loads(); };
+        result.m_on_gateways = [this](std::uint32_t gateways) { on_gateways(gateways); };
+        return result;
+    }
+
+    void on_upstream(const registry::record& changed)
+    {
+        const auto now = program::now();
+        const auto& known = changed.m_announced;
+        log_event(log_level::info, "upstream_changed",
+                  {{"upstream", known.m_name.value()},
+                   {"service", known.m_service},
+                   {"state", registry::to_string(known.m_state)},
+                   {"silent", changed.m_is_silent},
+                   {"number", known.m_number.value()}});
+        if (known.m_state == registry::upstream_state::gone) {
+            const auto pool = m_state.m_upstreams.pool_of(known.m_name);
+            m_state.m_upstreams.remove(known.m_name);
+            perform(m_state, m_state.m_pools.remove_upstream(pool, known.m_name, now), now);
+            return;
+        }
+        m_state.m_upstreams.put(known, changed.m_is_silent);
+        update_broker(known.m_name, now);
+    }
+
+    void update_broker(const upstream_id& name, time_point now)
+    {
+        const auto info = m_state.m_upstreams.info(name, now);
+        if (info) {
+            perform(m_state,
+                    m_state.m_pools.update_upstream(m_state.m_upstreams.pool_of(name), *info, now),
+                    now);
+        }
+    }
+
+    bool on_revision(const revisions::revision& newer)
+    {
+        auto read = m_state.m_format.m_read_book(newer.m_content);
+        if (!read.ok()) {
+            log_event(log_level::error, "revision_unreadable",
+                      {{"revision", newer.m_number.value()},
+                       {"reason", std::string(read.status().message())}});
+            return false;
+        }
+        auto fresh = std::make_shared<routes::book>(*std::move(read));
+        routes::index(*fresh);
+        const auto routes = fresh->m_routes.size();
+        if (m_state.m_book.adopt(std::move(fresh))) {
+            log_event(log_level::info, "revision_in_force",
+                      {{"revision", newer.m_number.value()}, {"routes", routes}});
+        }
+        return true;
+    }
+
+    void on_loads()
+    {
+        const auto now = program::now();
+        for (const auto& load : m_state.m_upstreams.loads()) {
+            const auto place = m_others.find(load.m_name);
+            m_state.m_upstreams.set_others(load.m_name, place == m_others.end() ? 0 : place->second,
+                                           now);
+            update_broker(load.m_name, now);
+        }
+        m_others.clear();
+    }
+
+    void on_gateways(std::uint32_t gateways)
+    {
+        if (gateways == m_gateways || gateways == 0) {
+            return;
+        }
+        m_gateways = gateways;
+        m_state.m_pools.set_sharing(gateways, retries_of(m_state.m_settings, gateways));
+    }
+
+    void tick(time_point now)
+    {
+        load_list loads;
+        for (const auto& load : m_state.m_upstreams.loads()) {
+            loads.emplace_back(load.m_name.value(), load.m_in_flight);
+        }
+        m_state.m_feed.tick(*m_node, loads, now);
+        perform(m_state, m_state.m_pools.tick(now), now);
+        for (const auto& request : m_state.m_requests.all()) {
+            watch_request(m_state, request, now);
+        }
+        if (now >= m_next_slow) {
+            m_next_slow = now + slow_interval;
+            slow_tick(now);
+        }
+    }
+
+    /// What is due less often than each tick.
+    void slow_tick(time_point now)
+    {
+        for (const auto& name : m_state.m_upstreams.silent()) {
+            update_broker(name, now);
+        }
+        m_state.m_metrics.set_in_flight(m_state.m_requests.size());
+        m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
+        m_state.m_metrics.set_registries(m_state.m_feed.heard(now));
+        m_state.m_metrics.set_revision(m_state.m_feed.revision().value());
+    }
+
+    gateway_state m_state;
+    std::atomic<bool> m_is_started = false;         ///< all members below are there
+    std::map<upstream_id, std::uint32_t> m_others;  ///< used on the link's thread alone
+    std::uint32_t m_gateways = 0;                   ///< the same
+    time_point m_next_slow{};                       ///< used on the frame's thread alone
+    time_point m_started_at{};
+    std::unique_ptr<link::node> m_node;
+    std::unique_ptr<http::server> m_server;
+    std::unique_ptr<http::server> m_pages;
+};
+
+gateway_server::gateway_server(program::program& frame, const json& settings,
+                               const wire_format& format)
+    : m_implementation(std::make_unique<implementation>(frame, settings, format))
+{
+}
+
+gateway_server::~gateway_server() = default;
+
+absl::Status gateway_server::start()
+{
+    return m_implementation->start();
+}
+
+program::program_hooks gateway_server::hooks()
+{
+    return m_implementation->hooks();
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/intake.cpp
@@ -0,0 +1,126 @@
+#include "dewbeam/src/gateway/intake.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dewbeam/src/gateway/forwarder.h"
+
+namespace dewbeam::gateway {
+
+namespace {
+
+/// Longest time in the queue, and as a share of what the caller waits in all. Callers of streams
+/// leave when no event has come for two seconds; what goes later than this is lost in any case.
+constexpr time_span longest_wait = std::chrono::milliseconds(1500);
+constexpr double wait_share = 0.4;
+
+void refuse(http::exchange& answer, const std::string& request_id, const own_error& fault)
+{
+    log_event(log_level::info, "request_refused",
+              {{"request", request_id}, {"status", fault.m_status}, {"code", fault.m_code}});
+    answer.respond(to_response(fault, request_id));
+}
+
+/// The route and the workspace of a request.
+struct admission_result {
+    const routes::route* m_route = nullptr;
+    const routes::workspace* m_workspace = nullptr;
+    std::optional<own_error> m_fault;
+};
+
+admission_result admit(const routes::book& rules, const caller_call& call)
+{
+    admission_result result;
+    result.m_route = routes::find_route(rules, call.m_host, call.m_path);
+    if (result.m_route == nullptr) {
+        result.m_fault =
+            own_error{404, "no_route", "no route serves this host and path", time_span::zero()};
+        return result;
+    }
+    if (!call.m_key.empty()) {
+        result.m_workspace = routes::find_workspace(rules, call.m_key);
+    }
+    const bool needs_key = !rules.m_workspaces.empty() && !result.m_route->m_allows_anonymous;
+    if (needs_key && result.m_workspace == nullptr) {
+        result.m_fault =
+            own_error{401, "unknown_key", "the request carries no valid key", time_span::zero()};
+    }
+    return result;
+}
+
+dispatch::request_info to_info(const gateway_request::facts& known, const std::string& service)
+{
+    dispatch::request_info info;
+    info.m_ticket = known.m_ticket;
+    info.m_workspace = known.m_workspace;
+    info.m_selector = known.m_route->m_name;
+    info.m_class = known.m_priority == 0 ? configuration::work_class::urgent
+                                         : configuration::work_class::ordinary;
+    info.m_upstreams = service_selector(service);
+    info.m_idempotent = routes::is_idempotent(*known.m_route);
+    info.m_prompt_tokens = known.m_call.m_prompt_tokens;
+    info.m_output_tokens = known.m_call.m_output_hint.value_or(known.m_call.m_output_tokens);
+    info.m_arrival = known.m_arrival;
+    info.m_deadline = known.m_deadline;
+    const auto share =
+        std::chrono::duration_cast<time_span>((known.m_deadline - known.m_arrival) * wait_share);
+    info.m_wait_deadline = known.m_arrival + std::min(longest_wait, share);
+    info.m_most_attempts = known.m_route->m_most_attempts;
+    return info;
+}
+
+const std::string& draw_target(gateway_state& state, const routes::route& subject)
+{
+    const std::lock_guard lock(state.m_random_mutex);
+    return routes::choose_target(subject, state.m_random);
+}
+
+}  // namespace
+
+void take_call(gateway_state& state, http::request&& wanted,
+               const std::shared_ptr<http::exchange>& answer)
+{
+    const auto now = program::now();
+    auto call = state.m_format.m_read_call(wanted);
+    if (!call.ok()) {
+        const std::string reason(call.status().message());
+        refuse(*answer, "", {400, "bad_request", reason.c_str(), time_span::zero()});
+        return;
+    }
+    const auto rules = state.m_book.current();
+    if (!rules) {
+        refuse(*answer, call->m_request_id,
+               {503, "no_configuration", "no configuration is known yet",
+                std::chrono::milliseconds(500)});
+        return;
+    }
+    const auto admitted = admit(*rules, *call);
+    if (admitted.m_fault) {
+        refuse(*answer, call->m_request_id, *admitted.m_fault);
+        return;
+    }
+    gateway_request::facts known;
+    known.m_ticket = dispatch::ticket(++state.m_last_ticket);
+    known.m_request_id = call->m_request_id;
+    known.m_book = rules;
+    known.m_route = admitted.m_route;
+    known.m_priority = admitted.m_route->m_priority;
+    if (admitted.m_workspace != nullptr) {
+        known.m_workspace = admitted.m_workspace->m_name;
+        known.m_priority = admitted.m_workspace->m_priority.value_or(known.m_priority);
+    }
+    known.m_call = *std::move(call);
+    known.m_request = std::move(wanted);
+    known.m_arrival = now;
+    const auto limit = known.m_route->m_time_limit;
+    known.m_deadline = now + std::min(limit, known.m_call.m_time_limit.value_or(limit));
+    const auto& service = draw_target(state, *known.m_route);
+    known.m_pool = pool_name(service);
+    auto info = to_info(known, service);
+    const request_pointer request(new gateway_request(std::move(known), answer));
+    state.m_requests.add(request);
+    answer->on_gone([&state, request] { caller_gone(state, request, program::now()); });
+    perform(state, state.m_pools.submit(request->known().m_pool, std::move(info), now), now);
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/registry_feed.cpp
@@ -0,0 +1,194 @@
+#include "dewbeam/src/gateway/registry_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dewbeam/src/registrar/announcement_wire.h"
+
+namespace dewbeam::gateway {
+
+namespace {
+
+/// Loads of other gateways are used for choices between upstreams: their age is about this, a
+/// fraction of the time that a streamed answer takes.
+constexpr time_span watch_interval = std::chrono::milliseconds(250);
+/// An answer that carries a revision takes no longer than this on a sound link.
+constexpr time_span revision_wait = std::chrono::milliseconds(300);
+/// A registry that didn't answer for so long is not counted as heard; also its lease there.
+constexpr time_span heard_span = std::chrono::seconds(1);
+/// Registries that a gateway remembers at most: seven may exist, and some were replaced.
+constexpr std::size_t most_registries = 16;
+
+}  // namespace
+
+registry_feed::registry_feed(const std::vector<std::string>& seeds, feed_handlers handlers)
+    : m_handlers(std::move(handlers)), m_seeds(seeds)
+{
+    for (const auto& address : seeds) {
+        m_sources.try_emplace(address);
+    }
+}
+
+wire::Envelope registry_feed::watch_of(const source& target, const load_list& loads,
+                                       bool wants_loads) const
+{
+    wire::Envelope result;
+    auto& watch = *result.mutable_watch();
+    watch.set_registry_life(target.m_life);
+    watch.set_known_change(target.m_change);
+    watch.set_known_revision(m_revision.value());
+    watch.set_wants_loads(wants_loads);
+    for (const auto& [name, count] : loads) {
+        auto& load = *watch.add_loads();
+        load.set_upstream(name);
+        load.set_in_flight(count);
+    }
+    return result;
+}
+
+void registry_feed::tick(link::node& node, const load_list& loads, time_point now)
+{
+    std::vector<std::pair<std::string, wire::Envelope>> due;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_loads = loads;
+        // The loads come from one registry, the first that is heard.
+        bool wants_loads = true;
+        for (auto& [address, target] : m_sources) {
+            const bool is_heard = target.m_heard_at + heard_span > now;
+            if (target.m_asked_at + watch_interval > now) {
+                wants_loads = wants_loads && !is_heard;
+                continue;
+            }
+            target.m_asked_at = now;
+            due.emplace_back(address, watch_of(target, loads, wants_loads && is_heard));
+            wants_loads = wants_loads && !is_heard;
+        }
+    }
+    for (auto& [address, message] : due) {
+        node.send(address, std::move(message));
+    }
+}
+
+void registry_feed::learn_registries(const wire::WatchNews& news)
+{
+    for (const auto& address : news.registries()) {
+        if (m_sources.size() < most_registries) {
+            m_sources.try_emplace(address);
+        }
+    }
+}
+
+void registry_feed::take_upstreams(source& from, const wire::WatchNews& news, time_point now,
+                                   std::vector<registry::record>& changed)
+{
+    if (news.registry_life() != from.m_life) {
+        if (!news.whole()) {
+            return;  // a part of what a new process knows: the next watch brings all
+        }
+        from.m_life = news.registry_life();
+        from.m_change = 0;
+    }
+    for (const auto& item : news.upstreams()) {
+        const auto before = m_table.m_last_change;
+        if (registrar::merge(m_table, item, now) == registry::merge_result::changed &&
+            m_table.m_last_change != before) {
+            changed.push_back(m_table.m_records.at(upstream_id(item.name())));
+        }
+    }
+    from.m_has_whole = from.m_has_whole || news.whole();
+    from.m_change = std::max(from.m_change, news.change());
+}
+
+void registry_feed::take(link::node& node, const link::peer& from, const wire::WatchNews& news,
+                         time_point now)
+{
+    std::vector<registry::record> changed;
+    std::optional<wire::Envelope> question;
+    std::optional<revisions::revision> newer;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto place = m_sources.find(from.m_address);
+        if (place == m_sources.end()) {
+            return;
+        }
+        auto& subject = place->second;
+        subject.m_heard_at = now;
+        subject.m_is_sure = news.is_sure();
+        subject.m_newest = revisions::revision_number(news.newest_revision());
+        learn_registries(news);
+        take_upstreams(subject, news, now, changed);
+        if (news.has_revision() &&
+            revisions::revision_number(news.revision().number()) > m_revision) {
+            newer = revisions::revision{revisions::revision_number(news.revision().number()),
+                                        news.revision().content()};
+        }
+        else if (subject.m_newest > m_revision && m_revision_asked_at + revision_wait <= now) {
+            m_revision_asked_at = now;
+            question = watch_of(subject, m_loads, false);
+            question->mutable_watch()->set_wants_revision(true);
+        }
+    }
+    if (question) {
+        node.send(from.m_address, *std::move(question));
+    }
+    for (const auto& item : changed) {
+        m_handlers.m_on_upstream(item);
+    }
+    if (newer && m_handlers.m_on_revision(*newer)) {
+        const std::lock_guard lock(m_mutex);
+        m_revision = std::max(m_revision, newer->m_number);
+        m_revision_asked_at = {};
+    }
+    if (news.has_loads()) {
+        for (const auto& item : news.loads()) {
+            m_handlers.m_on_load(item.upstream(), item.in_flight());
+        }
+        m_handlers.m_on_loads_end();
+        m_handlers.m_on_gateways(news.gateways());
+    }
+}
+
+void registry_feed::lost(const link::peer& gone)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_sources.find(gone.m_address);
+    if (place == m_sources.end()) {
+        return;
+    }
+    place->second.m_heard_at = {};
+    const bool is_seed = std::find(m_seeds.begin(), m_seeds.end(), gone.m_address) != m_seeds.end();
+    if (!is_seed && m_sources.size() >= most_registries) {
+        m_sources.erase(place);  // room for one that took its place
+    }
+}
+
+bool registry_feed::is_settled(time_point lenient_from, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_revision == revisions::revision_number{}) {
+        return false;
+    }
+    return std::any_of(m_sources.begin(), m_sources.end(), [&](const auto& item) {
+        const auto& subject = item.second;
+        const bool is_sure = subject.m_is_sure || now >= lenient_from;
+        return subject.m_has_whole && is_sure && subject.m_newest <= m_revision &&
+               subject.m_heard_at + heard_span > now;
+    });
+}
+
+std::size_t registry_feed::heard(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_sources.begin(), m_sources.end(),
+                      [&](const auto& item) { return item.second.m_heard_at + heard_span > now; }));
+}
+
+revisions::revision_number registry_feed::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/registry_feed.h
@@ -0,0 +1,85 @@
+/// \file
+/// Follows the registries: announced upstreams, the newest revision, the other gateways' loads.
+///
+/// A gateway watches every registry that it knows, since a change is told to it by the one that
+/// took it in, and any of them may be cut off. What several of them say is merged, so that nothing
+/// goes back. Seeds are only where it begins: registries name each other.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "dewbeam/link"
+#include "dewbeam/registry"
+#include "dewbeam/revisions"
+
+namespace dewbeam::gateway {
+
+/// What the feed calls; outside its lock, on the link's thread.
+struct feed_handlers {
+    std::function<void(const registry::record& changed)> m_on_upstream;
+    /// A document that is newer than the one held; true where it is taken.
+    std::function<bool(const revisions::revision& newer)> m_on_revision;
+    std::function<void(const std::string& upstream, std::uint32_t in_flight)> m_on_load;
+    std::function<void()> m_on_loads_end;
+    std::function<void(std::uint32_t gateways)> m_on_gateways;
+};
+
+/// Loads to tell, as name and count.
+using load_list = std::vector<std::pair<std::string, std::uint32_t>>;
+
+/// The feed. Thread-safe.
+class registry_feed {
+public:
+    registry_feed(const std::vector<std::string>& seeds, feed_handlers handlers);
+
+    /// Watches where it is time to.
+    void tick(link::node& node, const load_list& loads, time_point now);
+
+    /// Takes news; asks at once for a revision that is newer.
+    void take(link::node& node, const link::peer& from, const wire::WatchNews& news,
+              time_point now);
+
+    /// A registry's connection is over: what it knew last is asked anew.
+    void lost(const link::peer& gone);
+
+    /// Whether enough was learned to serve: all upstreams of a registry and the newest revision.
+    /// Until `lenient_from` a registry must be sure of the revision; after it any will do, since a
+    /// cut-off domain must go on with what is known there.
+    [[nodiscard]] bool is_settled(time_point lenient_from, time_point now) const;
+
+    /// Registries that answered lately.
+    [[nodiscard]] std::size_t heard(time_point now) const;
+
+    [[nodiscard]] revisions::revision_number revision() const;
+
+private:
+    struct source {
+        std::uint64_t m_life = 0;
+        std::uint64_t m_change = 0;
+        bool m_has_whole = false;
+        bool m_is_sure = false;
+        revisions::revision_number m_newest;
+        time_point m_asked_at{};
+        time_point m_heard_at{};
+    };
+
+    void learn_registries(const wire::WatchNews& news);
+    void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
+                        std::vector<registry::record>& changed);
+    wire::Envelope watch_of(const source& target, const load_list& loads, bool wants_loads) const;
+
+    feed_handlers m_handlers;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_seeds;
+    std::map<std::string, source> m_sources;  ///< by link address
+    registry::table m_table;
+    revisions::revision_number m_revision;
+    time_point m_revision_asked_at{};
+    load_list m_loads;
+};
+
+}  // namespace dewbeam::gateway
--- /dev/null
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -0,0 +1,159 @@
+#include "dewbeam/src/gateway/upstream_table.h"
+
+#include <optional>
+
+#include "dewbeam/src/entry/pool_table.h"
+
+namespace dewbeam::gateway {
+
+namespace {
+
+constexpr const char* service_label = "service";
+/// A silent upstream that answered is used for so long: about as long as its silence takes to be
+/// noticed, so that one that only the registries can't hear stays in use.
+constexpr time_span trust_after_answer = std::chrono::seconds(4);
+
+}  // namespace
+
+std::string pool_name(const std::string& service)
+{
+    return entry::service_pool(service);
+}
+
+configuration::selector service_selector(const std::string& service)
+{
+    configuration::requirement wanted;
+    wanted.m_key = service_label;
+    wanted.m_kind = configuration::requirement_kind::in;
+    wanted.m_values = {service};
+    return {{wanted}};
+}
+
+upstream_table::upstream_table(boost::asio::io_context& context, http::client_options options)
+    : m_context(context), m_options(std::move(options))
+{
+}
+
+void upstream_table::put(const registry::announcement& known, bool is_silent)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& place = m_items[known.m_name];
+    if (!place.m_client || place.m_known.m_address != known.m_address) {
+        place.m_client = std::make_shared<http::client>(m_context, known.m_address, m_options);
+    }
+    place.m_known = known;
+    place.m_is_silent = is_silent;
+}
+
+void upstream_table::remove(const upstream_id& name)
+{
+    const std::lock_guard lock(m_mutex);
+    m_items.erase(name);
+}
+
+destination upstream_table::find(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end()) {
+        return {};
+    }
+    return {place->second.m_client, place->second.m_known.m_failure_domain};
+}
+
+std::optional<dispatch::upstream_info> upstream_table::info(const upstream_id& name,
+                                                            time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end()) {
+        return std::nullopt;
+    }
+    const auto& subject = place->second;
+    dispatch::upstream_info result;
+    result.m_name = name;
+    result.m_failure_domain = subject.m_known.m_failure_domain;
+    result.m_labels.set(service_label, subject.m_known.m_service);
+    result.m_slots = subject.m_known.m_slots;
+    result.m_leaving = subject.m_known.m_state != registry::upstream_state::ready;
+    result.m_is_stalled = subject.m_known.m_group && subject.m_known.m_group->m_is_broken;
+    if (subject.m_is_silent) {
+        result.m_lease_deadline = subject.m_answered_at + trust_after_answer;
+    }
+    if (subject.m_others_at != time_point{}) {
+        result.m_report.m_running = subject.m_others + subject.m_in_flight;
+        result.m_report.m_measured_at = now;
+    }
+    return result;
+}
+
+std::string upstream_table::pool_of(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    return place == m_items.end() ? std::string() : pool_name(place->second.m_known.m_service);
+}
+
+void upstream_table::begin_attempt(const upstream_id& name)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place != m_items.end()) {
+        ++place->second.m_in_flight;
+    }
+}
+
+void upstream_table::end_attempt(const upstream_id& name, bool has_answered, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end()) {
+        return;
+    }
+    auto& subject = place->second;
+    subject.m_in_flight -= subject.m_in_flight > 0 ? 1 : 0;
+    if (has_answered) {
+        subject.m_answered_at = now;
+    }
+}
+
+void upstream_table::set_others(const upstream_id& name, std::uint32_t in_flight, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place != m_items.end()) {
+        place->second.m_others = in_flight;
+        place->second.m_others_at = now;
+    }
+}
+
+std::vector<upstream_load> upstream_table::loads() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<upstream_load> result;
+    result.reserve(m_items.size());
+    for (const auto& [name, subject] : m_items) {
+        result.push_back({name, pool_name(subject.m_known.m_service), subject.m_in_flight});
+    }
+    return result;
+}
+
+std::vector<upstream_id> upstream_table::silent() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<upstream_id> result;
+    for (const auto& [name, subject] : m_items) {
+        if (subject.m_is_silent) {
+            result.push_back(name);
+        }
+    }
+    return result;
+}
+
+std::size_t upstream_table::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_items.size();
+}
+
+}  // namespace dewbeam::gateway
--- a/dewbeam/src/http/answer_writer.h
+++ b/dewbeam/src/http/answer_writer.h
@@ -2,6 +2,7 @@
 /// Writes the pieces of one answer to its connection. Internal to the module.
 #pragma once
 
+#include <atomic>
 #include <utility>
 
 #include "dewbeam/src/http/queued_exchange.h"
@@ -30,8 +31,15 @@
 template <class Stream>
 class answer_writer {
 public:
-    answer_writer(Stream& stream, time_span limit, bool keep_alive, bool is_head)
-        : m_stream(stream), m_limit(limit), m_keep_alive(keep_alive), m_is_head(is_head)
+    /// `is_winding_down` is read as the head goes out: a stop that began while the request ran
+    /// still tells the caller to move on.
+    answer_writer(Stream& stream, time_span limit, bool keep_alive, bool is_head,
+                  const std::atomic<bool>& is_winding_down)
+        : m_stream(stream),
+          m_limit(limit),
+          m_keep_alive(keep_alive),
+          m_is_head(is_head),
+          m_is_winding_down(is_winding_down)
     {
     }
 
@@ -62,6 +70,8 @@
     {
         lowest(m_stream).expires_after(m_limit);
         error_code error;
+        const bool has_head = item.m_kind == piece::kind::whole || item.m_kind == piece::kind::head;
+        m_keep_alive = m_keep_alive && !(has_head && m_is_winding_down);
         switch (item.m_kind) {
             case piece::kind::whole: {
                 auto message = to_beast(std::move(item.m_response), m_keep_alive, m_is_head);
@@ -105,6 +115,7 @@
     time_span m_limit;
     bool m_keep_alive;
     bool m_is_head;
+    const std::atomic<bool>& m_is_winding_down;
 };
 
 }  // namespace dewbeam::http::internal
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -1,5 +1,11 @@
 #include "dewbeam/src/http/client.h"
 
+#include <absl/strings/numbers.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -45,6 +51,7 @@
     std::optional<beast::ssl_stream<beast::tcp_stream>> m_tls;
     beast::flat_buffer m_buffer;
     bool m_was_used = false;
+    std::chrono::steady_clock::time_point m_idle_deadline{};  ///< while it is kept
 };
 
 using connection_pointer = std::unique_ptr<client_connection>;
@@ -58,12 +65,54 @@
     for (const auto& item : source.m_fields) {
         result.insert(item.m_name, item.m_value);
     }
-    result.set(bhttp::field::host, host);
+    if (result.find(bhttp::field::host) == result.end()) {
+        result.set(bhttp::field::host, host);
+    }
     result.body() = source.m_body;
     result.prepare_payload();
     return result;
 }
 
+/// Lets the system find out that the other end is gone although nothing says so.
+void watch_for_dead_peer(tcp::socket& socket, time_span limit)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    const int most = static_cast<int>(std::max<std::int64_t>(1, milliseconds));
+    constexpr int on = 1;
+    constexpr int probe_every_s = 1;
+    constexpr int probes = 2;
+    const int handle = socket.native_handle();
+    const bool is_set =
+        ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &most, sizeof most) == 0 &&
+        ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on) == 0 &&
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probe_every_s, sizeof on) == 0 &&
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probe_every_s, sizeof on) == 0 &&
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof on) == 0;
+    if (!is_set) {
+        log_event(log_level::warning, "dead_peer_watch_refused", {{"errno", errno}});
+    }
+}
+
+/// The time for which a server says that it keeps an idle connection, less a margin; none where it
+/// doesn't say.
+std::optional<time_span> stated_idle_limit(const bhttp::response_header<>& head)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto stated = head[bhttp::field::keep_alive];
+    const std::string_view text(stated.data(), stated.size());
+    const auto place = text.find(name);
+    if (place == std::string_view::npos) {
+        return std::nullopt;
+    }
+    auto number = text.substr(place + name.size());
+    number = number.substr(0, number.find_first_of(", ;"));
+    std::uint32_t seconds = 0;
+    if (!absl::SimpleAtoi(absl::string_view(number.data(), number.size()), &seconds)) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds) - keep_alive_margin;
+}
+
 fields to_fields(const bhttp::response_header<>& head)
 {
     fields result;
@@ -84,12 +133,15 @@
     connection_pointer take_idle()
     {
         const std::lock_guard lock(m_mutex);
-        if (m_idle.empty()) {
-            return nullptr;
+        const auto now = std::chrono::steady_clock::now();
+        while (!m_idle.empty()) {
+            auto last = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (last->m_idle_deadline > now) {
+                return last;
+            }
         }
-        auto last = std::move(m_idle.back());
-        m_idle.pop_back();
-        return last;
+        return nullptr;
     }
 
     void keep(connection_pointer connection)
@@ -199,6 +251,7 @@
             co_return error;
         }
         plain.socket().set_option(tcp::no_delay(true), error);
+        watch_for_dead_peer(plain.socket(), m_state->m_options.m_dead_limit);
         if (m_state->m_tls) {
             m_connection->m_tls.emplace(std::move(plain), *m_state->m_tls);
             co_await m_connection->m_tls->async_handshake(asio::ssl::stream_base::client,
@@ -224,6 +277,8 @@
             co_return error;
         }
         m_has_head = true;
+        m_idle_limit = std::min(m_state->m_options.m_idle_limit,
+                                stated_idle_limit(parser.get().base()).value_or(time_span::max()));
         m_handlers.m_on_head(parser.get().result_int(), to_fields(parser.get().base()));
         std::string piece(piece_size, '\0');
         while (!parser.is_done() && !error) {
@@ -246,9 +301,11 @@
 
     void end(error_code error)
     {
-        const bool may_keep = !error && m_keep_alive && !m_is_cancelled;
+        const bool may_keep =
+            !error && m_keep_alive && !m_is_cancelled && m_idle_limit > time_span::zero();
         if (may_keep && m_connection->m_buffer.size() == 0) {
             m_connection->m_was_used = true;
+            m_connection->m_idle_deadline = std::chrono::steady_clock::now() + m_idle_limit;
             m_connection->lowest().expires_never();
             m_state->keep(std::move(m_connection));
         }
@@ -281,6 +338,7 @@
     bool m_may_have_sent = false;
     bool m_has_head = false;
     bool m_keep_alive = false;
+    time_span m_idle_limit{};  ///< of this connection
 };
 
 }  // namespace
--- a/dewbeam/src/http/client.h
+++ b/dewbeam/src/http/client.h
@@ -47,9 +47,19 @@
     time_span m_connect_limit = std::chrono::seconds(2);
     time_span m_silence_limit = std::chrono::seconds(30);  ///< between two pieces of an answer
     std::size_t m_most_idle = 64;                          ///< kept connections
+    /// A kept connection that was idle for longer is not used again: the server may be about to
+    /// close it, and what is sent then may or may not have run. A server that states a shorter time
+    /// (`Keep-Alive: timeout=N`) is believed, less `keep_alive_margin`.
+    time_span m_idle_limit = std::chrono::seconds(60);
+    /// A connection that takes no bytes, or does not answer the system's probes, for so long is
+    /// broken: something between the two ends may have lost track of it without a reset.
+    time_span m_dead_limit = std::chrono::seconds(3);
     std::string m_authority_file;  ///< PEM of the trusted authority; empty: no TLS
 };
 
+/// How much sooner than a server states an idle connection is given up: a round trip, with room.
+inline constexpr time_span keep_alive_margin = std::chrono::seconds(1);
+
 /// A client of one server.
 class client {
 public:
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -279,7 +279,8 @@
         asio::co_spawn(executor, watch_caller(lowest(stream).socket(), answer), asio::detached);
         ++state->m_unanswered;
         state->m_handler(to_request(parser.release()), answer);
-        answer_writer<Stream> writer(stream, limits.m_write_limit, keep_alive, is_head);
+        answer_writer<Stream> writer(stream, limits.m_write_limit, keep_alive, is_head,
+                                     state->m_is_winding_down);
         keep_alive = co_await writer.run(*answer);
         --state->m_unanswered;
         lowest(stream).socket().cancel(error);  // ends the watch
--- a/dewbeam/src/lifecycle/lifecycle.h
+++ b/dewbeam/src/lifecycle/lifecycle.h
@@ -12,7 +12,7 @@
 enum class phase {
     starting,  ///< learning what it needs before it may serve
     serving,   ///< ready
-    unready,   ///< not ready any more, still accepting while the platform takes notice
+    unready,   ///< not ready any more, still accepting while the balancer before it takes notice
     draining,  ///< accepts nothing new, finishes what is in flight
     stopped,   ///< nothing in flight
 };
--- a/dewbeam/src/platform/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -1,10 +1,10 @@
-#include "dewbeam/src/platform/listeners.h"
+#include "dewbeam/src/program/listeners.h"
 
 #include <utility>
 
 #include "dewbeam/caller"
 
-namespace dewbeam::platform {
+namespace dewbeam::program {
 
 namespace {
 
@@ -94,9 +94,17 @@
 absl::StatusOr<std::unique_ptr<http::server>> start_http(boost::asio::io_context& context,
                                                          const json& settings,
                                                          http::request_handler handler)
+{
+    return start_http_at(context, settings, "/http/listen", std::move(handler));
+}
+
+absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
+                                                            const json& settings,
+                                                            std::string_view address_path,
+                                                            http::request_handler handler)
 {
     http::server_options options;
-    options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/http/listen")).value();
+    options.m_listen = parse_endpoint(setting_value<std::string>(settings, address_path)).value();
     options.m_limits = read_limits(settings);
     options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
     options.m_key_file = setting_value<std::string>(settings, "/http/certificate_key_file");
@@ -112,4 +120,4 @@
     return result;
 }
 
-}  // namespace dewbeam::platform
+}  // namespace dewbeam::program
--- a/dewbeam/src/platform/listeners.h
+++ b/dewbeam/src/program/listeners.h
@@ -11,7 +11,7 @@
 #include "dewbeam/http"
 #include "dewbeam/link"
 
-namespace dewbeam::platform {
+namespace dewbeam::program {
 
 /// Settings `/link/...` and `/http/...`.
 std::vector<setting> listener_settings();
@@ -26,7 +26,13 @@
                                                          const nlohmann::json& settings,
                                                          http::request_handler handler);
 
+/// Opens one more HTTP listener, under the limits of the first, at the address of a setting.
+absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
+                                                            const nlohmann::json& settings,
+                                                            std::string_view address_path,
+                                                            http::request_handler handler);
+
 /// `tcp://` addresses of a list of `IP:PORT`.
 std::vector<std::string> link_addresses(const nlohmann::json& settings, std::string_view path);
 
-}  // namespace dewbeam::platform
+}  // namespace dewbeam::program
--- a/dewbeam/src/platform/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -1,4 +1,4 @@
-#include "dewbeam/src/platform/program.h"
+#include "dewbeam/src/program/program.h"
 
 #include <docopt.h>
 
@@ -6,15 +6,15 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <random>
 
-namespace dewbeam::platform {
+namespace dewbeam::program {
 
 namespace {
 
-constexpr std::chrono::milliseconds tick_interval{10};
 constexpr int exit_usage = 1;
 constexpr int exit_settings = 2;
 constexpr int exit_cut = 3;
@@ -58,8 +58,12 @@
 
 time_point now()
 {
-    return time_point(
-        std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
+    // Unlike the steady clock, this one counts the time for which the machine was suspended: a
+    // deadline that passed meanwhile has passed.
+    timespec since_boot{};
+    ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    return time_point(std::chrono::duration_cast<time_span>(
+        std::chrono::seconds(since_boot.tv_sec) + std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
 time_point wall_now()
@@ -98,7 +102,8 @@
         {"/address_file", setting_kind::text, "",
          "Where to write the address of the HTTP listener in use; empty: nowhere."},
         {"/stop/notice_ms", setting_kind::integer, 1000,
-         "After a stop signal: how long new work is still taken while the platform notices (ms).",
+         "After a stop signal: how long new work is still taken while the load balancer before it "
+         "notices (ms).",
          0, longest_ms},
         {"/stop/drain_ms", setting_kind::integer, 60'000,
          "After the notice time: how long requests in flight may take before they are cut (ms).", 0,
@@ -198,11 +203,23 @@
         });
     };
     wait_again();
+    // What a process was told at its start holds for its life; the signal must not end it.
+    boost::asio::signal_set reloads(m_context, SIGHUP);
+    const std::function<void()> note_reload = [&] {
+        reloads.async_wait([&](const boost::system::error_code& error, int) {
+            if (!error) {
+                log_event(log_level::info, "settings_reload_passed_over",
+                          {{"reason", "settings are read at the start"}});
+                note_reload();
+            }
+        });
+    };
+    note_reload();
     start_threads();
     int handled_signals = 0;
     log_event(log_level::info, "process_started");
     for (;;) {
-        std::this_thread::sleep_for(tick_interval);
+        std::this_thread::sleep_for(hooks.m_tick_interval);
         const auto time = now();
         hooks.m_tick(time);
         auto wanted = lifecycle::command::none;
@@ -246,4 +263,4 @@
     }
 }
 
-}  // namespace dewbeam::platform
+}  // namespace dewbeam::program
--- a/dewbeam/src/platform/program.h
+++ b/dewbeam/src/program/program.h
@@ -12,9 +12,9 @@
 #include "dewbeam/base"
 #include "dewbeam/lifecycle"
 
-namespace dewbeam::platform {
+namespace dewbeam::program {
 
-/// The time of decisions, from the steady clock.
+/// The time of decisions, from the clock that runs from the machine's boot on.
 time_point now();
 
 /// The time since the Unix epoch, from the wall clock; for what hosts compare with one another.
@@ -56,7 +56,8 @@
     std::function<std::size_t()> m_in_flight;  ///< unfinished requests
     std::function<void()> m_announce_leave;    ///< readiness went false
     std::function<void()> m_stop_accepting;    ///< close the listeners
-    std::function<void(time_point)> m_tick;    ///< every 10 ms
+    std::function<void(time_point)> m_tick;    ///< every `m_tick_interval`
+    time_span m_tick_interval = std::chrono::milliseconds(10);
 };
 
 /// Runs the threads of a context and the life of a process.
@@ -89,4 +90,4 @@
     std::vector<std::thread> m_threads;
 };
 
-}  // namespace dewbeam::platform
+}  // namespace dewbeam::program
--- /dev/null
+++ b/dewbeam/src/registrar/holds.cpp
@@ -0,0 +1,33 @@
+#include "dewbeam/src/registrar/holds.h"
+
+#include <utility>
+
+namespace dewbeam::registrar {
+
+void note_answer(hold_table& table, std::uint64_t token, const std::string& from, hold_calls& calls)
+{
+    const auto place = table.m_holds.find(token);
+    if (place == table.m_holds.end() || !place->second.m_counted.contains(from)) {
+        return;
+    }
+    auto& subject = place->second;
+    subject.m_from.insert(from);
+    if (subject.m_from.size() < subject.m_needed) {
+        return;
+    }
+    calls.emplace_back([done = std::move(subject.m_done)] { done(true); });
+    table.m_holds.erase(place);
+}
+
+void expire(hold_table& table, time_point now, hold_calls& calls)
+{
+    std::erase_if(table.m_holds, [&](auto& item) {
+        if (item.second.m_deadline > now) {
+            return false;
+        }
+        calls.emplace_back([done = std::move(item.second.m_done)] { done(false); });
+        return true;
+    });
+}
+
+}  // namespace dewbeam::registrar
--- /dev/null
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -0,0 +1,631 @@
+#include "dewbeam/src/registrar/registrar_server.h"
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include "dewbeam/control"
+#include "dewbeam/link"
+#include "dewbeam/src/registrar/addresses.h"
+#include "dewbeam/src/registrar/announcement_wire.h"
+#include "dewbeam/src/registrar/holds.h"
+#include "dewbeam/src/registrar/watchers.h"
+
+namespace dewbeam::registrar {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr time_span tick_interval = std::chrono::milliseconds(25);
+constexpr time_span sync_interval = std::chrono::milliseconds(500);
+/// An upstream's call ends after a second; it hears of a failure before that.
+constexpr time_span hold_limit = std::chrono::milliseconds(800);
+/// Without an interruption of so long this process can tell silence of an upstream from a cut or a
+/// pause of its own.
+constexpr time_span steady_span = std::chrono::seconds(5);
+constexpr time_span longest_tick_gap = std::chrono::milliseconds(700);
+/// A registry that was not heard for so long is not named to others.
+constexpr time_span named_span = std::chrono::seconds(10);
+constexpr std::chrono::milliseconds election_span{500};
+constexpr std::chrono::milliseconds heartbeat_span{100};
+constexpr std::chrono::milliseconds replica_tick{20};
+
+http::response error_response(int status, const char* code, const std::string& message)
+{
+    return http::json_response(status,
+                               json{{"error", {{"code", code}, {"message", message}}}}.dump());
+}
+
+}  // namespace
+
+std::vector<setting> registrar_schema()
+{
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
+    schema.insert(schema.end(), listeners.begin(), listeners.end());
+    const auto registries = registry_settings();
+    schema.insert(schema.end(), registries.begin(), registries.end());
+    constexpr std::int64_t most_losses = 3;
+    const std::vector<setting> own{
+        {"/data_folder", setting_kind::text, nullptr, "Folder for the durable state."},
+        {"/found", setting_kind::boolean, false,
+         "The deployment starts for the first time: the seeds found the log. Otherwise an empty "
+         "folder joins the log of the others."},
+        {"/tolerated_losses", setting_kind::integer, 1,
+         "Registries that may be lost at once; twice as many and one vote, where they are there.",
+         0, most_losses},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+class registrar_server::implementation {
+public:
+    implementation(program::program& frame, const json& settings, const control_format& format)
+        : m_frame(frame),
+          m_settings(settings),
+          m_format(format),
+          m_life(program::new_incarnation()),
+          m_seeds(registry_addresses(settings))
+    {
+    }
+
+    absl::Status start()
+    {
+        auto node = program::start_node(m_settings, m_life,
+                                        {[this](const link::peer& from, wire::Envelope&& message) {
+                                             on_message(from, message);
+                                         },
+                                         [this](const link::peer& gone) { on_lost(gone); }});
+        if (!node.ok()) {
+            return node.status();
+        }
+        m_node = *std::move(node);
+        auto runner = control::replica_runner::start(runner_options_of(), runner_hooks_of());
+        if (!runner.ok()) {
+            return runner.status();
+        }
+        m_runner = *std::move(runner);
+        auto server = program::start_http(
+            m_frame.context(), m_settings,
+            [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
+                handle(request, answer);
+            });
+        if (!server.ok()) {
+            return server.status();
+        }
+        m_server = *std::move(server);
+        m_steady_since = program::now();
+        m_is_started = true;
+        program::write_address_file(m_settings, to_string(m_server->address()));
+        return absl::OkStatus();
+    }
+
+    program::program_hooks hooks()
+    {
+        program::program_hooks result;
+        result.m_is_ready = [this] { return m_runner->status().m_is_caught_up; };
+        result.m_in_flight = [this] { return m_server->unanswered(); };
+        result.m_announce_leave = [this] { m_server->wind_down(); };
+        result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_tick = [this](time_point now) { tick(now); };
+        result.m_tick_interval = tick_interval;
+        return result;
+    }
+
+    ~implementation()
+    {
+        if (m_runner) {
+            m_runner->stop();
+        }
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+private:
+    control::runner_options runner_options_of() const
+    {
+        control::runner_options options;
+        options.m_data_folder = setting_value<std::string>(m_settings, "/data_folder");
+        options.m_replica = id_of(m_node->address()).value();
+        options.m_life = m_life;
+        options.m_tick_span = replica_tick;
+        options.m_address_of = [](consensus::replica_id id) { return address_of(id); };
+        for (const auto& seed : m_seeds) {
+            options.m_seeds.push_back(id_of(seed));
+        }
+        auto& log = options.m_consensus;
+        log.m_election_span = election_span;
+        log.m_heartbeat_span = heartbeat_span;
+        log.m_may_found = setting_value<bool>(m_settings, "/found");
+        log.m_wanted_voters =
+            2 * setting_value<std::size_t>(m_settings, "/tolerated_losses") + 1;
+        return options;
+    }
+
+    control::runner_hooks runner_hooks_of()
+    {
+        control::runner_hooks hooks;
+        hooks.m_send = [this](const std::string& address, wire::ConsensusMessage&& message) {
+            wire::Envelope envelope;
+            *envelope.mutable_consensus() = std::move(message);
+            m_node->send(address, std::move(envelope));
+        };
+        hooks.m_on_configuration = [this] { m_has_revision_news = true; };
+        hooks.m_on_failed = [](const std::string& reason) {
+            log_event(log_level::error, "replica_failed", {{"reason", reason}});
+        };
+        return hooks;
+    }
+
+    // Calls of upstreams and operators.
+
+    void handle(const http::request& request, const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto call = m_format.m_classify(request);
+        switch (call.m_kind) {
+            case call_kind::announce:
+                return announce(call.m_upstream, request, answer);
+            case call_kind::withdraw:
+                return withdraw(call.m_upstream, answer);
+            case call_kind::put_revision:
+                return put_revision(request, answer);
+            case call_kind::read_revision:
+                return read_revision(answer);
+            case call_kind::unknown:
+                break;
+        }
+        const auto path = http::path_of(request.m_target);
+        if (path == "/healthz") {
+            answer->respond(http::json_response(200, R"({"status":"ok"})"));
+        }
+        else if (path == "/v1/status") {
+            answer->respond(status_response());
+        }
+        else {
+            answer->respond(error_response(404, "unknown_path", "there is no such path"));
+        }
+    }
+
+    void announce(const upstream_id& name, const http::request& request,
+                  const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto heard = m_format.m_read_announcement(name, request.m_body);
+        if (!heard.ok()) {
+            answer->respond(
+                error_response(400, "invalid_announcement", std::string(heard.status().message())));
+            return;
+        }
+        const auto now = program::now();
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto result = registry::merge(m_registry, *heard, now);
+            m_renewed.insert(name);
+            log_merge(*heard, result);
+        }
+        push_upstreams();
+        if (heard->m_state == registry::upstream_state::ready) {
+            answer->respond(http::json_response(200, "{}"));
+            return;
+        }
+        hold_end(name, answer, now);
+    }
+
+    void withdraw(const upstream_id& name, const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto now = program::now();
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto result = registry::end_upstream(m_registry, name, now);
+            m_renewed.insert(name);
+            log_merge(m_registry.m_records.at(name).m_announced, result);
+        }
+        push_upstreams();
+        hold_end(name, answer, now);
+    }
+
+    static void log_merge(const registry::announcement& heard, registry::merge_result result)
+    {
+        if (result == registry::merge_result::changed) {
+            log_event(log_level::info, "upstream_changed",
+                      {{"upstream", heard.m_name.value()},
+                       {"service", heard.m_service},
+                       {"state", registry::to_string(heard.m_state)},
+                       {"number", heard.m_number.value()}});
+        }
+    }
+
+    /// Acknowledges that an upstream leaves once a majority of registries holds it.
+    void hold_end(const upstream_id& name, const std::shared_ptr<http::exchange>& answer,
+                  time_point now)
+    {
+        const auto status = m_runner->status();
+        hold waiting;
+        std::size_t voters = 0;
+        for (const auto& member : status.m_members) {
+            voters += member.m_votes ? 1 : 0;
+            const bool is_self = member.m_identity.m_id.value() == status.m_replica;
+            if (member.m_votes && !is_self) {
+                waiting.m_counted.insert(address_of(member.m_identity.m_id));
+            }
+        }
+        const std::size_t own = status.m_is_voter ? 1 : 0;
+        waiting.m_needed = voters / 2 + 1 - own;
+        waiting.m_deadline = now + hold_limit;
+        waiting.m_done = [answer, name](bool is_held) {
+            log_event(log_level::info, "upstream_end_held",
+                      {{"upstream", name.value()}, {"held", is_held}});
+            answer->respond(
+                is_held ? http::json_response(200, "{}")
+                        : error_response(503, "no_quorum", "no majority of registries answered"));
+        };
+        if (voters > 0 && waiting.m_needed == 0) {
+            waiting.m_done(true);
+            return;
+        }
+        if (voters == 0) {
+            waiting.m_done(false);
+            return;
+        }
+        wire::Envelope message;
+        auto& sync = *message.mutable_registry_sync();
+        const auto targets = waiting.m_counted;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto token = ++m_holds.m_last_token;
+            sync.set_token(token);
+            to_wire(m_registry.m_records.at(name), *sync.add_upstreams());
+            m_holds.m_holds.emplace(token, std::move(waiting));
+        }
+        for (const auto& address : targets) {
+            m_node->send(address, message);
+        }
+    }
+
+    void put_revision(const http::request& request, const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto book = m_format.m_read_book(request.m_body);
+        if (!book.ok()) {
+            log_event(log_level::info, "revision_refused",
+                      {{"reason", std::string(book.status().message())}});
+            answer->respond(
+                error_response(400, "invalid_revision", std::string(book.status().message())));
+            return;
+        }
+        const auto number = book->m_revision;
+        if (number <= m_runner->revision().m_number) {
+            // What this host has applied is committed: the number is overtaken for good.
+            answer_revision(number, revisions::revision_result::overtaken, answer);
+            return;
+        }
+        m_runner->propose_revision(
+            {number, request.m_body}, [number, answer](const control::revision_answer& ended) {
+                if (const auto* result = std::get_if<revisions::revision_result>(&ended)) {
+                    answer_revision(number, *result, answer);
+                    return;
+                }
+                log_event(log_level::warning, "revision_undecided", {{"revision", number.value()}});
+                answer->respond(error_response(
+                    503, "no_quorum", "no majority answered; the revision may still be adopted"));
+            });
+    }
+
+    static void answer_revision(revisions::revision_number number,
+                                revisions::revision_result result,
+                                const std::shared_ptr<http::exchange>& answer)
+    {
+        const char* text = result == revisions::revision_result::adopted ? "adopted" : "overtaken";
+        log_event(log_level::info, "revision_acknowledged",
+                  {{"revision", number.value()}, {"result", text}});
+        answer->respond(http::json_response(200, json{{"result", text}}.dump()));
+    }
+
+    void read_revision(const std::shared_ptr<http::exchange>& answer)
+    {
+        m_runner->read_index([this, answer](bool is_confirmed) {
+            const auto held = m_runner->revision();
+            if (!is_confirmed || held.m_number == revisions::revision_number{}) {
+                answer->respond(error_response(
+                    503, "not_sure", "this registry can't tell which revision is the newest"));
+                return;
+            }
+            answer->respond(http::json_response(200, *held.m_content));
+        });
+    }
+
+    http::response status_response()
+    {
+        const auto status = m_runner->status();
+        json page{{"host", setting_value<std::string>(m_settings, "/host")},
+                  {"role", "registry"},
+                  {"phase", lifecycle::to_string(m_frame.phase())},
+                  {"revision", m_runner->revision().m_number.value()},
+                  {"quorum", status.m_has_quorum},
+                  {"voter", status.m_is_voter},
+                  {"caught_up", status.m_is_caught_up},
+                  {"term", status.m_term},
+                  {"disk_full", status.m_is_disk_full},
+                  {"failed", status.m_has_failed},
+                  {"registries", json::array()},
+                  {"upstreams", json::array()}};
+        for (const auto& member : status.m_members) {
+            page["registries"].push_back(
+                {{"address", address_of(member.m_identity.m_id)}, {"votes", member.m_votes}});
+        }
+        const std::lock_guard lock(m_mutex);
+        page["gateways"] = m_watchers.size();
+        for (const auto& [name, item] : m_registry.m_records) {
+            page["upstreams"].push_back({{"name", name.value()},
+                                         {"service", item.m_announced.m_service},
+                                         {"state", registry::to_string(item.m_announced.m_state)},
+                                         {"silent", item.m_is_silent}});
+        }
+        return http::json_response(200, page.dump());
+    }
+
+    // Messages.
+
+    void on_message(const link::peer& from, const wire::Envelope& message)
+    {
+        if (!m_is_started) {
+            return;  // whoever sent this sends it again
+        }
+        if (message.has_consensus()) {
+            m_runner->receive(message.consensus());
+        }
+        else if (message.has_watch()) {
+            on_watch(from, message.watch());
+        }
+        else if (message.has_registry_sync()) {
+            on_sync(from, message.registry_sync());
+        }
+    }
+
+    void on_watch(const link::peer& from, const wire::Watch& watch)
+    {
+        const auto now = program::now();
+        wire::Envelope answer;
+        auto& news = *answer.mutable_watch_news();
+        put_revision_news(news, watch);
+        {
+            const std::lock_guard lock(m_mutex);
+            auto& subject = note_watch(m_watchers, from, watch, now);
+            const bool knows_life = watch.registry_life() == m_life.value();
+            put_upstreams(m_registry, watch.known_change(), !knows_life, news);
+            subject.m_told_change = m_registry.m_last_change;
+            news.set_gateways(static_cast<std::uint32_t>(m_watchers.size()));
+            if (watch.wants_loads()) {
+                put_loads(m_watchers, from, news);
+            }
+            for (const auto& address : m_named) {
+                news.add_registries(address);
+            }
+        }
+        m_node->reply(from, std::move(answer));
+    }
+
+    void put_revision_news(wire::WatchNews& news, const wire::Watch& watch) const
+    {
+        const auto held = m_runner->revision();
+        const auto status = m_runner->status();
+        news.set_registry_life(m_life.value());
+        news.set_newest_revision(held.m_number.value());
+        news.set_is_sure(status.m_is_caught_up && status.m_has_quorum);
+        if (watch.wants_revision() && watch.known_revision() < held.m_number.value()) {
+            news.mutable_revision()->set_number(held.m_number.value());
+            news.mutable_revision()->set_content(*held.m_content);
+        }
+    }
+
+    void on_sync(const link::peer& from, const wire::RegistrySync& sync)
+    {
+        const auto now = program::now();
+        if (sync.is_answer()) {
+            hold_calls calls;
+            {
+                const std::lock_guard lock(m_mutex);
+                note_answer(m_holds, sync.token(), from.m_address, calls);
+            }
+            run(calls);
+            return;
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto& item : sync.upstreams()) {
+                merge(m_registry, item, now);
+            }
+            for (const auto& address : sync.registries()) {
+                m_heard_of[address] = now;
+            }
+        }
+        push_upstreams();
+        if (sync.token() != 0 || sync.wants_all()) {
+            answer_sync(from, sync);
+        }
+    }
+
+    void answer_sync(const link::peer& from, const wire::RegistrySync& sync)
+    {
+        wire::Envelope answer;
+        auto& reply = *answer.mutable_registry_sync();
+        reply.set_token(sync.token());
+        reply.set_is_answer(sync.token() != 0);
+        if (sync.wants_all()) {
+            const std::lock_guard lock(m_mutex);
+            for (const auto* item : registry::changes_since(m_registry, 0)) {
+                to_wire(*item, *reply.add_upstreams());
+            }
+        }
+        m_node->reply(from, std::move(answer));
+    }
+
+    void on_lost(const link::peer& gone)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_watchers.erase(gone);
+    }
+
+    // News.
+
+    /// Tells every gateway the changes that it wasn't told.
+    void push_upstreams()
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto& [peer, subject] : m_watchers) {
+            if (subject.m_told_change >= m_registry.m_last_change) {
+                continue;
+            }
+            wire::Envelope message;
+            auto& news = *message.mutable_watch_news();
+            put_revision_news(news, {});
+            put_upstreams(m_registry, subject.m_told_change, false, news);
+            if (m_node->reply(peer, std::move(message))) {
+                subject.m_told_change = m_registry.m_last_change;
+            }
+        }
+    }
+
+    /// Tells every gateway the number of the newest revision; those that lack it ask for it, one
+    /// registry each.
+    void push_revision()
+    {
+        wire::Envelope message;
+        put_revision_news(*message.mutable_watch_news(), {});
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [peer, subject] : m_watchers) {
+            m_node->reply(peer, message);
+        }
+    }
+
+    static void run(const hold_calls& calls)
+    {
+        for (const auto& call : calls) {
+            call();
+        }
+    }
+
+    void tick(time_point now)
+    {
+        if (m_has_revision_news.exchange(false)) {
+            push_revision();
+        }
+        hold_calls calls;
+        {
+            const std::lock_guard lock(m_mutex);
+            expire(m_watchers, now);
+            expire(m_holds, now, calls);
+        }
+        run(calls);
+        note_steadiness(now);
+        if (now >= m_next_sync) {
+            m_next_sync = now + sync_interval;
+            sync_registries(now);
+        }
+    }
+
+    void note_steadiness(time_point now)
+    {
+        const bool was_paused = now - m_last_tick > longest_tick_gap;
+        m_last_tick = now;
+        if (was_paused || !m_runner->status().m_has_quorum) {
+            m_steady_since = now;
+        }
+        if (now - m_steady_since < steady_span) {
+            return;
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            registry::note_silence(m_registry, now);
+            registry::forget_old(m_registry, now);
+        }
+        push_upstreams();
+    }
+
+    /// Tells the other registries what was heard here since the last time.
+    void sync_registries(time_point now)
+    {
+        std::set<std::string> targets(m_seeds.begin(), m_seeds.end());
+        for (const auto& member : m_runner->status().m_members) {
+            targets.insert(address_of(member.m_identity.m_id));
+        }
+        wire::Envelope message;
+        auto& sync = *message.mutable_registry_sync();
+        std::vector<consensus::replica_id> known;
+        {
+            const std::lock_guard lock(m_mutex);
+            std::erase_if(m_heard_of,
+                          [&](const auto& item) { return item.second + named_span <= now; });
+            m_heard_of[m_node->address()] = now;
+            m_named.clear();
+            for (const auto& [address, heard_at] : m_heard_of) {
+                targets.insert(address);
+                m_named.push_back(address);
+                known.push_back(id_of(address));
+            }
+            for (const auto& name : m_renewed) {
+                const auto place = m_registry.m_records.find(name);
+                if (place != m_registry.m_records.end()) {
+                    to_wire(place->second, *sync.add_upstreams());
+                }
+            }
+            m_renewed.clear();
+        }
+        sync.add_registries(m_node->address());
+        sync.set_wants_all(!std::exchange(m_has_asked_all, true));
+        targets.erase(m_node->address());
+        for (const auto& address : targets) {
+            m_node->send(address, message);
+        }
+        m_runner->note_replicas(std::move(known));
+    }
+
+    program::program& m_frame;
+    json m_settings;
+    const control_format& m_format;
+    incarnation m_life;
+    std::vector<std::string> m_seeds;
+    std::atomic<bool> m_is_started = false;  ///< all members below are there
+    std::atomic<bool> m_has_revision_news = false;
+    std::mutex m_mutex;
+    registry::table m_registry;                    ///< under m_mutex
+    watcher_table m_watchers;                      ///< the same
+    hold_table m_holds;                            ///< the same
+    std::set<upstream_id> m_renewed;               ///< the same; since the last sync
+    std::map<std::string, time_point> m_heard_of;  ///< the same; registries by address
+    std::vector<std::string> m_named;              ///< the same; registries that gateways are told
+    time_point m_next_sync{};                      ///< used on the frame's thread alone
+    time_point m_last_tick{};                      ///< the same
+    time_point m_steady_since{};                   ///< the same
+    bool m_has_asked_all = false;                  ///< the same
+    std::unique_ptr<link::node> m_node;
+    std::unique_ptr<control::replica_runner> m_runner;
+    std::unique_ptr<http::server> m_server;
+};
+
+registrar_server::registrar_server(program::program& frame, const json& settings,
+                                   const control_format& format)
+    : m_implementation(std::make_unique<implementation>(frame, settings, format))
+{
+}
+
+registrar_server::~registrar_server() = default;
+
+absl::Status registrar_server::start()
+{
+    return m_implementation->start();
+}
+
+program::program_hooks registrar_server::hooks()
+{
+    return m_implementation->hooks();
+}
+
+}  // namespace dewbeam::registrar
--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -9,7 +9,7 @@
 
 #include "dewbeam/engine"
 #include "dewbeam/fake_engine"
-#include "dewbeam/platform"
+#include "dewbeam/program"
 #include "dewbeam/src/agent/group_wire.h"
 
 namespace dewbeam::agent {
@@ -77,7 +77,7 @@
                                           incarnation(++m_lives * 1'000'000), m_checks_fencing);
         options.m_participant.m_order_lifetime = milliseconds(200);
         auto fresh =
-            std::make_shared<group_runner>(options, group_hooks{}, *host.m_orders, platform::now());
+            std::make_shared<group_runner>(options, group_hooks{}, *host.m_orders, program::now());
         if (const auto old = host.runner()) {
             old->stop();
         }
@@ -85,7 +85,7 @@
             const std::lock_guard lock(host.m_mutex);
             host.m_runner = fresh;
         }
-        fresh->start(*host.m_node, platform::now());
+        fresh->start(*host.m_node, program::now());
     }
 
     group_runner& runner(std::size_t rank) { return *m_hosts[rank]->m_runner; }
@@ -94,13 +94,13 @@
     template <class Condition>
     bool run_until(Condition&& done)
     {
-        const auto limit = platform::now() + std::chrono::seconds(20);
+        const auto limit = program::now() + std::chrono::seconds(20);
         while (!done()) {
-            if (platform::now() > limit || m_two_maps) {
+            if (program::now() > limit || m_two_maps) {
                 return false;
             }
             for (auto& host : m_hosts) {
-                host->runner()->tick(platform::now());
+                host->runner()->tick(program::now());
             }
             step();
             std::this_thread::sleep_for(milliseconds(1));
@@ -132,7 +132,7 @@
                     const std::lock_guard lock(host.m_mutex);
                     answer->respond(
                         http::json_response(200, engine::answer_to_json(fake_engine::obey(
-                                                     host.m_engine, order, platform::now()))));
+                                                     host.m_engine, order, program::now()))));
                 },
                 [](int, std::string_view, std::string_view) { return std::string(); })
                 .value();
@@ -145,7 +145,7 @@
         host.m_node =
             link::node::start(options, {[&host](const link::peer&, wire::Envelope&& m) {
                                             if (const auto runner = host.runner()) {
-                                                runner->on_message(m.group(), platform::now());
+                                                runner->on_message(m.group(), program::now());
                                             }
                                         },
                                         [](const link::peer&) {}})
@@ -193,17 +193,17 @@
 {
     real_group group(4, checks_fencing);
     ASSERT_TRUE(group.run_until([&] { return group.is_settled(); }));
-    ASSERT_TRUE(group.runner(0).propose("first", platform::now()));
+    ASSERT_TRUE(group.runner(0).propose("first", program::now()));
     ASSERT_TRUE(group.run_until([&] { return group.all_use(1) && group.is_settled(); }));
     for (const auto* content : {"second", "third", "fourth"}) {
-        ASSERT_TRUE(group.runner(0).propose(content, platform::now()));
+        ASSERT_TRUE(group.runner(0).propose(content, program::now()));
         ASSERT_TRUE(group.run_until(
             [&] { return group.runner(0).current_phase() != group_map::phase::staging; }));
         group.start_agent(0);
         group.start_agent(2);
         ASSERT_TRUE(group.run_until([&] { return group.is_settled(); }));
     }
-    ASSERT_TRUE(group.runner(0).propose("last", platform::now()));
+    ASSERT_TRUE(group.runner(0).propose("last", program::now()));
     const auto last = group.runner(0).engine()->m_current.m_number + 1;
     EXPECT_TRUE(group.run_until([&] { return group.all_use(last) || group.all_use(last + 1); }));
     EXPECT_FALSE(group.two_maps());
