--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -38,6 +38,9 @@
     retry::budget_options m_retries;
     routing::prefix_options m_prefixes;
     std::uint32_t m_most_attempts = 3;
+    /// Refuse what will probably not be over by its deadline. Off where the time of a run is only
+    /// known from callers' own estimates, which are often far off.
+    bool m_runs_must_fit = true;
     double m_alone_share = 0.25;  ///< upstreams of a route that may run suspects at once
     /// A suspect starts no sooner, so that what other entries have learned of it arrives first:
     /// longer than a suspicion takes from entry to entry.
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -33,9 +33,9 @@
 
 /// Expected time of the whole run. An idle route is given none, and without news it fades: what was
 /// learned in a slow spell must not keep everything out, so that nothing new is learned.
-time_span expected_run(const pending_request& request, time_point now)
+time_span expected_run(const broker& state, const pending_request& request, time_point now)
 {
-    if (request.m_route->m_users <= 1) {
+    if (request.m_route->m_users <= 1 || !state.m_options.m_runs_must_fit) {
         return time_span::zero();
     }
     const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
@@ -207,7 +207,7 @@
     // Its turn comes after its own share of the queue, at worst after everything.
     facts.m_cost_before = std::min(own_backlog, queue.m_backlog * share);
     facts.m_share = share;
-    facts.m_run_time = expected_run(request, now);
+    facts.m_run_time = expected_run(state, request, now);
     return facts;
 }
 
@@ -232,7 +232,7 @@
     if (request.m_route->m_able == 0) {
         return refusal::no_able_upstream;
     }
-    const auto least_run = to_span(seconds(expected_run(request, now)) * least_run_share);
+    const auto least_run = to_span(seconds(expected_run(state, request, now)) * least_run_share);
     if (info.m_deadline != no_deadline && now + least_run > info.m_deadline) {
         return refusal::overloaded;
     }
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -46,6 +46,7 @@
     // up to 0.3 s old.
     result.m_choice.m_running_lifetime = std::chrono::milliseconds(1500);
     result.m_choice.m_waiting_lifetime = std::chrono::milliseconds(500);
+    result.m_runs_must_fit = false;
     result.m_queue.m_shortest_return = std::chrono::milliseconds(300);
     return result;
 }
