--- /dev/null
+++ b/dewbeam/src/agent/engine_port.h
@@ -0,0 +1,53 @@
+/// \file
+/// The way from a rank's agent to its engine, for orders about the expert map.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include "dewbeam/group_map"
+#include "dewbeam/http"
+
+namespace dewbeam::agent {
+
+/// Called once with the engine's answer, or with an error where none came.
+using order_done = std::function<void(const absl::StatusOr<group_map::engine_answer>& answer)>;
+
+/// One engine. An order is an exchange of seconds at most, so a virtual call costs nothing that
+/// counts.
+class engine_port {
+public:
+    engine_port() = default;
+    virtual ~engine_port() = default;
+    engine_port(const engine_port&) = delete;
+    engine_port& operator=(const engine_port&) = delete;
+    engine_port(engine_port&&) = delete;
+    engine_port& operator=(engine_port&&) = delete;
+
+    /// Sends an order.
+    virtual void send(const group_map::engine_order& order, order_done done) = 0;
+
+    /// Breaks off what is under way: its connection is closed and its answer no longer waited for.
+    virtual void cancel() = 0;
+};
+
+/// An engine that takes whole orders as JSON: `POST /orders`.
+class json_engine_port : public engine_port {
+public:
+    /// `client` leads to the engine, is used for nothing else and outlives this object.
+    explicit json_engine_port(http::client& client) : m_client(client) {}
+
+    void send(const group_map::engine_order& order, order_done done) override;
+    void cancel() override;
+
+private:
+    http::client& m_client;
+    std::mutex m_mutex;
+    fencing_number m_newest;  ///< order whose exchange is kept
+    std::shared_ptr<http::client_exchange> m_exchange;
+};
+
+}  // namespace dewbeam::agent
--- a/dewbeam/src/agent/group_runner.cpp
+++ b/dewbeam/src/agent/group_runner.cpp
@@ -3,23 +3,10 @@
 #include <utility>
 
 #include "dewbeam/src/agent/group_wire.h"
-#include "dewbeam/src/engine/order_json.h"
 #include "dewbeam/src/program/program.h"
 
 namespace dewbeam::agent {
 
-namespace {
-
-/// The body of one order's answer while it arrives.
-struct answer_buffer {
-    int m_status = 0;
-    std::string m_body;
-};
-
-constexpr int status_ok = 200;
-
-}  // namespace
-
 group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
                                  incarnation own, bool checks_fencing)
 {
@@ -38,7 +25,7 @@
     return options;
 }
 
-group_runner::group_runner(const group_options& options, group_hooks hooks, http::client& orders,
+group_runner::group_runner(const group_options& options, group_hooks hooks, engine_port& orders,
                            time_point now)
     : m_options(options),
       m_hooks(std::move(hooks)),
@@ -127,6 +114,13 @@
     return m_participant.m_engine;
 }
 
+std::optional<rank_id> group_runner::coordinator() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& promised = m_participant.m_promised;
+    return promised.m_number == 0 ? std::nullopt : std::optional(promised.m_rank);
+}
+
 bool group_runner::may_admit() const
 {
     const std::lock_guard lock(m_mutex);
@@ -215,10 +209,7 @@
         m_hooks.m_set_admission(may_admit());
     }
     if (todo.m_close_connection) {
-        const std::lock_guard lock(m_mutex);
-        if (m_exchange) {
-            std::exchange(m_exchange, nullptr)->cancel();
-        }
+        m_orders.cancel();
     }
     if (todo.m_order) {
         send_order(*todo.m_order);
@@ -230,32 +221,17 @@
 
 void group_runner::send_order(const group_map::engine_order& order)
 {
-    http::request wanted{
-        "POST", "/orders", {{"Content-Type", "application/json"}}, engine::order_to_json(order)};
-    auto buffer = std::make_shared<answer_buffer>();
-    http::client_handlers handlers;
-    handlers.m_on_head = [buffer](int status, const http::fields&) { buffer->m_status = status; };
-    handlers.m_on_data = [buffer](std::string bytes) { buffer->m_body += bytes; };
-    handlers.m_on_end = [buffer, weak = weak_from_this()](const absl::Status& result,
-                                                          http::progress) {
-        if (const auto self = weak.lock()) {
-            self->on_answer(buffer->m_body, result.ok() && buffer->m_status == status_ok);
-        }
-    };
-    auto exchange = m_orders.start(std::move(wanted), std::move(handlers));
-    const std::lock_guard lock(m_mutex);
-    if (order.m_number > m_exchange_number) {
-        m_exchange_number = order.m_number;
-        m_exchange = std::move(exchange);
-    }
+    m_orders.send(
+        order, [weak = weak_from_this()](const absl::StatusOr<group_map::engine_answer>& answer) {
+            if (const auto self = weak.lock()) {
+                self->on_answer(answer);
+            }
+        });
 }
 
 /// An answer that is not whole or not readable counts as lost: the participant's deadline ends it.
-void group_runner::on_answer(const std::string& body, bool is_whole)
+void group_runner::on_answer(absl::StatusOr<group_map::engine_answer> answer)
 {
-    auto answer = is_whole ? engine::answer_from_json(body)
-                           : absl::StatusOr<group_map::engine_answer>(
-                                 absl::UnavailableError("the order got no answer"));
     if (!answer.ok()) {
         log_event(log_level::warning, "order_unanswered",
                   {{"reason", std::string(answer.status().message())}});
--- a/dewbeam/src/agent/group_runner.h
+++ b/dewbeam/src/agent/group_runner.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "dewbeam/group_map"
-#include "dewbeam/http"
 #include "dewbeam/link"
+#include "dewbeam/src/agent/engine_port.h"
 
 namespace dewbeam::agent {
 
@@ -39,8 +39,8 @@
 /// One rank's part of the protocol. Thread-safe.
 class group_runner : public std::enable_shared_from_this<group_runner> {
 public:
-    /// `orders` talks to this rank's engine and is used for nothing else.
-    group_runner(const group_options& options, group_hooks hooks, http::client& orders,
+    /// `orders` leads to this rank's engine and is used for nothing else.
+    group_runner(const group_options& options, group_hooks hooks, engine_port& orders,
                  time_point now);
 
     /// Takes part from now on; `node` outlives the runner.
@@ -61,6 +61,9 @@
     /// This rank's engine as last read; none before the first answer.
     [[nodiscard]] std::optional<group_map::engine_state> engine() const;
 
+    /// The rank that this one obeys; none before a coordinator was heard.
+    [[nodiscard]] std::optional<rank_id> coordinator() const;
+
     /// Whether requests may be given to the engine.
     [[nodiscard]] bool may_admit() const;
 
@@ -84,11 +87,11 @@
     work finish(work todo, time_point now);
     void carry_out(const work& todo);
     void send_order(const group_map::engine_order& order);
-    void on_answer(const std::string& body, bool is_whole);
+    void on_answer(absl::StatusOr<group_map::engine_answer> answer);
 
     group_options m_options;
     group_hooks m_hooks;
-    http::client& m_orders;
+    engine_port& m_orders;
     link::node* m_node = nullptr;
     std::mutex m_admission_mutex;  ///< taken before `m_mutex`
     mutable std::mutex m_mutex;
@@ -97,8 +100,6 @@
     group_map::participant m_participant;
     group_map::coordinator m_coordinator;
     std::deque<wire::GroupMessage> m_own_messages;  ///< from this rank to itself
-    fencing_number m_exchange_number;               ///< of the newest order sent
-    std::shared_ptr<http::client_exchange> m_exchange;
 };
 
 }  // namespace dewbeam::agent
--- a/dewbeam/src/experts/local_search.cpp
+++ b/dewbeam/src/experts/local_search.cpp
@@ -17,7 +17,7 @@
 class layer_state {
 public:
     layer_state(const group_shape& shape, const layer_map& map, const layer_counts& counts,
-                const rank_speeds& speeds)
+                const rank_speeds& speeds, std::uint32_t most_new)
         : m_shape(shape),
           m_map(map),
           m_counts(counts),
@@ -32,7 +32,9 @@
           m_relief(shape.m_experts, 0.0),
           m_hurt(shape.m_experts, 0.0),
           m_is_stale(shape.m_experts, 1),
-          m_is_held(std::size_t{shape.m_ranks} * shape.m_experts, 0)
+          m_is_held(std::size_t{shape.m_ranks} * shape.m_experts, 0),
+          m_new(shape.m_ranks, 0),
+          m_most_new(most_new)
     {
         for (std::uint32_t rank = 0; rank < shape.m_ranks && !speeds.empty(); ++rank) {
             m_weights[rank] = 1.0 / std::max(speeds[rank], least_speed);
@@ -46,6 +48,7 @@
         }
         m_mean = std::max(total / shape.m_ranks, smallest_mean);
         refresh();
+        m_was_held = m_is_held;
     }
 
     [[nodiscard]] std::uint32_t busiest() const
@@ -89,6 +92,12 @@
         return m_is_held[std::size_t{rank} * m_shape.m_experts + expert.value()] != 0;
     }
 
+    /// Whether the rank may take the expert without taking too many new ones.
+    [[nodiscard]] bool may_take(std::uint32_t rank, expert_id expert) const
+    {
+        return m_most_new == 0 || m_new[rank] < m_most_new || was_held(rank, expert);
+    }
+
     /// Fall of the potential when `slot` takes `taken`; its expert keeps other slots.
     double gain_of_replacing(std::uint32_t slot, expert_id taken)
     {
@@ -180,6 +189,10 @@
             holders.erase(std::find(holders.begin(), holders.end(), rank_of(step.m_slot)));
             m_holders[step.m_expert.value()].push_back(rank_of(step.m_slot));
         }
+        count_new(rank_of(step.m_slot), step.m_expert);
+        if (step.m_is_swap) {
+            count_new(rank_of(step.m_other_slot), m_map[step.m_slot]);
+        }
         m_is_stale[m_map[step.m_slot].value()] = 1;
         m_is_stale[step.m_expert.value()] = 1;
         apply(m_map, step);
@@ -218,6 +231,16 @@
         }
     }
 
+    void count_new(std::uint32_t rank, expert_id expert)
+    {
+        m_new[rank] += was_held(rank, expert) ? 0 : 1;
+    }
+
+    [[nodiscard]] bool was_held(std::uint32_t rank, expert_id expert) const
+    {
+        return m_was_held[std::size_t{rank} * m_shape.m_experts + expert.value()] != 0;
+    }
+
     void move_holder(expert_id expert, std::uint32_t from, std::uint32_t to)
     {
         auto& holders = m_holders[expert.value()];
@@ -290,6 +313,9 @@
     std::vector<double> m_hurt;            ///< gain at the holders, negative, when it gets one less
     std::vector<std::uint8_t> m_is_stale;  ///< experts whose estimates must be made anew
     std::vector<std::uint8_t> m_is_held;   ///< by rank, then expert
+    std::vector<std::uint8_t> m_was_held;  ///< the same, before the first change
+    std::vector<std::uint32_t> m_new;      ///< experts that a rank took and did not hold then
+    std::uint32_t m_most_new = 0;          ///< 0: no limit
     double m_mean = 0;
     double m_slowest = 0;
     unsigned m_squarings = first_squarings;
@@ -357,7 +383,7 @@
         }
         for (std::uint32_t expert = 0; expert < shape.m_experts; ++expert) {
             const expert_id taken(expert);
-            if (!state.rank_holds(busiest, taken)) {
+            if (!state.rank_holds(busiest, taken) && state.may_take(busiest, taken)) {
                 list.offer({slot, taken}, state.estimate_replacing(slot, taken));
             }
         }
@@ -376,7 +402,7 @@
         }
         for (auto hot = first; hot < first + shape.m_slots_per_rank; ++hot) {
             const auto taken = state.map()[hot];
-            if (!state.rank_holds(rank, taken)) {
+            if (!state.rank_holds(rank, taken) && state.may_take(rank, taken)) {
                 list.offer({slot, taken}, state.estimate_replacing(slot, taken));
             }
         }
@@ -394,7 +420,8 @@
             const auto rank = state.rank_of(other);
             const auto taken = state.map()[other];
             if (state.share(taken) < state.share(given) && !state.rank_holds(rank, given) &&
-                !state.rank_holds(busiest, taken)) {
+                !state.rank_holds(busiest, taken) && state.may_take(rank, given) &&
+                state.may_take(busiest, taken)) {
                 list.offer({slot, taken, true, other}, state.estimate_swapping(slot, other));
             }
         }
@@ -407,7 +434,7 @@
                                        const layer_counts& counts, const rank_speeds& speeds,
                                        const search_limits& limits)
 {
-    layer_state state(shape, map, counts, speeds);
+    layer_state state(shape, map, counts, speeds, limits.m_most_new_per_rank);
     std::vector<layer_change> changes;
     while (changes.size() < limits.m_most_changes &&
            state.slowest() > state.mean() * limits.m_target_skew) {
--- a/dewbeam/src/experts/local_search.h
+++ b/dewbeam/src/experts/local_search.h
@@ -21,6 +21,8 @@
 struct search_limits {
     std::uint32_t m_most_changes = 32;
     double m_target_skew = 1.0;  ///< good enough: the search ends below this
+    /// Experts that a rank may take that it did not hold before; 0: as many as there are slots.
+    std::uint32_t m_most_new_per_rank = 0;
 };
 
 /// The changes in the order in which they help, one after the other; none makes the busiest
--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -111,8 +111,8 @@
         return {layer, {}, 0, 0};
     }
     const double fetch_weight = prefers_cost(state) ? margin_for_cost : fetch_weight_for_skew;
-    const search_limits limits{state.m_options.m_most_changes_per_layer,
-                               state.m_options.m_low_skew};
+    const search_limits limits{state.m_options.m_most_changes_per_layer, state.m_options.m_low_skew,
+                               state.m_options.m_most_new_per_rank};
     return best_prefix(layer, search_layer(shape, map, counts, state.m_speeds, limits),
                        load.m_slowest, worth_of_token(state),
                        seconds_per_fetch(state) * fetch_weight);
--- a/dewbeam/src/experts/planner.h
+++ b/dewbeam/src/experts/planner.h
@@ -40,6 +40,7 @@
     double m_high_skew = 1.07;  ///< a layer above this is worked on ...
     double m_low_skew = 1.03;   ///< ... until it is below this
     std::uint32_t m_most_changes_per_layer = 48;
+    std::uint32_t m_most_new_per_rank = 0;  ///< experts of a layer in one plan; 0: no limit
 };
 
 /// What was seen since the last observation.
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -70,7 +70,7 @@
       m_incarnation(program::new_incarnation()),
       m_pools(broker_options_of(settings)),
       m_upstreams(frame.context(), client_options()),
-      m_feed(registrar::registry_addresses(settings), std::move(handlers)),
+      m_feed(registrar::registry_addresses(settings), feed_options{}, std::move(handlers)),
       m_random(program::seeded_engine())
 {
 }
--- a/dewbeam/src/gateway/registry_feed.cpp
+++ b/dewbeam/src/gateway/registry_feed.cpp
@@ -9,20 +9,18 @@
 
 namespace {
 
-/// Loads of other gateways are used for choices between upstreams: their age is about this, a
-/// fraction of the time that a streamed answer takes.
-constexpr time_span watch_interval = std::chrono::milliseconds(250);
 /// An answer that carries a revision takes no longer than this on a sound link.
 constexpr time_span revision_wait = std::chrono::milliseconds(300);
-/// A registry that didn't answer for so long is not counted as heard; also its lease there.
-constexpr time_span heard_span = std::chrono::seconds(1);
+/// A registry that didn't answer for so long is not counted as heard.
+constexpr time_span heard_span = std::chrono::milliseconds(2500);
 /// Registries that a gateway remembers at most: seven may exist, and some were replaced.
 constexpr std::size_t most_registries = 16;
 
 }  // namespace
 
-registry_feed::registry_feed(const std::vector<std::string>& seeds, feed_handlers handlers)
-    : m_handlers(std::move(handlers)), m_seeds(seeds)
+registry_feed::registry_feed(const std::vector<std::string>& seeds, feed_options options,
+                             feed_handlers handlers)
+    : m_options(options), m_handlers(std::move(handlers)), m_seeds(seeds)
 {
     for (const auto& address : seeds) {
         m_sources.try_emplace(address);
@@ -37,7 +35,8 @@
     watch.set_registry_life(target.m_life);
     watch.set_known_change(target.m_change);
     watch.set_known_revision(m_revision.value());
-    watch.set_wants_loads(wants_loads);
+    watch.set_wants_loads(wants_loads && m_options.m_is_gateway);
+    watch.set_is_gateway(m_options.m_is_gateway);
     for (const auto& [name, count] : loads) {
         auto& load = *watch.add_loads();
         load.set_upstream(name);
@@ -56,7 +55,7 @@
         bool wants_loads = true;
         for (auto& [address, target] : m_sources) {
             const bool is_heard = target.m_heard_at + heard_span > now;
-            if (target.m_asked_at + watch_interval > now) {
+            if (target.m_asked_at + m_options.m_interval > now) {
                 wants_loads = wants_loads && !is_heard;
                 continue;
             }
--- a/dewbeam/src/gateway/registry_feed.h
+++ b/dewbeam/src/gateway/registry_feed.h
@@ -28,13 +28,22 @@
     std::function<void(std::uint32_t gateways)> m_on_gateways;
 };
 
+/// Who follows, and how closely.
+struct feed_options {
+    bool m_is_gateway = true;  ///< sends requests to upstreams
+    /// Loads of other gateways are used for choices between upstreams: their age is about this, a
+    /// fraction of the time that a streamed answer takes.
+    time_span m_interval = std::chrono::milliseconds(250);
+};
+
 /// Loads to tell, as name and count.
 using load_list = std::vector<std::pair<std::string, std::uint32_t>>;
 
 /// The feed. Thread-safe.
 class registry_feed {
 public:
-    registry_feed(const std::vector<std::string>& seeds, feed_handlers handlers);
+    registry_feed(const std::vector<std::string>& seeds, feed_options options,
+                  feed_handlers handlers);
 
     /// Watches where it is time to.
     void tick(link::node& node, const load_list& loads, time_point now);
@@ -72,6 +81,7 @@
                         std::vector<registry::record>& changed);
     wire::Envelope watch_of(const source& target, const load_list& loads, bool wants_loads) const;
 
+    feed_options m_options;
     feed_handlers m_handlers;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_seeds;
--- a/dewbeam/src/group_map/coordinator.cpp
+++ b/dewbeam/src/group_map/coordinator.cpp
@@ -202,12 +202,33 @@
     }
 }
 
+/// The name of the next proposal.
+map_id next_map(coordinator& state)
+{
+    const auto content = stable_hash(*state.m_content);
+    if (!state.m_options.m_unique_numbers) {
+        return {state.m_settled.m_number + 1, fingerprint(content)};
+    }
+    auto highest = std::max(state.m_last_number, state.m_settled.m_number);
+    for (const auto& view : state.m_ranks) {
+        highest = std::max(
+            {highest, view.m_engine.m_staged.m_number, settled_map(view.m_engine).m_number});
+    }
+    constexpr std::uint64_t salt_mask = (1ULL << number_salt_bits) - 1;
+    const auto origin = combine_hash(state.m_options.m_incarnation.value(), state.m_epoch.m_number);
+    const auto salt = combine_hash(combine_hash(origin, state.m_options.m_rank.value()), content);
+    state.m_last_number =
+        (((highest >> number_salt_bits) + 1) << number_salt_bits) | (salt & salt_mask);
+    return map_of_number(state.m_last_number);
+}
+
 void finish_release(coordinator& state, coordinator_effects& effects, time_point now)
 {
     if (state.m_change_under_way && state.m_tries < state.m_options.m_most_tries) {
         state.m_margin *= 2;
-        state.m_target.m_map = {state.m_settled.m_number + 1,
-                                fingerprint(stable_hash(*state.m_content))};
+        // The ranks hold the proposal already.
+        state.m_target.m_map =
+            state.m_options.m_unique_numbers ? map_of_number(state.m_last_number) : next_map(state);
         start_arming(state, effects, now);
         return;
     }
@@ -362,6 +383,11 @@
     return "broken";
 }
 
+map_id map_of_number(std::uint64_t number)
+{
+    return {number, fingerprint(number)};
+}
+
 coordinator make_coordinator(const coordinator_options& options)
 {
     require(options.m_rank.value() < options.m_ranks, "a coordinator is a rank of its group");
@@ -389,7 +415,7 @@
     state.m_content = content;
     state.m_tries = 0;
     state.m_margin = state.m_options.m_first_margin;
-    state.m_target.m_map = {state.m_settled.m_number + 1, fingerprint(stable_hash(*content))};
+    state.m_target.m_map = next_map(state);
     start_round(state, phase::staging, command_kind::stage, effects, now);
     state.m_round_deadline = now + state.m_options.m_stage_limit;
     return true;
--- a/dewbeam/src/group_map/coordinator.h
+++ b/dewbeam/src/group_map/coordinator.h
@@ -45,6 +45,10 @@
     time_span m_drain_limit = std::chrono::minutes(2);
     std::uint64_t m_first_margin = 4;  ///< steps from the newest known to the switch
     std::uint32_t m_most_tries = 6;    ///< the margin doubles with each
+    /// Give each proposal a number that no other proposal of any coordinator has, above all that
+    /// the ranks have met, and let the number alone name the content. For engines that refuse a
+    /// number twice and tell nothing of a map but its number.
+    bool m_unique_numbers = false;
 };
 
 /// What the coordinator knows of a rank.
@@ -69,6 +73,7 @@
     map_content m_content;
     std::uint64_t m_margin = 0;
     std::uint32_t m_tries = 0;
+    std::uint64_t m_last_number = 0;  ///< of the newest map proposed or met
     bool m_change_under_way = false;  ///< asked for by `propose`
     time_point m_resend_at = no_deadline;
     time_point m_round_deadline = no_deadline;
@@ -88,6 +93,12 @@
     change_result m_result = change_result::none;
 };
 
+/// Low bits of a unique number, which tell proposals of different coordinators apart.
+inline constexpr unsigned number_salt_bits = 20;
+
+/// The name of a map that is known by its number alone.
+map_id map_of_number(std::uint64_t number);
+
 /// A coordinator of an agent that starts; inactive.
 coordinator make_coordinator(const coordinator_options& options);
 
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -373,6 +373,22 @@
     return running;
 }
 
+std::shared_ptr<client_exchange> call(client& target, request wanted,
+                                      std::function<void(const absl::StatusOr<response>&)> done)
+{
+    auto answer = std::make_shared<response>();
+    client_handlers handlers;
+    handlers.m_on_head = [answer](int status, const fields& head) {
+        answer->m_status = status;
+        answer->m_fields = head;
+    };
+    handlers.m_on_data = [answer](std::string bytes) { answer->m_body += bytes; };
+    handlers.m_on_end = [answer, done = std::move(done)](const absl::Status& result, progress) {
+        done(result.ok() ? absl::StatusOr<response>(std::move(*answer)) : result);
+    };
+    return target.start(std::move(wanted), std::move(handlers));
+}
+
 absl::StatusOr<response> fetch(const endpoint& server, const request& wanted,
                                const client_options& options)
 {
--- a/dewbeam/src/http/client.h
+++ b/dewbeam/src/http/client.h
@@ -78,6 +78,10 @@
     std::shared_ptr<shared> m_shared;
 };
 
+/// Sends one request and calls back with the whole answer, or with why there is none.
+std::shared_ptr<client_exchange> call(client& target, request wanted,
+                                      std::function<void(const absl::StatusOr<response>&)> done);
+
 /// Sends one request and waits for the whole answer; for tools, not for servers.
 absl::StatusOr<response> fetch(const endpoint& server, const request& wanted,
                                const client_options& options = {});
--- /dev/null
+++ b/dewbeam/src/ranks/placement.cpp
@@ -0,0 +1,27 @@
+#include <nlohmann/json.hpp>
+
+#include "dewbeam/src/ranks/rank_format.h"
+
+namespace dewbeam::ranks {
+
+std::string to_json(const placement& from)
+{
+    return nlohmann::json(from).dump();
+}
+
+absl::StatusOr<placement> placement_from_json(const std::string& text)
+{
+    const auto source = nlohmann::json::parse(text, nullptr, false);
+    const auto is_list_of = [](const nlohmann::json& list, auto&& is_item) {
+        return list.is_array() && std::all_of(list.begin(), list.end(), is_item);
+    };
+    const auto is_expert = [](const nlohmann::json& item) { return item.is_number_unsigned(); };
+    const auto is_rank = [&](const nlohmann::json& item) { return is_list_of(item, is_expert); };
+    const auto is_layer = [&](const nlohmann::json& item) { return is_list_of(item, is_rank); };
+    if (!is_list_of(source, is_layer)) {
+        return absl::InvalidArgumentError("a placement is lists of experts, by layer and rank");
+    }
+    return source.get<placement>();
+}
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -0,0 +1,153 @@
+#include "dewbeam/src/ranks/rank_balancer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewbeam::ranks {
+
+namespace {
+
+/// Which experts are in demand may change within seconds; what was counted a second ago is old.
+constexpr std::chrono::milliseconds plan_interval{400};
+constexpr std::chrono::milliseconds fast_average{600};
+constexpr std::chrono::seconds slow_average{4};
+constexpr std::chrono::milliseconds forecast_ahead{500};
+constexpr std::chrono::milliseconds scoring_span{1500};
+/// The switch itself costs no more than the round trips that a rank waits for at the step.
+constexpr std::chrono::milliseconds switch_pause{5};
+/// Share of a step that the experts take: the rest is attention and what all ranks do alike.
+constexpr double expert_share = 0.7;
+/// While a rank fetches, its steps take about this much longer.
+constexpr double fetch_slowdown = 0.15;
+/// A layer is worked on above the first, down to the second.
+constexpr double high_skew = 1.12;
+constexpr double low_skew = 1.04;
+/// The ranks tell of a new map at their next poll after its first step.
+constexpr std::chrono::seconds longest_new_map_wait{3};
+
+experts::group_shape shape_of(const engine_facts& facts, std::uint32_t ranks)
+{
+    experts::group_shape shape;
+    shape.m_ranks = ranks;
+    shape.m_slots_per_rank = facts.m_places;
+    shape.m_experts = facts.m_experts;
+    shape.m_layers = facts.m_layers;
+    return shape;
+}
+
+experts::planner_options options_of(const engine_facts& facts, std::uint32_t ranks)
+{
+    experts::planner_options options;
+    options.m_move.m_expert_size = facts.m_expert_size;
+    // All ranks fetch at once, and steps go on meanwhile, only slower.
+    const double rate = static_cast<double>(facts.m_fetch_rate.m_count) * ranks / fetch_slowdown;
+    options.m_move.m_store_rate = {static_cast<std::int64_t>(rate)};
+    options.m_move.m_switch_pause = switch_pause;
+    options.m_forecast.m_fast = fast_average;
+    options.m_forecast.m_slow = slow_average;
+    options.m_forecast.m_ahead = forecast_ahead;
+    options.m_forecast.m_scoring = scoring_span;
+    options.m_interval = plan_interval;
+    options.m_high_skew = high_skew;
+    options.m_low_skew = low_skew;
+    options.m_most_new_per_rank = facts.m_most_new;
+    return options;
+}
+
+}  // namespace
+
+rank_balancer::rank_balancer(const engine_facts& facts, std::uint32_t ranks,
+                             std::function<bool(const std::string& content)> propose)
+    : m_facts(facts),
+      m_ranks(ranks),
+      m_propose(std::move(propose)),
+      m_book(experts::make_rank_book(shape_of(facts, ranks)))
+{
+}
+
+void rank_balancer::take(rank_id rank, experts::rank_sample sample)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!experts::note(m_book, rank, std::move(sample))) {
+        log_event(log_level::warning, "rank_counts_passed_over", {{"rank", rank.value()}});
+    }
+}
+
+bool rank_balancer::follow_map(time_point now)
+{
+    const auto number = experts::map_number(m_book);
+    if (!number) {
+        return false;
+    }
+    if (m_planner && m_planned_on == number) {
+        return now >= m_new_map_until;
+    }
+    auto map = experts::map_in_force(m_book);
+    if (!map) {
+        return false;
+    }
+    if (!m_planner || m_planner->m_map.m_shape != map->m_shape) {
+        m_planner = experts::make_planner(options_of(m_facts, m_ranks), *map, now);
+    }
+    m_planner->m_map = *std::move(map);
+    m_planned_on = number;
+    m_new_map_until = now;
+    return true;
+}
+
+std::optional<std::string> rank_balancer::decide(time_point now)
+{
+    if (!follow_map(now) || m_plan) {
+        return std::nullopt;
+    }
+    const auto seen = experts::take_observation(m_book);
+    if (!seen) {
+        return std::nullopt;
+    }
+    auto& planner = *m_planner;
+    experts::observe(planner, *seen, now);
+    const auto load = experts::load_of(planner.m_map, seen->m_tokens_per_step);
+    const double step_us = std::chrono::duration<double, std::micro>(seen->m_span).count() /
+                           std::max(1.0, seen->m_steps);
+    planner.m_options.m_step.m_microseconds_per_token =
+        expert_share * step_us / std::max(1.0, load.m_slowest);
+    m_plan = experts::decide(planner, now);
+    if (!m_plan) {
+        return std::nullopt;
+    }
+    log_event(log_level::info, "expert_plan",
+              {{"moves", m_plan->m_moves.size()},
+               {"skew_before", m_plan->m_skew_before},
+               {"skew_after", m_plan->m_skew_after},
+               {"step_ms", step_us / 1000.0},
+               {"map", *m_planned_on}});
+    return to_json(experts::to_lists(m_plan->m_map, m_facts.m_experts));
+}
+
+void rank_balancer::tick(bool may_plan, time_point now)
+{
+    std::optional<std::string> content;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (may_plan) {
+            content = decide(now);
+        }
+    }
+    if (content && !m_propose(*content)) {
+        on_result(group_map::change_result::given_up, now);
+    }
+}
+
+void rank_balancer::on_result(group_map::change_result result, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_plan || !m_planner) {
+        return;
+    }
+    const auto last = *std::exchange(m_plan, std::nullopt);
+    const bool is_in_force = result == group_map::change_result::committed;
+    experts::settle(*m_planner, last, is_in_force, now);
+    m_new_map_until = is_in_force ? now + longest_new_map_wait : now;
+}
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -0,0 +1,47 @@
+/// \file
+/// Plans the expert map of one group, at the rank that coordinates it.
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "dewbeam/experts"
+#include "dewbeam/group_map"
+#include "dewbeam/src/ranks/rank_format.h"
+
+namespace dewbeam::ranks {
+
+/// The balancer. Thread-safe.
+class rank_balancer {
+public:
+    /// `propose` starts a change of the map and says whether it was taken on.
+    rank_balancer(const engine_facts& facts, std::uint32_t ranks,
+                  std::function<bool(const std::string& content)> propose);
+
+    /// A rank told what it counted and holds.
+    void take(rank_id rank, experts::rank_sample sample);
+
+    /// Plans where it is time to; `may_plan`: the group runs and no change is under way.
+    void tick(bool may_plan, time_point now);
+
+    /// A change that this rank proposed has ended.
+    void on_result(group_map::change_result result, time_point now);
+
+private:
+    [[nodiscard]] bool follow_map(time_point now);
+    std::optional<std::string> decide(time_point now);
+
+    engine_facts m_facts;
+    std::uint32_t m_ranks;
+    std::function<bool(const std::string&)> m_propose;
+    std::mutex m_mutex;
+    experts::rank_book m_book;
+    std::optional<experts::planner> m_planner;
+    std::optional<std::uint64_t> m_planned_on;  ///< number of the map that the planner has
+    std::optional<experts::plan> m_plan;        ///< proposed and not ended
+    time_point m_new_map_until{};  ///< a change has ended; the ranks tell of the new map until then
+};
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -0,0 +1,196 @@
+#include "dewbeam/src/ranks/rank_engine.h"
+
+#include <utility>
+
+namespace dewbeam::ranks {
+
+namespace {
+
+using group_map::order_kind;
+
+/// A refused fencing number says that a higher one was seen, not which. Numbers count microseconds
+/// of the wall clock at a process's start, so this jumps over lives that began later by a clock
+/// that was ahead.
+constexpr std::uint64_t fencing_jump = 10'000'000;
+
+}  // namespace
+
+group_map::engine_state to_state(const rank_report& report)
+{
+    group_map::engine_state result;
+    result.m_group = incarnation(report.m_formation + 1);  // 0 stands for no group
+    result.m_step = group_map::step_number(report.m_step.value() + 1);
+    result.m_current = group_map::map_of_number(report.m_map);
+    if (report.m_prepared) {
+        result.m_staged = group_map::map_of_number(*report.m_prepared);
+    }
+    if (report.m_armed) {
+        result.m_armed = group_map::switch_point{group_map::map_of_number(report.m_armed->m_map),
+                                                 report.m_armed->m_step};
+        result.m_switching = !report.m_held;
+    }
+    else if (report.m_held) {
+        result.m_armed = group_map::switch_point{result.m_staged, *report.m_held};
+    }
+    return result;
+}
+
+std::vector<rank_order> to_rank_orders(const group_map::engine_order& order,
+                                       std::uint64_t formation, const placement* content)
+{
+    using kind = rank_order::kind;
+    const auto make = [&](kind wanted) {
+        rank_order result;
+        result.m_kind = wanted;
+        result.m_fencing = order.m_number;
+        result.m_formation = formation;
+        result.m_map = order.m_target.m_map.m_number;
+        result.m_step = order.m_target.m_step;
+        result.m_placement = content;
+        return result;
+    };
+    switch (order.m_kind) {
+        case order_kind::read:
+            break;
+        case order_kind::stage:
+            return {make(kind::prepare)};
+        case order_kind::hold:
+            return {make(kind::hold)};
+        case order_kind::switch_map:
+            return {make(kind::arm), make(kind::go)};
+        case order_kind::release:
+            // Without a prepared map nothing can be armed, and number 0 is in use from the start.
+            return order.m_target.m_map.m_number == 0
+                       ? std::vector{make(kind::go)}
+                       : std::vector{make(kind::disarm), make(kind::go)};
+    }
+    return {};
+}
+
+/// One order of the protocol under way.
+struct rank_engine::errand {
+    group_map::engine_order m_order;
+    placement m_content;
+    std::vector<rank_order> m_orders;
+    std::size_t m_next = 0;
+    bool m_is_accepted = true;
+    fencing_number m_highest;
+    agent::order_done m_done;
+};
+
+rank_engine::rank_engine(http::client& client, const rank_format& format)
+    : m_client(client), m_format(format)
+{
+}
+
+void rank_engine::set_formation(std::uint64_t formation)
+{
+    const std::lock_guard lock(m_mutex);
+    m_formation = formation;
+}
+
+void rank_engine::send(const group_map::engine_order& order, agent::order_done done)
+{
+    auto subject = std::make_shared<errand>();
+    subject->m_order = order;
+    subject->m_highest = order.m_number;
+    subject->m_done = std::move(done);
+    if (order.m_content) {
+        auto content = placement_from_json(*order.m_content);
+        if (!content.ok()) {
+            subject->m_done(content.status());
+            return;
+        }
+        subject->m_content = *std::move(content);
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_newest = std::max(m_newest, order.m_number);
+        subject->m_orders = to_rank_orders(order, m_formation, &subject->m_content);
+    }
+    next(subject);
+}
+
+void rank_engine::keep(const errand& subject, std::shared_ptr<http::client_exchange> exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    if (subject.m_order.m_number == m_newest) {
+        m_exchange = std::move(exchange);
+    }
+}
+
+void rank_engine::next(const std::shared_ptr<errand>& subject)
+{
+    if (subject->m_next == subject->m_orders.size()) {
+        report(subject);
+        return;
+    }
+    const auto& order = subject->m_orders[subject->m_next++];
+    auto exchange =
+        http::call(m_client, m_format.m_order_call(order),
+                   [this, subject](const absl::StatusOr<http::response>& got) {
+                       if (!got.ok()) {
+                           subject->m_done(got.status());
+                           return;
+                       }
+                       after_order(subject, m_format.m_read_order_result(got->m_status));
+                   });
+    keep(*subject, std::move(exchange));
+}
+
+void rank_engine::after_order(const std::shared_ptr<errand>& subject, order_result result)
+{
+    switch (result) {
+        case order_result::done:
+            next(subject);
+            return;
+        case order_result::unclear:
+            subject->m_done(absl::UnavailableError("the engine's answer says nothing"));
+            return;
+        case order_result::fenced:
+            subject->m_highest = fencing_number(subject->m_order.m_number.value() + fencing_jump);
+            break;
+        case order_result::refused:
+            break;
+    }
+    subject->m_is_accepted = false;
+    report(subject);
+}
+
+void rank_engine::report(const std::shared_ptr<errand>& subject)
+{
+    auto exchange =
+        http::call(m_client, m_format.m_report_call(),
+                   [this, subject](const absl::StatusOr<http::response>& got) {
+                       if (!got.ok()) {
+                           subject->m_done(got.status());
+                           return;
+                       }
+                       const auto read = m_format.m_read_report(got->m_body);
+                       if (!read.ok()) {
+                           subject->m_done(read.status());
+                           return;
+                       }
+                       if (!read->m_is_open) {
+                           subject->m_done(absl::UnavailableError("the group does not run"));
+                           return;
+                       }
+                       group_map::engine_answer answer;
+                       answer.m_number = subject->m_order.m_number;
+                       answer.m_accepted = subject->m_is_accepted;
+                       answer.m_highest = subject->m_highest;
+                       answer.m_state = to_state(*read);
+                       subject->m_done(answer);
+                   });
+    keep(*subject, std::move(exchange));
+}
+
+void rank_engine::cancel()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_exchange) {
+        std::exchange(m_exchange, nullptr)->cancel();
+    }
+}
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_format.h
@@ -0,0 +1,113 @@
+/// \file
+/// How the engine of one rank speaks on one kind of installation: reports, counts, orders.
+///
+/// Such an engine prepares a map, is armed with it for a step, holds at a step and goes on; it
+/// checks nothing against the other ranks. The rank agent decides; a rank format only translates.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/group_map"
+#include "dewbeam/http"
+
+namespace dewbeam::ranks {
+
+/// Experts by layer and rank: an expert may be on several ranks and is on one at least.
+using placement = std::vector<std::vector<std::vector<std::uint32_t>>>;
+
+/// A placement as JSON, layer by layer and rank by rank, and back.
+std::string to_json(const placement& from);
+absl::StatusOr<placement> placement_from_json(const std::string& text);
+
+/// One order to a rank's engine.
+struct rank_order {
+    enum class kind {
+        prepare,  ///< fetch what the map needs
+        arm,      ///< switch to the prepared map as a step begins
+        disarm,   ///< forget that
+        hold,     ///< the group begins no step from there on ...
+        go,       ///< ... until this rank is told to
+    };
+    kind m_kind = kind::go;
+    fencing_number m_fencing;
+    std::uint64_t m_formation = 0;           ///< of the group that is meant
+    std::uint64_t m_map = 0;                 ///< number; of `prepare`, `arm`, `disarm`
+    group_map::step_number m_step;           ///< of `arm`, `hold`, `go`
+    const placement* m_placement = nullptr;  ///< of `prepare`
+};
+
+/// What came of an order.
+enum class order_result {
+    done,     ///< begun, or done before
+    refused,  ///< it doesn't fit the engine's state
+    fenced,   ///< a higher fencing number was seen
+    unclear,  ///< neither
+};
+
+/// A map and the step from which it is used.
+struct armed_map {
+    std::uint64_t m_map = 0;
+    group_map::step_number m_step;
+};
+
+/// What an engine says of itself.
+struct rank_report {
+    std::string m_group;
+    std::uint64_t m_formation = 0;  ///< counts the group's formations
+    rank_id m_rank;
+    bool m_is_open = false;  ///< the group runs
+    std::uint32_t m_ranks = 0;
+    group_map::step_number m_step;            ///< last step begun
+    std::uint64_t m_map = 0;                  ///< number of the map in use
+    std::optional<std::uint64_t> m_prepared;  ///< number of the map that is ready
+    std::optional<armed_map> m_armed;
+    std::optional<group_map::step_number> m_held;
+    double m_pace = 1.0;  ///< above 1: this rank is slow
+};
+
+/// How often this rank's requests chose each expert since its start.
+struct rank_counts {
+    std::uint64_t m_formation = 0;
+    std::uint64_t m_step = 0;
+    std::vector<std::uint64_t> m_counts;  ///< all experts of a layer, layer by layer
+};
+
+/// The experts of one rank.
+struct rank_holding {
+    std::uint64_t m_formation = 0;
+    std::uint64_t m_map = 0;
+    std::vector<std::vector<std::uint32_t>> m_held;  ///< by layer
+};
+
+/// What is known of a group's engines from the operator's configuration.
+struct engine_facts {
+    std::uint32_t m_layers = 0;
+    std::uint32_t m_experts = 0;   ///< of a layer
+    std::uint32_t m_places = 0;    ///< of a rank and layer
+    std::uint32_t m_most_new = 0;  ///< experts of a layer that a rank may fetch at once
+    byte_count m_expert_size;
+    byte_count m_fetch_rate;  ///< a second, of each rank
+    double m_token_ms = 0.0;  ///< work of one token that experts do, in all layers
+};
+
+/// The translation. All functions are pure and thread-safe.
+struct rank_format {
+    http::request (*m_report_call)() = nullptr;
+    absl::StatusOr<rank_report> (*m_read_report)(std::string_view body) = nullptr;
+    http::request (*m_counts_call)() = nullptr;
+    absl::StatusOr<rank_counts> (*m_read_counts)(std::string_view body) = nullptr;
+    http::request (*m_holding_call)() = nullptr;
+    absl::StatusOr<rank_holding> (*m_read_holding)(std::string_view body) = nullptr;
+    http::request (*m_order_call)(const rank_order& order) = nullptr;
+    order_result (*m_read_order_result)(int status) = nullptr;
+    /// Facts of a service's engines; an error where the configuration states none.
+    absl::StatusOr<engine_facts> (*m_read_facts)(std::string_view configuration,
+                                                 const std::string& service) = nullptr;
+};
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -0,0 +1,477 @@
+#include "dewbeam/src/ranks/rank_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "dewbeam/link"
+#include "dewbeam/src/agent/group_runner.h"
+#include "dewbeam/src/gateway/registry_feed.h"
+#include "dewbeam/src/ranks/rank_balancer.h"
+#include "dewbeam/src/ranks/rank_engine.h"
+#include "dewbeam/src/registrar/addresses.h"
+
+namespace dewbeam::ranks {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr time_span tick_interval = std::chrono::milliseconds(25);
+constexpr time_span report_interval = std::chrono::milliseconds(400);
+constexpr time_span counts_interval = std::chrono::milliseconds(250);
+/// A rank agent needs the registries only for the addresses of the other ranks.
+constexpr time_span watch_interval = std::chrono::seconds(1);
+/// How long fetching the experts of one plan may take, at most.
+constexpr time_span stage_limit = std::chrono::seconds(5);
+constexpr time_span arm_limit = std::chrono::seconds(1);
+constexpr time_span stage_poll = std::chrono::milliseconds(60);
+constexpr time_span answer_limit = std::chrono::milliseconds(400);
+/// Without fencing numbers an unanswered order may still be carried out for so long.
+constexpr time_span order_lifetime = std::chrono::seconds(15);
+constexpr std::chrono::milliseconds resend_interval{150};
+/// Steps from the newest known to the switch: two rounds of messages take about 30 ms, a step 40 ms
+/// and more.
+constexpr std::uint64_t first_margin = 4;
+
+http::client_options engine_client_options()
+{
+    http::client_options result;
+    result.m_connect_limit = std::chrono::milliseconds(300);
+    result.m_silence_limit = std::chrono::seconds(1);
+    result.m_most_idle = 2;
+    result.m_idle_limit = std::chrono::seconds(5);
+    return result;
+}
+
+/// What this rank knows of its place.
+struct place {
+    std::string m_group;
+    std::vector<std::string> m_members;  ///< link addresses by rank
+    rank_id m_rank;
+
+    friend bool operator==(const place&, const place&) = default;
+};
+
+}  // namespace
+
+std::vector<setting> rank_schema()
+{
+    auto schema = program::common_settings();
+    const auto listeners = program::listener_settings();
+    schema.insert(schema.end(), listeners.begin(), listeners.end());
+    const auto registries = registrar::registry_settings();
+    schema.insert(schema.end(), registries.begin(), registries.end());
+    const std::vector<setting> own{
+        {"/engine/address", setting_kind::address, nullptr, "Address of this rank's engine."},
+        {"/engine/checks_fencing", setting_kind::boolean, true,
+         "Whether engines refuse orders with a fencing number lower than one already seen."},
+    };
+    schema.insert(schema.end(), own.begin(), own.end());
+    return schema;
+}
+
+class rank_server::implementation {
+public:
+    implementation(program::program& frame, const json& settings, const rank_format& format)
+        : m_frame(frame),
+          m_settings(settings),
+          m_format(format),
+          m_life(program::new_incarnation()),
+          m_address(
+              parse_endpoint(setting_value<std::string>(settings, "/engine/address")).value()),
+          m_reports(frame.context(), m_address, engine_client_options()),
+          m_orders(frame.context(), m_address, engine_client_options()),
+          m_engine(m_orders, format),
+          m_feed(registrar::registry_addresses(settings), {false, watch_interval}, handlers_of())
+    {
+    }
+
+    absl::Status start()
+    {
+        auto node = program::start_node(m_settings, m_life,
+                                        {[this](const link::peer& from, wire::Envelope&& message) {
+                                             on_message(from, message);
+                                         },
+                                         [this](const link::peer& gone) { m_feed.lost(gone); }});
+        if (!node.ok()) {
+            return node.status();
+        }
+        m_node = *std::move(node);
+        m_is_started = true;
+        return absl::OkStatus();
+    }
+
+    program::program_hooks hooks()
+    {
+        program::program_hooks result;
+        result.m_is_ready = [] { return true; };
+        result.m_in_flight = [] { return std::size_t{0}; };
+        result.m_announce_leave = [] {};
+        result.m_stop_accepting = [this] {
+            if (const auto runner = current_runner()) {
+                runner->stop();
+            }
+        };
+        result.m_tick = [this](time_point now) { tick(now); };
+        result.m_tick_interval = tick_interval;
+        return result;
+    }
+
+    ~implementation()
+    {
+        if (m_node) {
+            m_node->stop();  // its thread uses the members that end before it
+        }
+    }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    implementation(implementation&&) = delete;
+    implementation& operator=(implementation&&) = delete;
+
+private:
+    gateway::feed_handlers handlers_of()
+    {
+        gateway::feed_handlers result;
+        result.m_on_upstream = [this](const registry::record& changed) {
+            const std::lock_guard lock(m_mutex);
+            const auto& known = changed.m_announced;
+            if (known.m_state == registry::upstream_state::gone) {
+                m_upstreams.erase(known.m_name);
+            }
+            else {
+                m_upstreams[known.m_name] = known;
+            }
+        };
+        result.m_on_revision = [this](const revisions::revision& newer) {
+            const std::lock_guard lock(m_mutex);
+            m_configuration = newer.m_content;
+            return true;
+        };
+        result.m_on_load = [](const std::string&, std::uint32_t) {};
+        result.m_on_loads_end = [] {};
+        result.m_on_gateways = [](std::uint32_t) {};
+        return result;
+    }
+
+    void on_message(const link::peer& from, const wire::Envelope& message)
+    {
+        if (!m_is_started) {
+            return;
+        }
+        const auto now = program::now();
+        if (message.has_watch_news()) {
+            m_feed.take(*m_node, from, message.watch_news(), now);
+            return;
+        }
+        if (!message.has_group()) {
+            return;
+        }
+        if (message.group().has_counts()) {
+            take_counts(message.group(), now);
+        }
+        else if (const auto runner = current_runner()) {
+            runner->on_message(message.group(), now);
+        }
+    }
+
+    [[nodiscard]] std::shared_ptr<agent::group_runner> current_runner() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runner;
+    }
+
+    [[nodiscard]] std::shared_ptr<rank_balancer> current_balancer() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_balancer;
+    }
+
+    // What the engine says.
+
+    void ask_report(time_point now)
+    {
+        if (m_is_asking_report.exchange(true)) {
+            return;
+        }
+        m_next_report = now + report_interval;
+        http::call(m_reports, m_format.m_report_call(),
+                   [this](const absl::StatusOr<http::response>& got) {
+                       m_is_asking_report = false;
+                       const auto read = got.ok() ? m_format.m_read_report(got->m_body)
+                                                  : absl::StatusOr<rank_report>(got.status());
+                       const std::lock_guard lock(m_mutex);
+                       m_report = read.ok() ? std::optional(*read) : std::nullopt;
+                       if (m_report) {
+                           m_engine.set_formation(m_report->m_formation);
+                       }
+                   });
+    }
+
+    void ask_counts(time_point now)
+    {
+        if (m_is_asking_counts.exchange(true)) {
+            return;
+        }
+        m_next_counts = now + counts_interval;
+        http::call(m_reports, m_format.m_holding_call(),
+                   [this](const absl::StatusOr<http::response>& got) {
+                       auto holding = got.ok() ? m_format.m_read_holding(got->m_body)
+                                               : absl::StatusOr<rank_holding>(got.status());
+                       if (!holding.ok()) {
+                           m_is_asking_counts = false;
+                           return;
+                       }
+                       ask_counts_of(*std::move(holding));
+                   });
+    }
+
+    void ask_counts_of(rank_holding holding)
+    {
+        http::call(m_reports, m_format.m_counts_call(),
+                   [this, holding = std::move(holding)](const absl::StatusOr<http::response>& got) {
+                       m_is_asking_counts = false;
+                       const auto counts = got.ok() ? m_format.m_read_counts(got->m_body)
+                                                    : absl::StatusOr<rank_counts>(got.status());
+                       if (counts.ok() && counts->m_formation == holding.m_formation) {
+                           tell_counts(*counts, holding);
+                       }
+                   });
+    }
+
+    /// Tells the coordinating rank what this one counted.
+    void tell_counts(const rank_counts& counts, const rank_holding& holding)
+    {
+        const auto runner = current_runner();
+        const auto coordinator = runner ? runner->coordinator() : std::nullopt;
+        if (!coordinator) {
+            return;
+        }
+        wire::Envelope envelope;
+        auto& message = *envelope.mutable_group();
+        auto& body = *message.mutable_counts();
+        body.set_formation(counts.m_formation);
+        body.set_step(counts.m_step);
+        body.mutable_counts()->Add(counts.m_counts.begin(), counts.m_counts.end());
+        body.set_map(holding.m_map);
+        for (const auto& layer : holding.m_held) {
+            body.add_held_in_layer(static_cast<std::uint32_t>(layer.size()));
+            body.mutable_held()->Add(layer.begin(), layer.end());
+        }
+        std::string target;
+        {
+            const std::lock_guard lock(m_mutex);
+            message.set_group(m_place.m_group);
+            message.set_from_rank(m_place.m_rank.value());
+            message.set_to_rank(coordinator->value());
+            if (coordinator->value() < m_place.m_members.size() && *coordinator != m_place.m_rank) {
+                target = m_place.m_members[coordinator->value()];
+            }
+        }
+        if (target.empty()) {
+            take_counts(message, program::now());
+        }
+        else {
+            m_node->send(target, std::move(envelope));
+        }
+    }
+
+    void take_counts(const wire::GroupMessage& message, time_point now)
+    {
+        const auto balancer = current_balancer();
+        const auto& body = message.counts();
+        if (!balancer) {
+            return;
+        }
+        experts::rank_sample sample;
+        sample.m_formation = body.formation();
+        sample.m_step = body.step();
+        sample.m_counts.assign(body.counts().begin(), body.counts().end());
+        sample.m_map = body.map();
+        sample.m_at = now;
+        int first = 0;
+        for (const auto size : body.held_in_layer()) {
+            std::vector<std::uint32_t> layer;
+            for (std::uint32_t i = 0; i < size && first < body.held_size(); ++i) {
+                layer.push_back(body.held(first++));
+            }
+            sample.m_held.push_back(std::move(layer));
+        }
+        balancer->take(rank_id(message.from_rank()), std::move(sample));
+    }
+
+    // The group.
+
+    /// This rank's place, once the addresses of all ranks are known.
+    [[nodiscard]] std::optional<place> find_place() const
+    {
+        if (!m_report || m_report->m_ranks == 0) {
+            return std::nullopt;
+        }
+        place result;
+        result.m_group = m_report->m_group;
+        result.m_rank = m_report->m_rank;
+        result.m_members.resize(m_report->m_ranks);
+        std::vector<std::uint64_t> formations(m_report->m_ranks, 0);
+        for (const auto& [name, known] : m_upstreams) {
+            const auto& at = known.m_group;
+            if (!at || at->m_group != result.m_group || at->m_rank.value() >= m_report->m_ranks ||
+                at->m_epoch < formations[at->m_rank.value()]) {
+                continue;
+            }
+            formations[at->m_rank.value()] = at->m_epoch;
+            result.m_members[at->m_rank.value()] =
+                "tcp://" + to_string(endpoint{known.m_address.m_ip, link_port()});
+        }
+        const bool is_whole = std::none_of(result.m_members.begin(), result.m_members.end(),
+                                           [](const std::string& item) { return item.empty(); });
+        return is_whole ? std::optional(std::move(result)) : std::nullopt;
+    }
+
+    /// All rank agents use the same port.
+    [[nodiscard]] std::uint16_t link_port() const
+    {
+        return parse_endpoint(setting_value<std::string>(m_settings, "/link/listen"))->m_port;
+    }
+
+    [[nodiscard]] std::optional<engine_facts> find_facts() const
+    {
+        const auto own =
+            std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                         [&](const auto& item) { return item.second.m_address == m_address; });
+        if (own == m_upstreams.end() || m_configuration.empty()) {
+            return std::nullopt;
+        }
+        auto facts = m_format.m_read_facts(m_configuration, own->second.m_service);
+        return facts.ok() ? std::optional(*facts) : std::nullopt;
+    }
+
+    [[nodiscard]] agent::group_options options_of(const place& at)
+    {
+        ++m_runners;
+        auto options = agent::make_group_options(
+            at.m_group, at.m_members, at.m_rank, incarnation(m_life.value() + m_runners),
+            setting_value<bool>(m_settings, "/engine/checks_fencing"));
+        options.m_participant.m_poll_interval = stage_poll;
+        options.m_participant.m_answer_limit = answer_limit;
+        options.m_participant.m_order_lifetime = order_lifetime;
+        options.m_coordinator.m_resend_interval = resend_interval;
+        options.m_coordinator.m_stage_limit = stage_limit;
+        options.m_coordinator.m_arm_limit = arm_limit;
+        options.m_coordinator.m_first_margin = first_margin;
+        options.m_coordinator.m_unique_numbers = true;
+        return options;
+    }
+
+    /// Takes part in the group as it is now; a new member list is a new part.
+    void follow_group(time_point now)
+    {
+        std::shared_ptr<agent::group_runner> begun;
+        std::shared_ptr<agent::group_runner> ended;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto at = find_place();
+            const auto facts = at && (*at != m_place || !m_runner) ? find_facts() : std::nullopt;
+            if (!facts) {
+                return;
+            }
+            ended = std::exchange(m_runner, nullptr);
+            m_place = *at;
+            agent::group_hooks hooks;
+            hooks.m_on_result = [this](group_map::change_result result) {
+                if (const auto balancer = current_balancer()) {
+                    balancer->on_result(result, program::now());
+                }
+                log_event(log_level::info, "expert_map_change",
+                          {{"committed", result == group_map::change_result::committed}});
+            };
+            begun = std::make_shared<agent::group_runner>(options_of(*at), std::move(hooks),
+                                                          m_engine, now);
+            m_balancer = std::make_shared<rank_balancer>(
+                *facts, static_cast<std::uint32_t>(at->m_members.size()),
+                [runner = std::weak_ptr(begun)](const std::string& content) {
+                    const auto subject = runner.lock();
+                    return subject && subject->propose(content, program::now());
+                });
+            m_runner = begun;
+            log_event(log_level::info, "group_joined",
+                      {{"group", at->m_group},
+                       {"rank", at->m_rank.value()},
+                       {"ranks", at->m_members.size()}});
+        }
+        if (ended) {
+            ended->stop();
+        }
+        begun->start(*m_node, now);
+    }
+
+    void tick(time_point now)
+    {
+        m_feed.tick(*m_node, {}, now);
+        if (now >= m_next_report) {
+            ask_report(now);
+            follow_group(now);
+        }
+        if (now >= m_next_counts) {
+            ask_counts(now);
+        }
+        const auto runner = current_runner();
+        if (!runner) {
+            return;
+        }
+        runner->tick(now);
+        bool is_open = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            is_open = m_report && m_report->m_is_open;
+        }
+        const bool may_plan = is_open && runner->current_phase() == group_map::phase::settled;
+        current_balancer()->tick(may_plan, now);
+    }
+
+    program::program& m_frame;
+    json m_settings;
+    const rank_format& m_format;
+    incarnation m_life;
+    endpoint m_address;
+    http::client m_reports;
+    http::client m_orders;
+    rank_engine m_engine;
+    gateway::registry_feed m_feed;
+    std::atomic<bool> m_is_started = false;  ///< the node is there
+    std::atomic<bool> m_is_asking_report = false;
+    std::atomic<bool> m_is_asking_counts = false;
+    time_point m_next_report{};   ///< used on the frame's thread alone
+    time_point m_next_counts{};   ///< the same
+    std::uint64_t m_runners = 0;  ///< the same
+    mutable std::mutex m_mutex;
+    std::map<upstream_id, registry::announcement> m_upstreams;  ///< under m_mutex, as all below
+    std::string m_configuration;
+    std::optional<rank_report> m_report;
+    place m_place;
+    std::shared_ptr<agent::group_runner> m_runner;
+    std::shared_ptr<rank_balancer> m_balancer;
+    std::unique_ptr<link::node> m_node;  ///< set at the start
+};
+
+rank_server::rank_server(program::program& frame, const json& settings, const rank_format& format)
+    : m_implementation(std::make_unique<implementation>(frame, settings, format))
+{
+}
+
+rank_server::~rank_server() = default;
+
+absl::Status rank_server::start()
+{
+    return m_implementation->start();
+}
+
+program::program_hooks rank_server::hooks()
+{
+    return m_implementation->hooks();
+}
+
+}  // namespace dewbeam::ranks
--- /dev/null
+++ b/dewbeam/src/ranks/rank_server.h
@@ -0,0 +1,37 @@
+/// \file
+/// The rank agent program: beside each rank of a lock-step group, it keeps the group's expert map
+/// even. No request passes through it, so that its end costs none.
+#pragma once
+
+#include <memory>
+
+#include "dewbeam/program"
+#include "dewbeam/src/ranks/rank_format.h"
+
+namespace dewbeam::ranks {
+
+/// Settings of the program.
+std::vector<setting> rank_schema();
+
+/// One rank's agent.
+class rank_server {
+public:
+    rank_server(program::program& frame, const nlohmann::json& settings, const rank_format& format);
+    ~rank_server();
+    rank_server(const rank_server&) = delete;
+    rank_server& operator=(const rank_server&) = delete;
+    rank_server(rank_server&&) = delete;
+    rank_server& operator=(rank_server&&) = delete;
+
+    /// Opens the link.
+    absl::Status start();
+
+    /// What the program's frame calls.
+    program::program_hooks hooks();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+}  // namespace dewbeam::ranks
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -146,8 +146,7 @@
         log.m_election_span = election_span;
         log.m_heartbeat_span = heartbeat_span;
         log.m_may_found = setting_value<bool>(m_settings, "/found");
-        log.m_wanted_voters =
-            2 * setting_value<std::size_t>(m_settings, "/tolerated_losses") + 1;
+        log.m_wanted_voters = 2 * setting_value<std::size_t>(m_settings, "/tolerated_losses") + 1;
         return options;
     }
 
@@ -361,7 +360,7 @@
                 {{"address", address_of(member.m_identity.m_id)}, {"votes", member.m_votes}});
         }
         const std::lock_guard lock(m_mutex);
-        page["gateways"] = m_watchers.size();
+        page["gateways"] = count_gateways(m_watchers);
         for (const auto& [name, item] : m_registry.m_records) {
             page["upstreams"].push_back({{"name", name.value()},
                                          {"service", item.m_announced.m_service},
@@ -401,7 +400,7 @@
             const bool knows_life = watch.registry_life() == m_life.value();
             put_upstreams(m_registry, watch.known_change(), !knows_life, news);
             subject.m_told_change = m_registry.m_last_change;
-            news.set_gateways(static_cast<std::uint32_t>(m_watchers.size()));
+            news.set_gateways(count_gateways(m_watchers));
             if (watch.wants_loads()) {
                 put_loads(m_watchers, from, news);
             }
--- a/dewbeam/src/registrar/watchers.cpp
+++ b/dewbeam/src/registrar/watchers.cpp
@@ -1,13 +1,15 @@
 #include "dewbeam/src/registrar/watchers.h"
 
+#include <algorithm>
+
 #include "dewbeam/src/registrar/announcement_wire.h"
 
 namespace dewbeam::registrar {
 
 namespace {
 
-/// Six watches of a gateway: a few lost ones end no lease.
-constexpr time_span lease = std::chrono::milliseconds(1500);
+/// Three watches of the slowest follower: one lost watch ends no lease.
+constexpr time_span lease = std::chrono::milliseconds(3500);
 
 }  // namespace
 
@@ -16,6 +18,7 @@
 {
     auto& subject = table[from];
     subject.m_lease_deadline = now + lease;
+    subject.m_is_gateway = watch.is_gateway();
     subject.m_loads.clear();
     for (const auto& load : watch.loads()) {
         if (load.in_flight() > 0) {
@@ -25,6 +28,12 @@
     return subject;
 }
 
+std::uint32_t count_gateways(const watcher_table& table)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        table.begin(), table.end(), [](const auto& item) { return item.second.m_is_gateway; }));
+}
+
 void expire(watcher_table& table, time_point now)
 {
     std::erase_if(table, [now](const auto& item) { return item.second.m_lease_deadline <= now; });
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -1,5 +1,6 @@
 /// \file
-/// The gateways that watch a registry: their leases, what they were told, what they have under way.
+/// The gateways and rank agents that watch a registry: their leases, what they were told, what they
+/// have under way.
 #pragma once
 
 #include <map>
@@ -17,6 +18,7 @@
     time_point m_lease_deadline{};
     std::uint64_t m_told_change = 0;  ///< sent, perhaps not yet arrived
     std::map<std::string, std::uint32_t> m_loads;
+    bool m_is_gateway = false;
 };
 
 /// All of them.
@@ -26,6 +28,9 @@
 watcher& note_watch(watcher_table& table, const link::peer& from, const wire::Watch& watch,
                     time_point now);
 
+/// Gateways among the watchers.
+std::uint32_t count_gateways(const watcher_table& table);
+
 /// Forgets gateways whose lease ended.
 void expire(watcher_table& table, time_point now);
 
