--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -11,9 +11,12 @@
 /// callers don't wait for longer than a third of it.
 constexpr double return_share = 0.25;
 constexpr time_span shortest_return = std::chrono::milliseconds(100);
-/// An attempt counts as late where others that began this share of the objective after it have
-/// answered.
+/// An attempt counts as late where others that began so many objectives after it have answered. A
+/// plain call that hangs can be repeated within its objective or soon after. A stream waits for a
+/// place at its rank as well, which says nothing against the rank; its caller leaves after five
+/// objectives without an event.
 constexpr double outrun_share = 0.75;
+constexpr double outrun_share_of_stream = 2.5;
 
 std::int64_t milliseconds(time_span value)
 {
@@ -216,7 +219,9 @@
         !request.attempt()) {
         return false;
     }
-    const auto margin = std::chrono::duration_cast<time_span>(objective * outrun_share);
+    const bool is_stream = known.m_route->m_kind == routes::work_kind::streaming;
+    const auto margin = std::chrono::duration_cast<time_span>(
+        objective * (is_stream ? outrun_share_of_stream : outrun_share));
     return state.m_pools.is_outrun(known.m_pool, known.m_ticket, margin);
 }
 
