Stand in for a rank whose agent owes an answer; raise the fencing number before a first read

Ruled out: shorter answer limits, which only help an agent that runs. Change: the coordinator acts for such a rank by a participant of a later life over the network; it ends when the agent is heard again.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -174,7 +174,7 @@
             m_frame.context(),
             parse_endpoint(setting_value<std::string>(m_settings, "/upstream/address")).value(),
             upstream_options(m_settings));
-        m_engine_port = std::make_unique<json_engine_port>(*m_orders);
+        m_engine_port = std::make_shared<json_engine_port>(*m_orders);
         group_hooks hooks;
         hooks.m_set_admission = [this](bool may_admit) { m_gate->set_paused(!may_admit); };
         hooks.m_is_busy = [this] { return m_gate->running() > 0; };
@@ -186,7 +186,7 @@
         m_group = std::make_shared<group_runner>(
             make_group_options(name, std::move(members), rank_id(rank), m_incarnation,
                                setting_value<bool>(m_settings, "/upstream/checks_fencing")),
-            std::move(hooks), *m_engine_port, program::now());
+            std::move(hooks), m_engine_port, program::now());
         m_balancer = std::make_shared<expert_balancer>(balancer_settings(), balancer_calls(),
                                                        m_upstream, program::now());
         m_gate->set_paused(true);  // until the group's map is known to be settled
@@ -451,7 +451,7 @@
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
     std::unique_ptr<http::client> m_orders;       ///< to the engine, about the expert map alone
-    std::unique_ptr<engine_port> m_engine_port;   ///< uses `m_orders`
+    std::shared_ptr<engine_port> m_engine_port;   ///< uses `m_orders`
     std::shared_ptr<group_runner> m_group;        ///< none: the upstream is no rank of a group
     std::shared_ptr<expert_balancer> m_balancer;  ///< there where `m_group` is
     std::atomic<bool> m_is_started = false;       ///< the node and the server are there
--- a/dewbeam/src/agent/group_runner.cpp
+++ b/dewbeam/src/agent/group_runner.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/agent/group_runner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dewbeam/src/agent/group_wire.h"
@@ -25,11 +26,11 @@
     return options;
 }
 
-group_runner::group_runner(const group_options& options, group_hooks hooks, engine_port& orders,
-                           time_point now)
+group_runner::group_runner(const group_options& options, group_hooks hooks,
+                           std::shared_ptr<engine_port> orders, time_point now)
     : m_options(options),
       m_hooks(std::move(hooks)),
-      m_orders(orders),
+      m_orders(std::move(orders)),
       m_participant(group_map::start_participant(options.m_participant, now)),
       m_coordinator(group_map::make_coordinator(options.m_coordinator))
 {
@@ -71,7 +72,10 @@
         if (m_is_stopped || m_node == nullptr) {
             return;
         }
-        collect(group_map::tick(m_participant, now), todo);
+        collect(group_map::tick(m_participant, now), m_options.m_participant.m_rank, todo);
+        for (auto& [rank, item] : m_stand_ins) {
+            collect(group_map::tick(item.m_participant, now), rank, todo);
+        }
         const bool may_coordinate =
             m_options.m_participant.m_rank.value() < m_options.m_candidates &&
             m_coordinator.m_phase == group_map::phase::inactive;
@@ -79,6 +83,8 @@
             collect(group_map::activate(m_coordinator, m_participant.m_promised.m_number, now),
                     todo);
         }
+        stand_in_for_late_ranks(todo, now);
+        end_stand_ins(todo, now);
         collect(group_map::tick(m_coordinator, now), todo);
         todo = finish(std::move(todo), now);
     }
@@ -114,11 +120,18 @@
     return m_participant.m_engine;
 }
 
-std::optional<rank_id> group_runner::coordinator() const
+std::vector<rank_id> group_runner::coordinators(time_point now) const
 {
     const std::lock_guard lock(m_mutex);
     const auto& promised = m_participant.m_promised;
-    return promised.m_number == 0 ? std::nullopt : std::optional(promised.m_rank);
+    if (promised.m_number != 0 && !group_map::coordinator_silent(m_participant, now)) {
+        return {promised.m_rank};
+    }
+    std::vector<rank_id> result;
+    for (std::uint32_t rank = 0; rank < m_options.m_candidates; ++rank) {
+        result.emplace_back(rank);
+    }
+    return result;
 }
 
 bool group_runner::may_admit() const
@@ -133,11 +146,75 @@
     m_is_stopped = true;
 }
 
-void group_runner::collect(const group_map::participant_effects& effects, work& todo)
+void group_runner::note_alive(rank_id rank, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_stand_ins.find(rank);
+    // What was on its way when it was given up says nothing.
+    if (place != m_stand_ins.end() && place->second.m_since + m_options.m_patience < now) {
+        m_alive.insert(rank);
+    }
+}
+
+/// Acts for ranks whose agents owe an answer.
+void group_runner::stand_in_for_late_ranks(work& todo, time_point now)
+{
+    if (!m_options.m_make_port) {
+        return;
+    }
+    for (const auto rank : group_map::late_ranks(m_coordinator, m_options.m_patience, now)) {
+        if (rank == m_options.m_participant.m_rank || m_stand_ins.contains(rank)) {
+            continue;
+        }
+        auto port = m_options.m_make_port(rank);
+        if (!port) {
+            continue;
+        }
+        auto options = m_options.m_participant;
+        options.m_rank = rank;
+        // A later life than the agent's, and orders above its own: it began earlier than now.
+        const auto& known = m_coordinator.m_ranks[rank.value()].m_life;
+        const auto least = known ? known->m_agent.value() + 1 : 0;
+        options.m_incarnation = incarnation(std::max(program::new_incarnation().value(), least));
+        options.m_first_order = fencing_number(options.m_incarnation.value());
+        auto& added = m_stand_ins[rank];
+        added.m_port = std::move(port);
+        added.m_participant = group_map::start_participant(options, now);
+        added.m_since = now;
+        log_event(log_level::warning, "rank_stood_in_for",
+                  {{"group", m_options.m_group}, {"rank", rank.value()}});
+        collect(group_map::tick(added.m_participant, now), rank, todo);
+    }
+}
+
+/// Leaves ranks to their own agents again, in a new epoch.
+void group_runner::end_stand_ins(work& todo, time_point now)
+{
+    const bool coordinates = m_coordinator.m_phase != group_map::phase::inactive;
+    if (m_stand_ins.empty() ||
+        (coordinates && (m_alive.empty() || m_coordinator.m_phase != group_map::phase::settled))) {
+        return;
+    }
+    std::erase_if(m_stand_ins, [&](const auto& item) {
+        const bool is_over = !coordinates || m_alive.contains(item.first);
+        if (is_over) {
+            log_event(log_level::info, "rank_left_to_its_agent", {{"rank", item.first.value()}});
+        }
+        return is_over;
+    });
+    m_alive.clear();
+    if (coordinates) {
+        collect(group_map::activate(m_coordinator, m_participant.m_promised.m_number, now), todo);
+    }
+}
+
+void group_runner::collect(const group_map::participant_effects& effects, rank_id rank, work& todo)
 {
-    todo.m_close_connection |= effects.m_close_connection;
-    if (effects.m_order) {
-        todo.m_order = effects.m_order;
+    if (effects.m_close_connection || effects.m_order) {
+        const auto place = m_stand_ins.find(rank);
+        auto port = place == m_stand_ins.end() ? m_orders : place->second.m_port;
+        todo.m_engines.push_back(
+            {std::move(port), rank, effects.m_close_connection, effects.m_order});
     }
     if (effects.m_report) {
         post(effects.m_report->m_to.value(), to_wire(m_options.m_group, *effects.m_report));
@@ -160,7 +237,7 @@
     if (rank >= m_options.m_members.size()) {
         return;  // a rank that this group doesn't have
     }
-    if (rank == m_options.m_participant.m_rank.value()) {
+    if (rank == m_options.m_participant.m_rank.value() || m_stand_ins.contains(rank_id(rank))) {
         m_own_messages.push_back(std::move(message));
         return;
     }
@@ -172,8 +249,13 @@
 void group_runner::take(const wire::GroupMessage& message, work& todo, time_point now)
 {
     if (const auto command = command_from_wire(message)) {
+        const auto place = m_stand_ins.find(command->m_to);
         if (command->m_to == m_options.m_participant.m_rank) {
-            collect(group_map::receive(m_participant, *command, now), todo);
+            collect(group_map::receive(m_participant, *command, now), command->m_to, todo);
+        }
+        else if (place != m_stand_ins.end()) {
+            collect(group_map::receive(place->second.m_participant, *command, now), command->m_to,
+                    todo);
         }
     }
     else if (const auto report = report_from_wire(message)) {
@@ -208,29 +290,32 @@
         const std::lock_guard order(m_admission_mutex);
         m_hooks.m_set_admission(may_admit());
     }
-    if (todo.m_close_connection) {
-        m_orders.cancel();
-    }
-    if (todo.m_order) {
-        send_order(*todo.m_order);
+    for (const auto& item : todo.m_engines) {
+        if (item.m_close_connection) {
+            item.m_port->cancel();
+        }
+        if (item.m_order) {
+            send_order(item);
+        }
     }
     if (todo.m_result != group_map::change_result::none && m_hooks.m_on_result) {
         m_hooks.m_on_result(todo.m_result);
     }
 }
 
-void group_runner::send_order(const group_map::engine_order& order)
+void group_runner::send_order(const engine_work& wanted)
 {
-    m_orders.send(
-        order, [weak = weak_from_this()](const absl::StatusOr<group_map::engine_answer>& answer) {
-            if (const auto self = weak.lock()) {
-                self->on_answer(answer);
-            }
-        });
+    wanted.m_port->send(*wanted.m_order,
+                        [weak = weak_from_this(), rank = wanted.m_rank](
+                            const absl::StatusOr<group_map::engine_answer>& answer) {
+                            if (const auto self = weak.lock()) {
+                                self->on_answer(rank, answer);
+                            }
+                        });
 }
 
 /// An answer that is not whole or not readable counts as lost: the participant's deadline ends it.
-void group_runner::on_answer(absl::StatusOr<group_map::engine_answer> answer)
+void group_runner::on_answer(rank_id rank, absl::StatusOr<group_map::engine_answer> answer)
 {
     if (!answer.ok()) {
         log_event(log_level::warning, "order_unanswered",
@@ -245,7 +330,13 @@
             return;
         }
         const auto now = program::now();
-        collect(group_map::answered(m_participant, *answer, now), todo);
+        const auto place = m_stand_ins.find(rank);
+        if (rank == m_options.m_participant.m_rank) {
+            collect(group_map::answered(m_participant, *answer, now), rank, todo);
+        }
+        else if (place != m_stand_ins.end()) {
+            collect(group_map::answered(place->second.m_participant, *answer, now), rank, todo);
+        }
         todo = finish(std::move(todo), now);
     }
     carry_out(todo);
--- a/dewbeam/src/agent/group_runner.h
+++ b/dewbeam/src/agent/group_runner.h
@@ -4,8 +4,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,12 @@
     group_map::participant_options m_participant;
     group_map::coordinator_options m_coordinator;
     std::uint32_t m_candidates = 3;  ///< ranks that may coordinate: the first ones
+    /// Where engines take orders from any host: the coordinator's way to another rank's engine. It
+    /// stands in (where this gives a port: not while the group doesn't run) for a rank whose agent
+    /// owes an answer for longer than `m_patience`: with four seconds of a frozen agent the group
+    /// stood still for 3.8 s, and nearly all its streams ended.
+    std::function<std::shared_ptr<engine_port>(rank_id)> m_make_port{};
+    time_span m_patience = std::chrono::milliseconds(300);
 };
 
 /// Options of one rank. Incarnations and fencing numbers are the process's start time, so that
@@ -40,8 +48,8 @@
 class group_runner : public std::enable_shared_from_this<group_runner> {
 public:
     /// `orders` leads to this rank's engine and is used for nothing else.
-    group_runner(const group_options& options, group_hooks hooks, engine_port& orders,
-                 time_point now);
+    group_runner(const group_options& options, group_hooks hooks,
+                 std::shared_ptr<engine_port> orders, time_point now);
 
     /// Takes part from now on; `node` outlives the runner.
     void start(link::node& node, time_point now);
@@ -52,6 +60,9 @@
     /// Time passed.
     void tick(time_point now);
 
+    /// Another rank's agent was heard: where this one stood in for it, that ends.
+    void note_alive(rank_id rank, time_point now);
+
     /// Starts a change where this rank coordinates a settled group; whether it did.
     bool propose(const std::string& content, time_point now);
 
@@ -61,8 +72,9 @@
     /// This rank's engine as last read; none before the first answer.
     [[nodiscard]] std::optional<group_map::engine_state> engine() const;
 
-    /// The rank that this one obeys; none before a coordinator was heard.
-    [[nodiscard]] std::optional<rank_id> coordinator() const;
+    /// The rank that this one obeys; where none is heard, all that may coordinate: one of them may
+    /// stand in for this rank and must learn that its agent is back.
+    [[nodiscard]] std::vector<rank_id> coordinators(time_point now) const;
 
     /// Whether requests may be given to the engine.
     [[nodiscard]] bool may_admit() const;
@@ -71,27 +83,43 @@
     void stop();
 
 private:
-    /// What must be done once the lock is free.
-    struct work {
+    /// What must be done at one rank's engine.
+    struct engine_work {
+        std::shared_ptr<engine_port> m_port;
+        rank_id m_rank;
         bool m_close_connection = false;
         std::optional<group_map::engine_order> m_order;
+    };
+
+    /// What must be done once the lock is free.
+    struct work {
+        std::vector<engine_work> m_engines;
         group_map::change_result m_result = group_map::change_result::none;
         bool m_admission_changed = false;
     };
 
-    void collect(const group_map::participant_effects& effects, work& todo);
+    /// A rank that this coordinator acts for.
+    struct stand_in {
+        std::shared_ptr<engine_port> m_port;
+        group_map::participant m_participant;
+        time_point m_since{};
+    };
+
+    void collect(const group_map::participant_effects& effects, rank_id rank, work& todo);
+    void stand_in_for_late_ranks(work& todo, time_point now);
+    void end_stand_ins(work& todo, time_point now);
     void collect(const group_map::coordinator_effects& effects, work& todo);
     void post(std::uint32_t rank, wire::GroupMessage message);
     void take(const wire::GroupMessage& message, work& todo, time_point now);
     void take_own_messages(work& todo, time_point now);
     work finish(work todo, time_point now);
     void carry_out(const work& todo);
-    void send_order(const group_map::engine_order& order);
-    void on_answer(absl::StatusOr<group_map::engine_answer> answer);
+    void send_order(const engine_work& wanted);
+    void on_answer(rank_id rank, absl::StatusOr<group_map::engine_answer> answer);
 
     group_options m_options;
     group_hooks m_hooks;
-    engine_port& m_orders;
+    std::shared_ptr<engine_port> m_orders;
     link::node* m_node = nullptr;
     std::mutex m_admission_mutex;  ///< taken before `m_mutex`
     mutable std::mutex m_mutex;
@@ -99,7 +127,9 @@
     bool m_may_admit = false;
     group_map::participant m_participant;
     group_map::coordinator m_coordinator;
-    std::deque<wire::GroupMessage> m_own_messages;  ///< from this rank to itself
+    std::map<rank_id, stand_in> m_stand_ins;
+    std::set<rank_id> m_alive;                      ///< heard while this one stood in
+    std::deque<wire::GroupMessage> m_own_messages;  ///< to a rank that this one acts for
 };
 
 }  // namespace dewbeam::agent
--- a/dewbeam/src/group_map/coordinator.cpp
+++ b/dewbeam/src/group_map/coordinator.cpp
@@ -39,6 +39,7 @@
     state.m_round = round_number(state.m_round.value() + 1);
     state.m_missing = static_cast<std::uint32_t>(state.m_ranks.size());
     state.m_round_deadline = no_deadline;
+    state.m_round_began = now;
     for (auto& view : state.m_ranks) {
         view.m_answered = false;
     }
@@ -421,6 +422,22 @@
     return true;
 }
 
+std::vector<rank_id> late_ranks(const coordinator& state, time_span patience, time_point now)
+{
+    std::vector<rank_id> result;
+    // Staging takes its time, and a rank that answers late then holds up nobody.
+    const bool is_urgent = state.m_phase != phase::inactive && state.m_phase != phase::staging;
+    if (!is_urgent || !is_waiting(state) || state.m_round_began + patience > now) {
+        return result;
+    }
+    for (std::uint32_t rank = 0; rank < state.m_ranks.size(); ++rank) {
+        if (!state.m_ranks[rank].m_answered) {
+            result.emplace_back(rank);
+        }
+    }
+    return result;
+}
+
 coordinator_effects receive(coordinator& state, const report& message, time_point now)
 {
     coordinator_effects effects;
--- a/dewbeam/src/group_map/coordinator.h
+++ b/dewbeam/src/group_map/coordinator.h
@@ -77,6 +77,7 @@
     bool m_change_under_way = false;  ///< asked for by `propose`
     time_point m_resend_at = no_deadline;
     time_point m_round_deadline = no_deadline;
+    time_point m_round_began{};
 };
 
 /// How a proposed change ended.
@@ -110,6 +111,10 @@
 bool propose(coordinator& state, const map_content& content, time_point now,
              coordinator_effects& effects);
 
+/// Ranks that owe the answer of a round that began more than `patience` ago. Their agents may be
+/// gone or stand still, while their engines, and with them the group, wait for the next order.
+std::vector<rank_id> late_ranks(const coordinator& state, time_span patience, time_point now);
+
 /// A rank reported.
 coordinator_effects receive(coordinator& state, const report& message, time_point now);
 
--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -36,7 +36,8 @@
 }
 
 std::vector<rank_order> to_rank_orders(const group_map::engine_order& order,
-                                       std::uint64_t formation, const placement* content)
+                                       std::uint64_t formation, const placement* content,
+                                       bool must_raise)
 {
     using kind = rank_order::kind;
     const auto make = [&](kind wanted) {
@@ -51,7 +52,8 @@
     };
     switch (order.m_kind) {
         case order_kind::read:
-            break;
+            // Going on at a step that has long begun changes nothing but the highest number seen.
+            return must_raise ? std::vector{make(kind::go)} : std::vector<rank_order>();
         case order_kind::stage:
             return {make(kind::prepare)};
         case order_kind::hold:
@@ -78,15 +80,11 @@
     agent::order_done m_done;
 };
 
-rank_engine::rank_engine(http::client& client, const rank_format& format)
-    : m_client(client), m_format(format)
-{
-}
-
-void rank_engine::set_formation(std::uint64_t formation)
+rank_engine::rank_engine(boost::asio::io_context& context, const endpoint& address,
+                         const http::client_options& options, const rank_format& format,
+                         std::shared_ptr<const std::atomic<std::uint64_t>> formation)
+    : m_client(context, address, options), m_format(format), m_formation(std::move(formation))
 {
-    const std::lock_guard lock(m_mutex);
-    m_formation = formation;
 }
 
 void rank_engine::send(const group_map::engine_order& order, agent::order_done done)
@@ -106,7 +104,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_newest = std::max(m_newest, order.m_number);
-        subject->m_orders = to_rank_orders(order, m_formation, &subject->m_content);
+        subject->m_orders = to_rank_orders(order, *m_formation, &subject->m_content, m_must_raise);
     }
     next(subject);
 }
@@ -126,15 +124,15 @@
         return;
     }
     const auto& order = subject->m_orders[subject->m_next++];
-    auto exchange =
-        http::call(m_client, m_format.m_order_call(order),
-                   [this, subject](const absl::StatusOr<http::response>& got) {
-                       if (!got.ok()) {
-                           subject->m_done(got.status());
-                           return;
-                       }
-                       after_order(subject, m_format.m_read_order_result(got->m_status));
-                   });
+    auto exchange = http::call(
+        m_client, m_format.m_order_call(order),
+        [this, self = shared_from_this(), subject](const absl::StatusOr<http::response>& got) {
+            if (!got.ok()) {
+                subject->m_done(got.status());
+                return;
+            }
+            after_order(subject, m_format.m_read_order_result(got->m_status));
+        });
     keep(*subject, std::move(exchange));
 }
 
@@ -142,6 +140,7 @@
 {
     switch (result) {
         case order_result::done:
+            note_raised(*subject);
             next(subject);
             return;
         case order_result::unclear:
@@ -153,41 +152,58 @@
         case order_result::refused:
             break;
     }
+    const auto& order = subject->m_orders[subject->m_next - 1];
+    log_event(log_level::info, "order_refused",
+              {{"kind", to_string(order.m_kind)},
+               {"map", order.m_map},
+               {"step", order.m_step.value()},
+               {"formation", order.m_formation},
+               {"fencing", order.m_fencing.value()},
+               {"fenced", result == order_result::fenced}});
     subject->m_is_accepted = false;
     report(subject);
 }
 
 void rank_engine::report(const std::shared_ptr<errand>& subject)
 {
-    auto exchange =
-        http::call(m_client, m_format.m_report_call(),
-                   [this, subject](const absl::StatusOr<http::response>& got) {
-                       if (!got.ok()) {
-                           subject->m_done(got.status());
-                           return;
-                       }
-                       const auto read = m_format.m_read_report(got->m_body);
-                       if (!read.ok()) {
-                           subject->m_done(read.status());
-                           return;
-                       }
-                       if (!read->m_is_open) {
-                           subject->m_done(absl::UnavailableError("the group does not run"));
-                           return;
-                       }
-                       group_map::engine_answer answer;
-                       answer.m_number = subject->m_order.m_number;
-                       answer.m_accepted = subject->m_is_accepted;
-                       answer.m_highest = subject->m_highest;
-                       answer.m_state = to_state(*read);
-                       subject->m_done(answer);
-                   });
+    auto exchange = http::call(
+        m_client, m_format.m_report_call(),
+        [this, self = shared_from_this(), subject](const absl::StatusOr<http::response>& got) {
+            if (!got.ok()) {
+                subject->m_done(got.status());
+                return;
+            }
+            const auto read = m_format.m_read_report(got->m_body);
+            if (!read.ok()) {
+                subject->m_done(read.status());
+                return;
+            }
+            if (!read->m_is_open) {
+                subject->m_done(absl::UnavailableError("the group does not run"));
+                return;
+            }
+            group_map::engine_answer answer;
+            answer.m_number = subject->m_order.m_number;
+            answer.m_accepted = subject->m_is_accepted;
+            answer.m_highest = subject->m_highest;
+            answer.m_state = to_state(*read);
+            subject->m_done(answer);
+        });
     keep(*subject, std::move(exchange));
 }
 
+void rank_engine::note_raised(const errand& subject)
+{
+    const std::lock_guard lock(m_mutex);
+    if (subject.m_order.m_number == m_newest) {
+        m_must_raise = false;
+    }
+}
+
 void rank_engine::cancel()
 {
     const std::lock_guard lock(m_mutex);
+    m_must_raise = true;
     if (m_exchange) {
         std::exchange(m_exchange, nullptr)->cancel();
     }
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -13,6 +13,7 @@
 /// end isn't known. Each order brings a report of the engine's state afterwards.
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 
@@ -27,16 +28,17 @@
 
 /// The orders to an engine for one of the protocol's, in their order.
 std::vector<rank_order> to_rank_orders(const group_map::engine_order& order,
-                                       std::uint64_t formation, const placement* content);
+                                       std::uint64_t formation, const placement* content,
+                                       bool must_raise);
 
-/// One engine.
-class rank_engine : public agent::engine_port {
+/// One engine; lives in a `shared_ptr`, which its calls keep.
+class rank_engine : public agent::engine_port, public std::enable_shared_from_this<rank_engine> {
 public:
-    /// `client` leads to the engine and outlives this object.
-    rank_engine(http::client& client, const rank_format& format);
-
-    /// Orders are meant for this formation of the group from now on.
-    void set_formation(std::uint64_t formation);
+    /// `address` is the engine's; orders are meant for the formation of the group that `formation`
+    /// holds when they are sent.
+    rank_engine(boost::asio::io_context& context, const endpoint& address,
+                const http::client_options& options, const rank_format& format,
+                std::shared_ptr<const std::atomic<std::uint64_t>> formation);
 
     void send(const group_map::engine_order& order, agent::order_done done) override;
     void cancel() override;
@@ -47,14 +49,18 @@
     void next(const std::shared_ptr<errand>& subject);
     void after_order(const std::shared_ptr<errand>& subject, order_result result);
     void report(const std::shared_ptr<errand>& subject);
+    void note_raised(const errand& subject);
     void keep(const errand& subject, std::shared_ptr<http::client_exchange> exchange);
 
-    http::client& m_client;
+    http::client m_client;
     const rank_format& m_format;
     std::mutex m_mutex;
-    std::uint64_t m_formation = 0;
+    std::shared_ptr<const std::atomic<std::uint64_t>> m_formation;
     fencing_number m_newest;
     std::shared_ptr<http::client_exchange> m_exchange;  ///< of the newest order
+    /// An order whose end isn't known, of this process or of an earlier one, may still be carried
+    /// out: the next order must be one that raises the fencing number, even if only to read.
+    bool m_must_raise = true;
 };
 
 }  // namespace dewbeam::ranks
--- a/dewbeam/src/ranks/placement.cpp
+++ b/dewbeam/src/ranks/rank_format.cpp
@@ -1,9 +1,26 @@
-#include <nlohmann/json.hpp>
-
 #include "dewbeam/src/ranks/rank_format.h"
 
+#include <nlohmann/json.hpp>
+
 namespace dewbeam::ranks {
 
+const char* to_string(rank_order::kind value)
+{
+    switch (value) {
+        case rank_order::kind::prepare:
+            return "prepare";
+        case rank_order::kind::arm:
+            return "arm";
+        case rank_order::kind::disarm:
+            return "disarm";
+        case rank_order::kind::hold:
+            return "hold";
+        case rank_order::kind::go:
+            break;
+    }
+    return "go";
+}
+
 std::string to_json(const placement& from)
 {
     return nlohmann::json(from).dump();
--- a/dewbeam/src/ranks/rank_format.h
+++ b/dewbeam/src/ranks/rank_format.h
@@ -41,6 +41,9 @@
     const placement* m_placement = nullptr;  ///< of `prepare`
 };
 
+/// Term of an order for logs.
+const char* to_string(rank_order::kind value);
+
 /// What came of an order.
 enum class order_result {
     done,     ///< begun, or done before
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -32,6 +32,14 @@
 /// Without fencing numbers an unanswered order may still be carried out for so long.
 constexpr time_span order_lifetime = std::chrono::seconds(15);
 constexpr std::chrono::milliseconds resend_interval{150};
+/// A coordinator that stands still while the group holds stops every stream, and callers leave
+/// after two seconds: the next rank steps in after the second span, the one after it after twice
+/// that.
+constexpr time_span heartbeat_interval = std::chrono::milliseconds(200);
+constexpr time_span silence_limit = std::chrono::milliseconds(500);
+/// An agent answers within some 30 ms; a machine that is out of processor time for a while within
+/// 100 ms more.
+constexpr time_span patience = std::chrono::milliseconds(300);
 /// Steps from the newest known to the switch: two rounds of messages take about 30 ms, a step 40 ms
 /// and more.
 constexpr std::uint64_t first_margin = 3;
@@ -50,6 +58,7 @@
 struct place {
     std::string m_group;
     std::vector<std::string> m_members;  ///< link addresses by rank
+    std::vector<endpoint> m_engines;     ///< addresses of the engines by rank
     rank_id m_rank;
 
     friend bool operator==(const place&, const place&) = default;
@@ -83,8 +92,7 @@
           m_address(
               parse_endpoint(setting_value<std::string>(settings, "/engine/address")).value()),
           m_reports(frame.context(), m_address, engine_client_options()),
-          m_orders(frame.context(), m_address, engine_client_options()),
-          m_engine(m_orders, format),
+          m_engine(make_engine(m_address)),
           m_feed(registrar::registry_addresses(settings), {false, watch_interval}, handlers_of())
     {
     }
@@ -190,6 +198,13 @@
         return m_balancer;
     }
 
+    /// The way to a rank's engine, for orders alone.
+    std::shared_ptr<rank_engine> make_engine(const endpoint& address)
+    {
+        return std::make_shared<rank_engine>(m_frame.context(), address, engine_client_options(),
+                                             m_format, m_formation);
+    }
+
     // What the engine says.
 
     void ask_report(time_point now)
@@ -206,7 +221,7 @@
                        const std::lock_guard lock(m_mutex);
                        m_report = read.ok() ? std::optional(*read) : std::nullopt;
                        if (m_report) {
-                           m_engine.set_formation(m_report->m_formation);
+                           *m_formation = m_report->m_formation;
                        }
                    });
     }
@@ -246,8 +261,7 @@
     void tell_counts(const rank_counts& counts, const rank_holding& holding)
     {
         const auto runner = current_runner();
-        const auto coordinator = runner ? runner->coordinator() : std::nullopt;
-        if (!coordinator) {
+        if (!runner) {
             return;
         }
         wire::Envelope envelope;
@@ -261,18 +275,30 @@
             body.add_held_in_layer(static_cast<std::uint32_t>(layer.size()));
             body.mutable_held()->Add(layer.begin(), layer.end());
         }
+        const auto now = program::now();
+        for (const auto rank : runner->coordinators(now)) {
+            send_to_rank(rank, envelope, now);
+        }
+    }
+
+    void send_to_rank(rank_id rank, wire::Envelope envelope, time_point now)
+    {
+        auto& message = *envelope.mutable_group();
         std::string target;
         {
             const std::lock_guard lock(m_mutex);
             message.set_group(m_place.m_group);
             message.set_from_rank(m_place.m_rank.value());
-            message.set_to_rank(coordinator->value());
-            if (coordinator->value() < m_place.m_members.size() && *coordinator != m_place.m_rank) {
-                target = m_place.m_members[coordinator->value()];
+            message.set_to_rank(rank.value());
+            if (rank != m_place.m_rank && rank.value() < m_place.m_members.size()) {
+                target = m_place.m_members[rank.value()];
+            }
+            else if (rank != m_place.m_rank) {
+                return;  // a smaller group than there may be coordinators
             }
         }
         if (target.empty()) {
-            take_counts(message, program::now());
+            take_counts(message, now);
         }
         else {
             m_node->send(target, std::move(envelope));
@@ -300,6 +326,9 @@
             }
             sample.m_held.push_back(std::move(layer));
         }
+        if (const auto runner = current_runner()) {
+            runner->note_alive(rank_id(message.from_rank()), now);
+        }
         balancer->take(rank_id(message.from_rank()), std::move(sample));
     }
 
@@ -315,6 +344,7 @@
         result.m_group = m_report->m_group;
         result.m_rank = m_report->m_rank;
         result.m_members.resize(m_report->m_ranks);
+        result.m_engines.resize(m_report->m_ranks);
         std::vector<std::uint64_t> formations(m_report->m_ranks, 0);
         for (const auto& [name, known] : m_upstreams) {
             const auto& at = known.m_group;
@@ -323,6 +353,7 @@
                 continue;
             }
             formations[at->m_rank.value()] = at->m_epoch;
+            result.m_engines[at->m_rank.value()] = known.m_address;
             result.m_members[at->m_rank.value()] =
                 "tcp://" + to_string(endpoint{known.m_address.m_ip, link_port()});
         }
@@ -363,6 +394,17 @@
         options.m_coordinator.m_arm_limit = arm_limit;
         options.m_coordinator.m_first_margin = first_margin;
         options.m_coordinator.m_unique_numbers = true;
+        options.m_coordinator.m_heartbeat_interval = heartbeat_interval;
+        options.m_participant.m_silence_limit = silence_limit * (at.m_rank.value() + 1);
+        options.m_patience = patience;
+        options.m_make_port =
+            [this, engines = at.m_engines](rank_id rank) -> std::shared_ptr<agent::engine_port> {
+            const std::lock_guard lock(m_mutex);
+            if (!m_report || !m_report->m_is_open) {
+                return nullptr;
+            }
+            return make_engine(engines[rank.value()]);
+        };
         return options;
     }
 
@@ -438,8 +480,10 @@
     incarnation m_life;
     endpoint m_address;
     http::client m_reports;
-    http::client m_orders;
-    rank_engine m_engine;
+    /// Formation of the group, as this rank's engine said last.
+    std::shared_ptr<std::atomic<std::uint64_t>> m_formation =
+        std::make_shared<std::atomic<std::uint64_t>>(0);
+    std::shared_ptr<rank_engine> m_engine;
     gateway::registry_feed m_feed;
     std::atomic<bool> m_is_started = false;  ///< the node is there
     std::atomic<bool> m_is_asking_report = false;
--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -24,7 +24,7 @@
     group_map::map_id m_step_map;
     std::unique_ptr<http::server> m_server;
     std::unique_ptr<http::client> m_orders;
-    std::unique_ptr<engine_port> m_port;
+    std::shared_ptr<engine_port> m_port;
     std::shared_ptr<group_runner> m_runner;
     std::unique_ptr<link::node> m_node;
 
@@ -78,7 +78,7 @@
                                           incarnation(++m_lives * 1'000'000), m_checks_fencing);
         options.m_participant.m_order_lifetime = milliseconds(200);
         auto fresh =
-            std::make_shared<group_runner>(options, group_hooks{}, *host.m_port, program::now());
+            std::make_shared<group_runner>(options, group_hooks{}, host.m_port, program::now());
         if (const auto old = host.runner()) {
             old->stop();
         }
@@ -139,7 +139,7 @@
                 .value();
         host.m_orders = std::make_unique<http::client>(m_context, host.m_server->address(),
                                                        http::client_options{});
-        host.m_port = std::make_unique<json_engine_port>(*host.m_orders);
+        host.m_port = std::make_shared<json_engine_port>(*host.m_orders);
         link::node_options options;
         options.m_listen = parse_endpoint("127.0.0.1:0").value();
         options.m_host = host_id("rank" + std::to_string(m_members.size()));
