Tell gateways and the planner which ranks are slow; log what a registry believes of the log

Cause: a slow rank holds up its whole group with the work it is given. Change: rank agents tell the pace that their engine reports; gateways give such a rank nothing while two thirds of its service are sound, the planner counts its speed.

--- a/dewbeam/src/experts/rank_book.cpp
+++ b/dewbeam/src/experts/rank_book.cpp
@@ -8,6 +8,7 @@
 
 /// Samples that lie further apart don't belong to one moment.
 constexpr time_span longest_spread = std::chrono::milliseconds(1500);
+constexpr double least_pace = 0.1;
 
 bool fits(const group_shape& shape, const rank_sample& sample)
 {
@@ -166,6 +167,9 @@
             layer.push_back(0.0);
         }
     }
+    for (const auto& sample : book.m_latest) {
+        result.m_speeds.push_back(1.0 / std::max(sample->m_pace, least_pace));
+    }
     book.m_observed = book.m_latest;
     return result;
 }
--- a/dewbeam/src/experts/rank_book.h
+++ b/dewbeam/src/experts/rank_book.h
@@ -22,6 +22,7 @@
     std::vector<std::uint64_t> m_counts;             ///< all experts of a layer, layer by layer
     std::uint64_t m_map = 0;                         ///< number of the map in force
     std::vector<std::vector<std::uint32_t>> m_held;  ///< experts by layer
+    double m_pace = 1.0;                             ///< above 1: the rank is slow
     time_point m_at{};
 };
 
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -238,6 +238,9 @@
         result.m_on_load = [this](const std::string& upstream, std::uint32_t in_flight) {
             m_others[upstream_id(upstream)] = in_flight;
         };
+        result.m_on_pace = [this](const std::string& upstream, double pace) {
+            m_paces[upstream_id(upstream)] = pace;
+        };
         result.m_on_loads_end = [this] { on_loads(); };
         result.m_on_gateways = [this](std::uint32_t gateways) { on_gateways(gateways); };
         return result;
@@ -295,6 +298,8 @@
     void on_loads()
     {
         const auto now = program::now();
+        m_state.m_upstreams.set_paces(m_paces);
+        m_paces.clear();
         for (const auto& load : m_state.m_upstreams.loads()) {
             const auto place = m_others.find(load.m_name);
             m_state.m_upstreams.set_others(load.m_name, place == m_others.end() ? 0 : place->second,
@@ -319,7 +324,7 @@
         for (const auto& load : m_state.m_upstreams.loads()) {
             loads.emplace_back(load.m_name.value(), load.m_in_flight);
         }
-        m_state.m_feed.tick(*m_node, loads, now);
+        m_state.m_feed.tick(*m_node, loads, {}, now);
         perform(m_state, m_state.m_pools.tick(now), now);
         for (const auto& request : m_state.m_requests.all()) {
             watch_request(m_state, request, now);
@@ -345,6 +350,7 @@
     gateway_state m_state;
     std::atomic<bool> m_is_started = false;         ///< all members below are there
     std::map<upstream_id, std::uint32_t> m_others;  ///< used on the link's thread alone
+    std::map<upstream_id, double> m_paces;          ///< the same
     std::uint32_t m_gateways = 0;                   ///< the same
     time_point m_next_slow{};                       ///< used on the frame's thread alone
     time_point m_started_at{};
--- a/dewbeam/src/gateway/registry_feed.cpp
+++ b/dewbeam/src/gateway/registry_feed.cpp
@@ -27,8 +27,7 @@
     }
 }
 
-wire::Envelope registry_feed::watch_of(const source& target, const load_list& loads,
-                                       bool wants_loads) const
+wire::Envelope registry_feed::watch_of(const source& target, bool wants_loads) const
 {
     wire::Envelope result;
     auto& watch = *result.mutable_watch();
@@ -37,20 +36,27 @@
     watch.set_known_revision(m_revision.value());
     watch.set_wants_loads(wants_loads && m_options.m_is_gateway);
     watch.set_is_gateway(m_options.m_is_gateway);
-    for (const auto& [name, count] : loads) {
+    for (const auto& [name, count] : m_loads) {
         auto& load = *watch.add_loads();
         load.set_upstream(name);
         load.set_in_flight(count);
     }
+    for (const auto& [name, pace] : m_paces) {
+        auto& item = *watch.add_paces();
+        item.set_upstream(name);
+        item.set_pace(pace);
+    }
     return result;
 }
 
-void registry_feed::tick(link::node& node, const load_list& loads, time_point now)
+void registry_feed::tick(link::node& node, const load_list& loads, const pace_list& paces,
+                         time_point now)
 {
     std::vector<std::pair<std::string, wire::Envelope>> due;
     {
         const std::lock_guard lock(m_mutex);
         m_loads = loads;
+        m_paces = paces;
         // The loads come from one registry, the first that is heard.
         bool wants_loads = true;
         for (auto& [address, target] : m_sources) {
@@ -60,7 +66,7 @@
                 continue;
             }
             target.m_asked_at = now;
-            due.emplace_back(address, watch_of(target, loads, wants_loads && is_heard));
+            due.emplace_back(address, watch_of(target, wants_loads && is_heard));
             wants_loads = wants_loads && !is_heard;
         }
     }
@@ -124,7 +130,7 @@
         }
         else if (subject.m_newest > m_revision && m_revision_asked_at + revision_wait <= now) {
             m_revision_asked_at = now;
-            question = watch_of(subject, m_loads, false);
+            question = watch_of(subject, false);
             question->mutable_watch()->set_wants_revision(true);
         }
     }
@@ -143,6 +149,9 @@
         for (const auto& item : news.loads()) {
             m_handlers.m_on_load(item.upstream(), item.in_flight());
         }
+        for (const auto& item : news.paces()) {
+            m_handlers.m_on_pace(item.upstream(), item.pace());
+        }
         m_handlers.m_on_loads_end();
         m_handlers.m_on_gateways(news.gateways());
     }
--- a/dewbeam/src/gateway/registry_feed.h
+++ b/dewbeam/src/gateway/registry_feed.h
@@ -24,6 +24,7 @@
     /// A document that is newer than the one held; true where it is taken.
     std::function<bool(const revisions::revision& newer)> m_on_revision;
     std::function<void(const std::string& upstream, std::uint32_t in_flight)> m_on_load;
+    std::function<void(const std::string& upstream, double pace)> m_on_pace;
     std::function<void()> m_on_loads_end;
     std::function<void(std::uint32_t gateways)> m_on_gateways;
 };
@@ -39,6 +40,9 @@
 /// Loads to tell, as name and count.
 using load_list = std::vector<std::pair<std::string, std::uint32_t>>;
 
+/// Upstreams that are slow, as name and pace.
+using pace_list = std::vector<std::pair<std::string, double>>;
+
 /// The feed. Thread-safe.
 class registry_feed {
 public:
@@ -46,7 +50,7 @@
                   feed_handlers handlers);
 
     /// Watches where it is time to.
-    void tick(link::node& node, const load_list& loads, time_point now);
+    void tick(link::node& node, const load_list& loads, const pace_list& paces, time_point now);
 
     /// Takes news; asks at once for a revision that is newer.
     void take(link::node& node, const link::peer& from, const wire::WatchNews& news,
@@ -79,7 +83,7 @@
     void learn_registries(const wire::WatchNews& news);
     void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
                         std::vector<registry::record>& changed);
-    wire::Envelope watch_of(const source& target, const load_list& loads, bool wants_loads) const;
+    wire::Envelope watch_of(const source& target, bool wants_loads) const;
 
     feed_options m_options;
     feed_handlers m_handlers;
@@ -90,6 +94,7 @@
     revisions::revision_number m_revision;
     time_point m_revision_asked_at{};
     load_list m_loads;
+    pace_list m_paces;
 };
 
 }  // namespace dewbeam::gateway
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -12,6 +12,9 @@
 /// A silent upstream that answered is used for so long: about as long as its silence takes to be
 /// noticed, so that one that only the registries can't hear stays in use.
 constexpr time_span trust_after_answer = std::chrono::seconds(4);
+/// A rank that is slower than this holds up its whole group with what it is given.
+constexpr double slow_pace = 1.5;
+constexpr double most_avoided_share = 0.34;
 
 }  // namespace
 
@@ -76,7 +79,9 @@
     result.m_labels.set(service_label, subject.m_known.m_service);
     result.m_slots = subject.m_known.m_slots;
     result.m_leaving = subject.m_known.m_state != registry::upstream_state::ready;
-    result.m_is_stalled = subject.m_known.m_group && subject.m_known.m_group->m_is_broken;
+    const bool is_broken = subject.m_known.m_group && subject.m_known.m_group->m_is_broken;
+    result.m_is_stalled = is_broken || subject.m_is_avoided;
+    result.m_report.m_skew = subject.m_pace;
     if (subject.m_is_silent) {
         result.m_lease_deadline = subject.m_answered_at + trust_after_answer;
     }
@@ -127,6 +132,25 @@
     }
 }
 
+void upstream_table::set_paces(const std::map<upstream_id, double>& paces)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, std::size_t> members;
+    std::map<std::string, std::size_t> slow;
+    for (auto& [name, subject] : m_items) {
+        const auto place = paces.find(name);
+        subject.m_pace = place == paces.end() ? 1.0 : place->second;
+        ++members[subject.m_known.m_service];
+        slow[subject.m_known.m_service] += subject.m_pace >= slow_pace ? 1 : 0;
+    }
+    for (auto& [name, subject] : m_items) {
+        const auto& service = subject.m_known.m_service;
+        const auto most = most_avoided_share * static_cast<double>(members[service]);
+        const bool has_others = static_cast<double>(slow[service]) <= most;
+        subject.m_is_avoided = has_others && subject.m_pace >= slow_pace;
+    }
+}
+
 std::vector<upstream_load> upstream_table::loads() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -54,6 +54,9 @@
     /// The other gateways' requests under way there.
     void set_others(const upstream_id& name, std::uint32_t in_flight, time_point now);
 
+    /// Which upstreams are slow, as the agents beside them say; the others are not.
+    void set_paces(const std::map<upstream_id, double>& paces);
+
     [[nodiscard]] std::vector<upstream_load> loads() const;
 
     /// Names of silent ones: how long they may be used depends on when they answered last.
@@ -70,6 +73,8 @@
         std::uint32_t m_others = 0;
         time_point m_others_at{};
         time_point m_answered_at{};
+        double m_pace = 1.0;
+        bool m_is_avoided = false;  ///< slow, while enough others of its service are not
     };
 
     boost::asio::io_context& m_context;
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -23,7 +23,7 @@
 constexpr time_span report_interval = std::chrono::milliseconds(400);
 constexpr time_span counts_interval = std::chrono::milliseconds(120);
 /// A rank agent needs the registries only for the addresses of the other ranks.
-constexpr time_span watch_interval = std::chrono::seconds(1);
+constexpr time_span watch_interval = std::chrono::milliseconds(500);
 /// How long fetching the experts of one plan may take, at most.
 constexpr time_span stage_limit = std::chrono::seconds(5);
 constexpr time_span arm_limit = std::chrono::seconds(1);
@@ -160,6 +160,7 @@
             return true;
         };
         result.m_on_load = [](const std::string&, std::uint32_t) {};
+        result.m_on_pace = [](const std::string&, double) {};
         result.m_on_loads_end = [] {};
         result.m_on_gateways = [](std::uint32_t) {};
         return result;
@@ -271,6 +272,7 @@
         body.set_step(counts.m_step);
         body.mutable_counts()->Add(counts.m_counts.begin(), counts.m_counts.end());
         body.set_map(holding.m_map);
+        body.set_pace(last_pace());
         for (const auto& layer : holding.m_held) {
             body.add_held_in_layer(static_cast<std::uint32_t>(layer.size()));
             body.mutable_held()->Add(layer.begin(), layer.end());
@@ -317,6 +319,7 @@
         sample.m_step = body.step();
         sample.m_counts.assign(body.counts().begin(), body.counts().end());
         sample.m_map = body.map();
+        sample.m_pace = body.pace();
         sample.m_at = now;
         int first = 0;
         for (const auto size : body.held_in_layer()) {
@@ -450,9 +453,31 @@
         begun->start(*m_node, now);
     }
 
+    [[nodiscard]] double last_pace() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_report ? m_report->m_pace : 1.0;
+    }
+
+    /// This rank's pace, where it is slow.
+    [[nodiscard]] gateway::pace_list own_pace() const
+    {
+        constexpr double usual = 1.0;
+        const std::lock_guard lock(m_mutex);
+        if (!m_report || m_report->m_pace <= usual) {
+            return {};
+        }
+        for (const auto& [name, known] : m_upstreams) {
+            if (known.m_address == m_address) {
+                return {{name.value(), m_report->m_pace}};
+            }
+        }
+        return {};
+    }
+
     void tick(time_point now)
     {
-        m_feed.tick(*m_node, {}, now);
+        m_feed.tick(*m_node, {}, own_pace(), now);
         if (now >= m_next_report) {
             ask_report(now);
             follow_group(now);
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -32,6 +32,17 @@
 constexpr std::chrono::milliseconds heartbeat_span{100};
 constexpr std::chrono::milliseconds replica_tick{20};
 
+/// What a registry believes of the log.
+struct belief {
+    std::uint64_t m_leader = 0;
+    std::uint64_t m_term = 0;
+    bool m_has_quorum = false;
+    bool m_is_voter = false;
+    std::size_t m_members = 0;
+
+    friend bool operator==(const belief&, const belief&) = default;
+};
+
 http::response error_response(int status, const char* code, const std::string& message)
 {
     return http::json_response(status,
@@ -523,6 +534,7 @@
             expire(m_holds, now, calls);
         }
         run(calls);
+        note_belief();
         note_steadiness(now);
         if (now >= m_next_sync) {
             m_next_sync = now + sync_interval;
@@ -530,6 +542,27 @@
         }
     }
 
+    /// Logs what this registry believes of the log's replicas, where that changed.
+    void note_belief()
+    {
+        const auto status = m_runner->status();
+        const belief now{status.m_leader, status.m_term, status.m_has_quorum, status.m_is_voter,
+                         status.m_members.size()};
+        if (now == m_belief) {
+            return;
+        }
+        m_belief = now;
+        const auto leader = consensus::replica_id(status.m_leader);
+        log_event(log_level::info, "log_belief",
+                  {{"leader", status.m_leader == 0 ? std::string("none") : address_of(leader)},
+                   {"term", status.m_term},
+                   {"quorum", status.m_has_quorum},
+                   {"voter", status.m_is_voter},
+                   {"members", status.m_members.size()},
+                   {"commit", status.m_commit},
+                   {"revision", m_runner->revision().m_number.value()}});
+    }
+
     void note_steadiness(time_point now)
     {
         const bool was_paused = now - m_last_tick > longest_tick_gap;
@@ -600,7 +633,8 @@
     std::set<upstream_id> m_renewed;               ///< the same; since the last sync
     std::map<std::string, time_point> m_heard_of;  ///< the same; registries by address
     std::vector<std::string> m_named;              ///< the same; registries that gateways are told
-    time_point m_next_sync{};                      ///< used on the frame's thread alone
+    belief m_belief;                               ///< used on the frame's thread alone
+    time_point m_next_sync{};                      ///< the same
     time_point m_last_tick{};                      ///< the same
     time_point m_steady_since{};                   ///< the same
     bool m_has_asked_all = false;                  ///< the same
--- a/dewbeam/src/registrar/watchers.cpp
+++ b/dewbeam/src/registrar/watchers.cpp
@@ -20,6 +20,10 @@
     subject.m_lease_deadline = now + lease;
     subject.m_is_gateway = watch.is_gateway();
     subject.m_loads.clear();
+    subject.m_paces.clear();
+    for (const auto& item : watch.paces()) {
+        subject.m_paces[item.upstream()] = item.pace();
+    }
     for (const auto& load : watch.loads()) {
         if (load.in_flight() > 0) {
             subject.m_loads[load.upstream()] = load.in_flight();
@@ -43,6 +47,11 @@
 {
     std::map<std::string, std::uint32_t> sums;
     for (const auto& [peer, subject] : table) {
+        for (const auto& [upstream, pace] : subject.m_paces) {
+            auto& item = *news.add_paces();
+            item.set_upstream(upstream);
+            item.set_pace(pace);
+        }
         if (peer == self) {
             continue;
         }
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -18,6 +18,7 @@
     time_point m_lease_deadline{};
     std::uint64_t m_told_change = 0;  ///< sent, perhaps not yet arrived
     std::map<std::string, std::uint32_t> m_loads;
+    std::map<std::string, double> m_paces;
     bool m_is_gateway = false;
 };
 
@@ -34,7 +35,7 @@
 /// Forgets gateways whose lease ended.
 void expire(watcher_table& table, time_point now);
 
-/// What all gateways but `self` have under way.
+/// What all gateways but `self` have under way, and which upstreams are slow.
 void put_loads(const watcher_table& table, const link::peer& self, wire::WatchNews& news);
 
 /// Changes of upstreams after `change`, or all of them.
