--- /dev/null
+++ b/test/platform_session.py
@@ -0,0 +1,327 @@
+"""A small site on the platform's protocol: real gateways and registrars, own stand-ins of upstreams,
+operator and callers. Streams, plain calls, configurations, keys, planned stops, a lost disk."""
+
+import argparse
+import http.client
+import http.server
+import json
+import os
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
+from dewbeam_site import Site, free_port  # noqa: E402
+
+EVENTS = 12
+
+
+class Upstream:
+    """A replica: runs what names it, counts runs by request id, and announces itself."""
+
+    def __init__(self, name, service, registries):
+        self.name = name
+        self.service = service
+        self.registries = registries
+        self.sequence = 0
+        self.runs = []
+        self.cuts = []  # events after which the next streams break; shared between upstreams
+        self.refuses = False
+        self.pause_s = 0.005
+        owner = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                owner.serve(self)
+
+            def do_POST(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                owner.serve(self)
+
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.is_announcing = True
+        threading.Thread(target=self.announce_forever, daemon=True).start()
+
+    def serve(self, handler):
+        request = handler.headers["Attempt-Id"]
+        if handler.headers["Expect-Instance"] != self.name:
+            return self.answer(handler, 421, request, b"")
+        if self.refuses:
+            return self.answer(handler, 503, request, b"", [("Not-Executed", "1")])
+        self.runs.append((request, dict(handler.headers)))
+        if "/stream/" not in handler.path:
+            return self.answer(handler, 200, request, b"ran at " + self.name.encode())
+        first = int(handler.headers.get("Last-Event-Id", 0))
+        cut_after = self.cuts.pop(0) if self.cuts else None
+        handler.send_response(200)
+        for name, value in (("Attempt-Id", request), ("Response-Stamp", "stamp-" + self.name),
+                            ("Content-Type", "text/event-stream"),
+                            ("Transfer-Encoding", "chunked")):
+            handler.send_header(name, value)
+        handler.end_headers()
+        for event in range(first + 1, EVENTS + 1):
+            data = b"id: %d\ndata: word-%d\n\n" % (event, event)
+            if cut_after is not None and event > cut_after:
+                half = data[:6]
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(half), half))
+                handler.wfile.flush()
+                handler.connection.close()
+                handler.close_connection = True
+                return None
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+            handler.wfile.flush()
+            time.sleep(self.pause_s)
+        handler.wfile.write(b"0\r\n\r\n")
+        return None
+
+    @staticmethod
+    def answer(handler, status, request, body, fields=()):
+        handler.send_response(status)
+        for name, value in [("Attempt-Id", request), ("Response-Stamp", "stamp"), *fields]:
+            handler.send_header(name, value)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+    def announce(self, state="ready"):
+        self.sequence += 1
+        beat = {"service": self.service, "address": self.address, "zone": "z1", "version": "v1",
+                "slots": 8, "state": state, "sequence": self.sequence}
+        for port in self.registries:
+            status, _ = call(port, "PUT", "/-/instances/" + self.name, json.dumps(beat))
+            if status == 200:
+                return True
+        return False
+
+    def announce_forever(self):
+        while self.is_announcing:
+            self.announce()
+            time.sleep(0.3)
+
+    def leave(self):
+        self.is_announcing = False
+        time.sleep(0.4)  # an announcement under way comes first
+        return self.announce("draining")
+
+    def stop(self):
+        self.is_announcing = False
+        self.server.shutdown()
+
+
+def call(port, method, path, body=None, fields=None, limit_s=5.0):
+    """One request; status 0 where there is no whole answer."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=limit_s)
+    try:
+        connection.request(method, path, body, fields or {})
+        with connection.getresponse() as answer:
+            return answer.status, answer.read().decode()
+    except (OSError, http.client.HTTPException) as error:
+        return 0, str(error)
+    finally:
+        connection.close()
+
+
+def configuration(version, **changes):
+    route = {"host": "api.example", "timeout-ms": 4000, "target-latency-ms": 400, "priority": 1,
+             "max-attempts": 2, "service": "chat"}
+    result = {
+        "version": version,
+        "routes": [{**route, "name": "stream", "path-prefix": "/stream/", "kind": "streaming",
+                    "stream-resume": True, "gap-aim-ms": 120},
+                   {**route, "name": "once", "path-prefix": "/once/", "kind": "unsafe"},
+                   {**route, "name": "safe", "path-prefix": "/safe/", "kind": "safe"}],
+        "services": [{"name": "chat", "health-path": "/healthz", "max-connections": 100}],
+        "tenants": [{"name": "t1", "api-keys": ["key-1"]}],
+    }
+    result.update(changes)
+    return result
+
+
+class PlatformSession(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.work = folder.name
+        self.site = Site(OPTIONS.bin, folder.name)
+        self.addCleanup(self.site.kill_all)
+        self.links = ["127.0.0.1:%d" % free_port() for _ in range(3)]
+        for index in range(3):
+            self.add_registry(index)
+        for index in range(2):
+            name = "g%d" % index
+            self.site.add(name, "dewbeam-gateway", {
+                "host": name, "failure_domain": "z1", "threads": 1,
+                "http": {"listen": "127.0.0.1:%d" % free_port()},
+                "readiness_listen": "127.0.0.1:%d" % free_port(),
+                "link": {"listen": "127.0.0.1:%d" % free_port()},
+                "registries": {"seeds": self.links},
+                "stop": {"notice_ms": 300, "drain_ms": 4000}})
+        for process in self.site.processes.values():
+            process.start()
+        self.ports = [self.site.processes["r%d" % i].http_port() for i in range(3)]
+        self.gateways = [self.site.processes["g%d" % i].http_port() for i in range(2)]
+        self.upstreams = [Upstream("i-%d" % i, "chat", self.ports) for i in range(2)]
+        for upstream in self.upstreams:
+            self.addCleanup(upstream.stop)
+        self.last_request = 0
+        for name in ("g0", "g1"):
+            self.site.wait_for(lambda n=name: self.page(n, "/healthz")[0] == 200, name)
+
+    def page(self, gateway, path):
+        listen = self.site.processes[gateway].settings["readiness_listen"]
+        return call(int(listen.rsplit(":", 1)[1]), "GET", path)
+
+    def add_registry(self, index, found=True):
+        name = "r%d" % index
+        return self.site.add(name, "dewbeam-registrar", {
+            "host": name, "failure_domain": "z1", "threads": 1,
+            "http": {"listen": "127.0.0.1:%d" % free_port()},
+            "link": {"listen": self.links[index]},
+            "registries": {"seeds": self.links},
+            "data_folder": os.path.join(self.work, "data-" + name),
+            "found": found, "stop": {"notice_ms": 0, "drain_ms": 2000}})
+
+    def put(self, document, limit_s=20.0):
+        """Sends a configuration until it gets a clear answer, to one registry after the other."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            for port in self.ports:
+                status, body = call(port, "PUT", "/-/config", json.dumps(document))
+                if status != 0 and status < 500:
+                    return status, body
+            time.sleep(0.1)
+        raise TimeoutError("no clear answer to a configuration")
+
+    def in_force(self, version):
+        def known(name):
+            status, body = self.page(name, "/v1/status")
+            return status == 200 and json.loads(body)["revision"] >= version
+        self.site.wait_for(lambda: all(known(name) for name in ("g0", "g1")),
+                           "revision %d at both gateways" % version)
+
+    def upstreams_known(self, count):
+        def known(name):
+            status, body = self.page(name, "/v1/status")
+            return status == 200 and len(json.loads(body)["upstreams"]) >= count
+        self.site.wait_for(lambda: all(known(name) for name in ("g0", "g1")),
+                           "%d upstreams at both gateways" % count)
+
+    def begin(self):
+        self.assertEqual(self.put(configuration(1))[0], 200)
+        self.in_force(1)
+        self.upstreams_known(2)
+
+    def ask(self, path, gateway=0, key="key-1", method="POST", fields=None, **options):
+        self.last_request += 1
+        head = {"Host": "api.example", "Attempt-Id": "req-%d" % self.last_request,
+                "Deadline-Ms": "4000", **(fields or {})}
+        if key:
+            head["Authorization"] = "Bearer " + key
+        return call(self.gateways[gateway], method, path, "{}", head, **options)
+
+    def runs(self):
+        return [run for upstream in self.upstreams for run in upstream.runs]
+
+    def test_requests_reach_upstreams_as_they_came(self):
+        status, _ = self.ask("/once/early")
+        self.assertEqual(status, 503, "a gateway without a configuration can't tell")
+        self.begin()
+        status, body = self.ask("/once/a?b=c", fields={"Tenant": "forged"})
+        self.assertEqual(status, 200)
+        self.assertIn("ran at", body)
+        head = self.runs()[0][1]
+        self.assertEqual(head["Tenant"], "t1")
+        self.assertEqual(head["Host"], "api.example")
+        self.assertNotIn("Authorization", head)
+        self.assertLessEqual(int(head["Deadline-Ms"]), 4000)
+        status, body = self.ask("/stream/x")
+        self.assertEqual(status, 200)
+        self.assertEqual(body.count("data: "), EVENTS)
+        self.assertEqual(self.ask("/nowhere/x")[0], 404)
+        self.assertEqual(self.ask("/once/x", key="key-2")[0], 401)
+        self.assertEqual(self.ask("/once/x", key=None)[0], 401)
+
+    def test_a_broken_stream_goes_on_elsewhere_and_what_may_not_run_twice_does_not(self):
+        self.begin()
+        cuts = [5]
+        for upstream in self.upstreams:
+            upstream.cuts = cuts
+        status, body = self.ask("/stream/x")
+        self.assertEqual(status, 200)
+        ids = [int(line[4:]) for line in body.splitlines() if line.startswith("id: ")]
+        self.assertEqual(ids, list(range(1, EVENTS + 1)))
+        self.assertEqual(self.runs()[-1][1].get("Last-Event-Id") or
+                         self.runs()[0][1].get("Last-Event-Id"), "5")
+        cuts.extend([5, 7])
+        status, _ = self.ask("/stream/x")
+        self.assertEqual(status, 0, "a stream that broke for good must not look whole")
+        for upstream in self.upstreams:
+            upstream.refuses = True
+        status, _ = self.ask("/once/x")
+        self.assertEqual(status, 503)
+        self.assertNotIn("req-%d" % self.last_request, [run[0] for run in self.runs()])
+
+    def test_configurations_are_kept_checked_and_never_go_back(self):
+        self.begin()
+        sent = configuration(30, tenants=[{"name": "t1", "api-keys": ["key-2"]}])
+        self.assertEqual(self.put(sent)[0], 200)
+        self.in_force(30)
+        self.assertEqual(self.ask("/once/x", key="key-1")[0], 401)
+        self.assertEqual(self.ask("/once/x", key="key-2")[0], 200)
+        self.assertEqual(self.put(configuration(29))[0], 200, "overtaken, and acknowledged")
+        self.assertEqual(self.put({**sent, "services": []})[0], 400)
+        self.assertEqual(self.put({**sent, "version": 31, "services": []})[0], 400)
+        # The host that acknowledged last loses its disk; it comes back empty and learns.
+        self.assertEqual(self.put({**sent, "version": 32})[0], 200)
+        lost = self.site.processes["r0"]
+        lost.kill()
+        shutil.rmtree(os.path.join(self.work, "data-r0"))
+        lost.settings["found"] = False
+        lost.start()
+        for port in self.ports:
+            def newest(at=port):
+                status, body = call(at, "GET", "/-/config")
+                return status == 200 and json.loads(body) == {**sent, "version": 32}
+            self.site.wait_for(newest, "the newest configuration at port %d" % port)
+
+    def test_a_leaving_upstream_gets_nothing_new_and_a_planned_stop_cuts_nothing(self):
+        self.begin()
+        self.assertTrue(self.upstreams[0].leave())
+        time.sleep(0.5)
+        before = len(self.upstreams[0].runs)
+        for index in range(20):
+            self.assertEqual(self.ask("/once/%d" % index, gateway=index % 2)[0], 200)
+        self.assertEqual(len(self.upstreams[0].runs), before)
+        self.upstreams[1].pause_s = 0.1
+        results = []
+        threads = [threading.Thread(target=lambda: results.append(self.ask("/stream/x")))
+                   for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        stopped = self.site.processes["g0"]
+        stopped.send(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        self.assertEqual([status for status, _ in results], [200] * 4)
+        self.assertTrue(all(body.count("data: ") == EVENTS for _, body in results))
+        self.assertEqual(stopped.wait(), 0)
+
+
+if __name__ == "__main__":
+    PARSER = argparse.ArgumentParser()
+    PARSER.add_argument("--bin", required=True)
+    OPTIONS, REST = PARSER.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *REST], verbosity=2)
--- /dev/null
+++ b/test/ranks_test.cpp
@@ -0,0 +1,219 @@
+// The rank agent: what its engine is told, what all ranks count and hold together.
+#include "dewbeam/ranks"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "dewbeam/experts"
+#include "dewbeam/src/ranks/rank_engine.h"
+
+namespace dewbeam::ranks {
+namespace {
+
+using group_map::engine_order;
+using group_map::order_kind;
+using kind = rank_order::kind;
+
+std::vector<kind> kinds_of(order_kind wanted, std::uint64_t map, bool must_raise = false)
+{
+    engine_order order;
+    order.m_kind = wanted;
+    order.m_number = fencing_number(9);
+    order.m_target = {group_map::map_of_number(map), group_map::step_number(40)};
+    std::vector<kind> result;
+    for (const auto& item : to_rank_orders(order, 3, nullptr, must_raise)) {
+        EXPECT_EQ(item.m_fencing, fencing_number(9));
+        EXPECT_EQ(item.m_formation, 3U);
+        result.push_back(item.m_kind);
+    }
+    return result;
+}
+
+TEST(rank_engine, goes_on_only_behind_an_arm_or_a_disarm)
+{
+    EXPECT_EQ(kinds_of(order_kind::stage, 7), std::vector{kind::prepare});
+    EXPECT_EQ(kinds_of(order_kind::hold, 7), std::vector{kind::hold});
+    EXPECT_EQ(kinds_of(order_kind::switch_map, 7), (std::vector{kind::arm, kind::go}));
+    EXPECT_EQ(kinds_of(order_kind::release, 7), (std::vector{kind::disarm, kind::go}));
+    EXPECT_EQ(kinds_of(order_kind::release, 0), std::vector{kind::go});
+}
+
+TEST(rank_engine, a_read_of_a_new_life_raises_the_fencing_number)
+{
+    EXPECT_TRUE(kinds_of(order_kind::read, 0).empty());
+    EXPECT_EQ(kinds_of(order_kind::read, 0, true), std::vector{kind::go});
+}
+
+TEST(rank_engine, a_rank_that_is_armed_and_held_has_not_switched)
+{
+    rank_report report;
+    report.m_formation = 2;
+    report.m_step = group_map::step_number(10);
+    report.m_map = 5;
+    report.m_prepared = 6;
+    auto state = to_state(report);
+    EXPECT_EQ(state.m_step, group_map::step_number(11));
+    EXPECT_FALSE(state.m_armed);
+    report.m_held = group_map::step_number(14);
+    state = to_state(report);
+    EXPECT_EQ(state.m_armed->m_map, group_map::map_of_number(6));
+    EXPECT_EQ(group_map::settled_map(state), group_map::map_of_number(5));
+    report.m_armed = armed_map{6, group_map::step_number(14)};
+    EXPECT_EQ(group_map::settled_map(to_state(report)), group_map::map_of_number(5));
+    report.m_held.reset();
+    EXPECT_TRUE(to_state(report).m_switching);
+    EXPECT_EQ(group_map::settled_map(to_state(report)), group_map::map_of_number(6));
+}
+
+TEST(placement, survives_json_and_refuses_the_rest)
+{
+    const placement wanted{{{0, 2}, {1}}, {{1}, {0, 2}}};
+    EXPECT_EQ(*placement_from_json(to_json(wanted)), wanted);
+    for (const auto* text : {"", "{}", "[1]", "[[1]]", "[[[-1]]]", "[[[\"a\"]]]"}) {
+        EXPECT_FALSE(placement_from_json(text).ok()) << text;
+    }
+}
+
+TEST(coordinator, unique_numbers_rise_above_all_that_any_rank_met)
+{
+    group_map::coordinator_options options;
+    options.m_ranks = 1;
+    options.m_incarnation = incarnation(7);
+    options.m_unique_numbers = true;
+    const time_point now{};
+    const auto propose_after = [&](std::uint64_t met) {
+        auto coordinator = group_map::make_coordinator(options);
+        group_map::activate(coordinator, 0, now);
+        coordinator.m_phase = group_map::phase::settled;
+        coordinator.m_ranks[0].m_engine.m_staged = group_map::map_of_number(met);
+        group_map::coordinator_effects effects;
+        group_map::propose(coordinator, std::make_shared<const std::string>("map"), now, effects);
+        return effects.m_commands.at(0).m_target.m_map;
+    };
+    const auto first = propose_after(0);
+    const auto second = propose_after(first.m_number);
+    EXPECT_GT(second.m_number, first.m_number);
+    EXPECT_EQ(first.m_content, fingerprint(first.m_number));
+}
+
+TEST(coordinator, names_ranks_that_owe_an_answer)
+{
+    group_map::coordinator_options options;
+    options.m_ranks = 3;
+    auto coordinator = group_map::make_coordinator(options);
+    const time_point now{std::chrono::seconds(5)};
+    const auto patience = std::chrono::milliseconds(300);
+    EXPECT_TRUE(group_map::late_ranks(coordinator, patience, now).empty());
+    group_map::activate(coordinator, 0, now);
+    EXPECT_TRUE(group_map::late_ranks(coordinator, patience, now).empty());
+    EXPECT_EQ(group_map::late_ranks(coordinator, patience, now + patience).size(), 3U);
+}
+
+}  // namespace
+}  // namespace dewbeam::ranks
+
+namespace dewbeam::experts {
+namespace {
+
+group_shape shape()
+{
+    group_shape result;
+    result.m_ranks = 2;
+    result.m_slots_per_rank = 3;
+    result.m_experts = 4;
+    result.m_layers = 1;
+    return result;
+}
+
+rank_sample sample(std::uint64_t step, std::vector<std::uint64_t> counts,
+                   std::vector<std::uint32_t> held, int at_ms)
+{
+    rank_sample result;
+    result.m_formation = 1;
+    result.m_step = step;
+    result.m_counts = std::move(counts);
+    result.m_held = {std::move(held)};
+    result.m_at = time_point(std::chrono::milliseconds(at_ms));
+    return result;
+}
+
+TEST(rank_book, adds_up_what_all_ranks_counted_since_the_last_time)
+{
+    auto book = make_rank_book(shape());
+    EXPECT_TRUE(note(book, rank_id(0), sample(10, {1, 1, 1, 1}, {0, 2}, 0)));
+    EXPECT_FALSE(take_observation(book)) << "a rank is missing";
+    EXPECT_TRUE(note(book, rank_id(1), sample(10, {0, 0, 0, 0}, {1, 3}, 0)));
+    EXPECT_FALSE(take_observation(book)) << "nothing to compare with";
+    note(book, rank_id(0), sample(20, {11, 1, 1, 1}, {0, 2}, 100));
+    EXPECT_FALSE(take_observation(book)) << "half of the news";
+    note(book, rank_id(1), sample(20, {10, 30, 0, 0}, {1, 3}, 100));
+    const auto seen = take_observation(book);
+    ASSERT_TRUE(seen);
+    EXPECT_EQ(seen->m_steps, 10.0);
+    // The last one stands for the empty places.
+    EXPECT_EQ(seen->m_tokens_per_step.at(0), (layer_counts{2.0, 3.0, 0.0, 0.0, 0.0}));
+}
+
+TEST(rank_book, samples_that_do_not_fit_are_passed_over)
+{
+    auto book = make_rank_book(shape());
+    EXPECT_FALSE(note(book, rank_id(2), sample(1, {0, 0, 0, 0}, {0}, 0)));
+    EXPECT_FALSE(note(book, rank_id(0), sample(1, {0, 0, 0}, {0}, 0)));
+    EXPECT_FALSE(note(book, rank_id(0), sample(1, {0, 0, 0, 0}, {4}, 0)));
+    EXPECT_FALSE(note(book, rank_id(0), sample(1, {0, 0, 0, 0}, {0, 1, 2, 3}, 0)));
+}
+
+TEST(rank_book, the_map_is_what_all_hold_with_empty_places_filled)
+{
+    auto book = make_rank_book(shape());
+    note(book, rank_id(0), sample(1, {0, 0, 0, 0}, {0, 2}, 0));
+    note(book, rank_id(1), sample(1, {0, 0, 0, 0}, {1, 3}, 0));
+    const auto map = map_in_force(book);
+    ASSERT_TRUE(map);
+    EXPECT_EQ(map->m_shape.m_experts, 5U);
+    EXPECT_EQ(to_lists(*map, 4),
+              (std::vector<std::vector<std::vector<std::uint32_t>>>{{{0, 2}, {1, 3}}}));
+    auto newer = sample(1, {0, 0, 0, 0}, {1, 3}, 0);
+    newer.m_map = 8;
+    note(book, rank_id(1), newer);
+    EXPECT_FALSE(map_in_force(book)) << "two maps at once are none";
+}
+
+TEST(local_search, a_rank_takes_no_more_new_experts_than_it_may)
+{
+    group_shape wide;
+    wide.m_ranks = 4;
+    wide.m_slots_per_rank = 6;
+    wide.m_experts = 17;
+    wide.m_layers = 1;
+    random_engine random(11);
+    for (int round = 0; round < 30; ++round) {
+        layer_counts counts(wide.m_experts, 0.0);
+        for (std::size_t i = 0; i + 1 < counts.size(); ++i) {
+            counts[i] = static_cast<double>(uniform_below(random, 1000));
+        }
+        const auto before = initial_map(wide).m_layers.front();
+        auto after = before;
+        for (const auto& change : search_layer(wide, before, counts, {}, {32, 1.0, 1})) {
+            apply(after, change);
+        }
+        for (std::uint32_t rank = 0; rank < wide.m_ranks; ++rank) {
+            const auto first = before.begin() + rank * wide.m_slots_per_rank;
+            std::set<std::uint32_t> fresh;
+            for (std::uint32_t i = 0; i < wide.m_slots_per_rank; ++i) {
+                const auto taken = after[rank * wide.m_slots_per_rank + i];
+                if (std::find(first, first + wide.m_slots_per_rank, taken) ==
+                    first + wide.m_slots_per_rank) {
+                    fresh.insert(taken.value());
+                }
+            }
+            EXPECT_LE(fresh.size(), 1U);
+        }
+        EXPECT_LE(load_of(wide, after, counts).m_slowest, load_of(wide, before, counts).m_slowest);
+    }
+}
+
+}  // namespace
+}  // namespace dewbeam::experts
--- /dev/null
+++ b/test/registry_test.cpp
@@ -0,0 +1,194 @@
+// Announced upstreams, revisions, and the ends that a majority must hold.
+#include "dewbeam/registry"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+#include "dewbeam/revisions"
+#include "dewbeam/src/registrar/addresses.h"
+#include "dewbeam/src/registrar/announcement_wire.h"
+#include "dewbeam/src/registrar/holds.h"
+#include "dewbeam/src/registrar/watchers.h"
+
+namespace dewbeam::registry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+announcement beat(std::uint64_t number, upstream_state state = upstream_state::ready)
+{
+    announcement result;
+    result.m_name = upstream_id("u1");
+    result.m_service = "chat";
+    result.m_address = {"10.0.0.1", 80};
+    result.m_slots = 4;
+    result.m_state = state;
+    result.m_number = announcement_number(number);
+    return result;
+}
+
+TEST(registry, tells_news_from_renewals_and_late_ones)
+{
+    table known;
+    const time_point now{};
+    EXPECT_EQ(merge(known, beat(1), now), merge_result::changed);
+    EXPECT_EQ(merge(known, beat(2), now), merge_result::renewed);
+    EXPECT_EQ(merge(known, beat(2), now), merge_result::nothing);
+    EXPECT_EQ(merge(known, beat(4, upstream_state::leaving), now), merge_result::changed);
+    EXPECT_EQ(merge(known, beat(3), now), merge_result::nothing) << "sent before it left";
+    EXPECT_EQ(known.m_records.begin()->second.m_announced.m_state, upstream_state::leaving);
+}
+
+TEST(registry, an_end_holds_for_good_also_before_the_first_announcement)
+{
+    table known;
+    EXPECT_EQ(end_upstream(known, upstream_id("u1"), {}), merge_result::changed);
+    EXPECT_EQ(merge(known, beat(9), {}), merge_result::nothing);
+    EXPECT_EQ(changes_since(known, 0).front()->m_announced.m_state, upstream_state::gone);
+    forget_old(known, time_point(minutes(6)));
+    EXPECT_TRUE(known.m_records.empty());
+}
+
+TEST(registry, silence_is_news_and_so_is_its_end)
+{
+    table known;
+    merge(known, beat(1), {});
+    note_silence(known, time_point(milliseconds(4499)));
+    EXPECT_FALSE(known.m_records.begin()->second.m_is_silent);
+    note_silence(known, time_point(milliseconds(4500)));
+    EXPECT_TRUE(known.m_records.begin()->second.m_is_silent);
+    const auto told = known.m_last_change;
+    EXPECT_EQ(merge(known, beat(2), time_point(seconds(5))), merge_result::changed);
+    EXPECT_EQ(changes_since(known, told).size(), 1U);
+    EXPECT_EQ(merge_silence(known, upstream_id("u1"), announcement_number(1)),
+              merge_result::nothing)
+        << "it was heard after that";
+    EXPECT_EQ(merge_silence(known, upstream_id("u1"), announcement_number(2)),
+              merge_result::changed);
+}
+
+RC_GTEST_PROP(registry, registries_that_heard_the_same_know_the_same, (std::uint64_t seed))
+{
+    random_engine random(seed);
+    std::vector<announcement> heard;
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        auto item = beat(uniform_below(random, 6) + 1);
+        item.m_name = upstream_id("u" + std::to_string(uniform_below(random, 3)));
+        const auto kind = uniform_below(random, 8);
+        item.m_state = kind == 0   ? upstream_state::gone
+                       : kind == 1 ? upstream_state::leaving
+                                   : upstream_state::ready;
+        // One number stands for one content, as an upstream sends it.
+        item.m_state =
+            kind > 0 ? (item.m_number.value() > 4 ? upstream_state::leaving : upstream_state::ready)
+                     : item.m_state;
+        heard.push_back(item);
+    }
+    table first;
+    table second;
+    for (const auto& item : heard) {
+        merge(first, item, {});
+    }
+    std::shuffle(heard.begin(), heard.end(), random);
+    for (const auto& item : heard) {
+        merge(second, item, {});
+        merge(second, item, {});
+    }
+    RC_ASSERT(first.m_records.size() == second.m_records.size());
+    for (const auto& [name, known] : first.m_records) {
+        RC_ASSERT(second.m_records.at(name).m_announced.m_state == known.m_announced.m_state);
+    }
+}
+
+TEST(registry, records_survive_the_wire)
+{
+    table first;
+    auto item = beat(3);
+    item.m_group = group_place{"g", 2, rank_id(5), true};
+    merge(first, item, {});
+    wire::AnnouncedUpstream message;
+    registrar::to_wire(first.m_records.begin()->second, message);
+    table second;
+    EXPECT_EQ(registrar::merge(second, message, {}), merge_result::changed);
+    EXPECT_EQ(second.m_records.begin()->second.m_announced, item);
+    message.set_address("nowhere");
+    message.set_sequence(4);
+    EXPECT_EQ(registrar::merge(second, message, {}), merge_result::nothing);
+}
+
+TEST(revision_store, the_highest_number_holds_and_the_rest_changes_nothing)
+{
+    revisions::revision_store store;
+    const auto revision = [](std::uint64_t number, const char* content) {
+        return revisions::revision{revisions::revision_number(number), content};
+    };
+    EXPECT_EQ(apply(store, revision(7, "seven")), revisions::revision_result::adopted);
+    EXPECT_EQ(apply(store, revision(7, "other")), revisions::revision_result::overtaken);
+    EXPECT_EQ(apply(store, revision(3, "three")), revisions::revision_result::overtaken);
+    EXPECT_EQ(*store.m_content, "seven");
+    EXPECT_EQ(apply(store, revision(20, "twenty")), revisions::revision_result::adopted);
+}
+
+TEST(registry_addresses, an_address_is_its_id)
+{
+    const auto id = registrar::id_of("tcp://10.1.0.43:7340");
+    EXPECT_EQ(registrar::address_of(id), "tcp://10.1.0.43:7340");
+    EXPECT_NE(id, registrar::id_of("tcp://10.1.0.44:7340"));
+    EXPECT_EQ(registrar::id_of("10.1.0.43:7340"), consensus::replica_id());
+    EXPECT_EQ(registrar::id_of("tcp://[::1]:7340"), consensus::replica_id());
+}
+
+TEST(holds, an_end_is_held_once_enough_voters_answered)
+{
+    registrar::hold_table table;
+    int held = 0;
+    int given_up = 0;
+    registrar::hold waiting;
+    waiting.m_needed = 2;
+    waiting.m_counted = {"a", "b", "c"};
+    waiting.m_deadline = time_point(milliseconds(800));
+    waiting.m_done = [&](bool is_held) { ++(is_held ? held : given_up); };
+    table.m_holds.emplace(1, waiting);
+    table.m_holds.emplace(2, waiting);
+    registrar::hold_calls calls;
+    for (const auto* from : {"a", "a", "stranger", "b", "c"}) {
+        registrar::note_answer(table, 1, from, calls);
+    }
+    registrar::note_answer(table, 2, "a", calls);
+    registrar::expire(table, time_point(milliseconds(799)), calls);
+    registrar::expire(table, time_point(milliseconds(800)), calls);
+    for (const auto& call : calls) {
+        call();
+    }
+    EXPECT_EQ(held, 1);
+    EXPECT_EQ(given_up, 1);
+    EXPECT_TRUE(table.m_holds.empty());
+}
+
+TEST(watchers, a_gateway_is_told_the_loads_of_all_others)
+{
+    registrar::watcher_table table;
+    wire::Watch watch;
+    watch.set_is_gateway(true);
+    auto& load = *watch.add_loads();
+    load.set_upstream("u1");
+    load.set_in_flight(3);
+    for (const auto* address : {"a", "b", "c"}) {
+        registrar::note_watch(table, {address, ""}, watch, {});
+    }
+    registrar::note_watch(table, {"rank agent", ""}, {}, {});
+    wire::WatchNews news;
+    registrar::put_loads(table, {"a", ""}, news);
+    ASSERT_EQ(news.loads_size(), 1);
+    EXPECT_EQ(news.loads(0).in_flight(), 6U);
+    EXPECT_EQ(registrar::count_gateways(table), 3U);
+    registrar::expire(table, time_point(seconds(4)));
+    EXPECT_TRUE(table.empty());
+}
+
+}  // namespace
+}  // namespace dewbeam::registry
--- /dev/null
+++ b/test/upstream_health_test.cpp
@@ -0,0 +1,183 @@
+// Upstreams judged by their results; queues that end before the deadline; events cut whole.
+#include <gtest/gtest.h>
+
+#include "dewbeam/dispatch"
+#include "dewbeam/replies"
+#include "dewbeam/src/dispatch/health.h"
+
+namespace dewbeam::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(upstream_health, closes_after_failures_in_a_row_and_for_longer_each_time)
+{
+    health state;
+    const health_options options;
+    time_point now{seconds(1)};
+    EXPECT_FALSE(note_failure(state, options, now));
+    EXPECT_FALSE(note_failure(state, options, now));
+    EXPECT_TRUE(note_failure(state, options, now));
+    EXPECT_EQ(state.m_closed_until, now + milliseconds(500));
+    now = state.m_closed_until;
+    EXPECT_TRUE(note_failure(state, options, now)) << "one more closes it again";
+    EXPECT_EQ(state.m_closed_until, now + seconds(1));
+    for (int i = 0; i < 8; ++i) {
+        now = state.m_closed_until;
+        note_failure(state, options, now);
+    }
+    EXPECT_EQ(state.m_closed_until, now + options.m_longest_pause);
+}
+
+TEST(upstream_health, a_share_of_failures_closes_whatever_lies_between_them)
+{
+    health state;
+    const health_options options;
+    const time_point now{seconds(1)};
+    bool is_closed = false;
+    for (int i = 0; i < 6; ++i) {
+        note_success(state, options, now);
+        is_closed = note_failure(state, options, now) || is_closed;
+    }
+    EXPECT_TRUE(is_closed);
+    health sound;
+    for (int i = 0; i < 40; ++i) {
+        const bool fails = i % 10 == 9;
+        EXPECT_FALSE(fails && note_failure(sound, options, now));
+        if (!fails) {
+            note_success(sound, options, now);
+        }
+    }
+}
+
+TEST(upstream_health, slowness_is_relative_and_fades)
+{
+    slowness pool;
+    slowness slow;
+    const time_point now{seconds(10)};
+    for (int i = 0; i < 20; ++i) {
+        note_first_token_time(pool, 0.02, now);
+        note_first_token_time(slow, 0.1, now);
+    }
+    EXPECT_NEAR(slowness_of(slow, pool, now), 5.0, 0.1);
+    EXPECT_EQ(slowness_of(pool, pool, now), 1.0);
+    EXPECT_LT(slowness_of(slow, pool, now + seconds(6)), 1.3);
+    EXPECT_EQ(slowness_of({}, pool, now), 1.0);
+}
+
+upstream_info upstream(const char* name, std::uint32_t slots)
+{
+    upstream_info result;
+    result.m_name = upstream_id(name);
+    result.m_slots = slots;
+    return result;
+}
+
+request_info request(std::uint64_t ticket_number, time_point now)
+{
+    request_info result;
+    result.m_ticket = ticket(ticket_number);
+    result.m_arrival = now;
+    result.m_deadline = now + seconds(8);
+    result.m_wait_deadline = now + seconds(1);
+    return result;
+}
+
+class broker_waits : public testing::Test {
+protected:
+    broker_waits()
+    {
+        m_broker.m_options.m_runs_must_fit = false;
+        update_upstream(m_broker, upstream("u1", 1), m_now, m_random);
+    }
+
+    broker m_broker;
+    random_engine m_random{1};
+    time_point m_now{seconds(100)};
+};
+
+TEST_F(broker_waits, what_waited_until_its_wait_deadline_is_refused_with_time_to_come_back)
+{
+    EXPECT_EQ(submit(m_broker, request(1, m_now), m_now, m_random).size(), 1U);
+    EXPECT_TRUE(submit(m_broker, request(2, m_now), m_now, m_random).empty());
+    EXPECT_TRUE(tick(m_broker, m_now + milliseconds(999), m_random).empty());
+    const auto given_up = tick(m_broker, m_now + seconds(1), m_random);
+    ASSERT_EQ(given_up.size(), 1U);
+    EXPECT_EQ(given_up[0].m_kind, action::kind::refuse);
+    EXPECT_EQ(given_up[0].m_refusal, refusal::overloaded);
+    EXPECT_GT(given_up[0].m_retry_at, m_now + seconds(1));
+}
+
+TEST_F(broker_waits, a_stalled_group_is_waited_for)
+{
+    auto stalled = upstream("u1", 1);
+    stalled.m_is_stalled = true;
+    update_upstream(m_broker, stalled, m_now, m_random);
+    EXPECT_TRUE(submit(m_broker, request(1, m_now), m_now, m_random).empty());
+    const auto begun = update_upstream(m_broker, upstream("u1", 1), m_now, m_random);
+    ASSERT_EQ(begun.size(), 1U);
+    EXPECT_EQ(begun[0].m_kind, action::kind::dispatch);
+}
+
+TEST_F(broker_waits, a_request_is_sent_to_as_many_upstreams_as_its_route_allows)
+{
+    update_upstream(m_broker, upstream("u2", 1), m_now, m_random);
+    update_upstream(m_broker, upstream("u3", 1), m_now, m_random);
+    auto wanted = request(1, m_now);
+    wanted.m_most_attempts = 2;
+    auto steps = submit(m_broker, wanted, m_now, m_random);
+    const auto first = steps.at(0).m_upstream;
+    steps = attempt_ended(m_broker, ticket(1), attempt_end::not_run, m_now, m_random);
+    ASSERT_EQ(steps.at(0).m_kind, action::kind::dispatch);
+    EXPECT_NE(steps.at(0).m_upstream, first);
+    steps = attempt_ended(m_broker, ticket(1), attempt_end::not_run, m_now, m_random);
+    EXPECT_EQ(steps.at(0).m_refusal, refusal::retries_exhausted);
+}
+
+TEST_F(broker_waits, a_request_is_late_where_others_sent_after_it_were_answered)
+{
+    update_upstream(m_broker, upstream("u2", 4), m_now, m_random);
+    submit(m_broker, request(1, m_now), m_now, m_random);
+    const auto later = m_now + milliseconds(200);
+    submit(m_broker, request(2, later), later, m_random);
+    EXPECT_FALSE(is_outrun(m_broker, ticket(1), milliseconds(100)));
+    first_token(m_broker, ticket(2), later + milliseconds(20));
+    EXPECT_TRUE(is_outrun(m_broker, ticket(1), milliseconds(100)));
+    EXPECT_FALSE(is_outrun(m_broker, ticket(1), milliseconds(300)));
+    EXPECT_FALSE(is_outrun(m_broker, ticket(2), milliseconds(0)));
+}
+
+TEST_F(broker_waits, gateways_share_the_retries)
+{
+    set_sharing(m_broker, 4, {0.1, 2.0});
+    EXPECT_EQ(m_broker.m_options.m_entries_sharing, 4U);
+    EXPECT_LE(m_broker.m_retry_budget.m_tokens, 2.0);
+}
+
+}  // namespace
+}  // namespace dewbeam::dispatch
+
+namespace dewbeam::replies {
+namespace {
+
+TEST(event_splitter, gives_whole_events_however_they_are_cut)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\nda";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        event_splitter state;
+        std::string whole;
+        for (std::size_t i = 0; i < stream.size(); i += size) {
+            whole += split_events(state, std::string_view(stream).substr(i, size));
+        }
+        EXPECT_EQ(whole, stream.substr(0, stream.size() - std::string("id: 3\nda").size()));
+        EXPECT_EQ(state.m_events, 3U);
+        EXPECT_EQ(state.m_last_id, 2U) << "an unfinished event was not delivered";
+        EXPECT_EQ(state.m_partial, "id: 3\nda");
+        drop_partial(state);
+        EXPECT_TRUE(state.m_partial.empty());
+    }
+}
+
+}  // namespace
+}  // namespace dewbeam::replies
