Give each replica election timeouts of its own

Cause: the seed of a replica's draws was its life XOR its disk's identity, and a new disk takes its identity from the life that made it: 0 on every first disk. Two replicas that had made equally many draws asked for each other's votes at the same millisecond, term after term, and never led. Ruled out: a lost revision, gateways that don't ask. Change: election_seed mixes id, life and disk.

--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -82,7 +82,7 @@
         : m_options(std::move(options)),
           m_hooks(std::move(hooks)),
           m_disk(std::move(disk)),
-          m_random(m_options.m_life.value() ^ m_disk->disk().value())
+          m_random(election_seed(m_options.m_replica, m_options.m_life, m_disk->disk()))
     {
         m_options.m_consensus.m_seeds = m_options.m_seeds;
         for (std::uint64_t id = 1; id <= m_options.m_addresses.size(); ++id) {
@@ -643,6 +643,11 @@
     std::thread m_syncer;
 };
 
+std::uint64_t election_seed(std::uint64_t replica, incarnation life, consensus::disk_id disk)
+{
+    return combine_hash(combine_hash(life.value(), disk.value()), replica);
+}
+
 replica_runner::replica_runner(std::unique_ptr<implementation> impl)
     : m_implementation(std::move(impl))
 {
--- a/dewbeam/src/control/replica_runner.h
+++ b/dewbeam/src/control/replica_runner.h
@@ -92,6 +92,11 @@
     byte_count m_kept_answers;
 };
 
+/// Seed of a replica's random draws, which spread the election timeouts. It differs between
+/// replicas that start together, and between the lives of one: replicas with equal draws ask for
+/// each other's votes at the same moments and never elect a leader.
+std::uint64_t election_seed(std::uint64_t replica, incarnation life, consensus::disk_id disk);
+
 /// One replica at work. Thread-safe.
 ///
 /// A call never blocks for a disk or a majority: its callback is called exactly once, at the
--- a/test/replica_runner_test.cpp
+++ b/test/replica_runner_test.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace dewbeam::control {
@@ -353,5 +354,18 @@
     EXPECT_FALSE(replica_runner::start(options, {}).ok());
 }
 
+/// A new disk takes its identity from the life that made it.
+TEST(replica_runner, replicas_on_new_disks_draw_different_election_timeouts)
+{
+    std::set<std::uint64_t> seeds;
+    const std::vector<std::uint64_t> lives = {1782089081077860, 1782089081077861};
+    for (const auto life : lives) {
+        for (std::uint64_t replica = 1; replica <= 3; ++replica) {
+            seeds.insert(election_seed(replica, incarnation(life), consensus::disk_id(life)));
+        }
+    }
+    EXPECT_EQ(seeds.size(), 6U);
+}
+
 }  // namespace
 }  // namespace dewbeam::control
