Wait before a second try at a group that refuses by another rank's fault; longer advice in an outage

Change: such a refusal pauses its whole group for 0.4 s, and what ends so is told to come back after a quarter of the time that it has left.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -299,6 +299,15 @@
     return is_closed;
 }
 
+void pause_upstream(broker& state, const upstream_id& name, time_point until, time_point now)
+{
+    if (const auto index = find_upstream(state.m_table, name)) {
+        auto& paused = state.m_table.m_upstreams[*index]->m_closed_until;
+        paused = std::max(paused, until);
+        refresh(state.m_table, options_of(state), *index, now);
+    }
+}
+
 bool is_outrun(const broker& state, ticket request, time_span margin)
 {
     const auto place = state.m_requests.find(request);
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -102,6 +102,9 @@
 /// An upstream's fault failed an attempt, or it answered one; true where it is closed for a while.
 bool note_result(broker& state, const upstream_id& name, bool is_good, time_point now);
 
+/// Nothing is sent to an upstream until then.
+void pause_upstream(broker& state, const upstream_id& name, time_point until, time_point now);
+
 /// Whether a running request is late by its upstream's own fault: others that were sent off more
 /// than `margin` after it, to other upstreams, have their first token already.
 bool is_outrun(const broker& state, ticket request, time_span margin);
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -203,6 +203,15 @@
     return dispatch::note_result(target->m_broker, name, is_good, now);
 }
 
+void pool_table::pause_upstream(const std::string& pool, const upstream_id& name, time_point until,
+                                time_point now)
+{
+    if (const auto target = find(pool)) {
+        const std::lock_guard lock(target->m_mutex);
+        dispatch::pause_upstream(target->m_broker, name, until, now);
+    }
+}
+
 bool pool_table::is_outrun(const std::string& pool, dispatch::ticket request,
                            time_span margin) const
 {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -60,6 +60,10 @@
     bool note_result(const std::string& pool, const upstream_id& name, bool is_good,
                      time_point now);
 
+    /// Nothing is sent to an upstream until then.
+    void pause_upstream(const std::string& pool, const upstream_id& name, time_point until,
+                        time_point now);
+
     /// Whether a running request is late by its upstream's own fault.
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
                                  time_span margin) const;
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -11,6 +11,10 @@
 /// callers don't wait for longer than a third of it.
 constexpr double return_share = 0.25;
 constexpr time_span shortest_return = std::chrono::milliseconds(100);
+/// A group that refuses by the fault of one rank refuses at every other rank as well: the next try
+/// waits for so long, instead of meeting the same refusal at once. A group forms anew in about
+/// 0.6 s once its rank is back.
+constexpr time_span group_pause = std::chrono::milliseconds(400);
 /// An attempt counts as late where others that began so many objectives after it have answered. A
 /// plain call that hangs can be repeated within its objective or soon after. A stream waits for a
 /// place at its rank as well, which says nothing against the rank; its caller leaves after five
@@ -76,8 +80,12 @@
     }
     const auto left = std::max(time_span::zero(), request.known().m_deadline - now);
     const auto longest = std::chrono::duration_cast<time_span>(left * return_share);
-    fault.m_retry_after = std::clamp<time_span>(refusal.m_retry_at - now,
-                                                std::min(shortest_return, longest), longest);
+    // Upstreams that refuse or can't be reached are back after seconds, if at all: a caller that
+    // came back at once would spend its retry on the same failure.
+    const bool is_outage = refusal.m_refusal == dispatch::refusal::retries_exhausted;
+    const auto wanted = is_outage ? longest : refusal.m_retry_at - now;
+    fault.m_retry_after =
+        std::clamp<time_span>(wanted, std::min(shortest_return, longest), longest);
     return fault;
 }
 
@@ -119,6 +127,11 @@
                    {"reason", outcome.m_reason},
                    {"not_run", outcome.m_end == dispatch::attempt_end::not_run}});
     }
+    if (outcome.m_is_group_fault) {
+        for (const auto& member : state.m_upstreams.group_of(upstream)) {
+            state.m_pools.pause_upstream(known.m_pool, member, now + group_pause, now);
+        }
+    }
     if (outcome.m_is_other_upstream) {
         forget_upstream(state, known.m_pool, upstream, now);
     }
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -176,7 +176,10 @@
         return {attempt_end::not_run, false, true, "other_upstream"};
     }
     if (m_head.m_is_not_run) {
-        return {attempt_end::not_run, false, false, "refused"};
+        const bool is_others =
+            !m_head.m_fault_at.value().empty() && m_head.m_fault_at != m_upstream;
+        return {attempt_end::not_run, false, false, is_others ? "group_refused" : "refused",
+                is_others};
     }
     if (!is_success(m_head.m_status)) {
         return judge_failure();
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -26,6 +26,7 @@
     bool m_is_upstream_fault = false;  ///< speaks against the upstream
     bool m_is_other_upstream = false;  ///< the address belongs to another upstream now
     const char* m_reason = "";         ///< field term for logs
+    bool m_is_group_fault = false;     ///< its whole group can't serve, by another rank's fault
 };
 
 /// An attempt that begins.
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -99,6 +99,23 @@
     return place == m_items.end() ? std::string() : pool_name(place->second.m_known.m_service);
 }
 
+std::vector<upstream_id> upstream_table::group_of(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end() || !place->second.m_known.m_group) {
+        return {name};
+    }
+    const auto& group = place->second.m_known.m_group->m_group;
+    std::vector<upstream_id> result;
+    for (const auto& [other, subject] : m_items) {
+        if (subject.m_known.m_group && subject.m_known.m_group->m_group == group) {
+            result.push_back(other);
+        }
+    }
+    return result;
+}
+
 void upstream_table::begin_attempt(const upstream_id& name)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/wire_format.h
+++ b/dewbeam/src/gateway/wire_format.h
@@ -46,6 +46,7 @@
     std::string m_request_id;          ///< which request it answers; empty: not said
     bool m_is_not_run = false;         ///< the upstream states that it did not run the request
     bool m_is_other_upstream = false;  ///< another upstream has the address now
+    upstream_id m_fault_at;  ///< of a refusal: whose fault it is, e.g. another rank's; may be empty
     bool m_is_event_stream = false;
     bool m_is_proven = false;  ///< carries the upstream's proof that it gave this answer
 };
