--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -200,7 +200,7 @@
             apply(after, change);
         }
         for (std::uint32_t rank = 0; rank < wide.m_ranks; ++rank) {
-            const auto first = before.begin() + rank * wide.m_slots_per_rank;
+            const auto first = before.begin() + std::ptrdiff_t{rank} * wide.m_slots_per_rank;
             std::set<std::uint32_t> fresh;
             for (std::uint32_t i = 0; i < wide.m_slots_per_rank; ++i) {
                 const auto taken = after[rank * wide.m_slots_per_rank + i];
