Drop a time that nobody reads; ask a registry's replica for its status once a tick

gateway_request kept when its last event went out, for a check that was never written. The registrar's tick copied the replica's status, members and all, twice under its lock: once to log it, once to judge silence. Behaviour is the same.

--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -138,7 +138,6 @@
     if (m_result.m_first_byte == time_point{}) {
         m_result.m_first_byte = now;
     }
-    m_last_event = now;
     m_answer->write(std::move(events));
 }
 
@@ -271,12 +270,6 @@
     return m_has_attempt ? m_upstream : upstream_id();
 }
 
-time_point gateway_request::last_event_at() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_last_event;
-}
-
 void gateway_request::fail(const own_error& fault)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -107,9 +107,6 @@
     /// The upstream of the attempt owned now; empty where there is none.
     [[nodiscard]] upstream_id upstream() const;
 
-    /// When the last event was delivered; epoch where the caller has none.
-    [[nodiscard]] time_point last_event_at() const;
-
     /// Ends the request with an error, in the way that fits what the caller has: an answer, an
     /// upstream's own failure where one was kept, or a visible cut.
     void fail(const own_error& fault);
@@ -150,7 +147,6 @@
     std::string m_body;     ///< of an answer that is not a stream
     replies::event_splitter m_events;
     bool m_is_streaming = false;  ///< the caller has the head of a stream
-    time_point m_last_event{};
     std::optional<kept_failure> m_failure;
     bool m_is_over = false;
     bool m_may_have_run = false;
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -534,8 +534,9 @@
             expire(m_holds, now, calls);
         }
         run(calls);
-        note_belief();
-        note_steadiness(now);
+        const auto status = m_runner->status();
+        note_belief(status);
+        note_steadiness(status, now);
         if (now >= m_next_sync) {
             m_next_sync = now + sync_interval;
             sync_registries(now);
@@ -543,9 +544,8 @@
     }
 
     /// Logs what this registry believes of the log's replicas, where that changed.
-    void note_belief()
+    void note_belief(const control::runner_status& status)
     {
-        const auto status = m_runner->status();
         const belief now{status.m_leader, status.m_term, status.m_has_quorum, status.m_is_voter,
                          status.m_members.size()};
         if (now == m_belief) {
@@ -563,11 +563,11 @@
                    {"revision", m_runner->revision().m_number.value()}});
     }
 
-    void note_steadiness(time_point now)
+    void note_steadiness(const control::runner_status& status, time_point now)
     {
         const bool was_paused = now - m_last_tick > longest_tick_gap;
         m_last_tick = now;
-        if (was_paused || !m_runner->status().m_has_quorum) {
+        if (was_paused || !status.m_has_quorum) {
             m_steady_since = now;
         }
         if (now - m_steady_since < steady_span) {
