Replace a new connection that stays silent after 0.3 s

A refused connection isn't opened again by libzmq here (reconnect_ivl -1), and stayed until the limit of silence, 2 s. Ruled out: a late election (the registries had a leader), a slow spread of the configuration (all gateways had it 20 ms after their links were replaced). Change: a connection on which nothing was heard yet is replaced after 0.3 s, six times, then less and less often up to the usual limit. Test: link_test, fails before (5 s).

--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -3,6 +3,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <fstream>
@@ -42,10 +43,24 @@
     zmq::socket_t m_socket;
     time_point m_silent_deadline{};
     time_point m_next_ping{};
+    bool m_was_heard = false;
     /// A message could not be queued: the other end closed the connection, or reads nothing.
     bool m_is_broken = false;
 };
 
+/// How long a new connection may stay silent. The other end may not listen yet, and a refused
+/// connection is not opened again by itself: with the usual limit of 2 s, processes that started 1
+/// s before their peers stayed without them for 2.1 s. Peers that don't answer for long are tried
+/// less and less often, so that a crowd of new connections doesn't keep a slow process busy.
+time_span first_answer_limit(std::uint32_t silent_tries, time_span longest)
+{
+    constexpr time_span shortest = std::chrono::milliseconds(300);
+    constexpr std::uint32_t quick_tries = 6;
+    constexpr std::uint32_t most_doublings = 10;
+    const auto beyond = silent_tries > quick_tries ? silent_tries - quick_tries : 0;
+    return std::min<time_span>(longest, shortest * (1U << std::min(beyond, most_doublings)));
+}
+
 /// Answers libzmq's questions whether a CURVE client may connect (ZAP, RFC 27).
 class key_checker {
 public:
@@ -313,11 +328,19 @@
                 return;
             }
             drop_rest(place->second.m_socket, body);
-            place->second.m_silent_deadline = clock_now() + m_options.m_silence_limit;
+            note_heard(address, place->second);
             take(peer{address, {}}, body);
         }
     }
 
+    void note_heard(const std::string& address, connection& open)
+    {
+        open.m_silent_deadline = clock_now() + m_options.m_silence_limit;
+        if (!std::exchange(open.m_was_heard, true)) {
+            m_silent_tries.erase(address);
+        }
+    }
+
     static void drop_rest(zmq::socket_t& socket, const zmq::message_t& first)
     {
         bool has_more = first.more();
@@ -396,8 +419,9 @@
         if (place != m_connections.end()) {
             return place->second;
         }
-        connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer),
-                         clock_now() + m_options.m_silence_limit, time_point{}};
+        const auto limit = first_answer_limit(m_silent_tries[address]++, m_options.m_silence_limit);
+        connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer), clock_now() + limit,
+                         time_point{}};
         set_common(fresh.m_socket);
         // A broken connection stays silent until its deadline and is then replaced as a whole:
         // libzmq's own reconnect would keep it alive while answers to it are lost.
@@ -457,6 +481,8 @@
     std::unique_ptr<key_checker> m_key_checker;
     zmq::socket_t m_listener;
     std::map<std::string, connection> m_connections;
+    /// Connections in a row to an address on which nothing was heard.
+    std::unordered_map<std::string, std::uint32_t> m_silent_tries;
     std::unordered_map<std::string, time_point> m_inbound;  ///< routing id -> silence deadline
     std::string m_address;
     int m_wake;
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -32,6 +32,13 @@
         return wait([&] { return !m_lost.empty(); });
     }
 
+    /// Messages that came so far.
+    std::size_t count()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_messages.size();
+    }
+
     std::vector<std::pair<peer, wire::Envelope>> m_messages;
     std::vector<peer> m_lost;
 
@@ -67,6 +74,14 @@
     return result;
 }
 
+/// A port on which nothing listens.
+std::uint16_t first_free_port()
+{
+    collector unused;
+    const auto probe = node::start(options("probe"), unused.handlers()).value();
+    return parse_endpoint(probe->address().substr(std::string("tcp://").size()))->m_port;
+}
+
 wire::Envelope cancel_message(std::uint64_t sequence)
 {
     wire::Envelope message;
@@ -112,6 +127,30 @@
     EXPECT_TRUE(third_side.wait_for_lost());
 }
 
+TEST(link, a_process_that_begins_to_listen_late_is_reached_soon)
+{
+    // The first connection is refused; with the usual limit of silence it would be kept for 5 s.
+    auto slow = options("client");
+    slow.m_silence_limit = std::chrono::seconds(5);
+    collector client_side;
+    const auto client = node::start(slow, client_side.handlers()).value();
+    collector server_side;
+    auto late = options("server");
+    late.m_listen.m_port = first_free_port();
+    const auto address = "tcp://127.0.0.1:" + std::to_string(late.m_listen.m_port);
+    ASSERT_TRUE(client->send(address, cancel_message(0)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const auto server = node::start(late, server_side.handlers()).value();
+    const auto begun = std::chrono::steady_clock::now();
+    for (std::uint64_t i = 1; server_side.count() == 0 && i < 40; ++i) {
+        client->send(address, cancel_message(i));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_GT(server_side.count(), 0U);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(2));
+    EXPECT_TRUE(client_side.wait_for_lost());
+}
+
 TEST(link, refuses_a_process_without_the_key)
 {
     collector server_side;
