--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -104,6 +104,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_newest = std::max(m_newest, order.m_number);
+        m_is_newest_harmless = order.m_kind == order_kind::stage;
         subject->m_orders = to_rank_orders(order, *m_formation, &subject->m_content, m_must_raise);
     }
     next(subject);
@@ -203,7 +204,8 @@
 void rank_engine::cancel()
 {
     const std::lock_guard lock(m_mutex);
-    m_must_raise = true;
+    // A `prepare` that lands late changes no map: at worst it is refused for its old number.
+    m_must_raise |= !m_is_newest_harmless;
     if (m_exchange) {
         std::exchange(m_exchange, nullptr)->cancel();
     }
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -57,6 +57,7 @@
     std::mutex m_mutex;
     std::shared_ptr<const std::atomic<std::uint64_t>> m_formation;
     fencing_number m_newest;
+    bool m_is_newest_harmless = false;                  ///< it may be carried out at any time
     std::shared_ptr<http::client_exchange> m_exchange;  ///< of the newest order
     /// An order whose end isn't known, of this process or of an earlier one, may still be carried
     /// out: the next order must be one that raises the fencing number, even if only to read.
