Serve requests that can meet their objective first; let calls wait for a configuration

Ruled out: lack of slots elsewhere (all ranks were full), retries (144 of 4,065 arrivals). Change: a lane has a second queue for requests that have waited 0.4 of their objective; it is served when no other can go, late retries likewise. A gateway holds calls without a configuration, and requests without an able upstream, for as long as it would queue them (1.5 s at most). What is left of the burst's loss: throughput under load, retries refused again. Tests: broker_test (three cases and the random world), platform_session.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -163,8 +163,7 @@
     else {
         catch_up(state, request);
         begin_waiting(state, request, request_phase::queued, request.m_info.m_wait_deadline);
-        fairness::push(lane_of(request).m_queue, request, request.m_info.m_workspace,
-                       request.m_info.m_workspace_weight);
+        enqueue(request, is_late(request, now));
     }
     pump(state, now, random, result);
     return result;
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -41,6 +41,9 @@
     /// Refuse what will probably not be over by its deadline. Off where the time of a run is only
     /// known from callers' own estimates, which are often far off.
     bool m_runs_must_fit = true;
+    /// Requests wait for an able upstream until their wait deadline where there is none. For pools
+    /// whose upstreams are learned while requests arrive, as after a start.
+    bool m_waits_for_upstreams = false;
     double m_alone_share = 0.25;  ///< upstreams of a route that may run suspects at once
     /// A suspect starts no sooner, so that what other entries have learned of it arrives first:
     /// longer than a suspicion takes from entry to entry.
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -59,6 +59,9 @@
     /// A request that has not been sent off by then is refused: its caller would not wait longer,
     /// or the answer would be worth less than the place it takes.
     time_point m_wait_deadline = no_deadline;
+    /// Sent off later than this, its first token will probably come after its latency objective:
+    /// it then waits behind all requests of its class that can still meet theirs.
+    time_point m_prompt_deadline = no_deadline;
     std::uint32_t m_most_attempts = 0;  ///< 0: as the broker's options say
     bool m_pinned_first = false;  ///< prefer `m_first`: the upstream that an earlier try named
     upstream_id m_first;
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -98,7 +98,24 @@
 
 bool is_waiting(const lane& subject)
 {
-    return subject.m_queue.m_size > 0;
+    return subject.m_queue.m_size > 0 || subject.m_late.m_size > 0;
+}
+
+fairness::fair_queue& queue_of(lane& subject, bool is_late)
+{
+    return is_late ? subject.m_late : subject.m_queue;
+}
+
+bool is_late(const pending_request& request, time_point now)
+{
+    return request.m_info.m_prompt_deadline <= now;
+}
+
+void enqueue(pending_request& request, bool is_late)
+{
+    request.m_waits_late = is_late;
+    fairness::push(queue_of(lane_of(request), is_late), request, request.m_info.m_workspace,
+                   request.m_info.m_workspace_weight);
 }
 
 std::uint32_t most_attempts(const broker& state, const pending_request& request)
@@ -162,7 +179,7 @@
     switch (request.m_phase) {
         case request_phase::queued:
             if (request.m_flow != nullptr) {
-                fairness::erase(lane_of(request).m_queue, request);
+                fairness::erase(queue_of(lane_of(request), request.m_waits_late), request);
             }
             break;
         case request_phase::retrying:
@@ -195,7 +212,7 @@
 
 admission::queue_facts facts_of(const broker& state, const pending_request& request, time_point now)
 {
-    const auto& queue = lane_of(request).m_queue;
+    const auto& queue = queue_of(lane_of(request), request.m_waits_late);
     const auto* own = fairness::find_flow(queue, request.m_info.m_workspace);
     const double weight = std::max(0.01, request.m_info.m_workspace_weight);
     const double others = queue.m_weight - (own != nullptr ? own->m_weight : 0.0);
@@ -229,7 +246,7 @@
     if (standing_of(state, info, now) == quarantine::standing::quarantined) {
         return refusal::quarantined;
     }
-    if (request.m_route->m_able == 0) {
+    if (request.m_route->m_able == 0 && !state.m_options.m_waits_for_upstreams) {
         return refusal::no_able_upstream;
     }
     const auto least_run = to_span(seconds(expected_run(state, request, now)) * least_run_share);
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -18,6 +18,15 @@
 /// Whether something waits in a lane.
 bool is_waiting(const lane& subject);
 
+/// The queue of a lane for requests that can still meet their objective, or for the others.
+fairness::fair_queue& queue_of(lane& subject, bool is_late);
+
+/// Whether the request can hardly meet its latency objective any more.
+bool is_late(const pending_request& request, time_point now);
+
+/// Puts a request into a queue of its lane.
+void enqueue(pending_request& request, bool is_late);
+
 /// Upstreams that the request may be sent to.
 std::uint32_t most_attempts(const broker& state, const pending_request& request);
 
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -45,6 +45,7 @@
     incarnation m_running_incarnation;
     bool m_runs_alone = false;
     bool m_has_first_token = false;
+    bool m_waits_late = false;   ///< while queued: in the late queue of its lane
     double m_prompt_work = 0.0;  ///< prompt tokens that its upstream must compute for it
     double m_work_before = 0.0;  ///< and those that were queued there before it
     time_point m_dispatched_at{};
@@ -88,7 +89,8 @@
 
 /// What waits for one route in one class.
 struct lane {
-    fairness::fair_queue m_queue;
+    fairness::fair_queue m_queue;  ///< those that can still meet their objective
+    fairness::fair_queue m_late;   ///< the others; they go when none waits above
     admission::drain_meter m_drain;
     admission::return_line m_returns;
     double m_served = 0.0;                 ///< cost served over the weight of its flows
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -27,13 +27,20 @@
     return !subject.m_open[place].m_near.empty() || !subject.m_open[place].m_far.empty();
 }
 
+/// Whether its requests are refused because no upstream could ever take them.
+bool must_refuse(const broker& state, const route& subject)
+{
+    return subject.m_able == 0 && !state.m_options.m_waits_for_upstreams;
+}
+
 /// The lane of a class that was served least and can go, or whose requests must be refused.
-route* next_route(const broker& state, std::size_t place)
+route* next_route(const broker& state, std::size_t place, bool is_late)
 {
     route* best = nullptr;
     for (const auto& candidate : state.m_table.m_routes) {
-        const auto& subject = candidate->m_lanes[place];
-        if (!is_waiting(subject) || (candidate->m_able > 0 && !is_open(*candidate, place))) {
+        auto& subject = candidate->m_lanes[place];
+        const bool can_go = is_open(*candidate, place) || must_refuse(state, *candidate);
+        if (queue_of(subject, is_late).m_size == 0 || !can_go) {
             continue;
         }
         if (best == nullptr || subject.m_served < best->m_lanes[place].m_served) {
@@ -43,50 +50,52 @@
     return best;
 }
 
-double head_cost(route& subject, std::size_t place)
+double head_cost(route& subject, std::size_t place, bool is_late)
 {
-    return fairness::front(subject.m_lanes[place].m_queue)->m_cost;
+    return fairness::front(queue_of(subject.m_lanes[place], is_late))->m_cost;
 }
 
 /// Which lane goes next: urgent first, but for what ordinary work is due.
 struct turn {
     route* m_route = nullptr;
     std::size_t m_place = 0;
+    bool m_is_late = false;        ///< from the late queue
     double m_ordinary_cost = 0.0;  ///< of the ordinary head that waits meanwhile; 0: none
 };
 
 /// Cost of an ordinary request that waits, whether or not it can go now; 0 where none waits.
-double waiting_ordinary_cost(const broker& state)
+double waiting_ordinary_cost(const broker& state, bool is_late)
 {
     const auto place = place_of(work_class::ordinary);
     for (const auto& candidate : state.m_table.m_routes) {
-        if (is_waiting(candidate->m_lanes[place])) {
-            return head_cost(*candidate, place);
+        if (queue_of(candidate->m_lanes[place], is_late).m_size > 0) {
+            return head_cost(*candidate, place, is_late);
         }
     }
     return 0.0;
 }
 
-turn next_turn(const broker& state)
+turn next_turn(const broker& state, bool is_late)
 {
-    auto* urgent = next_route(state, place_of(work_class::urgent));
-    auto* ordinary = next_route(state, place_of(work_class::ordinary));
+    auto* urgent = next_route(state, place_of(work_class::urgent), is_late);
+    auto* ordinary = next_route(state, place_of(work_class::ordinary), is_late);
     if (ordinary == nullptr) {
-        return {urgent, place_of(work_class::urgent),
-                urgent == nullptr ? 0.0 : waiting_ordinary_cost(state)};
+        return {urgent, place_of(work_class::urgent), is_late,
+                urgent == nullptr ? 0.0 : waiting_ordinary_cost(state, is_late)};
     }
-    const double cost = head_cost(*ordinary, place_of(work_class::ordinary));
+    const double cost = head_cost(*ordinary, place_of(work_class::ordinary), is_late);
     if (urgent == nullptr || fairness::ordinary_is_due(state.m_class_share, cost)) {
-        return {ordinary, place_of(work_class::ordinary), 0.0};
+        return {ordinary, place_of(work_class::ordinary), is_late, 0.0};
     }
-    return {urgent, place_of(work_class::urgent), cost};
+    return {urgent, place_of(work_class::urgent), is_late, cost};
 }
 
 void charge(broker& state, const turn& served, double cost)
 {
     auto& subject = served.m_route->m_lanes[served.m_place];
     admission::note_drained(subject.m_drain, cost);
-    subject.m_served += cost / std::max(1.0, subject.m_queue.m_weight);
+    const auto& queue = queue_of(subject, served.m_is_late);
+    subject.m_served += cost / std::max(1.0, queue.m_weight);
     if (served.m_place == place_of(work_class::ordinary)) {
         fairness::ordinary_went(state.m_class_share, cost);
     }
@@ -99,8 +108,13 @@
 /// Serves the head of one lane; false when nothing could be done for it.
 bool serve(broker& state, const turn& next, time_point now, random_engine& random, actions& result)
 {
-    auto& queue = next.m_route->m_lanes[next.m_place].m_queue;
+    auto& queue = queue_of(next.m_route->m_lanes[next.m_place], next.m_is_late);
     auto& request = static_cast<pending_request&>(*fairness::front(queue));
+    if (!next.m_is_late && is_late(request, now)) {
+        fairness::erase(queue, request);
+        enqueue(request, true);
+        return true;
+    }
     if (const auto reason = lost_cause(state, request, now)) {
         give_up(state, request, *reason, now, random, result);
         return true;
@@ -122,10 +136,13 @@
     return true;
 }
 
-void serve_retries(broker& state, route& subject, time_point now, random_engine& random,
-                   actions& result)
+void serve_retries(broker& state, route& subject, bool of_late, time_point now,
+                   random_engine& random, actions& result)
 {
     for (auto* request : first_of(subject.m_retries)) {
+        if (is_late(*request, now) != of_late) {
+            continue;
+        }
         if (const auto reason = lost_cause(state, *request, now)) {
             give_up(state, *request, *reason, now, random, result);
             continue;
@@ -143,6 +160,24 @@
     }
 }
 
+/// Serves all that can go now: those that can still meet their objective, or the others.
+void serve_waiting(broker& state, bool is_late, time_point now, random_engine& random,
+                   actions& result)
+{
+    for (std::size_t i = 0; i < state.m_table.m_routes.size(); ++i) {
+        auto& subject = *state.m_table.m_routes[i];
+        if (!subject.m_retries.empty()) {
+            serve_retries(state, subject, is_late, now, random, result);
+        }
+    }
+    for (auto next = next_turn(state, is_late); next.m_route != nullptr;
+         next = next_turn(state, is_late)) {
+        if (!serve(state, next, now, random, result)) {
+            break;
+        }
+    }
+}
+
 void measure_drain(broker& state, time_point now)
 {
     for (const auto& subject : state.m_table.m_routes) {
@@ -161,14 +196,12 @@
         if (!subject.m_suspects.empty()) {
             serve_suspects(state, subject, now, random, result);
         }
-        if (!subject.m_retries.empty()) {
-            serve_retries(state, subject, now, random, result);
-        }
     }
-    for (auto next = next_turn(state); next.m_route != nullptr; next = next_turn(state)) {
-        if (!serve(state, next, now, random, result)) {
-            break;
-        }
+    // After a pause of a whole pool, or in a burst, first come first served would make everything
+    // late: each request that goes has waited for all late ones before it. Those that can still
+    // meet their objective go first.
+    for (const bool is_late : {false, true}) {
+        serve_waiting(state, is_late, now, random, result);
     }
     measure_drain(state, now);
 }
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -80,7 +80,8 @@
 dispatch::actions pool_table::submit(const std::string& pool, dispatch::request_info info,
                                      time_point now)
 {
-    const auto target = find(pool);
+    // Where requests wait for upstreams, they may be the first that is known of their pool.
+    const auto target = m_options.m_waits_for_upstreams ? find_or_make(pool) : find(pool);
     if (!target) {
         dispatch::action refusal;
         refusal.m_kind = dispatch::action::kind::refuse;
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -47,6 +47,7 @@
     result.m_choice.m_running_lifetime = std::chrono::milliseconds(1500);
     result.m_choice.m_waiting_lifetime = std::chrono::milliseconds(500);
     result.m_runs_must_fit = false;
+    result.m_waits_for_upstreams = true;
     result.m_queue.m_shortest_return = std::chrono::milliseconds(300);
     return result;
 }
@@ -291,6 +292,7 @@
         if (m_state.m_book.adopt(std::move(fresh))) {
             log_event(log_level::info, "revision_in_force",
                       {{"revision", newer.m_number.value()}, {"routes", routes}});
+            release_held_calls(m_state);
         }
         return true;
     }
@@ -326,6 +328,7 @@
         }
         m_state.m_feed.tick(*m_node, loads, {}, now);
         perform(m_state, m_state.m_pools.tick(now), now);
+        refuse_lapsed_calls(m_state, now);
         for (const auto& request : m_state.m_requests.all()) {
             watch_request(m_state, request, now);
         }
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -13,6 +13,7 @@
 #include "dewbeam/src/entry/pool_table.h"
 #include "dewbeam/src/gateway/gateway_metrics.h"
 #include "dewbeam/src/gateway/gateway_request.h"
+#include "dewbeam/src/gateway/held_calls.h"
 #include "dewbeam/src/gateway/registry_feed.h"
 #include "dewbeam/src/gateway/upstream_table.h"
 
@@ -103,6 +104,7 @@
     entry::loss_memory m_losses;
     upstream_table m_upstreams;
     request_list m_requests;
+    held_calls m_held;
     registry_feed m_feed;
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::mutex m_random_mutex;
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -13,6 +13,11 @@
 /// leave when no event has come for two seconds; what goes later than this is lost in any case.
 constexpr time_span longest_wait = std::chrono::milliseconds(1500);
 constexpr double wait_share = 0.4;
+/// A caller that was refused for want of a configuration comes back after so long.
+constexpr time_span return_without_configuration = std::chrono::milliseconds(500);
+/// Share of the latency objective that may pass in the queue. The rest is for the upstream: a first
+/// token takes 0.4 of a usual objective, and 0.6 under load.
+constexpr double queue_share = 0.4;
 
 void refuse(http::exchange& answer, const std::string& request_id, const own_error& fault)
 {
@@ -48,6 +53,22 @@
     return result;
 }
 
+/// The longest that a call may wait in all, in the queue or for a configuration.
+time_span longest_wait_of(time_span time_limit)
+{
+    return std::min(longest_wait, std::chrono::duration_cast<time_span>(time_limit * wait_share));
+}
+
+/// Until when the request can be sent off and still meet its objective.
+time_point prompt_deadline(const gateway_request::facts& known)
+{
+    const auto objective = known.m_route->m_latency_objective;
+    if (objective <= time_span::zero()) {
+        return no_deadline;
+    }
+    return known.m_arrival + std::chrono::duration_cast<time_span>(objective * queue_share);
+}
+
 dispatch::request_info to_info(const gateway_request::facts& known, const std::string& service)
 {
     dispatch::request_info info;
@@ -64,6 +85,7 @@
     info.m_deadline = known.m_deadline;
     const auto share =
         std::chrono::duration_cast<time_span>((known.m_deadline - known.m_arrival) * wait_share);
+    info.m_prompt_deadline = prompt_deadline(known);
     info.m_wait_deadline = known.m_arrival + std::min(longest_wait, share);
     info.m_most_attempts = known.m_route->m_most_attempts;
     return info;
@@ -75,33 +97,34 @@
     return routes::choose_target(subject, state.m_random);
 }
 
-}  // namespace
+void refuse_without_configuration(const held_call& subject)
+{
+    refuse(
+        *subject.m_answer, subject.m_call.m_request_id,
+        {503, "no_configuration", "no configuration is known yet", return_without_configuration});
+}
 
-void take_call(gateway_state& state, http::request&& wanted,
-               const std::shared_ptr<http::exchange>& answer)
+void hold_call(gateway_state& state, held_call subject)
 {
-    const auto now = program::now();
-    auto call = state.m_format.m_read_call(wanted);
-    if (!call.ok()) {
-        const std::string reason(call.status().message());
-        refuse(*answer, "", {400, "bad_request", reason.c_str(), time_span::zero()});
-        return;
-    }
-    const auto rules = state.m_book.current();
-    if (!rules) {
-        refuse(*answer, call->m_request_id,
-               {503, "no_configuration", "no configuration is known yet",
-                std::chrono::milliseconds(500)});
-        return;
+    const auto limit = subject.m_call.m_time_limit.value_or(longest_wait);
+    subject.m_deadline = subject.m_arrival + longest_wait_of(limit);
+    if (!state.m_held.add(subject)) {
+        refuse_without_configuration(subject);
     }
-    const auto admitted = admit(*rules, *call);
+}
+
+/// Finds the call's route and workspace, and gives it to the pool of its service.
+void route_call(gateway_state& state, const std::shared_ptr<const routes::book>& rules,
+                held_call subject, time_point now)
+{
+    const auto admitted = admit(*rules, subject.m_call);
     if (admitted.m_fault) {
-        refuse(*answer, call->m_request_id, *admitted.m_fault);
+        refuse(*subject.m_answer, subject.m_call.m_request_id, *admitted.m_fault);
         return;
     }
     gateway_request::facts known;
     known.m_ticket = dispatch::ticket(++state.m_last_ticket);
-    known.m_request_id = call->m_request_id;
+    known.m_request_id = subject.m_call.m_request_id;
     known.m_book = rules;
     known.m_route = admitted.m_route;
     known.m_priority = admitted.m_route->m_priority;
@@ -109,18 +132,61 @@
         known.m_workspace = admitted.m_workspace->m_name;
         known.m_priority = admitted.m_workspace->m_priority.value_or(known.m_priority);
     }
-    known.m_call = *std::move(call);
-    known.m_request = std::move(wanted);
-    known.m_arrival = now;
+    known.m_call = std::move(subject.m_call);
+    known.m_request = std::move(subject.m_request);
+    known.m_arrival = subject.m_arrival;
     const auto limit = known.m_route->m_time_limit;
-    known.m_deadline = now + std::min(limit, known.m_call.m_time_limit.value_or(limit));
+    known.m_deadline = known.m_arrival + std::min(limit, known.m_call.m_time_limit.value_or(limit));
     const auto& service = draw_target(state, *known.m_route);
     known.m_pool = pool_name(service);
     auto info = to_info(known, service);
+    const auto answer = std::move(subject.m_answer);
     const request_pointer request(new gateway_request(std::move(known), answer));
     state.m_requests.add(request);
     answer->on_gone([&state, request] { caller_gone(state, request, program::now()); });
     perform(state, state.m_pools.submit(request->known().m_pool, std::move(info), now), now);
 }
 
+}  // namespace
+
+void take_call(gateway_state& state, http::request&& wanted,
+               const std::shared_ptr<http::exchange>& answer)
+{
+    const auto now = program::now();
+    auto call = state.m_format.m_read_call(wanted);
+    if (!call.ok()) {
+        const std::string reason(call.status().message());
+        refuse(*answer, "", {400, "bad_request", reason.c_str(), time_span::zero()});
+        return;
+    }
+    held_call subject{std::move(wanted), *std::move(call), answer, now, {}};
+    if (const auto rules = state.m_book.current()) {
+        route_call(state, rules, std::move(subject), now);
+        return;
+    }
+    hold_call(state, std::move(subject));
+    if (state.m_book.current()) {
+        release_held_calls(state);  // it came in the meantime
+    }
+}
+
+void release_held_calls(gateway_state& state)
+{
+    const auto rules = state.m_book.current();
+    if (!rules) {
+        return;
+    }
+    const auto now = program::now();
+    for (auto& subject : state.m_held.take_all()) {
+        route_call(state, rules, std::move(subject), now);
+    }
+}
+
+void refuse_lapsed_calls(gateway_state& state, time_point now)
+{
+    for (const auto& subject : state.m_held.take_lapsed(now)) {
+        refuse_without_configuration(subject);
+    }
+}
+
 }  // namespace dewbeam::gateway
--- a/dewbeam/src/gateway/intake.h
+++ b/dewbeam/src/gateway/intake.h
@@ -10,4 +10,10 @@
 void take_call(gateway_state& state, http::request&& wanted,
                const std::shared_ptr<http::exchange>& answer);
 
+/// Goes on with the calls that waited for the first configuration.
+void release_held_calls(gateway_state& state);
+
+/// Refuses the calls that have waited too long for it.
+void refuse_lapsed_calls(gateway_state& state, time_point now);
+
 }  // namespace dewbeam::gateway
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -130,6 +130,63 @@
     EXPECT_EQ(f.m_broker.m_retry_budget.m_retries, retries);
 }
 
+TEST(broker, requests_that_can_meet_their_objective_go_before_those_that_cannot)
+{
+    fixture f;
+    f.put(make_upstream("u", 1));
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    auto old = make_request(2);
+    old.m_prompt_deadline = f.m_now + milliseconds(100);
+    EXPECT_TRUE(f.add(old).empty());
+    f.pass(milliseconds(200));
+    auto fresh = make_request(3);
+    fresh.m_prompt_deadline = f.m_now + milliseconds(100);
+    EXPECT_TRUE(f.add(fresh).empty());
+    const auto first = f.end(1, attempt_end::completed);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].m_ticket, ticket{3});
+    // Without others the late one goes too.
+    const auto second = f.end(3, attempt_end::completed);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].m_ticket, ticket{2});
+}
+
+TEST(broker, a_late_retry_waits_behind_requests_that_can_meet_their_objective)
+{
+    fixture f;
+    f.put(make_upstream("u", 1));
+    auto old = make_request(1);
+    old.m_prompt_deadline = f.m_now + milliseconds(100);
+    ASSERT_EQ(f.add(old).size(), 1U);
+    auto fresh = make_request(2);
+    fresh.m_prompt_deadline = f.m_now + milliseconds(500);
+    EXPECT_TRUE(f.add(fresh).empty());
+    f.m_now += milliseconds(200);
+    EXPECT_TRUE(f.end(1, attempt_end::not_run).empty());  // the upstream is paused
+    const auto first = f.pass(milliseconds(100));
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].m_ticket, ticket{2});
+    const auto second = f.end(2, attempt_end::completed);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].m_ticket, ticket{1});
+}
+
+TEST(broker, a_late_request_is_refused_at_its_wait_deadline)
+{
+    fixture f;
+    f.put(make_upstream("u", 1));
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    auto old = make_request(2);
+    old.m_prompt_deadline = f.m_now + milliseconds(100);
+    old.m_wait_deadline = f.m_now + milliseconds(300);
+    EXPECT_TRUE(f.add(old).empty());
+    EXPECT_TRUE(f.pass(milliseconds(200)).empty());
+    const auto ended = f.pass(milliseconds(200));
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].m_refusal, refusal::overloaded);
+    EXPECT_EQ(queued(f.m_broker), 0U);
+}
+
 TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
 {
     fixture f;
@@ -361,6 +418,9 @@
         info.m_fingerprint = fingerprint{1 + draw % 7};
         info.m_deadline = draw % 6 == 0 ? no_deadline : m_fixture.m_now + milliseconds(draw % 900);
         info.m_prefix = {draw % 4, draw % 4 * 10 + draw % 3};
+        if (draw % 7 < 4) {
+            info.m_prompt_deadline = m_fixture.m_now + milliseconds(draw % 400);
+        }
         m_open[info.m_ticket] = info;
         check(m_fixture.add(info));
     }
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -253,6 +253,20 @@
         self.assertEqual(self.ask("/once/x", key="key-2")[0], 401)
         self.assertEqual(self.ask("/once/x", key=None)[0], 401)
 
+    def test_a_call_before_the_first_configuration_waits_for_it(self):
+        def is_led(port):
+            status, body = call(port, "GET", "/v1/status")
+            return status == 200 and json.loads(body)["quorum"]
+        self.site.wait_for(lambda: any(is_led(port) for port in self.ports), "a quorum")
+        results = []
+        caller = threading.Thread(target=lambda: results.append(self.ask("/once/early")))
+        caller.start()
+        time.sleep(0.2)
+        self.assertEqual(results, [])
+        self.assertEqual(self.put(configuration(1))[0], 200)
+        caller.join()
+        self.assertEqual(results[0][0], 200, results[0][1] + self.site.processes["g0"].log())
+
     def test_a_broken_stream_goes_on_elsewhere_and_what_may_not_run_twice_does_not(self):
         self.begin()
         cuts = [5]
