Send one request at a time to a group that refuses; unreached attempts cost no retry

Ruled out: too few attempts allowed (two, most used one), the upstreams' own limits. Change: after a refusal by another rank's fault a group gets one request each 0.4 s until one has its first token; an attempt without a connection costs neither attempt nor retry, and closes its upstream at once; a request without an event waits no longer than its wait deadline in all; what is refused in an outage is told to come back after 0.32 of the time left (0.25 before). Tests: broker_test, upstream_health_test.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dewbeam/src/dispatch/group_gate.h"
 #include "dewbeam/src/dispatch/request_life.h"
 #include "dewbeam/src/dispatch/serve.h"
 
@@ -39,6 +40,18 @@
     return may_wait ? std::nullopt : std::optional(refusal::overloaded);
 }
 
+/// How long a request waits for its next attempt: one that never gave its caller anything no longer
+/// than it may wait in all, but for a moment for the other upstreams.
+time_point retry_wait_deadline(const broker& state, const pending_request& request, time_point now)
+{
+    constexpr time_span shortest_wait = std::chrono::milliseconds(100);
+    const auto longest = now + state.m_options.m_longest_retry_wait;
+    if (request.m_was_answered) {
+        return longest;
+    }
+    return std::min(longest, std::max(request.m_info.m_wait_deadline, now + shortest_wait));
+}
+
 /// A failed attempt: a suspect of a death, a retry, or the final answer.
 void after_failure(broker& state, pending_request& request, attempt_end end, time_point now,
                    random_engine& random, actions& result)
@@ -58,7 +71,11 @@
         ++request.m_busy_refusals;
         request.m_tried.pop_back();
     }
-    else if (request.m_attempts - request.m_busy_refusals >= most_attempts(state, request) ||
+    else if (end == attempt_end::not_reached) {
+        ++request.m_unreached;  // no upstream has seen it, so this costs no retry either
+    }
+    else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
+                 most_attempts(state, request) ||
              !retry::take_retry(state.m_retry_budget)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
@@ -68,7 +85,7 @@
         return;
     }
     begin_waiting(state, request, request_phase::retrying,
-                  now + state.m_options.m_longest_retry_wait);
+                  retry_wait_deadline(state, request, now));
     request.m_route->m_retries.push_back(request);
 }
 
@@ -178,6 +195,7 @@
     }
     auto& subject = place->second;
     subject.m_has_first_token = true;
+    subject.m_was_answered = true;
     state.m_table.m_upstreams[subject.m_running_on]->m_pending_work -= subject.m_prompt_work;
     const double work = subject.m_work_before + subject.m_prompt_work;
     const double passed = seconds(now - subject.m_dispatched_at);
@@ -185,6 +203,7 @@
     note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
     note_first_token_time(state.m_pool_speed, passed, now);
     state.m_answered_dispatch = std::max(state.m_answered_dispatch, subject.m_dispatched_at);
+    open_group(state.m_table, options_of(state), subject.m_running_on, now);
 }
 
 actions attempt_ended(broker& state, ticket request, attempt_end end, time_point now,
@@ -205,7 +224,7 @@
     if (end == attempt_end::upstream_died) {
         note_death(state, subject, now);
     }
-    if (end == attempt_end::not_run || end == attempt_end::refused_busy) {
+    if (retry::is_never_begun(end)) {
         note_not_run(state, subject, now);
     }
     release(state, subject, now);
@@ -282,28 +301,27 @@
     }
 }
 
-bool note_result(broker& state, const upstream_id& name, bool is_good, time_point now)
+bool note_result(broker& state, const upstream_id& name, upstream_result how, time_point now)
 {
     const auto index = find_upstream(state.m_table, name);
     if (!index) {
         return false;
     }
     auto& subject = state.m_table.m_upstreams[*index]->m_health;
-    if (is_good) {
+    if (how == upstream_result::good) {
         note_success(subject, state.m_options.m_health, now);
         return false;
     }
-    const bool is_closed = note_failure(subject, state.m_options.m_health, now);
+    const bool is_closed = note_failure(subject, state.m_options.m_health, how, now);
     refresh(state.m_table, options_of(state), *index, now);
     return is_closed;
 }
 
-void pause_upstream(broker& state, const upstream_id& name, time_point until, time_point now)
+void note_group_refusal(broker& state, const upstream_id& name, time_point now)
 {
     if (const auto index = find_upstream(state.m_table, name)) {
-        auto& paused = state.m_table.m_upstreams[*index]->m_closed_until;
-        paused = std::max(paused, until);
-        refresh(state.m_table, options_of(state), *index, now);
+        const auto& group = state.m_table.m_upstreams[*index]->m_info.m_group;
+        close_group(state.m_table, options_of(state), group, now);
     }
 }
 
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -103,10 +103,10 @@
 void cache_event(broker& state, const upstream_id& name, const routing::cache_event& event);
 
 /// An upstream's fault failed an attempt, or it answered one; true where it is closed for a while.
-bool note_result(broker& state, const upstream_id& name, bool is_good, time_point now);
+bool note_result(broker& state, const upstream_id& name, upstream_result how, time_point now);
 
-/// Nothing is sent to an upstream until then.
-void pause_upstream(broker& state, const upstream_id& name, time_point until, time_point now);
+/// An upstream refused by the fault of another rank of its group.
+void note_group_refusal(broker& state, const upstream_id& name, time_point now);
 
 /// Whether a running request is late by its upstream's own fault: others that were sent off more
 /// than `margin` after it, to other upstreams, have their first token already.
--- /dev/null
+++ b/dewbeam/src/dispatch/group_gate.cpp
@@ -0,0 +1,54 @@
+#include "dewbeam/src/dispatch/group_gate.h"
+
+#include <algorithm>
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+/// Between two requests to a closed group. A group forms anew in about 0.6 s once its rank is back.
+constexpr time_span probe_interval = std::chrono::milliseconds(400);
+
+void refresh_group(route_table& table, const route_options& options, const std::string& group,
+                   time_point now)
+{
+    for (const auto& [name, index] : table.m_names) {
+        if (table.m_upstreams[index]->m_info.m_group == group) {
+            refresh(table, options, index, now);
+        }
+    }
+}
+
+}  // namespace
+
+void close_group(route_table& table, const route_options& options, const std::string& group,
+                 time_point now)
+{
+    if (group.empty()) {
+        return;
+    }
+    auto& next_probe = table.m_closed_groups[group];
+    next_probe = std::max(next_probe, now + probe_interval);
+    refresh_group(table, options, group, now);
+}
+
+void note_group_start(route_table& table, const route_options& options, upstream_index index,
+                      time_point now)
+{
+    const auto place = table.m_closed_groups.find(table.m_upstreams[index]->m_info.m_group);
+    if (place != table.m_closed_groups.end()) {
+        place->second = now + probe_interval;
+        refresh_group(table, options, place->first, now);
+    }
+}
+
+void open_group(route_table& table, const route_options& options, upstream_index index,
+                time_point now)
+{
+    const auto group = table.m_upstreams[index]->m_info.m_group;
+    if (table.m_closed_groups.erase(group) > 0) {
+        refresh_group(table, options, group, now);
+    }
+}
+
+}  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/health.cpp
+++ b/dewbeam/src/dispatch/health.cpp
@@ -38,7 +38,7 @@
     state.m_pauses = 0;
 }
 
-bool note_failure(health& state, const health_options& options, time_point now)
+bool note_failure(health& state, const health_options& options, upstream_result how, time_point now)
 {
     decay(state, options, now);
     state.m_results += 1.0;
@@ -49,7 +49,8 @@
     }
     const bool is_bad_share = state.m_results >= options.m_least_results &&
                               state.m_failures > options.m_most_failure_share * state.m_results;
-    if (state.m_in_a_row < options.m_most_in_a_row && !is_bad_share) {
+    const bool is_certain = how == upstream_result::unreachable;
+    if (state.m_in_a_row < options.m_most_in_a_row && !is_bad_share && !is_certain) {
         return false;
     }
     constexpr std::uint32_t most_doublings = 8;
--- a/dewbeam/src/dispatch/health.h
+++ b/dewbeam/src/dispatch/health.h
@@ -40,8 +40,16 @@
 /// An attempt brought an answer.
 void note_success(health& state, const health_options& options, time_point now);
 
+/// What an attempt's result says of its upstream.
+enum class upstream_result {
+    good,
+    failed,
+    unreachable,  ///< no connection came about: certain at once, and each further try takes long
+};
+
 /// An attempt failed by the upstream's fault; true where the upstream is closed for it.
-bool note_failure(health& state, const health_options& options, time_point now);
+bool note_failure(health& state, const health_options& options, upstream_result how,
+                  time_point now);
 
 /// How much slower an upstream answers than its pool does.
 struct slowness {
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -33,6 +33,7 @@
     failure_domain_id m_failure_domain;
     configuration::label_set m_labels;  ///< effective labels
     incarnation m_incarnation;
+    std::string m_group;        ///< lock-step group that it is a rank of; empty: none
     std::uint32_t m_slots = 1;  ///< requests that it runs at once
     bool m_leaving = false;
     bool m_is_stalled = false;  ///< its group stands still: nothing begins there now
@@ -72,7 +73,7 @@
 
 /// Why a request is refused.
 enum class refusal {
-    no_able_upstream,   ///< no upstream that matches is known
+    no_able_upstream,   ///< no upstream that matches is known, or none serves now
     overloaded,         ///< the queue could not meet the deadline
     deadline_passed,    ///< time ran out in the queue
     retries_exhausted,  ///< the last attempt ended `not_run` and no retry is left
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dewbeam/src/dispatch/group_gate.h"
+
 namespace dewbeam::dispatch {
 
 namespace {
@@ -71,6 +73,16 @@
     return result;
 }
 
+/// Why a request that waited in vain is refused.
+refusal reason_of_lapse(const broker& state, const pending_request& request, time_point now)
+{
+    if (request.m_info.m_deadline <= now) {
+        return refusal::deadline_passed;
+    }
+    return has_serving(state.m_table, *request.m_route, now) ? refusal::overloaded
+                                                             : refusal::no_able_upstream;
+}
+
 /// Urgent work is sent on by an agent that has no slot, as long as that can still end well: what
 /// the entry knows of the other entries' work is old, what the agent knows is not. Half of the
 /// retry budget is left for failures.
@@ -291,6 +303,7 @@
     upstream.m_running.push_back(request);
     state.m_prefixes.note_dispatch(chosen.m_index, request.m_info.m_prefix);
     refresh(state.m_table, options_of(state), chosen.m_index, now);
+    note_group_start(state.m_table, options_of(state), chosen.m_index, now);
     action step;
     step.m_ticket = request.m_info.m_ticket;
     step.m_upstream = upstream.m_info.m_name;
@@ -330,8 +343,7 @@
         const auto place = state.m_requests.find(lapsed.m_ticket);
         if (place != state.m_requests.end() && place->second.m_phase != request_phase::running &&
             place->second.m_waits_until == lapsed.m_deadline) {
-            const auto reason = place->second.m_info.m_deadline <= now ? refusal::deadline_passed
-                                                                       : refusal::overloaded;
+            const auto reason = reason_of_lapse(state, place->second, now);
             give_up(state, place->second, reason, now, random, result);
         }
     }
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -145,12 +145,27 @@
     return std::max(1U, slots / options.m_entries_sharing);
 }
 
+bool is_group_closed(const route_table& table, const upstream_state& upstream, time_point now)
+{
+    if (table.m_closed_groups.empty()) {
+        return false;
+    }
+    const auto place = table.m_closed_groups.find(upstream.m_info.m_group);
+    return place != table.m_closed_groups.end() && place->second > now;
+}
+
+/// Whether it would take a request if it had a slot.
+bool is_serving(const route_table& table, const upstream_state& upstream, time_point now)
+{
+    return upstream.m_is_able && !upstream.m_info.m_is_stalled &&
+           upstream.m_health.m_closed_until <= now && !is_group_closed(table, upstream, now);
+}
+
 bool has_room(const route_table& table, const upstream_state& upstream,
               const route_options& options, configuration::work_class wanted, time_point now)
 {
-    if (!upstream.m_is_able || upstream.m_closed_until > now || upstream.m_runs_alone ||
-        upstream.m_held_for != ticket{} || upstream.m_info.m_is_stalled ||
-        upstream.m_health.m_closed_until > now) {
+    if (!is_serving(table, upstream, now) || upstream.m_closed_until > now ||
+        upstream.m_runs_alone || upstream.m_held_for != ticket{}) {
         return false;
     }
     const bool is_reported = has_fresh_report(upstream, now);
@@ -274,6 +289,13 @@
     }
 }
 
+bool has_serving(const route_table& table, const route& subject, time_point now)
+{
+    return std::any_of(
+        subject.m_members.begin(), subject.m_members.end(),
+        [&](upstream_index index) { return is_serving(table, *table.m_upstreams[index], now); });
+}
+
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name)
 {
     const auto place = table.m_names.find(name);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -40,14 +40,16 @@
     request_phase m_phase = request_phase::fresh;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_busy_refusals = 0;  ///< of the attempts: refused for lack of room
+    std::uint32_t m_unreached = 0;      ///< of the attempts: no connection came about
     std::vector<upstream_id> m_tried;
     upstream_index m_running_on = 0;  ///< while running
     incarnation m_running_incarnation;
     bool m_runs_alone = false;
     bool m_has_first_token = false;
-    bool m_waits_late = false;   ///< while queued: in the late queue of its lane
-    double m_prompt_work = 0.0;  ///< prompt tokens that its upstream must compute for it
-    double m_work_before = 0.0;  ///< and those that were queued there before it
+    bool m_was_answered = false;  ///< some attempt got its first token
+    bool m_waits_late = false;    ///< while queued: in the late queue of its lane
+    double m_prompt_work = 0.0;   ///< prompt tokens that its upstream must compute for it
+    double m_work_before = 0.0;   ///< and those that were queued there before it
     time_point m_dispatched_at{};
     time_point m_alone_from{};               ///< of a suspect: when it may start
     time_point m_waits_until = no_deadline;  ///< while it waits
@@ -131,6 +133,8 @@
     std::vector<std::unique_ptr<upstream_state>> m_upstreams;
     std::vector<upstream_index> m_unused;
     std::vector<std::unique_ptr<route>> m_routes;
+    /// Groups that refused as a whole, each with the time of the next request that may go there.
+    std::map<std::string, time_point> m_closed_groups;
     time_point m_reserved_until{};  ///< slots are kept for urgent work, which was seen lately
 };
 
@@ -160,6 +164,9 @@
 void refresh_members(route_table& table, const route_options& options, const route& subject,
                      time_point now);
 
+/// Whether some member would take a request if it had a slot.
+bool has_serving(const route_table& table, const route& subject, time_point now);
+
 /// Its position, where it is known.
 std::optional<upstream_index> find_upstream(const route_table& table, const upstream_id& name);
 
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -17,6 +17,8 @@
             return "completed";
         case dispatch::attempt_end::not_run:
             return "not_run";
+        case dispatch::attempt_end::not_reached:
+            return "not_reached";
         case dispatch::attempt_end::refused_busy:
             return "refused_busy";
         case dispatch::attempt_end::unknown:
@@ -109,9 +111,7 @@
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
                  dispatch::attempt_end end, time_point now)
 {
-    const bool is_not_run =
-        end == dispatch::attempt_end::not_run || end == dispatch::attempt_end::refused_busy;
-    if (!request->release(id, is_not_run)) {
+    if (!request->release(id, retry::is_never_begun(end))) {
         return;
     }
     state.m_requests.remove_attempt(id);
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -193,23 +193,23 @@
     }
 }
 
-bool pool_table::note_result(const std::string& pool, const upstream_id& name, bool is_good,
-                             time_point now)
+bool pool_table::note_result(const std::string& pool, const upstream_id& name,
+                             dispatch::upstream_result how, time_point now)
 {
     const auto target = find(pool);
     if (!target) {
         return false;
     }
     const std::lock_guard lock(target->m_mutex);
-    return dispatch::note_result(target->m_broker, name, is_good, now);
+    return dispatch::note_result(target->m_broker, name, how, now);
 }
 
-void pool_table::pause_upstream(const std::string& pool, const upstream_id& name, time_point until,
-                                time_point now)
+void pool_table::note_group_refusal(const std::string& pool, const upstream_id& name,
+                                    time_point now)
 {
     if (const auto target = find(pool)) {
         const std::lock_guard lock(target->m_mutex);
-        dispatch::pause_upstream(target->m_broker, name, until, now);
+        dispatch::note_group_refusal(target->m_broker, name, now);
     }
 }
 
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -57,12 +57,11 @@
     void lift_quarantine(const std::string& pool, fingerprint content, time_point now);
 
     /// An upstream's fault failed an attempt, or it answered one; true where it is closed for it.
-    bool note_result(const std::string& pool, const upstream_id& name, bool is_good,
-                     time_point now);
+    bool note_result(const std::string& pool, const upstream_id& name,
+                     dispatch::upstream_result how, time_point now);
 
-    /// Nothing is sent to an upstream until then.
-    void pause_upstream(const std::string& pool, const upstream_id& name, time_point until,
-                        time_point now);
+    /// An upstream refused by the fault of another rank of its group.
+    void note_group_refusal(const std::string& pool, const upstream_id& name, time_point now);
 
     /// Whether a running request is late by its upstream's own fault.
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -9,12 +9,8 @@
 
 /// A refused caller is told to come back within this share of the time that it has left; most
 /// callers don't wait for longer than a third of it.
-constexpr double return_share = 0.25;
+constexpr double return_share = 0.32;
 constexpr time_span shortest_return = std::chrono::milliseconds(100);
-/// A group that refuses by the fault of one rank refuses at every other rank as well: the next try
-/// waits for so long, instead of meeting the same refusal at once. A group forms anew in about
-/// 0.6 s once its rank is back.
-constexpr time_span group_pause = std::chrono::milliseconds(400);
 /// An attempt counts as late where others that began so many objectives after it have answered. A
 /// plain call that hangs can be repeated within its objective or soon after. A stream waits for a
 /// place at its rank as well, which says nothing against the rank; its caller leaves after five
@@ -82,7 +78,8 @@
     const auto longest = std::chrono::duration_cast<time_span>(left * return_share);
     // Upstreams that refuse or can't be reached are back after seconds, if at all: a caller that
     // came back at once would spend its retry on the same failure.
-    const bool is_outage = refusal.m_refusal == dispatch::refusal::retries_exhausted;
+    const bool is_outage = refusal.m_refusal == dispatch::refusal::retries_exhausted ||
+                           refusal.m_refusal == dispatch::refusal::no_able_upstream;
     const auto wanted = is_outage ? longest : refusal.m_retry_at - now;
     fault.m_retry_after =
         std::clamp<time_span>(wanted, std::min(shortest_return, longest), longest);
@@ -105,6 +102,15 @@
     return fingerprint(combine_hash(content, stable_hash(known.m_workspace.value())));
 }
 
+dispatch::upstream_result result_of(const attempt_outcome& outcome)
+{
+    if (outcome.m_end == dispatch::attempt_end::not_reached) {
+        return dispatch::upstream_result::unreachable;
+    }
+    return outcome.m_is_upstream_fault ? dispatch::upstream_result::failed
+                                       : dispatch::upstream_result::good;
+}
+
 /// What the broker and the books learn of an attempt's end.
 void end_attempt(gateway_state& state, const request_pointer& request, const upstream_id& upstream,
                  attempt_outcome outcome, time_point now)
@@ -114,7 +120,7 @@
     const bool is_completed = outcome.m_end == dispatch::attempt_end::completed;
     if (is_completed || outcome.m_is_upstream_fault) {
         const bool is_closed =
-            state.m_pools.note_result(known.m_pool, upstream, !outcome.m_is_upstream_fault, now);
+            state.m_pools.note_result(known.m_pool, upstream, result_of(outcome), now);
         if (is_closed) {
             log_event(log_level::warning, "upstream_closed",
                       {{"upstream", upstream.value()}, {"reason", outcome.m_reason}});
@@ -125,12 +131,10 @@
                   {{"request", known.m_request_id},
                    {"upstream", upstream.value()},
                    {"reason", outcome.m_reason},
-                   {"not_run", outcome.m_end == dispatch::attempt_end::not_run}});
+                   {"not_run", retry::is_never_begun(outcome.m_end)}});
     }
     if (outcome.m_is_group_fault) {
-        for (const auto& member : state.m_upstreams.group_of(upstream)) {
-            state.m_pools.pause_upstream(known.m_pool, member, now + group_pause, now);
-        }
+        state.m_pools.note_group_refusal(known.m_pool, upstream, now);
     }
     if (outcome.m_is_other_upstream) {
         forget_upstream(state, known.m_pool, upstream, now);
@@ -191,7 +195,7 @@
     if (!target.m_client) {
         perform(state,
                 state.m_pools.attempt_ended(known.m_pool, known.m_ticket,
-                                            dispatch::attempt_end::not_run, now),
+                                            dispatch::attempt_end::not_reached, now),
                 now);
         return;
     }
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -155,7 +155,7 @@
         outcome = judge();
     }
     else if (how_far == http::progress::not_sent) {
-        outcome = {dispatch::attempt_end::not_run, true, false, "unreachable"};
+        outcome = {dispatch::attempt_end::not_reached, true, false, "unreachable"};
     }
     else if (absl::IsUnavailable(result)) {
         outcome = {dispatch::attempt_end::upstream_died, true, false, "connection_broke"};
@@ -163,8 +163,7 @@
     else {
         outcome = {dispatch::attempt_end::unknown, true, false, "no_whole_answer"};
     }
-    const bool is_not_run = outcome.m_end == dispatch::attempt_end::not_run;
-    m_may_have_run = m_may_have_run || !is_not_run;
+    m_may_have_run = m_may_have_run || !retry::is_never_begun(outcome.m_end);
     return outcome;
 }
 
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -78,6 +78,9 @@
     result.m_failure_domain = subject.m_known.m_failure_domain;
     result.m_labels.set(service_label, subject.m_known.m_service);
     result.m_slots = subject.m_known.m_slots;
+    if (subject.m_known.m_group) {
+        result.m_group = subject.m_known.m_group->m_group;
+    }
     result.m_leaving = subject.m_known.m_state != registry::upstream_state::ready;
     const bool is_broken = subject.m_known.m_group && subject.m_known.m_group->m_is_broken;
     result.m_is_stalled = is_broken || subject.m_is_avoided;
@@ -99,23 +102,6 @@
     return place == m_items.end() ? std::string() : pool_name(place->second.m_known.m_service);
 }
 
-std::vector<upstream_id> upstream_table::group_of(const upstream_id& name) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto place = m_items.find(name);
-    if (place == m_items.end() || !place->second.m_known.m_group) {
-        return {name};
-    }
-    const auto& group = place->second.m_known.m_group->m_group;
-    std::vector<upstream_id> result;
-    for (const auto& [other, subject] : m_items) {
-        if (subject.m_known.m_group && subject.m_known.m_group->m_group == group) {
-            result.push_back(other);
-        }
-    }
-    return result;
-}
-
 void upstream_table::begin_attempt(const upstream_id& name)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -48,9 +48,6 @@
     /// Its pool; empty where it isn't known.
     [[nodiscard]] std::string pool_of(const upstream_id& name) const;
 
-    /// The upstreams of its group, itself too; it alone where it is in none.
-    [[nodiscard]] std::vector<upstream_id> group_of(const upstream_id& name) const;
-
     void begin_attempt(const upstream_id& name);
     void end_attempt(const upstream_id& name, bool has_answered, time_point now);
 
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -20,20 +20,18 @@
     return true;
 }
 
+bool is_never_begun(attempt_end end)
+{
+    return end == attempt_end::not_run || end == attempt_end::not_reached ||
+           end == attempt_end::refused_busy;
+}
+
 bool is_safe_to_retry(attempt_end end, bool is_idempotent)
 {
-    switch (end) {
-        case attempt_end::not_run:
-        case attempt_end::refused_busy:
-            return true;
-        case attempt_end::unknown:
-        case attempt_end::upstream_died:
-            return is_idempotent;
-        case attempt_end::completed:
-        case attempt_end::cancelled:
-            break;
+    if (end == attempt_end::completed || end == attempt_end::cancelled) {
+        return false;
     }
-    return false;
+    return is_idempotent || is_never_begun(end);
 }
 
 }  // namespace dewbeam::retry
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -11,6 +11,7 @@
 enum class attempt_end {
     completed,      ///< the whole answer arrived
     not_run,        ///< certainly never begun
+    not_reached,    ///< never begun, since no connection to the upstream came about
     refused_busy,   ///< never begun, since the upstream had no room at that moment
     unknown,        ///< may have run
     upstream_died,  ///< unknown, and the upstream's process went away while it ran
@@ -39,6 +40,9 @@
 /// Takes one retry from the budget; false when none is left.
 bool take_retry(budget& state);
 
+/// Whether the attempt certainly never began.
+bool is_never_begun(attempt_end end);
+
 /// Whether an attempt that ended so may run again without running twice: it certainly never ran,
 /// or running twice does no harm.
 bool is_safe_to_retry(attempt_end end, bool is_idempotent);
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -187,6 +187,70 @@
     EXPECT_EQ(queued(f.m_broker), 0U);
 }
 
+upstream_info make_rank(const std::string& name)
+{
+    auto result = make_upstream(name, 8);
+    result.m_group = "g";
+    return result;
+}
+
+TEST(broker, a_group_that_refuses_gets_one_request_at_a_time_until_it_answers)
+{
+    fixture f;
+    f.put(make_rank("r0"));
+    f.put(make_rank("r1"));
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    note_group_refusal(f.m_broker, upstream_id("r0"), f.m_now);
+    EXPECT_TRUE(f.end(1, attempt_end::not_run).empty());
+    for (std::uint64_t id = 2; id <= 5; ++id) {
+        EXPECT_TRUE(f.add(make_request(id)).empty());
+    }
+    const auto probe = f.pass(milliseconds(400));
+    ASSERT_EQ(probe.size(), 1U);
+    EXPECT_TRUE(f.pass(milliseconds(200)).empty());
+    EXPECT_EQ(f.pass(milliseconds(200)).size(), 1U) << "the first one may hang";
+    first_token(f.m_broker, probe[0].m_ticket, f.m_now);
+    EXPECT_EQ(f.pass(milliseconds(1)).size(), 3U);
+}
+
+TEST(broker, an_upstream_that_is_not_reached_costs_no_attempt_and_no_retry)
+{
+    fixture f;
+    f.put(make_upstream("u0", 8));
+    f.put(make_upstream("u1", 8));
+    auto request = make_request(1);
+    request.m_most_attempts = 1;
+    request.m_idempotent = false;
+    const auto first = f.add(request);
+    ASSERT_EQ(first.size(), 1U);
+    f.m_broker.m_retry_budget.m_tokens = 0.0;
+    const auto second = f.end(1, attempt_end::not_reached);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].m_kind, action::kind::dispatch);
+    EXPECT_NE(second[0].m_upstream, first[0].m_upstream);
+    EXPECT_EQ(f.end(1, attempt_end::not_run).at(0).m_refusal, refusal::retries_exhausted);
+}
+
+TEST(broker, requests_wait_for_the_first_upstream_where_they_are_told_to)
+{
+    fixture f;
+    f.m_broker.m_options.m_waits_for_upstreams = true;
+    auto early = make_request(1);
+    early.m_wait_deadline = f.m_now + seconds(1);
+    EXPECT_TRUE(f.add(early).empty());
+    const auto steps = f.put(make_upstream("u", 4));
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_EQ(steps[0].m_kind, action::kind::dispatch);
+    f.m_now += seconds(2);
+    remove_upstream(f.m_broker, upstream_id("u"), f.m_now, f.m_random);
+    auto lost = make_request(2);
+    lost.m_wait_deadline = f.m_now + seconds(1);
+    EXPECT_TRUE(f.add(lost).empty());
+    const auto refused = f.pass(seconds(1));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].m_refusal, refusal::no_able_upstream);
+}
+
 TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
 {
     fixture f;
--- a/test/upstream_health_test.cpp
+++ b/test/upstream_health_test.cpp
@@ -11,21 +11,31 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+TEST(health, an_upstream_that_is_not_reached_is_closed_at_once)
+{
+    health state;
+    const health_options options;
+    const time_point now{std::chrono::seconds(1)};
+    EXPECT_TRUE(note_failure(state, options, upstream_result::unreachable, now));
+    EXPECT_EQ(state.m_closed_until, now + options.m_first_pause);
+}
+
 TEST(upstream_health, closes_after_failures_in_a_row_and_for_longer_each_time)
 {
     health state;
     const health_options options;
     time_point now{seconds(1)};
-    EXPECT_FALSE(note_failure(state, options, now));
-    EXPECT_FALSE(note_failure(state, options, now));
-    EXPECT_TRUE(note_failure(state, options, now));
+    EXPECT_FALSE(note_failure(state, options, upstream_result::failed, now));
+    EXPECT_FALSE(note_failure(state, options, upstream_result::failed, now));
+    EXPECT_TRUE(note_failure(state, options, upstream_result::failed, now));
     EXPECT_EQ(state.m_closed_until, now + milliseconds(500));
     now = state.m_closed_until;
-    EXPECT_TRUE(note_failure(state, options, now)) << "one more closes it again";
+    EXPECT_TRUE(note_failure(state, options, upstream_result::failed, now))
+        << "one more closes it again";
     EXPECT_EQ(state.m_closed_until, now + seconds(1));
     for (int i = 0; i < 8; ++i) {
         now = state.m_closed_until;
-        note_failure(state, options, now);
+        note_failure(state, options, upstream_result::failed, now);
     }
     EXPECT_EQ(state.m_closed_until, now + options.m_longest_pause);
 }
@@ -38,13 +48,13 @@
     bool is_closed = false;
     for (int i = 0; i < 6; ++i) {
         note_success(state, options, now);
-        is_closed = note_failure(state, options, now) || is_closed;
+        is_closed = note_failure(state, options, upstream_result::failed, now) || is_closed;
     }
     EXPECT_TRUE(is_closed);
     health sound;
     for (int i = 0; i < 40; ++i) {
         const bool fails = i % 10 == 9;
-        EXPECT_FALSE(fails && note_failure(sound, options, now));
+        EXPECT_FALSE(fails && note_failure(sound, options, upstream_result::failed, now));
         if (!fails) {
             note_success(sound, options, now);
         }
