Soak the programs that serve announced upstreams with random faults

Change: test/soak runs three registries, three gateways and four upstreams behind loopback proxies; processes are killed, stopped, paused and reloaded, disks lost and log ends torn, connections delayed, silenced, cut one way and reset, in series and overlapping, drawn from a seed. The stand-ins of platform_session moved to a file of their own, unchanged but for the request's name in an answer. Ruled out: load as a reason of failures seen while it was written; those were the soak's own reading of answers with a length.

--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -2,8 +2,6 @@
 operator and callers. Streams, plain calls, configurations, keys, planned stops, a lost disk."""
 
 import argparse
-import http.client
-import http.server
 import json
 import os
 import shutil
@@ -15,139 +13,9 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
+sys.path.insert(0, os.path.dirname(__file__))
 from dewbeam_site import Site, free_port  # noqa: E402
-
-EVENTS = 12
-
-
-class Upstream:
-    """A replica: runs what names it, counts runs by request id, and announces itself."""
-
-    def __init__(self, name, service, registries):
-        self.name = name
-        self.service = service
-        self.registries = registries
-        self.sequence = 0
-        self.runs = []
-        self.cuts = []  # events after which the next streams break; shared between upstreams
-        self.refuses = False
-        self.pause_s = 0.005
-        owner = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *_):
-                pass
-
-            def do_GET(self):
-                owner.serve(self)
-
-            def do_POST(self):
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                owner.serve(self)
-
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        self.address = "127.0.0.1:%d" % self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        self.is_announcing = True
-        threading.Thread(target=self.announce_forever, daemon=True).start()
-
-    def serve(self, handler):
-        request = handler.headers["Attempt-Id"]
-        if handler.headers["Expect-Instance"] != self.name:
-            return self.answer(handler, 421, request, b"")
-        if self.refuses:
-            return self.answer(handler, 503, request, b"", [("Not-Executed", "1")])
-        self.runs.append((request, dict(handler.headers)))
-        if "/stream/" not in handler.path:
-            return self.answer(handler, 200, request, b"ran at " + self.name.encode())
-        first = int(handler.headers.get("Last-Event-Id", 0))
-        cut_after = self.cuts.pop(0) if self.cuts else None
-        handler.send_response(200)
-        for name, value in (("Attempt-Id", request), ("Response-Stamp", "stamp-" + self.name),
-                            ("Content-Type", "text/event-stream"),
-                            ("Transfer-Encoding", "chunked")):
-            handler.send_header(name, value)
-        handler.end_headers()
-        for event in range(first + 1, EVENTS + 1):
-            data = b"id: %d\ndata: word-%d\n\n" % (event, event)
-            if cut_after is not None and event > cut_after:
-                half = data[:6]
-                handler.wfile.write(b"%x\r\n%s\r\n" % (len(half), half))
-                handler.wfile.flush()
-                handler.connection.close()
-                handler.close_connection = True
-                return None
-            handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-            handler.wfile.flush()
-            time.sleep(self.pause_s)
-        handler.wfile.write(b"0\r\n\r\n")
-        return None
-
-    @staticmethod
-    def answer(handler, status, request, body, fields=()):
-        handler.send_response(status)
-        for name, value in [("Attempt-Id", request), ("Response-Stamp", "stamp"), *fields]:
-            handler.send_header(name, value)
-        handler.send_header("Content-Length", str(len(body)))
-        handler.end_headers()
-        handler.wfile.write(body)
-
-    def announce(self, state="ready"):
-        self.sequence += 1
-        beat = {"service": self.service, "address": self.address, "zone": "z1", "version": "v1",
-                "slots": 8, "state": state, "sequence": self.sequence}
-        for port in self.registries:
-            status, _ = call(port, "PUT", "/-/instances/" + self.name, json.dumps(beat))
-            if status == 200:
-                return True
-        return False
-
-    def announce_forever(self):
-        while self.is_announcing:
-            self.announce()
-            time.sleep(0.3)
-
-    def leave(self):
-        self.is_announcing = False
-        time.sleep(0.4)  # an announcement under way comes first
-        return self.announce("draining")
-
-    def stop(self):
-        self.is_announcing = False
-        self.server.shutdown()
-
-
-def call(port, method, path, body=None, fields=None, limit_s=5.0):
-    """One request; status 0 where there is no whole answer."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=limit_s)
-    try:
-        connection.request(method, path, body, fields or {})
-        with connection.getresponse() as answer:
-            return answer.status, answer.read().decode()
-    except (OSError, http.client.HTTPException) as error:
-        return 0, str(error)
-    finally:
-        connection.close()
-
-
-def configuration(version, **changes):
-    route = {"host": "api.example", "timeout-ms": 4000, "target-latency-ms": 400, "priority": 1,
-             "max-attempts": 2, "service": "chat"}
-    result = {
-        "version": version,
-        "routes": [{**route, "name": "stream", "path-prefix": "/stream/", "kind": "streaming",
-                    "stream-resume": True, "gap-aim-ms": 120},
-                   {**route, "name": "once", "path-prefix": "/once/", "kind": "unsafe"},
-                   {**route, "name": "safe", "path-prefix": "/safe/", "kind": "safe"}],
-        "services": [{"name": "chat", "health-path": "/healthz", "max-connections": 100}],
-        "tenants": [{"name": "t1", "api-keys": ["key-1"]}],
-    }
-    result.update(changes)
-    return result
-
+from platform_standins import EVENTS, Upstream, call, configuration  # noqa: E402
 
 class PlatformSession(unittest.TestCase):
     def setUp(self):
--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the programs that serve announced upstreams: real processes, faults from outside them."""
--- /dev/null
+++ b/test/soak/run.py
@@ -0,0 +1,91 @@
+"""One soak of one seed. `python3 -m soak.run` is run by tool/soak."""
+
+import json
+import random
+import tempfile
+import threading
+import time
+
+from soak.callers import Caller, Operator
+from soak.faults import GATEWAYS, REGISTRIES, Faults
+from soak.promises import Promises, now
+from soak.site import SoakSite, UPSTREAMS
+
+CALLERS = 9
+START_LIMIT_S = 30.0
+RECOVERY_S = 12.0
+DRAIN_GRACE_S = 2.0
+
+
+def wait_for(condition, limit_s):
+    deadline = now() + limit_s
+    while not condition():
+        if now() > deadline:
+            return False
+        time.sleep(0.05)
+    return True
+
+
+def begin(site, operator):
+    def is_served(name):
+        page = site.status(name)
+        return page is not None and page["revision"] > 0 and len(page["upstreams"]) >= UPSTREAMS
+    if not wait_for(lambda: operator.send(1), START_LIMIT_S):
+        raise TimeoutError("no registry acknowledged the first revision")
+    if not wait_for(lambda: all(is_served(name) for name in GATEWAYS), START_LIMIT_S):
+        raise TimeoutError("the gateways do not know the upstreams")
+
+
+def check_recovery(site, promises, callers):
+    """Behind the last fault everything is served again, and the newest revision is everywhere."""
+    if not wait_for(lambda: all(site.is_ready(name) for name in GATEWAYS), RECOVERY_S):
+        promises.fail("a gateway is not ready %.0f s after the last fault" % RECOVERY_S)
+    def is_read_back(name):
+        page = site.status(name)
+        return page is not None and page["revision"] >= promises.acknowledged
+    for name in GATEWAYS + REGISTRIES:
+        if not wait_for(lambda n=name: is_read_back(n), RECOVERY_S):
+            promises.fail("%s lacks revision %d" % (name, promises.acknowledged))
+    since = now()
+    time.sleep(2.0)
+    results = [status for caller in callers for when, status in caller.latest if when > since]
+    served = sum(status == 200 for status in results)
+    if not results or served < 0.95 * len(results):
+        promises.fail("%d of %d requests were served after the last fault" % (served, len(results)))
+
+
+def run_seed(bin_folder, seed, seconds, work=None):
+    """Runs one seed. Gives what was broken, the faults in order, and the counts of answers."""
+    with tempfile.TemporaryDirectory(dir=work) as folder, SoakSite(bin_folder, folder, seed) as site:
+        promises = Promises()
+        stop = threading.Event()
+        operator = Operator(seed, site, promises, stop)
+        begin(site, operator)
+        callers = [Caller(index, seed, site, promises, stop) for index in range(CALLERS)]
+        for thread in [operator, *callers]:
+            thread.start()
+        faults = Faults(seed, site, promises)
+        pauses = random.Random(seed + 1)
+        until = now() + seconds
+        while now() < until:
+            faults.strike()
+            time.sleep(pauses.uniform(0.2, 1.5))
+        faults.end()
+        check_recovery(site, promises, callers)
+        stop.set()
+        for thread in [operator, *callers]:
+            thread.join(10.0)
+        time.sleep(0.5)
+        promises.check_runs(site.upstreams)
+        for upstream, when in faults.drained:
+            promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit)
+        logs = {name: site.process(name).log() for name in GATEWAYS + REGISTRIES} \
+            if promises.broken else {}
+        return {"seed": seed, "broken": promises.broken, "faults": faults.log,
+                "answers": promises.counts, "revisions": promises.acknowledged, "logs": logs}
+
+
+def summary(result):
+    """One line a seed."""
+    return json.dumps({key: result[key] for key in ("seed", "broken", "answers", "revisions")} |
+                      {"faults": len(result["faults"])})
--- /dev/null
+++ b/tool/dewbeam_soak.py
@@ -0,0 +1,50 @@
+"""Runs many seeds of the soak side by side; prints a line a seed and keeps the logs of failed ones."""
+
+import argparse
+import concurrent.futures
+import json
+import os
+import random
+import sys
+
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
+sys.path[:0] = [os.path.join(ROOT, "test"), os.path.join(ROOT, "tool")]
+from soak.run import run_seed, summary  # noqa: E402
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", required=True)
+    parser.add_argument("--seeds", type=int, default=50, help="how many")
+    parser.add_argument("--first", type=int, help="the first seed; left out, a fresh one is drawn")
+    parser.add_argument("--seconds", type=float, default=12.0, help="of faults, for each seed")
+    parser.add_argument("--jobs", type=int, default=4, help="seeds side by side")
+    parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
+    return parser.parse_args()
+
+
+def main():
+    options = parse_arguments()
+    first = options.first or random.SystemRandom().randrange(1_000, 1_000_000)
+    failed = 0
+    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
+        runs = {pool.submit(run_seed, options.bin, seed, options.seconds): seed
+                for seed in range(first, first + options.seeds)}
+        for run in concurrent.futures.as_completed(runs):
+            try:
+                result = run.result()
+            except Exception as error:  # the seed's name must not be lost with it
+                result = {"seed": runs[run], "broken": [repr(error)], "faults": [], "answers": {},
+                          "revisions": 0, "logs": {}}
+            print(summary(result), flush=True)
+            if result["broken"]:
+                failed += 1
+                os.makedirs(options.keep, exist_ok=True)
+                with open(os.path.join(options.keep, "%d.json" % result["seed"]), "w") as file:
+                    json.dump(result, file, indent=1)
+    print("%d passed, %d failed" % (options.seeds - failed, failed))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
