--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -64,14 +64,15 @@
 }  // namespace
 
 gateway_state::gateway_state(program::program& frame, const json& settings,
-                             const wire_format& format, feed_handlers handlers)
+                             const wire_format& format, registrar::feed_handlers handlers)
     : m_frame(frame),
       m_settings(settings),
       m_format(format),
       m_incarnation(program::new_incarnation()),
       m_pools(broker_options_of(settings)),
       m_upstreams(frame.context(), client_options()),
-      m_feed(registrar::registry_addresses(settings), feed_options{}, std::move(handlers)),
+      m_feed(registrar::registry_addresses(settings), registrar::feed_options{},
+             std::move(handlers)),
       m_random(program::seeded_engine())
 {
 }
@@ -229,9 +230,9 @@
         return http::json_response(200, page.dump());
     }
 
-    feed_handlers feed_handlers_of()
+    registrar::feed_handlers feed_handlers_of()
     {
-        feed_handlers result;
+        registrar::feed_handlers result;
         result.m_on_upstream = [this](const registry::record& changed) { on_upstream(changed); };
         result.m_on_revision = [this](const revisions::revision& newer) {
             return on_revision(newer);
@@ -322,7 +323,7 @@
 
     void tick(time_point now)
     {
-        load_list loads;
+        registrar::load_list loads;
         for (const auto& load : m_state.m_upstreams.loads()) {
             loads.emplace_back(load.m_name.value(), load.m_in_flight);
         }
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -14,8 +14,8 @@
 #include "dewbeam/src/gateway/gateway_metrics.h"
 #include "dewbeam/src/gateway/gateway_request.h"
 #include "dewbeam/src/gateway/held_calls.h"
-#include "dewbeam/src/gateway/registry_feed.h"
 #include "dewbeam/src/gateway/upstream_table.h"
+#include "dewbeam/src/registrar/registry_feed.h"
 
 namespace dewbeam::gateway {
 
@@ -92,7 +92,7 @@
 /// The parts of one gateway.
 struct gateway_state {
     gateway_state(program::program& frame, const nlohmann::json& settings,
-                  const wire_format& format, feed_handlers handlers);
+                  const wire_format& format, registrar::feed_handlers handlers);
 
     program::program& m_frame;
     nlohmann::json m_settings;
@@ -105,7 +105,7 @@
     upstream_table m_upstreams;
     request_list m_requests;
     held_calls m_held;
-    registry_feed m_feed;
+    registrar::registry_feed m_feed;
     std::atomic<std::uint64_t> m_last_ticket = 0;
     std::mutex m_random_mutex;
     random_engine m_random;  ///< under m_random_mutex
--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -82,8 +82,8 @@
     placement m_content;
     std::vector<rank_order> m_orders;
     std::size_t m_next = 0;  ///< of `m_orders`, to be sent
-    std::size_t m_settled =
-        0;  ///< of `m_orders`, answered; under the engine's mutex, as the copies
+    // Under the engine's mutex:
+    std::size_t m_settled = 0;  ///< of `m_orders`, answered; the report comes behind them
     std::vector<std::shared_ptr<http::client_exchange>> m_copies;  ///< of the order under way
     boost::asio::steady_timer m_next_copy;
     bool m_is_accepted = true;
@@ -155,6 +155,26 @@
     return true;
 }
 
+/// Calls the engine; only the first end of a call at this place counts.
+std::shared_ptr<http::client_exchange> rank_engine::call(
+    const std::shared_ptr<errand>& subject, std::size_t place, const http::request& wanted,
+    std::function<void(const http::response&)> on_answer)
+{
+    return http::call(
+        m_client, wanted,
+        [this, self = shared_from_this(), subject, place,
+         on_answer = std::move(on_answer)](const absl::StatusOr<http::response>& got) {
+            if (!settle(*subject, place)) {
+                return;
+            }
+            if (!got.ok()) {
+                subject->m_done(got.status());
+                return;
+            }
+            on_answer(*got);
+        });
+}
+
 void rank_engine::next(const std::shared_ptr<errand>& subject)
 {
     if (subject->m_next == subject->m_orders.size()) {
@@ -170,19 +190,10 @@
 /// number: what follows an order that holds or arms always has a higher one.
 void rank_engine::send_copy(const std::shared_ptr<errand>& subject, std::size_t place, int copy)
 {
-    auto exchange =
-        http::call(m_client, m_format.m_order_call(subject->m_orders[place]),
-                   [this, self = shared_from_this(), subject,
-                    place](const absl::StatusOr<http::response>& got) {
-                       if (!settle(*subject, place)) {
-                           return;
-                       }
-                       if (!got.ok()) {
-                           subject->m_done(got.status());
-                           return;
-                       }
-                       after_order(subject, m_format.m_read_order_result(got->m_status));
-                   });
+    const auto order = m_format.m_order_call(subject->m_orders[place]);
+    auto exchange = call(subject, place, order, [this, subject](const http::response& got) {
+        after_order(subject, m_format.m_read_order_result(got.m_status));
+    });
     if (!keep(*subject, place, std::move(exchange)) || copy == most_copies) {
         return;
     }
@@ -234,35 +245,30 @@
 {
     const auto place = subject->m_orders.size();
     auto exchange =
-        http::call(m_client, m_format.m_report_call(),
-                   [this, self = shared_from_this(), subject,
-                    place](const absl::StatusOr<http::response>& got) {
-                       if (!settle(*subject, place)) {
-                           return;
-                       }
-                       if (!got.ok()) {
-                           subject->m_done(got.status());
-                           return;
-                       }
-                       const auto read = m_format.m_read_report(got->m_body);
-                       if (!read.ok()) {
-                           subject->m_done(read.status());
-                           return;
-                       }
-                       if (!read->m_is_open) {
-                           subject->m_done(absl::UnavailableError("the group does not run"));
-                           return;
-                       }
-                       group_map::engine_answer answer;
-                       answer.m_number = subject->m_order.m_number;
-                       answer.m_accepted = subject->m_is_accepted;
-                       answer.m_highest = subject->m_highest;
-                       answer.m_state = to_state(*read);
-                       subject->m_done(answer);
-                   });
+        call(subject, place, m_format.m_report_call(),
+             [this, subject](const http::response& got) { take_report(*subject, got); });
     keep(*subject, place, std::move(exchange));
 }
 
+void rank_engine::take_report(const errand& subject, const http::response& got) const
+{
+    const auto read = m_format.m_read_report(got.m_body);
+    if (!read.ok()) {
+        subject.m_done(read.status());
+        return;
+    }
+    if (!read->m_is_open) {
+        subject.m_done(absl::UnavailableError("the group does not run"));
+        return;
+    }
+    group_map::engine_answer answer;
+    answer.m_number = subject.m_order.m_number;
+    answer.m_accepted = subject.m_is_accepted;
+    answer.m_highest = subject.m_highest;
+    answer.m_state = to_state(*read);
+    subject.m_done(answer);
+}
+
 void rank_engine::note_raised(const errand& subject)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -47,11 +48,15 @@
     struct errand;
 
     void next(const std::shared_ptr<errand>& subject);
+    std::shared_ptr<http::client_exchange> call(
+        const std::shared_ptr<errand>& subject, std::size_t place, const http::request& wanted,
+        std::function<void(const http::response&)> on_answer);
     void send_copy(const std::shared_ptr<errand>& subject, std::size_t place, int copy);
     bool settle(errand& subject, std::size_t place);
     bool is_waiting(const errand& subject, std::size_t place);
     void after_order(const std::shared_ptr<errand>& subject, order_result result);
     void report(const std::shared_ptr<errand>& subject);
+    void take_report(const errand& subject, const http::response& got) const;
     void note_raised(const errand& subject);
     bool keep(errand& subject, std::size_t place, std::shared_ptr<http::client_exchange> exchange);
 
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -8,11 +8,11 @@
 
 #include "dewbeam/link"
 #include "dewbeam/src/agent/group_runner.h"
-#include "dewbeam/src/gateway/registry_feed.h"
 #include "dewbeam/src/ranks/count_wire.h"
 #include "dewbeam/src/ranks/rank_balancer.h"
 #include "dewbeam/src/ranks/rank_engine.h"
 #include "dewbeam/src/registrar/addresses.h"
+#include "dewbeam/src/registrar/registry_feed.h"
 
 namespace dewbeam::ranks {
 
@@ -158,9 +158,9 @@
     implementation& operator=(implementation&&) = delete;
 
 private:
-    gateway::feed_handlers handlers_of()
+    registrar::feed_handlers handlers_of()
     {
-        gateway::feed_handlers result;
+        registrar::feed_handlers result;
         result.m_on_upstream = [this](const registry::record& changed) {
             const std::lock_guard lock(m_mutex);
             const auto& known = changed.m_announced;
@@ -497,7 +497,7 @@
     }
 
     /// This rank's pace, where it is slow.
-    [[nodiscard]] gateway::pace_list own_pace() const
+    [[nodiscard]] registrar::pace_list own_pace() const
     {
         constexpr double usual = 1.0;
         const std::lock_guard lock(m_mutex);
@@ -546,7 +546,7 @@
     std::shared_ptr<std::atomic<std::uint64_t>> m_formation =
         std::make_shared<std::atomic<std::uint64_t>>(0);
     std::shared_ptr<rank_engine> m_engine;
-    gateway::registry_feed m_feed;
+    registrar::registry_feed m_feed;
     std::atomic<bool> m_is_started = false;  ///< the node is there
     std::atomic<bool> m_is_asking_report = false;
     std::atomic<bool> m_is_asking_counts = false;
--- a/dewbeam/src/gateway/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -1,11 +1,11 @@
-#include "dewbeam/src/gateway/registry_feed.h"
+#include "dewbeam/src/registrar/registry_feed.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "dewbeam/src/registrar/announcement_wire.h"
 
-namespace dewbeam::gateway {
+namespace dewbeam::registrar {
 
 namespace {
 
@@ -96,7 +96,7 @@
     }
     for (const auto& item : news.upstreams()) {
         const auto before = m_table.m_last_change;
-        if (registrar::merge(m_table, item, now) == registry::merge_result::changed &&
+        if (merge(m_table, item, now) == registry::merge_result::changed &&
             m_table.m_last_change != before) {
             changed.push_back(m_table.m_records.at(upstream_id(item.name())));
         }
@@ -199,4 +199,4 @@
     return m_revision;
 }
 
-}  // namespace dewbeam::gateway
+}  // namespace dewbeam::registrar
--- a/dewbeam/src/gateway/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -16,7 +16,7 @@
 #include "dewbeam/registry"
 #include "dewbeam/revisions"
 
-namespace dewbeam::gateway {
+namespace dewbeam::registrar {
 
 /// What the feed calls; outside its lock, on the link's thread.
 struct feed_handlers {
@@ -97,4 +97,4 @@
     pace_list m_paces;
 };
 
-}  // namespace dewbeam::gateway
+}  // namespace dewbeam::registrar
