--- /dev/null
+++ b/dewbeam/src/ranks/group_layout.h
@@ -0,0 +1,32 @@
+/// \file
+/// The ranks of a group and where one stands in it, worked out from what the upstreams announce.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dewbeam/registry"
+#include "dewbeam/src/ranks/rank_format.h"
+
+namespace dewbeam::ranks {
+
+/// A rank and the others of its group.
+struct group_layout {
+    std::string m_group;
+    std::vector<std::string> m_members;  ///< link addresses of the ranks' agents, by rank
+    std::vector<endpoint> m_engines;     ///< addresses of the engines, by rank
+    rank_id m_rank;
+
+    friend bool operator==(const group_layout&, const group_layout&) = default;
+};
+
+/// The layout for the rank that `report` comes from; none before the addresses of all ranks are
+/// known. Each rank's agent listens at `link_port` of its engine's host. Where two upstreams
+/// announced the same rank, the one of the later formation counts.
+std::optional<group_layout> find_layout(
+    const rank_report& report, const std::map<upstream_id, registry::announcement>& announced,
+    std::uint16_t link_port);
+
+}  // namespace dewbeam::ranks
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -9,6 +9,7 @@
 #include "dewbeam/link"
 #include "dewbeam/src/agent/group_runner.h"
 #include "dewbeam/src/ranks/count_wire.h"
+#include "dewbeam/src/ranks/group_layout.h"
 #include "dewbeam/src/ranks/rank_balancer.h"
 #include "dewbeam/src/ranks/rank_engine.h"
 #include "dewbeam/src/registrar/addresses.h"
@@ -71,16 +72,6 @@
     return std::max<time_span>(shortest_counts_interval, wanted);
 }
 
-/// What this rank knows of its place.
-struct place {
-    std::string m_group;
-    std::vector<std::string> m_members;  ///< link addresses by rank
-    std::vector<endpoint> m_engines;     ///< addresses of the engines by rank
-    rank_id m_rank;
-
-    friend bool operator==(const place&, const place&) = default;
-};
-
 }  // namespace
 
 std::vector<setting> rank_schema()
@@ -308,13 +299,13 @@
         std::string target;
         {
             const std::lock_guard lock(m_mutex);
-            message.set_group(m_place.m_group);
-            message.set_from_rank(m_place.m_rank.value());
+            message.set_group(m_layout.m_group);
+            message.set_from_rank(m_layout.m_rank.value());
             message.set_to_rank(rank.value());
-            if (rank != m_place.m_rank && rank.value() < m_place.m_members.size()) {
-                target = m_place.m_members[rank.value()];
+            if (rank != m_layout.m_rank && rank.value() < m_layout.m_members.size()) {
+                target = m_layout.m_members[rank.value()];
             }
-            else if (rank != m_place.m_rank) {
+            else if (rank != m_layout.m_rank) {
                 return;  // a smaller group than there may be coordinators
             }
         }
@@ -365,34 +356,6 @@
 
     // The group.
 
-    /// This rank's place, once the addresses of all ranks are known.
-    [[nodiscard]] std::optional<place> find_place() const
-    {
-        if (!m_report || m_report->m_ranks == 0) {
-            return std::nullopt;
-        }
-        place result;
-        result.m_group = m_report->m_group;
-        result.m_rank = m_report->m_rank;
-        result.m_members.resize(m_report->m_ranks);
-        result.m_engines.resize(m_report->m_ranks);
-        std::vector<std::uint64_t> formations(m_report->m_ranks, 0);
-        for (const auto& [name, known] : m_upstreams) {
-            const auto& at = known.m_group;
-            if (!at || at->m_group != result.m_group || at->m_rank.value() >= m_report->m_ranks ||
-                at->m_epoch < formations[at->m_rank.value()]) {
-                continue;
-            }
-            formations[at->m_rank.value()] = at->m_epoch;
-            result.m_engines[at->m_rank.value()] = known.m_address;
-            result.m_members[at->m_rank.value()] =
-                "tcp://" + to_string(endpoint{known.m_address.m_ip, link_port()});
-        }
-        const bool is_whole = std::none_of(result.m_members.begin(), result.m_members.end(),
-                                           [](const std::string& item) { return item.empty(); });
-        return is_whole ? std::optional(std::move(result)) : std::nullopt;
-    }
-
     /// All rank agents use the same port.
     [[nodiscard]] std::uint16_t link_port() const
     {
@@ -411,7 +374,7 @@
         return facts.ok() ? std::optional(*facts) : std::nullopt;
     }
 
-    [[nodiscard]] agent::group_options options_of(const place& at)
+    [[nodiscard]] agent::group_options options_of(const group_layout& at)
     {
         ++m_runners;
         auto options = agent::make_group_options(
@@ -448,13 +411,14 @@
         std::shared_ptr<agent::group_runner> ended;
         {
             const std::lock_guard lock(m_mutex);
-            const auto at = find_place();
-            const auto facts = at && (*at != m_place || !m_runner) ? find_facts() : std::nullopt;
+            const auto at =
+                m_report ? find_layout(*m_report, m_upstreams, link_port()) : std::nullopt;
+            const auto facts = at && (*at != m_layout || !m_runner) ? find_facts() : std::nullopt;
             if (!facts) {
                 return;
             }
             ended = std::exchange(m_runner, nullptr);
-            m_place = *at;
+            m_layout = *at;
             agent::group_hooks hooks;
             hooks.m_on_result = [this](group_map::change_result result) {
                 if (const auto balancer = current_balancer()) {
@@ -487,7 +451,7 @@
     [[nodiscard]] std::size_t rank_count() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_place.m_members.size();
+        return m_layout.m_members.size();
     }
 
     [[nodiscard]] double last_pace() const
@@ -558,7 +522,7 @@
     std::map<upstream_id, registry::announcement> m_upstreams;  ///< under m_mutex, as all below
     std::string m_configuration;
     std::optional<rank_report> m_report;
-    place m_place;
+    group_layout m_layout;
     std::shared_ptr<agent::group_runner> m_runner;
     std::shared_ptr<rank_balancer> m_balancer;
     std::map<rank_id, told_counts> m_told;
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -12,6 +12,7 @@
 #include "dewbeam/experts"
 #include "dewbeam/http"
 #include "dewbeam/src/ranks/count_wire.h"
+#include "dewbeam/src/ranks/group_layout.h"
 #include "dewbeam/src/ranks/rank_engine.h"
 
 namespace dewbeam::ranks {
@@ -195,6 +196,35 @@
     }
 }
 
+registry::announcement rank_announcement(const std::string& name, std::uint32_t rank,
+                                         std::uint64_t formation, const std::string& ip)
+{
+    registry::announcement result;
+    result.m_name = upstream_id(name);
+    result.m_address = {ip, 80};
+    result.m_group = registry::group_place{"g", formation, rank_id(rank), false};
+    return result;
+}
+
+TEST(group_layout, is_known_once_every_rank_was_announced_and_the_later_formation_counts)
+{
+    rank_report report;
+    report.m_group = "g";
+    report.m_ranks = 2;
+    report.m_rank = rank_id(1);
+    std::map<upstream_id, registry::announcement> announced;
+    announced[upstream_id("b")] = rank_announcement("b", 1, 3, "10.0.0.2");
+    EXPECT_FALSE(find_layout(report, announced, 7000));
+    announced[upstream_id("a")] = rank_announcement("a", 0, 4, "10.0.0.1");
+    announced[upstream_id("c")] = rank_announcement("c", 0, 3, "10.0.0.9");
+    const auto found = find_layout(report, announced, 7000);
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->m_members,
+              (std::vector<std::string>{"tcp://10.0.0.1:7000", "tcp://10.0.0.2:7000"}));
+    EXPECT_EQ(found->m_engines[0].m_ip, "10.0.0.1");
+    EXPECT_EQ(found->m_rank, rank_id(1));
+}
+
 TEST(placement, survives_json_and_refuses_the_rest)
 {
     const placement wanted{{{0, 2}, {1}}, {{1}, {0, 2}}};
