--- a/dewbeam/src/experts/rank_book.cpp
+++ b/dewbeam/src/experts/rank_book.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Samples that lie further apart don't belong to one moment; the ranks of a group of 63 tell theirs
-/// within 1.3 s.
+/// Samples that lie further apart don't belong to one moment; the ranks of a group of 63 tell
+/// theirs within 1.3 s.
 constexpr time_span longest_spread = std::chrono::milliseconds(3000);
 constexpr double least_pace = 0.1;
 
