Log when a group is closed and opened, and when a call is held

Cause: two new decisions (a lock-step group that refuses gets one request at a time; a call waits for the first configuration) changed what a gateway believes without a line of their own. Ruled out: a line for each request that waits (request_ended and attempt_begun say how long). Tests: broker_test (the results that the lines rest on).

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -186,12 +186,12 @@
     return result;
 }
 
-void first_token(broker& state, ticket request, time_point now)
+bool first_token(broker& state, ticket request, time_point now)
 {
     const auto place = state.m_requests.find(request);
     if (place == state.m_requests.end() || place->second.m_phase != request_phase::running ||
         place->second.m_has_first_token) {
-        return;
+        return false;
     }
     auto& subject = place->second;
     subject.m_has_first_token = true;
@@ -203,7 +203,7 @@
     note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
     note_first_token_time(state.m_pool_speed, passed, now);
     state.m_answered_dispatch = std::max(state.m_answered_dispatch, subject.m_dispatched_at);
-    open_group(state.m_table, options_of(state), subject.m_running_on, now);
+    return open_group(state.m_table, options_of(state), subject.m_running_on, now);
 }
 
 actions attempt_ended(broker& state, ticket request, attempt_end end, time_point now,
@@ -317,12 +317,14 @@
     return is_closed;
 }
 
-void note_group_refusal(broker& state, const upstream_id& name, time_point now)
+bool note_group_refusal(broker& state, const upstream_id& name, time_point now)
 {
-    if (const auto index = find_upstream(state.m_table, name)) {
-        const auto& group = state.m_table.m_upstreams[*index]->m_info.m_group;
-        close_group(state.m_table, options_of(state), group, now);
+    const auto index = find_upstream(state.m_table, name);
+    if (!index) {
+        return false;
     }
+    const auto& group = state.m_table.m_upstreams[*index]->m_info.m_group;
+    return close_group(state.m_table, options_of(state), group, now);
 }
 
 bool is_outrun(const broker& state, ticket request, time_span margin)
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -78,7 +78,8 @@
 actions submit(broker& state, request_info info, time_point now, random_engine& random);
 
 /// The first token, or the first byte of a plain answer, arrived.
-void first_token(broker& state, ticket request, time_point now);
+/// \returns whether its upstream's group, which had refused, turns out to serve again
+bool first_token(broker& state, ticket request, time_point now);
 
 /// An attempt ended; the request is retried, refused or forgotten. `upstream_died` is for a
 /// process that went away while it ran the request: it makes the request a crash suspect.
@@ -105,8 +106,9 @@
 /// An upstream's fault failed an attempt, or it answered one; true where it is closed for a while.
 bool note_result(broker& state, const upstream_id& name, upstream_result how, time_point now);
 
-/// An upstream refused by the fault of another rank of its group.
-void note_group_refusal(broker& state, const upstream_id& name, time_point now);
+/// An upstream refused by the fault of another rank of its group; true where the group is closed
+/// for it.
+bool note_group_refusal(broker& state, const upstream_id& name, time_point now);
 
 /// Whether a running request is late by its upstream's own fault: others that were sent off more
 /// than `margin` after it, to other upstreams, have their first token already.
--- a/dewbeam/src/dispatch/group_gate.cpp
+++ b/dewbeam/src/dispatch/group_gate.cpp
@@ -21,15 +21,16 @@
 
 }  // namespace
 
-void close_group(route_table& table, const route_options& options, const std::string& group,
+bool close_group(route_table& table, const route_options& options, const std::string& group,
                  time_point now)
 {
     if (group.empty()) {
-        return;
+        return false;
     }
-    auto& next_probe = table.m_closed_groups[group];
-    next_probe = std::max(next_probe, now + probe_interval);
+    const auto [place, is_new] = table.m_closed_groups.try_emplace(group);
+    place->second = std::max(place->second, now + probe_interval);
     refresh_group(table, options, group, now);
+    return is_new;
 }
 
 void note_group_start(route_table& table, const route_options& options, upstream_index index,
@@ -42,13 +43,15 @@
     }
 }
 
-void open_group(route_table& table, const route_options& options, upstream_index index,
+bool open_group(route_table& table, const route_options& options, upstream_index index,
                 time_point now)
 {
     const auto group = table.m_upstreams[index]->m_info.m_group;
-    if (table.m_closed_groups.erase(group) > 0) {
-        refresh_group(table, options, group, now);
+    if (table.m_closed_groups.erase(group) == 0) {
+        return false;
     }
+    refresh_group(table, options, group, now);
+    return true;
 }
 
 }  // namespace dewbeam::dispatch
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -94,12 +94,14 @@
     return dispatch::submit(target->m_broker, std::move(info), now, target->m_random);
 }
 
-void pool_table::first_token(const std::string& pool, dispatch::ticket request, time_point now)
+bool pool_table::first_token(const std::string& pool, dispatch::ticket request, time_point now)
 {
-    if (const auto target = find(pool)) {
-        const std::lock_guard lock(target->m_mutex);
-        dispatch::first_token(target->m_broker, request, now);
+    const auto target = find(pool);
+    if (!target) {
+        return false;
     }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::first_token(target->m_broker, request, now);
 }
 
 dispatch::actions pool_table::attempt_ended(const std::string& pool, dispatch::ticket request,
@@ -204,13 +206,15 @@
     return dispatch::note_result(target->m_broker, name, how, now);
 }
 
-void pool_table::note_group_refusal(const std::string& pool, const upstream_id& name,
+bool pool_table::note_group_refusal(const std::string& pool, const upstream_id& name,
                                     time_point now)
 {
-    if (const auto target = find(pool)) {
-        const std::lock_guard lock(target->m_mutex);
-        dispatch::note_group_refusal(target->m_broker, name, now);
+    const auto target = find(pool);
+    if (!target) {
+        return false;
     }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::note_group_refusal(target->m_broker, name, now);
 }
 
 bool pool_table::is_outrun(const std::string& pool, dispatch::ticket request,
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -40,7 +40,7 @@
     explicit pool_table(dispatch::broker_options options);
 
     dispatch::actions submit(const std::string& pool, dispatch::request_info info, time_point now);
-    void first_token(const std::string& pool, dispatch::ticket request, time_point now);
+    bool first_token(const std::string& pool, dispatch::ticket request, time_point now);
     dispatch::actions attempt_ended(const std::string& pool, dispatch::ticket request,
                                     dispatch::attempt_end end, time_point now);
     dispatch::actions cancel(const std::string& pool, dispatch::ticket request, time_point now);
@@ -60,8 +60,9 @@
     bool note_result(const std::string& pool, const upstream_id& name,
                      dispatch::upstream_result how, time_point now);
 
-    /// An upstream refused by the fault of another rank of its group.
-    void note_group_refusal(const std::string& pool, const upstream_id& name, time_point now);
+    /// An upstream refused by the fault of another rank of its group; true where the group is
+    /// closed for it.
+    bool note_group_refusal(const std::string& pool, const upstream_id& name, time_point now);
 
     /// Whether a running request is late by its upstream's own fault.
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -134,7 +134,10 @@
                    {"not_run", retry::is_never_begun(outcome.m_end)}});
     }
     if (outcome.m_is_group_fault) {
-        state.m_pools.note_group_refusal(known.m_pool, upstream, now);
+        if (state.m_pools.note_group_refusal(known.m_pool, upstream, now)) {
+            log_event(log_level::warning, "group_closed",
+                      {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+        }
     }
     if (outcome.m_is_other_upstream) {
         forget_upstream(state, known.m_pool, upstream, now);
@@ -151,6 +154,16 @@
             now);
 }
 
+void note_first_token(gateway_state& state, const request_pointer& request,
+                      const upstream_id& upstream, time_point now)
+{
+    const auto& known = request->known();
+    if (state.m_pools.first_token(known.m_pool, known.m_ticket, now)) {
+        log_event(log_level::info, "group_opened",
+                  {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+    }
+}
+
 http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
                                   const upstream_id& upstream, attempt_number attempt)
 {
@@ -167,13 +180,13 @@
             return;
         }
         if (is_plain_success) {
-            state.m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+            note_first_token(state, request, upstream, now);
         }
     };
-    result.m_on_data = [&state, request, attempt](std::string bytes) {
+    result.m_on_data = [&state, request, upstream, attempt](std::string bytes) {
         const auto now = program::now();
         if (request->take_data(attempt, std::move(bytes), now)) {
-            state.m_pools.first_token(request->known().m_pool, request->known().m_ticket, now);
+            note_first_token(state, request, upstream, now);
         }
     };
     result.m_on_end = [&state, request, upstream, attempt](const absl::Status& ended,
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -108,9 +108,17 @@
 {
     const auto limit = subject.m_call.m_time_limit.value_or(longest_wait);
     subject.m_deadline = subject.m_arrival + longest_wait_of(limit);
+    const auto request_id = subject.m_call.m_request_id;
+    const auto longest = subject.m_deadline - subject.m_arrival;
     if (!state.m_held.add(subject)) {
         refuse_without_configuration(subject);
+        return;
     }
+    log_event(
+        log_level::info, "request_held",
+        {{"request", request_id},
+         {"reason", "no_configuration"},
+         {"longest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()}});
 }
 
 /// Finds the call's route and workspace, and gives it to the pool of its service.
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -200,7 +200,8 @@
     f.put(make_rank("r0"));
     f.put(make_rank("r1"));
     ASSERT_EQ(f.add(make_request(1)).size(), 1U);
-    note_group_refusal(f.m_broker, upstream_id("r0"), f.m_now);
+    EXPECT_TRUE(note_group_refusal(f.m_broker, upstream_id("r0"), f.m_now));
+    EXPECT_FALSE(note_group_refusal(f.m_broker, upstream_id("r1"), f.m_now)) << "closed before";
     EXPECT_TRUE(f.end(1, attempt_end::not_run).empty());
     for (std::uint64_t id = 2; id <= 5; ++id) {
         EXPECT_TRUE(f.add(make_request(id)).empty());
@@ -209,7 +210,8 @@
     ASSERT_EQ(probe.size(), 1U);
     EXPECT_TRUE(f.pass(milliseconds(200)).empty());
     EXPECT_EQ(f.pass(milliseconds(200)).size(), 1U) << "the first one may hang";
-    first_token(f.m_broker, probe[0].m_ticket, f.m_now);
+    EXPECT_TRUE(first_token(f.m_broker, probe[0].m_ticket, f.m_now));
+    EXPECT_FALSE(first_token(f.m_broker, probe[0].m_ticket, f.m_now)) << "open already";
     EXPECT_EQ(f.pass(milliseconds(1)).size(), 3U);
 }
 
