Use one copy of what the HTTP client, the claims' wire and the engines' JSON each had twice

The client's coroutines had their own copy of the server's names and of to_value; the answer that a claim keeps was read from two messages by the same lines; expert_json and order_json each had read_object. Behaviour stays.

--- a/dewbeam/src/control/claim_client.cpp
+++ b/dewbeam/src/control/claim_client.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "dewbeam/src/control/claim_wire.h"
+
 namespace dewbeam::control {
 
 namespace {
@@ -17,14 +19,7 @@
     claim_reply result;
     result.m_decision = source.decision();
     result.m_holder = link::from_wire(source.attempt());
-    if (source.answer_held()) {
-        auto& answer = result.m_answer.emplace();
-        answer.m_status = source.status();
-        answer.m_body = source.body();
-        for (const auto& item : source.headers()) {
-            answer.m_headers.push_back({item.name(), item.value()});
-        }
-    }
+    result.m_answer = read_kept_answer(source);
     return result;
 }
 
--- a/dewbeam/src/control/claim_wire.cpp
+++ b/dewbeam/src/control/claim_wire.cpp
@@ -70,14 +70,7 @@
     result.m_key = claims::claim_key(source.key());
     result.m_attempt = link::from_wire(source.attempt());
     result.m_outcome = link::from_wire(source.outcome());
-    if (source.answer_held()) {
-        auto& answer = result.m_answer.emplace();
-        answer.m_status = source.status();
-        answer.m_body = source.body();
-        for (const auto& item : source.headers()) {
-            answer.m_headers.push_back({item.name(), item.value()});
-        }
-    }
+    result.m_answer = read_kept_answer(source);
     return result;
 }
 
--- a/dewbeam/src/engine/expert_json.cpp
+++ b/dewbeam/src/engine/expert_json.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dewbeam/src/engine/json_object.h"
+
 namespace dewbeam::engine {
 
 namespace {
@@ -10,6 +12,7 @@
 using experts::expert_map;
 using experts::group_counts;
 using experts::group_shape;
+using internal::read_object;
 using json = nlohmann::json;
 
 /// No engine has more experts, layers or slots; bounds what a wrong body may make us allocate.
@@ -91,22 +94,6 @@
     return report;
 }
 
-/// Calls `read` on the object in `body`; what JSON throws becomes a value.
-template <class Reader>
-auto read_object(const std::string& body, Reader read) -> decltype(read(json()))
-{
-    const auto source = json::parse(body, nullptr, false);
-    if (!source.is_object()) {
-        return absl::InvalidArgumentError("the body must be a JSON object");
-    }
-    try {
-        return read(source);
-    }
-    catch (const json::exception& error) {
-        return absl::InvalidArgumentError(error.what());
-    }
-}
-
 }  // namespace
 
 std::string map_to_json(const expert_map& map)
--- a/dewbeam/src/engine/order_json.cpp
+++ b/dewbeam/src/engine/order_json.cpp
@@ -4,10 +4,13 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dewbeam/src/engine/json_object.h"
+
 namespace dewbeam::engine {
 
 namespace {
 
+using internal::read_object;
 using json = nlohmann::json;
 using group_map::engine_state;
 using group_map::map_id;
@@ -77,22 +80,6 @@
     return state;
 }
 
-/// Calls `read` on the object in `body`; what JSON throws becomes a value.
-template <class Reader>
-auto read_object(const std::string& body, Reader&& read) -> decltype(read(json()))
-{
-    const auto source = json::parse(body, nullptr, false);
-    if (!source.is_object()) {
-        return absl::InvalidArgumentError("the body must be a JSON object");
-    }
-    try {
-        return read(source);
-    }
-    catch (const json::exception& error) {
-        return absl::InvalidArgumentError(error.what());
-    }
-}
-
 }  // namespace
 
 std::string order_to_json(const group_map::engine_order& order)
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -7,21 +7,15 @@
 
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/ssl.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <boost/beast/ssl.hpp>
 #include <mutex>
 #include <optional>
 #include <utility>
 #include <vector>
 
+#include "dewbeam/src/http/coroutines.h"
+
 namespace dewbeam::http {
 
 namespace {
@@ -29,17 +23,13 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
-using tcp = asio::ip::tcp;
-using error_code = boost::system::error_code;
-using strand = asio::strand<asio::io_context::executor_type>;
+using internal::error_code;
+using internal::strand;
+using internal::tcp;
+using internal::to_value;
 
 constexpr std::size_t piece_size = 16UL * 1024;
 
-auto to_value(error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
-
 /// A connection and what was read beyond the last answer.
 struct client_connection {
     explicit client_connection(const strand& executor) : m_executor(executor), m_plain(executor) {}
--- a/dewbeam/src/http/coroutines.h
+++ b/dewbeam/src/http/coroutines.h
@@ -1,5 +1,6 @@
 /// \file
-/// Names and small helpers that the HTTP server's coroutines share. Internal to the module.
+/// Names and small helpers that the coroutines of the HTTP server and client share. Internal to the
+/// module.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
