Tell the lives of an upstream that restarts under its name apart

Cause: the registry's table kept an upstream by its name alone. One that started again under the same name counts its announcements from 1, so all of them looked late, and after an announced end the name stayed unusable for good. Ruled out: waiting for silence before a lower number is believed: 4.5 s without the upstream, and a late announcement of the life before could bring that one back. Change: announcements carry the upstream's incarnation (its time of start); the latest one holds, and an end holds for the incarnation that ended. An end of an upstream that was never announced holds for 10 s. Gateways begin with new connections and no memory of health. Announcements with wrong types, or with figures that would wrap around, are refused with a log line; what was known of that upstream stays. Before: the new tests of registry_test fail (number 1 after 40: nothing).

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -263,7 +263,13 @@
         known && state.m_table.m_upstreams[*known]->m_info.m_incarnation != info.m_incarnation;
     const auto index = put_upstream(state.m_table, options_of(state), info, now);
     if (is_restarted) {
+        // What was learned of the life before says nothing of this one.
+        auto& upstream = *state.m_table.m_upstreams[index];
+        upstream.m_health = {};
+        upstream.m_slowness = {};
+        upstream.m_closed_until = {};
         state.m_prefixes.forget(index);
+        refresh(state.m_table, options_of(state), index, now);
     }
     note_cache_size(state, index);
     pump(state, now, random, result);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -257,6 +257,7 @@
                    {"service", known.m_service},
                    {"state", registry::to_string(known.m_state)},
                    {"silent", changed.m_is_silent},
+                   {"incarnation", known.m_incarnation.value()},
                    {"number", known.m_number.value()}});
         if (known.m_state == registry::upstream_state::gone) {
             const auto pool = m_state.m_upstreams.pool_of(known.m_name);
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -41,7 +41,9 @@
 {
     const std::lock_guard lock(m_mutex);
     auto& place = m_items[known.m_name];
-    if (!place.m_client || place.m_known.m_address != known.m_address) {
+    // Connections to an earlier incarnation lead nowhere, and some never say so.
+    if (!place.m_client || place.m_known.m_address != known.m_address ||
+        place.m_known.m_incarnation != known.m_incarnation) {
         place.m_client = std::make_shared<http::client>(m_context, known.m_address, m_options);
     }
     place.m_known = known;
@@ -75,6 +77,7 @@
     const auto& subject = place->second;
     dispatch::upstream_info result;
     result.m_name = name;
+    result.m_incarnation = subject.m_known.m_incarnation;
     result.m_failure_domain = subject.m_known.m_failure_domain;
     result.m_labels.set(service_label, subject.m_known.m_service);
     result.m_slots = subject.m_known.m_slots;
--- a/dewbeam/src/registrar/announcement_wire.cpp
+++ b/dewbeam/src/registrar/announcement_wire.cpp
@@ -35,6 +35,7 @@
 {
     const auto& known = from.m_announced;
     to.set_name(known.m_name.value());
+    to.set_incarnation(known.m_incarnation.value());
     to.set_state(to_wire(known.m_state));
     to.set_sequence(known.m_number.value());
     if (known.m_state == registry::upstream_state::gone) {
@@ -58,6 +59,7 @@
 {
     registry::announcement result;
     result.m_name = upstream_id(from.name());
+    result.m_incarnation = incarnation(from.incarnation());
     result.m_state = from_wire(from.state());
     result.m_number = registry::announcement_number(from.sequence());
     if (result.m_state == registry::upstream_state::gone) {
@@ -89,13 +91,11 @@
             {{"upstream", heard.name()}, {"reason", std::string(announced.status().message())}});
         return registry::merge_result::nothing;
     }
-    const auto name = announced->m_name;
-    const auto number = announced->m_number;
     const auto result = registry::merge(state, *announced, now);
     if (!heard.silent()) {
         return result;
     }
-    const auto silenced = registry::merge_silence(state, name, number);
+    const auto silenced = registry::merge_silence(state, *announced);
     return silenced == registry::merge_result::changed ? silenced : result;
 }
 
--- a/dewbeam/src/registrar/control_format.h
+++ b/dewbeam/src/registrar/control_format.h
@@ -37,6 +37,9 @@
     absl::StatusOr<registry::announcement> (*m_read_announcement)(const upstream_id& name,
                                                                   std::string_view body) = nullptr;
 
+    /// Reads which incarnation withdraws; 0 where the call doesn't say.
+    absl::StatusOr<incarnation> (*m_read_withdrawal)(std::string_view body) = nullptr;
+
     /// Reads and checks a whole configuration; the error names every mistake.
     absl::StatusOr<routes::book> (*m_read_book)(std::string_view content) = nullptr;
 };
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -192,7 +192,7 @@
             case call_kind::announce:
                 return announce(call.m_upstream, request, answer);
             case call_kind::withdraw:
-                return withdraw(call.m_upstream, answer);
+                return withdraw(call.m_upstream, request, answer);
             case call_kind::put_revision:
                 return put_revision(request, answer);
             case call_kind::read_revision:
@@ -217,8 +217,7 @@
     {
         const auto heard = m_format.m_read_announcement(name, request.m_body);
         if (!heard.ok()) {
-            answer->respond(
-                error_response(400, "invalid_announcement", std::string(heard.status().message())));
+            refuse_announcement(name, heard.status(), answer);
             return;
         }
         const auto now = program::now();
@@ -236,12 +235,28 @@
         hold_end(name, answer, now);
     }
 
-    void withdraw(const upstream_id& name, const std::shared_ptr<http::exchange>& answer)
+    /// The upstream stays as it was known.
+    static void refuse_announcement(const upstream_id& name, const absl::Status& fault,
+                                    const std::shared_ptr<http::exchange>& answer)
     {
+        const std::string reason(fault.message());
+        log_event(log_level::warning, "announcement_refused",
+                  {{"upstream", name.value()}, {"reason", reason}});
+        answer->respond(error_response(400, "invalid_announcement", reason));
+    }
+
+    void withdraw(const upstream_id& name, const http::request& request,
+                  const std::shared_ptr<http::exchange>& answer)
+    {
+        const auto ended = m_format.m_read_withdrawal(request.m_body);
+        if (!ended.ok()) {
+            refuse_announcement(name, ended.status(), answer);
+            return;
+        }
         const auto now = program::now();
         {
             const std::lock_guard lock(m_mutex);
-            const auto result = registry::end_upstream(m_registry, name, now);
+            const auto result = registry::end_upstream(m_registry, name, *ended, now);
             m_renewed.insert(name);
             log_merge(m_registry.m_records.at(name).m_announced, result);
         }
@@ -256,6 +271,7 @@
                       {{"upstream", heard.m_name.value()},
                        {"service", heard.m_service},
                        {"state", registry::to_string(heard.m_state)},
+                       {"incarnation", heard.m_incarnation.value()},
                        {"number", heard.m_number.value()}});
         }
     }
--- a/dewbeam/src/registry/announcement.h
+++ b/dewbeam/src/registry/announcement.h
@@ -10,14 +10,14 @@
 
 namespace dewbeam::registry {
 
-/// Counts an upstream's announcements up, so that a late one is recognised.
+/// Counts the announcements of one life of an upstream up, so that a late one is recognised.
 using announcement_number = strong<struct announcement_tag, std::uint64_t>;
 
 /// Where an upstream stands.
 enum class upstream_state {
     ready,
     leaving,  ///< takes no new work
-    gone,     ///< for good: its name is never used again
+    gone,     ///< this life is over for good; a later one may have the same name
 };
 
 /// Name of a state in logs and pages.
@@ -33,10 +33,12 @@
     friend bool operator==(const group_place&, const group_place&) = default;
 };
 
-/// One announcement. The name is that of one life of the upstream: a restarted one has another. An
-/// address says nothing of identity, since another upstream may get it soon.
+/// One announcement. An upstream that restarted may keep its name: it is then another incarnation,
+/// which holds and knows nothing of the one before and counts its announcements anew. An address
+/// says nothing of identity, since another upstream may get it soon.
 struct announcement {
     upstream_id m_name;
+    incarnation m_incarnation;  ///< a later life has a higher one; 0: not known
     std::string m_service;
     endpoint m_address;
     failure_domain_id m_failure_domain;
--- a/dewbeam/src/registry/table.cpp
+++ b/dewbeam/src/registry/table.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/registry/table.h"
 
+#include <algorithm>
+
 namespace dewbeam::registry {
 
 namespace {
@@ -18,6 +20,25 @@
     return merge_result::changed;
 }
 
+bool is_gone(const record& subject)
+{
+    return subject.m_announced.m_state == upstream_state::gone;
+}
+
+/// Whether an announcement says more than what is known of its upstream.
+bool is_newer(const table& state, const record& known, const announcement& heard, time_point now)
+{
+    const auto& held = known.m_announced;
+    if (is_gone(known) && held.m_incarnation == incarnation{}) {
+        return heard.m_incarnation != incarnation{} &&
+               known.m_heard_at + state.m_options.m_unknown_end_span <= now;
+    }
+    if (heard.m_incarnation != held.m_incarnation) {
+        return heard.m_incarnation > held.m_incarnation;
+    }
+    return !is_gone(known) && heard.m_number > held.m_number;
+}
+
 }  // namespace
 
 const char* to_string(upstream_state value)
@@ -36,7 +57,7 @@
 merge_result merge(table& state, const announcement& heard, time_point now)
 {
     if (heard.m_state == upstream_state::gone) {
-        return end_upstream(state, heard.m_name, now);
+        return end_upstream(state, heard.m_name, heard.m_incarnation, now);
     }
     const auto [place, is_new] = state.m_records.try_emplace(heard.m_name);
     auto& known = place->second;
@@ -45,8 +66,7 @@
         known.m_heard_at = now;
         return mark_changed(state, known);
     }
-    const bool is_over = known.m_announced.m_state == upstream_state::gone;
-    if (is_over || heard.m_number <= known.m_announced.m_number) {
+    if (!is_newer(state, known, heard, now)) {
         return merge_result::nothing;
     }
     const bool is_news = differs(known.m_announced, heard) || known.m_is_silent;
@@ -56,13 +76,16 @@
     return is_news ? mark_changed(state, known) : merge_result::renewed;
 }
 
-merge_result end_upstream(table& state, const upstream_id& name, time_point now)
+merge_result end_upstream(table& state, const upstream_id& name, incarnation ended, time_point now)
 {
     auto& known = state.m_records[name];
-    if (known.m_announced.m_state == upstream_state::gone) {
+    const auto held = known.m_announced.m_incarnation;
+    const bool is_earlier = ended != incarnation{} && ended < held;
+    if (is_earlier || (is_gone(known) && ended <= held)) {
         return merge_result::nothing;
     }
     known.m_announced.m_name = name;
+    known.m_announced.m_incarnation = std::max(held, ended);
     known.m_announced.m_state = upstream_state::gone;
     known.m_heard_at = now;
     known.m_is_silent = false;
@@ -72,8 +95,7 @@
 void note_silence(table& state, time_point now)
 {
     for (auto& [name, known] : state.m_records) {
-        const bool is_over = known.m_announced.m_state == upstream_state::gone;
-        if (!is_over && !known.m_is_silent &&
+        if (!is_gone(known) && !known.m_is_silent &&
             known.m_heard_at + state.m_options.m_silent_after <= now) {
             known.m_is_silent = true;
             mark_changed(state, known);
@@ -81,15 +103,18 @@
     }
 }
 
-merge_result merge_silence(table& state, const upstream_id& name, announcement_number number)
+merge_result merge_silence(table& state, const announcement& last)
 {
-    const auto place = state.m_records.find(name);
+    const auto place = state.m_records.find(last.m_name);
     if (place == state.m_records.end()) {
         return merge_result::nothing;
     }
     auto& known = place->second;
-    const bool is_over = known.m_announced.m_state == upstream_state::gone;
-    if (is_over || known.m_is_silent || number < known.m_announced.m_number) {
+    const auto& held = known.m_announced;
+    const bool is_older =
+        last.m_incarnation < held.m_incarnation ||
+        (last.m_incarnation == held.m_incarnation && last.m_number < held.m_number);
+    if (is_gone(known) || known.m_is_silent || is_older) {
         return merge_result::nothing;
     }
     known.m_is_silent = true;
@@ -100,7 +125,7 @@
 {
     std::erase_if(state.m_records, [&](const auto& item) {
         const auto& known = item.second;
-        const bool is_over = known.m_announced.m_state == upstream_state::gone;
+        const bool is_over = is_gone(known);
         const auto kept_for =
             is_over ? state.m_options.m_end_kept_for : state.m_options.m_silent_kept_for;
         return (is_over || known.m_is_silent) && known.m_heard_at + kept_for <= now;
--- a/dewbeam/src/registry/table.h
+++ b/dewbeam/src/registry/table.h
@@ -1,9 +1,10 @@
 /// \file
 /// All announced upstreams that a process knows, with a count of changes for those who follow.
 ///
-/// Announcements reach several registries, late, twice and in any order. The one with the highest
-/// number holds; an end holds for good. Merging is therefore commutative and idempotent, and every
-/// registry that has seen the same announcements knows the same.
+/// Announcements reach several registries, late, twice and in any order. The one of the latest
+/// incarnation with the highest number holds; an end of an incarnation holds for good. Merging is
+/// therefore commutative and idempotent, and every registry that has seen the same announcements
+/// knows the same.
 #pragma once
 
 #include <map>
@@ -20,6 +21,10 @@
     time_span m_silent_after = std::chrono::milliseconds(4500);
     /// An end is remembered for so long, since announcements sent before it may still arrive.
     time_span m_end_kept_for = std::chrono::minutes(5);
+    /// An end of an upstream that was never announced doesn't say which incarnation ended: what is
+    /// announced within this span was sent before it. Announcements come some seconds late at most,
+    /// and a later incarnation comes each 1.2 s.
+    time_span m_unknown_end_span = std::chrono::seconds(10);
     /// A silent upstream is forgotten after so long.
     time_span m_silent_kept_for = std::chrono::minutes(10);
 };
@@ -49,15 +54,16 @@
 /// Takes an announcement in.
 merge_result merge(table& state, const announcement& heard, time_point now);
 
-/// The upstream is gone for good, whatever was or will be announced.
-merge_result end_upstream(table& state, const upstream_id& name, time_point now);
+/// That incarnation of the upstream is gone for good, whatever was or will be announced of it; 0:
+/// the latest one that is known.
+merge_result end_upstream(table& state, const upstream_id& name, incarnation ended, time_point now);
 
 /// Marks upstreams whose announcements stopped coming. Only for a registry that can tell silence of
 /// an upstream from a cut of its own.
 void note_silence(table& state, time_point now);
 
-/// A registry that can tell says that an upstream fell silent after that announcement.
-merge_result merge_silence(table& state, const upstream_id& name, announcement_number number);
+/// A registry that can tell says that an upstream fell silent after its announcement `last`.
+merge_result merge_silence(table& state, const announcement& last);
 
 /// Forgets ends and silent upstreams that are old.
 void forget_old(table& state, time_point now);
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -170,6 +170,45 @@
                      .ok());
 }
 
+TEST(adapter, tells_the_lives_of_an_upstream_apart)
+{
+    const auto read = read_announcement(
+        upstream_id("i-1"),
+        R"({"service":"s1","address":"10.1.0.8:80","zone":"z1","slots":12,"state":"ready",
+            "sequence":1,"born":1796000000123})");
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(read->m_incarnation, incarnation(1'796'000'000'123));
+    EXPECT_EQ(*read_withdrawal(""), incarnation{});
+    EXPECT_EQ(*read_withdrawal(R"({"born":1796000000123})"), incarnation(1'796'000'000'123));
+    EXPECT_FALSE(read_withdrawal(R"({"born":"soon"})").ok());
+}
+
+TEST(adapter, refuses_announcements_of_other_writers)
+{
+    const std::string right =
+        R"({"service":"s1","address":"10.1.0.8:80","zone":"z1","slots":12,"state":"ready",)"
+        R"("sequence":1,"born":1796000000123,"group":{"name":"g","epoch":2,"rank":3}})";
+    const auto with = [&](const std::string& from, const std::string& to) {
+        auto text = right;
+        const auto place = text.find(from);
+        return read_announcement(upstream_id("i-1"), text.replace(place, from.size(), to));
+    };
+    ASSERT_TRUE(with("s1", "s1").ok()) << with("s1", "s1").status();
+    EXPECT_FALSE(with(R"("ready")", R"("resting")").ok()) << "a state that isn't known";
+    EXPECT_FALSE(with(R"("ready")", "7").ok());
+    EXPECT_FALSE(with(R"("s1")", R"(["s1"])").ok());
+    EXPECT_FALSE(with(R"("service":"s1",)", "").ok());
+    EXPECT_FALSE(with(R"("10.1.0.8:80")", R"({"ip":"10.1.0.8"})").ok());
+    EXPECT_FALSE(with(R"("slots":12)", R"("slots":"12")").ok());
+    EXPECT_FALSE(with(R"("slots":12)", R"("slots":4294967297)").ok());
+    EXPECT_FALSE(with(R"("rank":3)", R"("rank":4294967299)").ok()) << "must not wrap around";
+    EXPECT_FALSE(with(R"("sequence":1)", R"("sequence":-1)").ok());
+    EXPECT_FALSE(with("1796000000123", "1796000000123.5").ok());
+    EXPECT_FALSE(with("1796000000123", R"("1796000000123")").ok());
+    EXPECT_FALSE(with(R"({"name":"g","epoch":2,"rank":3})", R"("g")").ok());
+    EXPECT_FALSE(with(R"("s1")", "\"\xff\xfe\"").ok()) << "bytes that are no text";
+}
+
 TEST(adapter, reads_what_an_engine_says)
 {
     const auto report = read_report(
@@ -217,6 +256,7 @@
     for (const auto& text : {near_book, noise}) {
         read_book(text).status().IgnoreError();
         read_announcement(upstream_id("i"), text).status().IgnoreError();
+        read_withdrawal(text).status().IgnoreError();
         read_report(text).status().IgnoreError();
         read_counts(text).status().IgnoreError();
         read_holding(text).status().IgnoreError();
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -46,7 +46,7 @@
 TEST(registry, an_end_holds_for_good_also_before_the_first_announcement)
 {
     table known;
-    EXPECT_EQ(end_upstream(known, upstream_id("u1"), {}), merge_result::changed);
+    EXPECT_EQ(end_upstream(known, upstream_id("u1"), {}, {}), merge_result::changed);
     EXPECT_EQ(merge(known, beat(9), {}), merge_result::nothing);
     EXPECT_EQ(changes_since(known, 0).front()->m_announced.m_state, upstream_state::gone);
     forget_old(known, time_point(minutes(6)));
@@ -64,11 +64,55 @@
     const auto told = known.m_last_change;
     EXPECT_EQ(merge(known, beat(2), time_point(seconds(5))), merge_result::changed);
     EXPECT_EQ(changes_since(known, told).size(), 1U);
-    EXPECT_EQ(merge_silence(known, upstream_id("u1"), announcement_number(1)),
-              merge_result::nothing)
-        << "it was heard after that";
-    EXPECT_EQ(merge_silence(known, upstream_id("u1"), announcement_number(2)),
-              merge_result::changed);
+    EXPECT_EQ(merge_silence(known, beat(1)), merge_result::nothing) << "it was heard after that";
+    EXPECT_EQ(merge_silence(known, beat(2)), merge_result::changed);
+}
+
+announcement beat_of(std::uint64_t life, std::uint64_t number,
+                     upstream_state state = upstream_state::ready)
+{
+    auto result = beat(number, state);
+    result.m_incarnation = incarnation(life);
+    return result;
+}
+
+upstream_state state_of(const table& known)
+{
+    return known.m_records.begin()->second.m_announced.m_state;
+}
+
+TEST(registry, a_restarted_upstream_counts_its_announcements_anew)
+{
+    table known;
+    merge(known, beat_of(1000, 40), {});
+    EXPECT_EQ(merge(known, beat_of(2000, 1), {}), merge_result::changed);
+    EXPECT_EQ(merge(known, beat_of(1000, 41), {}), merge_result::nothing) << "sent before it ended";
+    EXPECT_EQ(merge(known, beat_of(2000, 2), {}), merge_result::renewed);
+    EXPECT_EQ(merge_silence(known, beat_of(1000, 99)), merge_result::nothing)
+        << "the life before fell silent";
+}
+
+TEST(registry, an_end_holds_for_the_incarnation_that_ended_alone)
+{
+    table known;
+    merge(known, beat_of(1000, 1), {});
+    end_upstream(known, upstream_id("u1"), {}, {});
+    EXPECT_EQ(merge(known, beat_of(1000, 2), {}), merge_result::nothing);
+    EXPECT_EQ(merge(known, beat_of(2000, 1), {}), merge_result::changed);
+    EXPECT_EQ(state_of(known), upstream_state::ready);
+    EXPECT_EQ(end_upstream(known, upstream_id("u1"), incarnation(1000), {}), merge_result::nothing)
+        << "an end of the life before, told late";
+    EXPECT_EQ(state_of(known), upstream_state::ready);
+}
+
+TEST(registry, an_end_of_an_unknown_incarnation_holds_for_what_was_sent_before_it)
+{
+    table known;
+    end_upstream(known, upstream_id("u1"), {}, {});
+    EXPECT_EQ(merge(known, beat_of(1000, 9), time_point(milliseconds(9999))),
+              merge_result::nothing);
+    EXPECT_EQ(merge(known, beat_of(2000, 9), time_point(seconds(10))), merge_result::changed);
+    EXPECT_EQ(state_of(known), upstream_state::ready);
 }
 
 RC_GTEST_PROP(registry, registries_that_heard_the_same_know_the_same, (std::uint64_t seed))
@@ -76,7 +120,7 @@
     random_engine random(seed);
     std::vector<announcement> heard;
     for (std::uint64_t i = 0; i < 12; ++i) {
-        auto item = beat(uniform_below(random, 6) + 1);
+        auto item = beat_of(uniform_below(random, 2) + 1, uniform_below(random, 6) + 1);
         item.m_name = upstream_id("u" + std::to_string(uniform_below(random, 3)));
         const auto kind = uniform_below(random, 8);
         item.m_state = kind == 0   ? upstream_state::gone
@@ -109,6 +153,7 @@
     table first;
     auto item = beat(3);
     item.m_group = group_place{"g", 2, rank_id(5), true};
+    item.m_incarnation = incarnation(1'796'000'000'000);
     merge(first, item, {});
     wire::AnnouncedUpstream message;
     registrar::to_wire(first.m_records.begin()->second, message);
