Say in a request's last log line and in a metric why its answer was late

Change: request_ended names the reason (queued, retried, first_token, paused, resumed), the time in the queue and the longest pause; dewbeam_gateway_late_answers_total counts reasons.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -38,6 +38,11 @@
     return end.m_status < first_failure ? "answered" : "upstream_failure";
 }
 
+time_span longest_pause(const answer_times& times)
+{
+    return std::max(times.m_longest_pause, times.m_longest_break);
+}
+
 /// Takes a request that is over out of the books.
 void finish(gateway_state& state, const request_pointer& request, time_point now)
 {
@@ -48,9 +53,13 @@
     const auto end = request->result();
     const auto* outcome = outcome_of(end);
     state.m_metrics.request_ended(outcome, now - known.m_arrival);
-    const bool has_first_byte = end.m_first_byte != time_point{};
+    if (end.m_late != late_reason::none) {
+        state.m_metrics.answered_late(to_string(end.m_late));
+    }
+    const bool is_sent = end.m_times.m_first_sent != time_point{};
+    const bool has_first_byte = end.m_times.m_first_byte != time_point{};
     if (has_first_byte) {
-        state.m_metrics.first_byte(end.m_first_byte - known.m_arrival);
+        state.m_metrics.first_byte(end.m_times.m_first_byte - known.m_arrival);
     }
     log_event(
         log_level::info, "request_ended",
@@ -59,8 +68,12 @@
          {"revision", known.m_book->m_revision.value()},
          {"outcome", outcome},
          {"status", end.m_status},
-         {"attempts", end.m_attempts},
-         {"first_byte_ms", has_first_byte ? milliseconds(end.m_first_byte - known.m_arrival) : -1},
+         {"attempts", end.m_times.m_attempts},
+         {"late", to_string(end.m_late)},
+         {"queued_ms", is_sent ? milliseconds(end.m_times.m_first_sent - known.m_arrival) : -1},
+         {"longest_pause_ms", milliseconds(longest_pause(end.m_times))},
+         {"first_byte_ms",
+          has_first_byte ? milliseconds(end.m_times.m_first_byte - known.m_arrival) : -1},
          {"whole_ms", milliseconds(now - known.m_arrival)}});
 }
 
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -28,6 +28,11 @@
             .Name("dewbeam_gateway_requests_total")
             .Help("Requests that ended, by outcome.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_late_answers =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_late_answers_total")
+            .Help("Answers that missed their latency or pause objective, by reason.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Counter>& m_ended_attempts =
         prometheus::BuildCounter()
             .Name("dewbeam_gateway_attempts_total")
@@ -72,6 +77,11 @@
     m_families->m_first_byte.Observe(seconds(after));
 }
 
+void gateway_metrics::answered_late(const std::string& reason)
+{
+    m_families->m_late_answers.Add({{"reason", reason}}).Increment();
+}
+
 void gateway_metrics::attempt_begun()
 {
     m_families->m_begun.Increment();
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -26,6 +26,9 @@
     /// The caller got the first byte.
     void first_byte(time_span after);
 
+    /// An answer missed its objective; `reason` is the field term of the logs.
+    void answered_late(const std::string& reason);
+
     /// An attempt began.
     void attempt_begun();
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -58,6 +58,11 @@
     ++m_attempts;
     m_has_attempt = true;
     m_upstream = upstream;
+    m_last_sent = now;
+    m_has_events_of_it = false;
+    if (m_result.m_times.m_first_sent == time_point{}) {
+        m_result.m_times.m_first_sent = now;
+    }
     m_exchange.reset();
     m_head = {};
     m_fields.clear();
@@ -100,8 +105,8 @@
     m_head = std::move(head);
     m_fields = format.m_to_caller(fields);
     if (is_success(m_head.m_status) && !m_head.m_is_event_stream &&
-        m_result.m_first_byte == time_point{}) {
-        m_result.m_first_byte = now;
+        m_result.m_times.m_first_byte == time_point{}) {
+        m_result.m_times.m_first_byte = now;
     }
     return true;
 }
@@ -123,7 +128,7 @@
     if (events.empty()) {
         return false;
     }
-    const bool is_first = m_result.m_first_byte == time_point{};
+    const bool is_first = m_result.m_times.m_first_byte == time_point{};
     deliver(std::move(events), now);
     return is_first;
 }
@@ -135,9 +140,8 @@
         m_result.m_status = m_head.m_status;
         m_answer->start(m_head.m_status, m_fields);
     }
-    if (m_result.m_first_byte == time_point{}) {
-        m_result.m_first_byte = now;
-    }
+    note_event(m_result.m_times, !m_has_events_of_it, now);
+    m_has_events_of_it = true;
     m_answer->write(std::move(events));
 }
 
@@ -328,7 +332,9 @@
 {
     const std::lock_guard lock(m_mutex);
     auto result = m_result;
-    result.m_attempts = m_attempts;
+    result.m_times.m_attempts = m_attempts;
+    result.m_times.m_arrival = m_facts.m_arrival;
+    result.m_late = lateness_of(result.m_times, m_last_sent, *m_facts.m_route);
     return result;
 }
 
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -13,6 +13,7 @@
 #include "dewbeam/http"
 #include "dewbeam/replies"
 #include "dewbeam/routes"
+#include "dewbeam/src/gateway/lateness.h"
 #include "dewbeam/src/gateway/wire_format.h"
 
 namespace dewbeam::gateway {
@@ -37,10 +38,10 @@
 
 /// How a request was answered, for logs and metrics.
 struct request_end {
-    int m_status = 0;           ///< 0: the caller got nothing
-    const char* m_code = "";    ///< of an own error
-    time_point m_first_byte{};  ///< epoch: none
-    std::uint32_t m_attempts = 0;
+    int m_status = 0;         ///< 0: the caller got nothing
+    const char* m_code = "";  ///< of an own error
+    answer_times m_times;
+    late_reason m_late = late_reason::none;
     bool m_is_caller_gone = false;
     bool m_is_cut = false;  ///< part of the answer was delivered, the rest was not
 };
@@ -150,6 +151,8 @@
     std::optional<kept_failure> m_failure;
     bool m_is_over = false;
     bool m_may_have_run = false;
+    time_point m_last_sent{};         ///< when the last attempt began
+    bool m_has_events_of_it = false;  ///< the last attempt has brought some
     request_end m_result;
 };
 
