--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -203,8 +203,6 @@
     note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
     note_first_token_time(state.m_pool_speed, passed, now);
     state.m_answered_dispatch = std::max(state.m_answered_dispatch, subject.m_dispatched_at);
-    auto& own = state.m_table.m_upstreams[subject.m_running_on]->m_answered_dispatch;
-    own = std::max(own, subject.m_dispatched_at);
     return open_group(state.m_table, options_of(state), subject.m_running_on, now);
 }
 
@@ -342,13 +340,8 @@
         return false;
     }
     const auto& subject = place->second;
-    if (subject.m_phase != request_phase::running) {
-        return false;
-    }
-    const auto& upstream = *state.m_table.m_upstreams[subject.m_running_on];
-    const bool is_rank = !upstream.m_info.m_group.empty();
-    const auto answered = is_rank ? upstream.m_answered_dispatch : state.m_answered_dispatch;
-    return !subject.m_has_first_token && subject.m_dispatched_at + margin < answered;
+    return subject.m_phase == request_phase::running && !subject.m_has_first_token &&
+           subject.m_dispatched_at + margin < state.m_answered_dispatch;
 }
 
 void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries)
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -111,10 +111,7 @@
 bool note_group_refusal(broker& state, const upstream_id& name, time_point now);
 
 /// Whether a running request is late by its upstream's own fault: others that were sent off more
-/// than `margin` after it have their first token already. A rank takes requests in their order and
-/// lets them wait for a place in its batch, which other ranks may have at once: only requests to
-/// the same rank tell something of one there. Compared with all ranks, 135 streams that waited
-/// right after a restart of all hosts were given up, and 76 of them got no answer for it.
+/// than `margin` after it, to other upstreams, have their first token already.
 bool is_outrun(const broker& state, ticket request, time_span margin);
 
 /// The entries that now share the upstreams, and this entry's retries.
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -79,7 +79,6 @@
     double m_tokens_since_report = 0.0;  ///< own dispatches that the report can't have counted
     double m_recent_work = 0.0;          ///< of own dispatches, decayed until the last of them
     time_point m_last_dispatch{};        ///< own
-    time_point m_answered_dispatch{};    ///< latest own one that brought a first token
     time_point m_closed_until{};         ///< it said `not_run`: it is fuller than we knew
     health m_health;
     slowness m_slowness;
