Move experts only where steps come near the pause objective

Ruled out: a price per fetch against step time alone (no unit fits both); fewer fetches a plan (1 already). Change: the engine's published timing (fixed part of a step, share of experts) explains a measured step; from it follows the skew at which steps take 0.62 of the shortest pause objective of the service's routes. Below that nothing moves; above it layers are evened out until steps take 0.52. Without published timing maps are kept even as before.

--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -267,6 +267,9 @@
     }
     state.m_plan_at = now + state.m_options.m_interval;
     const auto counts = predict(state.m_forecast);
+    if (skew(load_of(state.m_map, counts, state.m_speeds)) < state.m_options.m_tolerated_skew) {
+        return std::nullopt;
+    }
     auto item = build_plan(state, counts);
     if (item.m_moves.empty()) {
         return std::nullopt;
--- a/dewbeam/src/experts/planner.h
+++ b/dewbeam/src/experts/planner.h
@@ -37,8 +37,9 @@
     forecast_options m_forecast;
     time_span m_interval = std::chrono::seconds(3);          ///< between plans
     time_span m_longest_horizon = std::chrono::minutes(10);  ///< a saving counts this long at most
-    double m_high_skew = 1.07;  ///< a layer above this is worked on ...
-    double m_low_skew = 1.03;   ///< ... until it is below this
+    double m_high_skew = 1.07;      ///< a layer above this is worked on ...
+    double m_low_skew = 1.03;       ///< ... until it is below this
+    double m_tolerated_skew = 1.0;  ///< of the whole map: nothing moves below this
     std::uint32_t m_most_changes_per_layer = 48;
     std::uint32_t m_most_new_per_rank = 0;  ///< experts of a layer in one plan; 0: no limit
 };
--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -15,13 +15,12 @@
 constexpr std::chrono::milliseconds scoring_span{600};
 /// The switch itself costs no more than the round trips that a rank waits for at the step.
 constexpr std::chrono::milliseconds switch_pause{5};
-/// Share of a step that the experts take: the rest is attention and what all ranks do alike.
-constexpr double expert_share = 0.7;
+/// Share of a step that the experts take, where the engine's timing isn't published.
+constexpr double usual_expert_share = 0.7;
 /// While a rank fetches, its steps take about this much longer.
 constexpr double fetch_slowdown = 0.15;
-/// A layer is worked on above the first, down to the second.
-constexpr double high_skew = 1.12;
-constexpr double low_skew = 1.04;
+/// A layer is worked on above the first, down to the second, where steps are long.
+constexpr experts::skew_band tight_skews{1.12, 1.04};
 /// Experts of a layer that a rank fetches for one plan. Fetching is what a change waits for, 0.1 s
 /// for each expert: with 3 the map followed a sudden change of demand after 1.5 s, with 1, in more
 /// steps, after 0.6 s; of the streams under a change each 3 s, 0.75 and 0.80 kept their objective.
@@ -52,12 +51,16 @@
     options.m_forecast.m_ahead = forecast_ahead;
     options.m_forecast.m_scoring = scoring_span;
     options.m_interval = plan_interval;
-    options.m_high_skew = high_skew;
-    options.m_low_skew = low_skew;
     options.m_most_new_per_rank = std::min(facts.m_most_new, most_new_in_one_plan);
     return options;
 }
 
+double slowest_pace(const experts::rank_speeds& speeds)
+{
+    const double slowest = speeds.empty() ? 1.0 : *std::min_element(speeds.begin(), speeds.end());
+    return 1.0 / std::min(1.0, slowest);
+}
+
 }  // namespace
 
 rank_balancer::rank_balancer(const engine_facts& facts, std::uint32_t ranks,
@@ -113,8 +116,15 @@
     const auto load = experts::load_of(planner.m_map, seen->m_tokens_per_step);
     const double step_us = std::chrono::duration<double, std::micro>(seen->m_span).count() /
                            std::max(1.0, seen->m_steps);
+    const double pace = slowest_pace(seen->m_speeds);
+    const std::chrono::microseconds step(static_cast<std::int64_t>(step_us));
+    const double work = experts::work_of(m_facts.m_timing, step, experts::skew(load), pace);
+    const auto band = experts::tolerated_skews(m_facts.m_timing, work, pace, tight_skews);
+    planner.m_options.m_high_skew = band.m_high;
+    planner.m_options.m_low_skew = band.m_low;
+    planner.m_options.m_tolerated_skew = band.m_high;
     planner.m_options.m_step.m_microseconds_per_token =
-        expert_share * step_us / std::max(1.0, load.m_slowest);
+        usual_expert_share * step_us / std::max(1.0, load.m_slowest);
     const auto begun = std::chrono::steady_clock::now();
     m_plan = experts::decide(planner, now);
     const auto took = std::chrono::steady_clock::now() - begun;
@@ -126,6 +136,8 @@
                {"skew_before", m_plan->m_skew_before},
                {"skew_after", m_plan->m_skew_after},
                {"step_ms", step_us / 1000.0},
+               {"work_ms", work * 1000.0},
+               {"tolerated_skew", band.m_high},
                {"map", *m_planned_on},
                {"planning_ms", std::chrono::duration<double, std::milli>(took).count()}});
     return to_json(experts::to_lists(m_plan->m_map, m_facts.m_experts));
--- a/dewbeam/src/ranks/rank_format.h
+++ b/dewbeam/src/ranks/rank_format.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "dewbeam/base"
+#include "dewbeam/experts"
 #include "dewbeam/group_map"
 #include "dewbeam/http"
 
@@ -95,7 +96,7 @@
     std::uint32_t m_most_new = 0;  ///< experts of a layer that a rank may fetch at once
     byte_count m_expert_size;
     byte_count m_fetch_rate;  ///< a second, of each rank
-    double m_token_ms = 0.0;  ///< work of one token that experts do, in all layers
+    experts::step_timing m_timing;
 };
 
 /// The translation. All functions are pure and thread-safe.
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -19,7 +19,8 @@
   {"name": "r2", "host": "api.example", "path-prefix": "/b/", "kind": "unsafe",
    "timeout-ms": 1000, "service": "s2"}],
  "services": [{"name": "s1", "engine": {"sets": 4, "experts": 72, "places": 8, "spare": 3,
-   "expert-mb": 2200.0, "link-mbps": 180000.0}}, {"name": "s2"}],
+   "expert-mb": 2200.0, "link-mbps": 180000.0, "step_ms": 5.85, "stride": 5,
+   "expert-share": 0.85}}, {"name": "s2"}],
  "tenants": [{"name": "t1", "api-keys": ["k1", "k2"], "priority": 1}]})";
 
 http::request call()
@@ -108,6 +109,9 @@
     ASSERT_TRUE(facts.ok());
     EXPECT_EQ(facts->m_expert_size.m_count, 2'200'000'000);
     EXPECT_EQ(facts->m_fetch_rate.m_count, 22'500'000'000);
+    EXPECT_EQ(facts->m_timing.m_fixed, std::chrono::microseconds(29'250));
+    EXPECT_EQ(facts->m_timing.m_expert_share, 0.85);
+    EXPECT_EQ(facts->m_timing.m_pause_objective, std::chrono::milliseconds(120));
     EXPECT_FALSE(read_engine_facts(book_text, "s2").ok());
 }
 
--- a/test/experts_test.cpp
+++ b/test/experts_test.cpp
@@ -189,6 +189,19 @@
     EXPECT_LT(skew(load_of(subject.m_planner.m_map, counts, speeds)), 1.25);
 }
 
+TEST(experts, nothing_moves_while_the_skew_is_tolerated)
+{
+    group subject(balance_preference::skew);
+    const auto counts = zipf_counts(small_group, 0);
+    const double uneven = skew(load_of(subject.m_planner.m_map, counts, {}));
+    subject.m_planner.m_options.m_tolerated_skew = uneven * 1.05;
+    subject.run(60, counts);
+    EXPECT_TRUE(subject.m_plans.empty());
+    subject.m_planner.m_options.m_tolerated_skew = uneven * 0.95;
+    subject.run(60, counts);
+    EXPECT_FALSE(subject.m_plans.empty());
+}
+
 TEST(forecast, follows_a_jump_extends_a_drift_and_averages_a_swing)
 {
     const group_shape one{2, 1, 2, 1};
