Send nothing new to a group whose streams have no events

Ruled out: that refusals could tell it (none comes before the engine's own stall limit); pauses of single streams (a long step of a crowded group takes two pause objectives as well). Change: a gateway that has streams at a group and sees no event of any of them for three of their longest pauses closes the group as a refusal would, with a probe at times; any event opens it. What has no first token there is tried elsewhere after 0.4 of the usual margin.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -16,6 +16,9 @@
 /// An upstream that said `not_run` gets nothing for so long.
 constexpr time_span refusal_pause = std::chrono::milliseconds(50);
 constexpr double block_gain = 0.01;
+/// Of the margin after which others show that an upstream is late: a group that makes no steps will
+/// hardly answer first.
+constexpr double margin_share_of_still_group = 0.4;
 /// Slots are kept for urgent work for so long after the last urgent request: a pool that serves
 /// ordinary work alone loses none.
 constexpr time_span reserve_span = std::chrono::minutes(10);
@@ -126,6 +129,15 @@
     mean = mean == 0.0 ? sample : mean + block_gain * (sample - mean);
 }
 
+/// Nothing more is sent to a group that makes no steps, but for a probe at times, until it does.
+void close_still_groups(broker& state, time_point now)
+{
+    for (auto& group : find_still_groups(state.m_pulses, state.m_table, now)) {
+        close_group(state.m_table, options_of(state), group, now);
+        state.m_new_still_groups.push_back(std::move(group));
+    }
+}
+
 /// How many blocks the upstream's memory holds, once both sizes are known.
 void note_cache_size(broker& state, upstream_index index)
 {
@@ -203,9 +215,23 @@
     note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
     note_first_token_time(state.m_pool_speed, passed, now);
     state.m_answered_dispatch = std::max(state.m_answered_dispatch, subject.m_dispatched_at);
+    note_event(state.m_pulses, state.m_table.m_upstreams[subject.m_running_on]->m_info.m_group,
+               now);
     return open_group(state.m_table, options_of(state), subject.m_running_on, now);
 }
 
+bool next_event(broker& state, ticket request, time_point now)
+{
+    const auto place = state.m_requests.find(request);
+    if (place == state.m_requests.end() || place->second.m_phase != request_phase::running) {
+        return false;
+    }
+    const auto index = place->second.m_running_on;
+    const auto& group = state.m_table.m_upstreams[index]->m_info.m_group;
+    return !group.empty() && note_event(state.m_pulses, group, now) &&
+           open_group(state.m_table, options_of(state), index, now);
+}
+
 actions attempt_ended(broker& state, ticket request, attempt_end end, time_point now,
                       random_engine& random)
 {
@@ -294,6 +320,7 @@
     for (const auto& [name, index] : state.m_table.m_names) {
         refresh(state.m_table, options_of(state), index, now);
     }
+    close_still_groups(state, now);
     refuse_lapsed(state, now, random, result);
     quarantine::expire(state.m_suspicions, now);
     pump(state, now, random, result);
@@ -340,8 +367,13 @@
         return false;
     }
     const auto& subject = place->second;
-    return subject.m_phase == request_phase::running && !subject.m_has_first_token &&
-           subject.m_dispatched_at + margin < state.m_answered_dispatch;
+    if (subject.m_phase != request_phase::running || subject.m_has_first_token) {
+        return false;
+    }
+    const auto& group = state.m_table.m_upstreams[subject.m_running_on]->m_info.m_group;
+    const double share = is_still(state.m_pulses, group) ? margin_share_of_still_group : 1.0;
+    const auto least = std::chrono::duration_cast<time_span>(margin * share);
+    return subject.m_dispatched_at + least < state.m_answered_dispatch;
 }
 
 void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries)
@@ -351,6 +383,11 @@
     state.m_retry_budget.m_tokens = std::min(state.m_retry_budget.m_tokens, retries.m_burst);
 }
 
+std::vector<std::string> take_still_groups(broker& state)
+{
+    return std::exchange(state.m_new_still_groups, {});
+}
+
 std::vector<quarantine::suspicion> take_suspicions(broker& state)
 {
     return std::exchange(state.m_new_suspicions, {});
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -17,6 +17,7 @@
 
 #include "dewbeam/quarantine"
 #include "dewbeam/src/dispatch/choose.h"
+#include "dewbeam/src/dispatch/group_pulse.h"
 #include "dewbeam/src/dispatch/request.h"
 #include "dewbeam/src/dispatch/route_table.h"
 
@@ -62,8 +63,10 @@
     route_table m_table;
     routing::prefix_index m_prefixes;
     routing::speed_estimate m_speed;
-    slowness m_pool_speed;             ///< mean time to a first token
-    time_point m_answered_dispatch{};  ///< latest dispatch that brought a first token
+    slowness m_pool_speed;  ///< mean time to a first token
+    group_pulses m_pulses;
+    std::vector<std::string> m_new_still_groups;  ///< not yet taken by the program
+    time_point m_answered_dispatch{};             ///< latest dispatch that brought a first token
     fairness::class_share m_class_share;
     retry::budget m_retry_budget;
     quarantine::suspicion_table m_suspicions;
@@ -81,6 +84,10 @@
 /// \returns whether its upstream's group, which had refused, turns out to serve again
 bool first_token(broker& state, ticket request, time_point now);
 
+/// A running stream had an event after its first.
+/// \returns whether its upstream's group, which had been found still, turns out to go on
+bool next_event(broker& state, ticket request, time_point now);
+
 /// An attempt ended; the request is retried, refused or forgotten. `upstream_died` is for a
 /// process that went away while it ran the request: it makes the request a crash suspect.
 actions attempt_ended(broker& state, ticket request, attempt_end end, time_point now,
@@ -111,12 +118,16 @@
 bool note_group_refusal(broker& state, const upstream_id& name, time_point now);
 
 /// Whether a running request is late by its upstream's own fault: others that were sent off more
-/// than `margin` after it, to other upstreams, have their first token already.
+/// than `margin` after it, to other upstreams, have their first token already. For one at a group
+/// that makes no steps a part of that margin will do.
 bool is_outrun(const broker& state, ticket request, time_span margin);
 
 /// The entries that now share the upstreams, and this entry's retries.
 void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries);
 
+/// Groups that were found to make no steps since the last call; they are closed until one does.
+std::vector<std::string> take_still_groups(broker& state);
+
 /// Suspicions that are new since the last call, to be sent to the other entries at once.
 std::vector<quarantine::suspicion> take_suspicions(broker& state);
 
--- /dev/null
+++ b/dewbeam/src/dispatch/group_pulse.cpp
@@ -0,0 +1,76 @@
+#include "dewbeam/src/dispatch/group_pulse.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewbeam::dispatch {
+
+namespace {
+
+/// Longest pauses that streams may have, after which a group without any event counts as still.
+/// Steps of a crowded group with a skewed map take up to two of them.
+constexpr int still_after_pauses = 3;
+
+/// The shortest pause that the streams running there may have; zero: none runs, or none has one.
+time_span shortest_pause(const upstream_state& upstream)
+{
+    auto result = time_span::zero();
+    for (const auto& request : upstream.m_running) {
+        const auto most = request.m_info.m_most_pause;
+        const bool is_writing = request.m_has_first_token && most > time_span::zero();
+        if (is_writing && (result == time_span::zero() || most < result)) {
+            result = most;
+        }
+    }
+    return result;
+}
+
+/// The same of each group in which streams run.
+std::map<std::string, time_span> pauses_by_group(const route_table& table)
+{
+    std::map<std::string, time_span> result;
+    for (const auto& [name, index] : table.m_names) {
+        const auto& upstream = *table.m_upstreams[index];
+        const auto pause =
+            upstream.m_info.m_group.empty() ? time_span::zero() : shortest_pause(upstream);
+        if (pause > time_span::zero()) {
+            auto& shortest = result.try_emplace(upstream.m_info.m_group, pause).first->second;
+            shortest = std::min(shortest, pause);
+        }
+    }
+    return result;
+}
+
+}  // namespace
+
+bool note_event(group_pulses& state, const std::string& group, time_point now)
+{
+    auto& pulse = state.m_groups[group];
+    pulse.m_last_event = now;
+    return std::exchange(pulse.m_is_still, false);
+}
+
+std::vector<std::string> find_still_groups(group_pulses& state, const route_table& table,
+                                           time_point now)
+{
+    std::vector<std::string> result;
+    const auto pauses = pauses_by_group(table);
+    for (const auto& [group, pause] : pauses) {
+        auto& pulse = state.m_groups[group];
+        if (!pulse.m_is_still && pulse.m_last_event + still_after_pauses * pause <= now) {
+            pulse.m_is_still = true;
+            result.push_back(group);
+        }
+    }
+    // Without streams nothing is known, and the names of groups that are gone would stay for ever.
+    std::erase_if(state.m_groups, [&](const auto& item) { return !pauses.contains(item.first); });
+    return result;
+}
+
+bool is_still(const group_pulses& state, const std::string& group)
+{
+    const auto place = state.m_groups.find(group);
+    return place != state.m_groups.end() && place->second.m_is_still;
+}
+
+}  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -63,7 +63,8 @@
     /// Sent off later than this, its first token will probably come after its latency objective:
     /// it then waits behind all requests of its class that can still meet theirs.
     time_point m_prompt_deadline = no_deadline;
-    std::uint32_t m_most_attempts = 0;  ///< 0: as the broker's options say
+    time_span m_most_pause = time_span::zero();  ///< between two events of a stream; zero: any
+    std::uint32_t m_most_attempts = 0;           ///< 0: as the broker's options say
     bool m_pinned_first = false;  ///< prefer `m_first`: the upstream that an earlier try named
     upstream_id m_first;
 };
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -217,6 +217,29 @@
     return dispatch::note_group_refusal(target->m_broker, name, now);
 }
 
+bool pool_table::next_event(const std::string& pool, dispatch::ticket request, time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return false;
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::next_event(target->m_broker, request, now);
+}
+
+std::vector<std::string> pool_table::take_still_groups()
+{
+    std::vector<std::string> result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        for (auto& group : dispatch::take_still_groups(target->m_broker)) {
+            result.push_back(std::move(group));
+        }
+    }
+    return result;
+}
+
 bool pool_table::is_outrun(const std::string& pool, dispatch::ticket request,
                            time_span margin) const
 {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -64,6 +64,13 @@
     /// closed for it.
     bool note_group_refusal(const std::string& pool, const upstream_id& name, time_point now);
 
+    /// A running stream had an event after its first; true where its group, which had been found
+    /// still, goes on.
+    bool next_event(const std::string& pool, dispatch::ticket request, time_point now);
+
+    /// Groups that were found to make no steps since the last call.
+    std::vector<std::string> take_still_groups();
+
     /// Whether a running request is late by its upstream's own fault.
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
                                  time_span margin) const;
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -177,6 +177,16 @@
     }
 }
 
+void note_next_event(gateway_state& state, const request_pointer& request,
+                     const upstream_id& upstream, time_point now)
+{
+    const auto& known = request->known();
+    if (state.m_pools.next_event(known.m_pool, known.m_ticket, now)) {
+        log_event(log_level::info, "group_opened",
+                  {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+    }
+}
+
 http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
                                   const upstream_id& upstream, attempt_number attempt)
 {
@@ -198,8 +208,15 @@
     };
     result.m_on_data = [&state, request, upstream, attempt](std::string bytes) {
         const auto now = program::now();
-        if (request->take_data(attempt, std::move(bytes), now)) {
-            note_first_token(state, request, upstream, now);
+        switch (request->take_data(attempt, std::move(bytes), now)) {
+            case data_result::nothing:
+                break;
+            case data_result::first_event:
+                note_first_token(state, request, upstream, now);
+                break;
+            case data_result::next_event:
+                note_next_event(state, request, upstream, now);
+                break;
         }
     };
     result.m_on_end = [&state, request, upstream, attempt](const absl::Status& ended,
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -111,26 +111,26 @@
     return true;
 }
 
-bool gateway_request::take_data(attempt_number attempt, std::string bytes, time_point now)
+data_result gateway_request::take_data(attempt_number attempt, std::string bytes, time_point now)
 {
     const std::lock_guard lock(m_mutex);
     if (m_is_over || !m_has_attempt || m_attempts != attempt.value()) {
-        return false;
+        return data_result::nothing;
     }
     const bool is_stream = is_success(m_head.m_status) && m_head.m_is_event_stream;
     if (!is_stream) {
         if (m_body.size() + bytes.size() <= most_answer_bytes) {
             m_body += bytes;
         }
-        return false;
+        return data_result::nothing;
     }
     auto events = replies::split_events(m_events, bytes);
     if (events.empty()) {
-        return false;
+        return data_result::nothing;
     }
-    const bool is_first = m_result.m_times.m_first_byte == time_point{};
+    const bool is_first = !m_has_events_of_it;
     deliver(std::move(events), now);
-    return is_first;
+    return is_first ? data_result::first_event : data_result::next_event;
 }
 
 void gateway_request::deliver(std::string events, time_point now)
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -46,6 +46,9 @@
     bool m_is_cut = false;  ///< part of the answer was delivered, the rest was not
 };
 
+/// What bytes of an answer brought to the caller.
+enum class data_result { nothing, first_event, next_event };
+
 /// An error of the gateway's own.
 struct own_error {
     int m_status = 503;
@@ -91,8 +94,8 @@
     bool take_head(attempt_number attempt, const wire_format& format, answer_head head,
                    const http::fields& fields, time_point now);
 
-    /// Bytes of an answer; true where they are the first of a stream that the caller gets.
-    bool take_data(attempt_number attempt, std::string bytes, time_point now);
+    /// Bytes of an answer.
+    data_result take_data(attempt_number attempt, std::string bytes, time_point now);
 
     /// The end of an attempt's exchange; nothing where the attempt is not the one owned now.
     std::optional<attempt_outcome> take_end(attempt_number attempt, const absl::Status& result,
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -330,6 +330,10 @@
         }
         m_state.m_feed.tick(*m_node, loads, {}, now);
         perform(m_state, m_state.m_pools.tick(now), now);
+        for (const auto& group : m_state.m_pools.take_still_groups()) {
+            log_event(log_level::warning, "group_closed",
+                      {{"group", group}, {"reason", "its streams had no events"}});
+        }
         refuse_lapsed_calls(m_state, now);
         for (const auto& request : m_state.m_requests.all()) {
             watch_request(m_state, request, now);
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -87,6 +87,7 @@
         std::chrono::duration_cast<time_span>((known.m_deadline - known.m_arrival) * wait_share);
     info.m_prompt_deadline = prompt_deadline(known);
     info.m_wait_deadline = known.m_arrival + std::min(longest_wait, share);
+    info.m_most_pause = known.m_route->m_gap_objective;
     info.m_most_attempts = known.m_route->m_most_attempts;
     return info;
 }
--- a/test/upstream_health_test.cpp
+++ b/test/upstream_health_test.cpp
@@ -158,6 +158,80 @@
     EXPECT_FALSE(is_outrun(m_broker, ticket(2), milliseconds(0)));
 }
 
+/// Two ranks of two groups, and streams that may pause for 100 ms.
+class group_pulse_test : public broker_waits {
+protected:
+    group_pulse_test()
+    {
+        remove_upstream(m_broker, upstream_id("u1"), m_now, m_random);
+        for (const auto* name : {"a", "b"}) {
+            auto rank = upstream(name, 1);
+            rank.m_group = name;
+            update_upstream(m_broker, rank, m_now, m_random);
+        }
+    }
+
+    request_info stream(std::uint64_t id, time_point now)
+    {
+        auto result = request(id, now);
+        result.m_most_pause = milliseconds(100);
+        return result;
+    }
+};
+
+TEST_F(group_pulse_test, a_group_whose_streams_have_no_events_gets_nothing_new_until_they_have)
+{
+    const auto steps = submit(m_broker, stream(1, m_now), m_now, m_random);
+    const auto still = steps.at(0).m_upstream;
+    first_token(m_broker, ticket(1), m_now);
+    tick(m_broker, m_now + milliseconds(299), m_random);
+    EXPECT_TRUE(take_still_groups(m_broker).empty());
+    const auto later = m_now + milliseconds(300);
+    tick(m_broker, later, m_random);
+    EXPECT_EQ(take_still_groups(m_broker), std::vector<std::string>{still.value()});
+    EXPECT_NE(submit(m_broker, stream(2, later), later, m_random).at(0).m_upstream, still);
+    auto freed = upstream(still.value().c_str(), 2);
+    freed.m_group = still.value();
+    EXPECT_TRUE(update_upstream(m_broker, freed, later, m_random).empty());
+    EXPECT_TRUE(submit(m_broker, stream(3, later), later, m_random).empty()) << "it must wait";
+    EXPECT_TRUE(next_event(m_broker, ticket(1), later + milliseconds(50)));
+    const auto begun = tick(m_broker, later + milliseconds(50), m_random);
+    ASSERT_EQ(begun.size(), 1U);
+    EXPECT_EQ(begun[0].m_upstream, still);
+}
+
+TEST_F(group_pulse_test, a_request_without_a_first_token_at_a_still_group_is_late_sooner)
+{
+    auto larger = upstream("a", 2);
+    larger.m_group = "a";
+    update_upstream(m_broker, larger, m_now, m_random);
+    submit(m_broker, stream(1, m_now), m_now, m_random);
+    submit(m_broker, stream(2, m_now), m_now, m_random);
+    submit(m_broker, stream(3, m_now), m_now, m_random);
+    // Two of them run at group a. One of these and the one at group b have their first tokens.
+    const auto place = [&](std::uint64_t id) {
+        return m_broker.m_table.m_upstreams[m_broker.m_requests.at(ticket(id)).m_running_on]
+            ->m_info.m_name;
+    };
+    std::vector<std::uint64_t> at_a;
+    for (const std::uint64_t id : {1, 2, 3}) {
+        if (place(id) == upstream_id("a")) {
+            at_a.push_back(id);
+        }
+    }
+    ASSERT_EQ(at_a.size(), 2U);
+    first_token(m_broker, ticket(at_a[0]), m_now);
+    const std::uint64_t at_b = 6 - at_a[0] - at_a[1];
+    attempt_ended(m_broker, ticket(at_b), attempt_end::completed, m_now, m_random);
+    const auto later = m_now + milliseconds(500);
+    tick(m_broker, later, m_random);
+    submit(m_broker, stream(4, later), later, m_random);
+    first_token(m_broker, ticket(4), later);
+    EXPECT_TRUE(is_outrun(m_broker, ticket(at_a[1]), milliseconds(1000)));
+    next_event(m_broker, ticket(at_a[0]), later);
+    EXPECT_FALSE(is_outrun(m_broker, ticket(at_a[1]), milliseconds(1000)));
+}
+
 TEST_F(broker_waits, gateways_share_the_retries)
 {
     set_sharing(m_broker, 4, {0.1, 2.0});
