--- a/test/experts_session.py
+++ b/test/experts_session.py
@@ -157,15 +157,23 @@
     def keep_busy(self, site):
         """Sends long requests until each rank has one."""
         count = 0
+        ended = []  # these requests are meant to outlast the test: one that ends says why a wait fails
+
+        def fill(body):
+            status, _, answer = site.try_call("e1", "POST", "/v1/completions", body, None, 60)
+            ended.append((body["prompt"], status, answer[-200:]))
         while not all(self.running(site, name) for name in RANKS):
             count += 1
             self.assertLess(count, 30, "the entry sends no work to some rank")
             body = {"model": "ad-copy", "prompt": "long %d" % count, "max_tokens": 8000}
-            threading.Thread(target=site.try_call, daemon=True,
-                             args=("e1", "POST", "/v1/completions", body, None, 60)).start()
+            threading.Thread(target=fill, daemon=True, args=(body,)).start()
             running = sum(self.running(site, name) for name in RANKS + ["spare"])
-            site.wait_for(lambda: sum(self.running(site, n) for n in RANKS + ["spare"]) >= count,
-                          "request %d of which %d run" % (count, running))
+            try:
+                site.wait_for(
+                    lambda: sum(self.running(site, n) for n in RANKS + ["spare"]) >= count,
+                    "request %d of which %d run" % (count, running))
+            except TimeoutError as fault:
+                raise TimeoutError("%s; ended so far: %s" % (fault, ended)) from fault
 
     def stall(self, site, milliseconds):
         for name in RANKS:
