--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -199,6 +199,13 @@
            state.m_candidate_proof > proof * cost;
 }
 
+/// How many times as long as usual the slowest rank takes.
+double slowest_pace(const rank_speeds& speeds)
+{
+    const double slowest = speeds.empty() ? 1.0 : *std::min_element(speeds.begin(), speeds.end());
+    return 1.0 / std::min(1.0, slowest);
+}
+
 /// Remembers how even each changed layer has become.
 void note_reached(planner& state, const expert_map& map)
 {
@@ -259,6 +266,20 @@
     observe(state.m_forecast, seen.m_tokens_per_step, now);
 }
 
+double tolerate(planner& state, const step_timing& timing, const skew_band& tight,
+                const observation& seen)
+{
+    const auto load = load_of(state.m_map, seen.m_tokens_per_step);
+    const auto step = from_seconds(seconds(seen.m_span) / std::max(1.0, seen.m_steps));
+    const double pace = slowest_pace(seen.m_speeds);
+    const double work = work_of(timing, step, skew(load), pace);
+    const auto band = tolerated_skews(timing, work, pace, tight);
+    state.m_options.m_high_skew = band.m_high;
+    state.m_options.m_low_skew = band.m_low;
+    state.m_options.m_tolerated_skew = band.m_high;
+    return work;
+}
+
 std::optional<plan> decide(planner& state, time_point now)
 {
     const bool is_due = now >= state.m_plan_at && !state.m_is_moving && !state.m_is_stalled;
--- a/dewbeam/src/experts/planner.h
+++ b/dewbeam/src/experts/planner.h
@@ -13,6 +13,7 @@
 #include "dewbeam/configuration"
 #include "dewbeam/src/experts/expert_map.h"
 #include "dewbeam/src/experts/forecast.h"
+#include "dewbeam/src/experts/step_model.h"
 
 namespace dewbeam::experts {
 
@@ -89,6 +90,11 @@
 /// Takes in what was counted.
 void observe(planner& state, const observation& seen, time_point now);
 
+/// Lets the map be as uneven as the group's steps allow.
+/// \returns seconds of work for tokens in one of the steps that were seen
+double tolerate(planner& state, const step_timing& timing, const skew_band& tight,
+                const observation& seen);
+
 /// A plan to carry out now, or nothing. No further plan comes until `settle`.
 std::optional<plan> decide(planner& state, time_point now);
 
--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -19,8 +19,6 @@
 constexpr double usual_expert_share = 0.7;
 /// While a rank fetches, its steps take about this much longer.
 constexpr double fetch_slowdown = 0.15;
-/// A layer is worked on above the first, down to the second, where steps are long.
-constexpr experts::skew_band tight_skews{1.12, 1.04};
 /// Experts of a layer that a rank fetches for one plan. Fetching is what a change waits for, 0.1 s
 /// for each expert: with 3 the map followed a sudden change of demand after 1.5 s, with 1, in more
 /// steps, after 0.6 s; of the streams under a change each 3 s, 0.75 and 0.80 kept their objective.
@@ -38,7 +36,9 @@
     return shape;
 }
 
-experts::planner_options options_of(const engine_facts& facts, std::uint32_t ranks)
+}  // namespace
+
+experts::planner_options planner_options_of(const engine_facts& facts, std::uint32_t ranks)
 {
     experts::planner_options options;
     options.m_move.m_expert_size = facts.m_expert_size;
@@ -55,14 +55,6 @@
     return options;
 }
 
-double slowest_pace(const experts::rank_speeds& speeds)
-{
-    const double slowest = speeds.empty() ? 1.0 : *std::min_element(speeds.begin(), speeds.end());
-    return 1.0 / std::min(1.0, slowest);
-}
-
-}  // namespace
-
 rank_balancer::rank_balancer(const engine_facts& facts, std::uint32_t ranks,
                              std::function<bool(const std::string& content)> propose)
     : m_facts(facts),
@@ -94,7 +86,7 @@
         return false;
     }
     if (!m_planner || m_planner->m_map.m_shape != map->m_shape) {
-        m_planner = experts::make_planner(options_of(m_facts, m_ranks), *map, now);
+        m_planner = experts::make_planner(planner_options_of(m_facts, m_ranks), *map, now);
     }
     m_planner->m_map = *std::move(map);
     m_planned_on = number;
@@ -116,13 +108,7 @@
     const auto load = experts::load_of(planner.m_map, seen->m_tokens_per_step);
     const double step_us = std::chrono::duration<double, std::micro>(seen->m_span).count() /
                            std::max(1.0, seen->m_steps);
-    const double pace = slowest_pace(seen->m_speeds);
-    const std::chrono::microseconds step(static_cast<std::int64_t>(step_us));
-    const double work = experts::work_of(m_facts.m_timing, step, experts::skew(load), pace);
-    const auto band = experts::tolerated_skews(m_facts.m_timing, work, pace, tight_skews);
-    planner.m_options.m_high_skew = band.m_high;
-    planner.m_options.m_low_skew = band.m_low;
-    planner.m_options.m_tolerated_skew = band.m_high;
+    const double work = experts::tolerate(planner, m_facts.m_timing, tight_skews, *seen);
     planner.m_options.m_step.m_microseconds_per_token =
         usual_expert_share * step_us / std::max(1.0, load.m_slowest);
     const auto begun = std::chrono::steady_clock::now();
@@ -137,7 +123,7 @@
                {"skew_after", m_plan->m_skew_after},
                {"step_ms", step_us / 1000.0},
                {"work_ms", work * 1000.0},
-               {"tolerated_skew", band.m_high},
+               {"tolerated_skew", planner.m_options.m_tolerated_skew},
                {"map", *m_planned_on},
                {"planning_ms", std::chrono::duration<double, std::milli>(took).count()}});
     return to_json(experts::to_lists(m_plan->m_map, m_facts.m_experts));
--- a/dewbeam/src/ranks/rank_balancer.h
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -13,6 +13,12 @@
 
 namespace dewbeam::ranks {
 
+/// A layer is worked on above the first, down to the second, where steps are long.
+inline constexpr experts::skew_band tight_skews{1.12, 1.04};
+
+/// How the maps of a group of such engines are planned.
+experts::planner_options planner_options_of(const engine_facts& facts, std::uint32_t ranks);
+
 /// The balancer. Thread-safe.
 class rank_balancer {
 public:
--- a/tool/dewbeam_bench.py
+++ b/tool/dewbeam_bench.py
@@ -14,7 +14,7 @@
 from dewbeam_plots import bar_plot
 from dewbeam_site import STANDARD_CONFIGURATION, Site
 
-DECISIONS = ["routing", "fairness", "overload", "admission", "poison", "experts", "stall", "orders",
+DECISIONS = ["routing", "fairness", "overload", "admission", "poison", "experts", "moves", "stall", "orders",
              "scale", "membership", "consensus", "group_map"]
 PROCESSES = ["path", "failover"]
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
