Use one copy of the function that turns a span into seconds or milliseconds

Cause: eleven files had a local `seconds(time_span)` of their own, the bench and the load tool one more each. Change: `to_seconds` and `to_milliseconds` in base/units.h; no behaviour changes.

--- a/bench/common/cluster.cpp
+++ b/bench/common/cluster.cpp
@@ -407,11 +407,6 @@
     }
 }
 
-double to_seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 time_span from_seconds(double value)
 {
     return std::chrono::duration_cast<time_span>(std::chrono::duration<double>(value));
--- a/bench/common/cluster.h
+++ b/bench/common/cluster.h
@@ -157,9 +157,6 @@
     cluster_counts m_counts;
 };
 
-/// Seconds of a span, for figures.
-double to_seconds(time_span value);
-
 /// A span from seconds.
 time_span from_seconds(double value);
 
--- a/bench/moves_bench.cpp
+++ b/bench/moves_bench.cpp
@@ -86,14 +86,12 @@
                 plan();
             }
         }
-        return {{"fetched_experts_per_s", rounded(m_fetched / seconds(run_length))},
-                {"steps_over_objective", rounded(m_late_time / seconds(run_length))},
-                {"mean_step_ms", rounded(1000.0 * seconds(run_length) / m_steps_in_all)}};
+        return {{"fetched_experts_per_s", rounded(m_fetched / to_seconds(run_length))},
+                {"steps_over_objective", rounded(m_late_time / to_seconds(run_length))},
+                {"mean_step_ms", rounded(1000.0 * to_seconds(run_length) / m_steps_in_all)}};
     }
 
 private:
-    static double seconds(time_span span) { return std::chrono::duration<double>(span).count(); }
-
     [[nodiscard]] experts::group_counts counts() const
     {
         experts::group_counts result;
@@ -132,10 +130,10 @@
         const double skew = experts::skew(experts::load_of(m_planner.m_map, counts()));
         const auto& timing = m_facts.m_timing;
         const double share = timing.m_expert_share;
-        double took = seconds(timing.m_fixed) + m_kind.m_work * (1.0 - share + share * skew);
+        double took = to_seconds(timing.m_fixed) + m_kind.m_work * (1.0 - share + share * skew);
         took *= m_plan ? fetch_slowdown : 1.0;
         m_now += std::chrono::microseconds(static_cast<std::int64_t>(took * 1e6));
-        m_late_time += took > seconds(timing.m_pause_objective) ? took : 0.0;
+        m_late_time += took > to_seconds(timing.m_pause_objective) ? took : 0.0;
         ++m_steps_in_all;
         ++m_steps;
         if (m_plan && m_now >= m_in_force_at) {
--- a/dewbeam/src/admission/queue_limit.cpp
+++ b/dewbeam/src/admission/queue_limit.cpp
@@ -11,11 +11,6 @@
 /// Return times are spread by this share, so that callers who were refused together come apart.
 constexpr double spread = 0.2;
 
-double seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 time_span to_span(double value)
 {
     constexpr double longest = 3600.0;
@@ -35,7 +30,7 @@
     const auto passed = now - meter.m_window_start;
     if (passed >= window) {
         if (meter.m_was_waiting) {
-            const double rate = meter.m_window_cost / seconds(passed);
+            const double rate = meter.m_window_cost / to_seconds(passed);
             meter.m_rate =
                 meter.m_rate == 0.0 ? rate : meter.m_rate + rate_gain * (rate - meter.m_rate);
         }
@@ -73,7 +68,7 @@
     const auto last = now + options.m_longest_return;
     line.m_end = std::min(std::max(line.m_end, first) + place, last);
     const double factor = 1.0 + spread * uniform_unit(random);
-    return now + to_span(seconds(line.m_end - now) * factor);
+    return now + to_span(to_seconds(line.m_end - now) * factor);
 }
 
 }  // namespace dewbeam::admission
--- a/dewbeam/src/base/units.h
+++ b/dewbeam/src/base/units.h
@@ -25,6 +25,18 @@
 /// A deadline that never comes.
 inline constexpr time_point no_deadline = time_point::max();
 
+/// A span as a figure: for logs, metrics and models.
+constexpr double to_seconds(time_span span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// The same in milliseconds.
+constexpr double to_milliseconds(time_span span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
 /// A count with a unit: adds and compares only with its own kind.
 template <class Tag>
 struct quantity {
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -23,11 +23,6 @@
 /// ordinary work alone loses none.
 constexpr time_span reserve_span = std::chrono::minutes(10);
 
-double seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// Why a new request may not even wait; none where it may.
 std::optional<refusal> refusal_of_new(const broker& state, const pending_request& request,
                                       time_point now)
@@ -210,7 +205,7 @@
     subject.m_was_answered = true;
     state.m_table.m_upstreams[subject.m_running_on]->m_pending_work -= subject.m_prompt_work;
     const double work = subject.m_work_before + subject.m_prompt_work;
-    const double passed = seconds(now - subject.m_dispatched_at);
+    const double passed = to_seconds(now - subject.m_dispatched_at);
     routing::note_first_token(state.m_speed, work, passed);
     note_first_token_time(state.m_table.m_upstreams[subject.m_running_on]->m_slowness, passed, now);
     note_first_token_time(state.m_pool_speed, passed, now);
--- a/dewbeam/src/dispatch/choose.cpp
+++ b/dewbeam/src/dispatch/choose.cpp
@@ -10,11 +10,6 @@
 /// Seconds for which own work counts as recent.
 constexpr double recent_lifetime = 1.0;
 
-double seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// One choice under way.
 struct search {
     const choice_context& m_context;
@@ -40,7 +35,7 @@
 double freshness(const choice_context& context, const upstream_state& upstream, time_span lifetime)
 {
     const auto age = context.m_now - upstream.m_info.m_report.m_measured_at;
-    return std::exp(-std::max(0.0, seconds(age)) / seconds(lifetime));
+    return std::exp(-std::max(0.0, to_seconds(age)) / to_seconds(lifetime));
 }
 
 /// Tokens of memory that must become free before the request fits.
@@ -101,7 +96,7 @@
     const auto found = assess(state, index);
     const bool is_near = upstream.m_info.m_failure_domain == state.m_context.m_failure_domain;
     const double score =
-        found.m_seconds + (is_near ? 0.0 : seconds(state.m_context.m_options.m_spill_margin));
+        found.m_seconds + (is_near ? 0.0 : to_seconds(state.m_context.m_options.m_spill_margin));
     if (!state.m_best || score < state.m_best_score) {
         state.m_best = found;
         state.m_best_score = score;
@@ -168,7 +163,7 @@
 double recent_work(const upstream_state& upstream, time_point now)
 {
     return upstream.m_recent_work *
-           std::exp(-seconds(now - upstream.m_last_dispatch) / recent_lifetime);
+           std::exp(-to_seconds(now - upstream.m_last_dispatch) / recent_lifetime);
 }
 
 bool was_tried(const pending_request& request, const upstream_state& upstream)
@@ -202,7 +197,7 @@
     }
     consider_holders(state, open);
     consider_samples(state, open.m_near, random);
-    if (!state.m_best || state.m_best_score > seconds(context.m_options.m_spill_margin)) {
+    if (!state.m_best || state.m_best_score > to_seconds(context.m_options.m_spill_margin)) {
         consider_samples(state, open.m_far, random);
     }
     return state.m_best;
--- a/dewbeam/src/dispatch/health.cpp
+++ b/dewbeam/src/dispatch/health.cpp
@@ -14,14 +14,9 @@
 constexpr double ratio_lifetime = 2.0;
 constexpr double largest_ratio = 10.0;
 
-double seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 void decay(health& state, const health_options& options, time_point now)
 {
-    const double passed = seconds(now - state.m_counted_at) / seconds(options.m_half_life);
+    const double passed = to_seconds(now - state.m_counted_at) / to_seconds(options.m_half_life);
     const double factor = std::exp2(-std::max(0.0, passed));
     state.m_results *= factor;
     state.m_failures *= factor;
@@ -79,7 +74,7 @@
         return 1.0;
     }
     const double fading =
-        std::exp(-std::max(0.0, seconds(now - state.m_noted_at)) / ratio_lifetime);
+        std::exp(-std::max(0.0, to_seconds(now - state.m_noted_at)) / ratio_lifetime);
     return 1.0 + (ratio - 1.0) * fading;
 }
 
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -23,11 +23,6 @@
 /// Without this many lapsed entries the heap of deadlines is not worth tidying.
 constexpr std::size_t most_lapsed_deadlines = 1024;
 
-double seconds(time_span value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 time_span to_span(double value)
 {
     return std::chrono::duration_cast<time_span>(std::chrono::duration<double>(value));
@@ -42,7 +37,7 @@
     }
     const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
     const auto& subject = lane_of(request);
-    const double fading = std::exp(-seconds(now - subject.m_run_noted_at) / run_lifetime);
+    const double fading = std::exp(-to_seconds(now - subject.m_run_noted_at) / run_lifetime);
     return to_span(subject.m_run_seconds_per_token * tokens * fading);
 }
 
@@ -147,7 +142,7 @@
 void note_run(const pending_request& request, time_point now)
 {
     const auto tokens = static_cast<double>(request.m_info.m_output_tokens.m_count) + 1.0;
-    const double sample = seconds(now - request.m_dispatched_at) / tokens;
+    const double sample = to_seconds(now - request.m_dispatched_at) / tokens;
     lane_of(request).m_run_noted_at = now;
     auto& mean = lane_of(request).m_run_seconds_per_token;
     mean = mean == 0.0 ? sample : mean + run_gain * (sample - mean);
@@ -261,7 +256,7 @@
     if (request.m_route->m_able == 0 && !state.m_options.m_waits_for_upstreams) {
         return refusal::no_able_upstream;
     }
-    const auto least_run = to_span(seconds(expected_run(state, request, now)) * least_run_share);
+    const auto least_run = to_span(to_seconds(expected_run(state, request, now)) * least_run_share);
     if (info.m_deadline != no_deadline && now + least_run > info.m_deadline) {
         return refusal::overloaded;
     }
--- a/dewbeam/src/entry/metrics.cpp
+++ b/dewbeam/src/entry/metrics.cpp
@@ -14,11 +14,6 @@
 const prometheus::Histogram::BucketBoundaries latency_bounds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.72, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0};
 
-double seconds(time_span span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 const char* outcome_of(const request_result& result)
 {
     if (result.m_is_caller_gone) {
@@ -83,9 +78,9 @@
         .Increment();
     if (result.m_first_byte != time_point{}) {
         all.m_first_byte.Add({{"selector", selector}}, latency_bounds)
-            .Observe(seconds(first_byte_after));
+            .Observe(to_seconds(first_byte_after));
     }
-    all.m_whole.Add({{"selector", selector}}, latency_bounds).Observe(seconds(whole_after));
+    all.m_whole.Add({{"selector", selector}}, latency_bounds).Observe(to_seconds(whole_after));
 }
 
 void metrics::dispatched()
--- a/dewbeam/src/experts/forecast.cpp
+++ b/dewbeam/src/experts/forecast.cpp
@@ -9,11 +9,6 @@
 
 constexpr double error_smoothing = 0.4;
 
-double seconds(time_span span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 void blend(group_counts& average, const group_counts& sample, double weight)
 {
     for (std::size_t layer = 0; layer < average.size(); ++layer) {
@@ -62,8 +57,8 @@
 {
     const auto& options = state.m_options;
     const auto age = std::min(options.m_slow, state.m_updated - state.m_begun);
-    const double lag = std::max(1.0, seconds(age) - seconds(options.m_fast));
-    const double factor = seconds(options.m_ahead + options.m_fast) / lag;
+    const double lag = std::max(1.0, to_seconds(age) - to_seconds(options.m_fast));
+    const double factor = to_seconds(options.m_ahead + options.m_fast) / lag;
     auto line = state.m_fast;
     for (std::size_t layer = 0; layer < line.size(); ++layer) {
         for (std::size_t expert = 0; expert < line[layer].size(); ++expert) {
@@ -118,10 +113,11 @@
         score(state, now);
         return;
     }
-    const double elapsed = seconds(now - state.m_updated);
-    const double age = seconds(now - state.m_begun);
-    const double slow = std::min(seconds(state.m_options.m_slow), std::max(age, elapsed));
-    blend(state.m_fast, tokens_per_step, 1 - std::exp(-elapsed / seconds(state.m_options.m_fast)));
+    const double elapsed = to_seconds(now - state.m_updated);
+    const double age = to_seconds(now - state.m_begun);
+    const double slow = std::min(to_seconds(state.m_options.m_slow), std::max(age, elapsed));
+    blend(state.m_fast, tokens_per_step,
+          1 - std::exp(-elapsed / to_seconds(state.m_options.m_fast)));
     blend(state.m_slow, tokens_per_step, 1 - std::exp(-elapsed / std::max(slow, 1e-6)));
     add(state.m_seen, tokens_per_step, elapsed);
     state.m_seen_weight += elapsed;
--- a/dewbeam/src/experts/planner.cpp
+++ b/dewbeam/src/experts/planner.cpp
@@ -30,11 +30,6 @@
 /// Share of the earned balance that one plan may spend under `balance=cost`.
 constexpr double spendable_share = 0.5;
 
-double seconds(time_span span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 time_span from_seconds(double value)
 {
     return time_span(static_cast<time_span::rep>(value * 1e6));
@@ -58,8 +53,8 @@
     constexpr double least_error = 0.01;
     const double error = std::max(least_error, error_of_best(state.m_forecast));
     const double share = prefers_cost(state) ? 1.0 : horizon_share_for_skew;
-    const double holds = share * seconds(state.m_options.m_forecast.m_scoring) / error;
-    return std::min(holds, seconds(state.m_options.m_longest_horizon));
+    const double holds = share * to_seconds(state.m_options.m_forecast.m_scoring) / error;
+    return std::min(holds, to_seconds(state.m_options.m_longest_horizon));
 }
 
 /// Seconds saved over the horizon for each token less on the busiest rank of a layer.
@@ -132,7 +127,7 @@
         return a.m_saved * b.m_fetches > b.m_saved * a.m_fetches;
     };
     std::stable_sort(plans.begin(), plans.end(), is_more_useful);
-    const double most = seconds(state.m_options.m_interval) / seconds_per_fetch(state);
+    const double most = to_seconds(state.m_options.m_interval) / seconds_per_fetch(state);
     double fetches = 0;
     std::size_t count = 0;
     while (count < plans.size() && (count == 0 || fetches + plans[count].m_fetches <= most)) {
@@ -176,13 +171,13 @@
 
 double full_cost(const planner& state, const plan& item)
 {
-    return seconds(cost_of(state.m_options.m_move, item.m_moves.size()));
+    return to_seconds(cost_of(state.m_options.m_move, item.m_moves.size()));
 }
 
 bool is_worth_it_for_skew(const planner& state, const plan& item, const group_counts& counts)
 {
-    const double cost = seconds(state.m_options.m_move.m_switch_pause) +
-                        seconds(item.m_staging) * fetch_weight_for_skew;
+    const double cost = to_seconds(state.m_options.m_move.m_switch_pause) +
+                        to_seconds(item.m_staging) * fetch_weight_for_skew;
     return predicted_saving(state, item, counts) > cost;
 }
 
@@ -258,7 +253,7 @@
     state.m_speeds = seen.m_speeds;
     state.m_is_stalled = seen.m_is_stalled;
     if (seen.m_span > time_span::zero()) {
-        state.m_steps_per_second = seen.m_steps / seconds(seen.m_span);
+        state.m_steps_per_second = seen.m_steps / to_seconds(seen.m_span);
     }
     if (prefers_cost(state)) {
         keep_books(state, seen);
@@ -270,7 +265,7 @@
                 const observation& seen)
 {
     const auto load = load_of(state.m_map, seen.m_tokens_per_step);
-    const auto step = from_seconds(seconds(seen.m_span) / std::max(1.0, seen.m_steps));
+    const auto step = from_seconds(to_seconds(seen.m_span) / std::max(1.0, seen.m_steps));
     const double pace = slowest_pace(seen.m_speeds);
     const double work = work_of(timing, step, skew(load), pace);
     const auto band = tolerated_skews(timing, work, pace, tight);
--- a/dewbeam/src/experts/step_model.cpp
+++ b/dewbeam/src/experts/step_model.cpp
@@ -17,11 +17,6 @@
 constexpr double most_skew = 2.0;
 constexpr double least_work = 1e-4;
 
-double seconds(time_span span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 bool is_known(const step_timing& timing)
 {
     return timing.m_fixed > time_span::zero() && timing.m_expert_share > 0.0 &&
@@ -32,7 +27,7 @@
 double skew_for(const step_timing& timing, double step, double work, double pace)
 {
     const double own = 1.0 - timing.m_expert_share;
-    const double for_tokens = step - seconds(timing.m_fixed) * pace;
+    const double for_tokens = step - to_seconds(timing.m_fixed) * pace;
     return (for_tokens / work - own * pace) / timing.m_expert_share;
 }
 
@@ -41,7 +36,7 @@
 double work_of(const step_timing& timing, time_span step, double skew, double pace)
 {
     const double own = (1.0 - timing.m_expert_share) * pace;
-    const double for_tokens = seconds(step) - seconds(timing.m_fixed) * pace;
+    const double for_tokens = to_seconds(step) - to_seconds(timing.m_fixed) * pace;
     return std::max(0.0, for_tokens) / (own + timing.m_expert_share * std::max(1.0, skew));
 }
 
@@ -51,7 +46,7 @@
     if (!is_known(timing)) {
         return tight;
     }
-    const double objective = seconds(timing.m_pause_objective);
+    const double objective = to_seconds(timing.m_pause_objective);
     const double at_least = std::max(work, least_work);
     const double high = skew_for(timing, objective * most_step_share, at_least, pace);
     const double low = skew_for(timing, objective * good_step_share, at_least, pace);
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -14,11 +14,6 @@
 const prometheus::Histogram::BucketBoundaries latency_bounds{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.72, 1.0, 2.0, 4.0, 8.0};
 
-double seconds(time_span span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 }  // namespace
 
 struct gateway_metrics::families {
@@ -69,12 +64,12 @@
 void gateway_metrics::request_ended(const std::string& outcome, time_span whole_after)
 {
     m_families->m_requests.Add({{"outcome", outcome}}).Increment();
-    m_families->m_whole.Observe(seconds(whole_after));
+    m_families->m_whole.Observe(to_seconds(whole_after));
 }
 
 void gateway_metrics::first_byte(time_span after)
 {
-    m_families->m_first_byte.Observe(seconds(after));
+    m_families->m_first_byte.Observe(to_seconds(after));
 }
 
 void gateway_metrics::answered_late(const std::string& reason)
--- a/dewbeam/src/load/results.cpp
+++ b/dewbeam/src/load/results.cpp
@@ -19,11 +19,6 @@
 constexpr std::array<ending, ending_count> all_endings{
     ending::answered, ending::wrong, ending::refused, ending::failed, ending::timed_out};
 
-double to_ms(time_span value)
-{
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 std::size_t index_of(ending value)
 {
     return static_cast<std::size_t>(value);
@@ -164,8 +159,8 @@
     ++item.m_endings[index_of(end.m_ending)];
     item.m_resends += end.m_resends;
     if (end.m_ending == ending::answered) {
-        item.m_first_byte(to_ms(end.m_first_byte));
-        item.m_whole(to_ms(end.m_whole));
+        item.m_first_byte(to_milliseconds(end.m_first_byte));
+        item.m_whole(to_milliseconds(end.m_whole));
     }
     if (end.m_ending == ending::wrong && found.m_wrong.size() < most_listed_wrong) {
         found.m_wrong.push_back({end.m_marker, item.m_name, end.m_verdict});
@@ -217,7 +212,8 @@
                          {"work", item.m_work},
                          {"verdict", to_string(item.m_verdict)}});
     }
-    return {{"work", all}, {"wrong", wrong}, {"latest_send_ms", to_ms(found.m_latest_send)}};
+    return {
+        {"work", all}, {"wrong", wrong}, {"latest_send_ms", to_milliseconds(found.m_latest_send)}};
 }
 
 std::string to_html(const results& found)
