Log how long each stage of a change of the expert map takes

Cause: no log line told what a map waits for between a shift of demand and its first step, so that three hypotheses for groups of 63 that earn too little could not be told apart. Change: the coordinator keeps when a change was proposed, staged, armed and ended; `expert_map_change` says it (staging_ms, arming_ms, committing_ms, total_ms, map), written in one place for both programs; `expert_plan` says over which span its counts were taken and how old the oldest is; `expert_map_followed` how long the planner waited for the ranks to tell of the new map. The message of counts and the timing of a rank agent's part have files of their own, so that a model can run them; nothing else changes.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -178,10 +178,8 @@
         group_hooks hooks;
         hooks.m_set_admission = [this](bool may_admit) { m_gate->set_paused(!may_admit); };
         hooks.m_is_busy = [this] { return m_gate->running() > 0; };
-        hooks.m_on_result = [this](group_map::change_result result) {
-            m_balancer->on_result(result, program::now());
-            log_event(log_level::info, "expert_map_change",
-                      {{"committed", result == group_map::change_result::committed}});
+        hooks.m_on_change = [this](const group_map::ended_change& change) {
+            m_balancer->on_result(change.m_result, program::now());
         };
         m_group = std::make_shared<group_runner>(
             make_group_options(name, std::move(members), rank_id(rank), m_incarnation,
--- a/dewbeam/src/agent/group_runner.cpp
+++ b/dewbeam/src/agent/group_runner.cpp
@@ -15,6 +15,27 @@
 /// map changed for 23 s.
 constexpr std::size_t most_late_divisor = 3;
 
+/// How long a change took, stage by stage; a stage that it didn't reach is left out.
+void log_change(const group_map::ended_change& change)
+{
+    const auto& times = change.m_times;
+    const bool is_committed = change.m_result == group_map::change_result::committed;
+    if (times.m_staged == no_deadline || times.m_armed == no_deadline) {
+        log_event(log_level::info, "expert_map_change",
+                  {{"committed", is_committed},
+                   {"map", change.m_settled.m_number},
+                   {"total_ms", to_milliseconds(times.m_ended - times.m_proposed)}});
+        return;
+    }
+    log_event(log_level::info, "expert_map_change",
+              {{"committed", is_committed},
+               {"map", change.m_settled.m_number},
+               {"total_ms", to_milliseconds(times.m_ended - times.m_proposed)},
+               {"staging_ms", to_milliseconds(times.m_staged - times.m_proposed)},
+               {"arming_ms", to_milliseconds(times.m_armed - times.m_staged)},
+               {"committing_ms", to_milliseconds(times.m_ended - times.m_armed)}});
+}
+
 }  // namespace
 
 group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
@@ -240,8 +261,8 @@
         post(message.m_to.value(),
              to_wire(m_options.m_group, m_options.m_participant.m_rank, message));
     }
-    if (effects.m_result != group_map::change_result::none) {
-        todo.m_result = effects.m_result;
+    if (effects.m_change.m_result != group_map::change_result::none) {
+        todo.m_change = effects.m_change;
     }
 }
 
@@ -311,8 +332,12 @@
             send_order(item);
         }
     }
-    if (todo.m_result != group_map::change_result::none && m_hooks.m_on_result) {
-        m_hooks.m_on_result(todo.m_result);
+    if (todo.m_change.m_result == group_map::change_result::none) {
+        return;
+    }
+    log_change(todo.m_change);
+    if (m_hooks.m_on_change) {
+        m_hooks.m_on_change(todo.m_change);
     }
 }
 
--- a/dewbeam/src/agent/group_runner.h
+++ b/dewbeam/src/agent/group_runner.h
@@ -41,7 +41,7 @@
 struct group_hooks {
     std::function<void(bool may_admit)> m_set_admission;
     std::function<bool()> m_is_busy;  ///< whether the agent has unfinished requests
-    std::function<void(group_map::change_result)> m_on_result;
+    std::function<void(const group_map::ended_change&)> m_on_change;
 };
 
 /// One rank's part of the protocol. Thread-safe.
@@ -94,7 +94,7 @@
     /// What must be done once the lock is free.
     struct work {
         std::vector<engine_work> m_engines;
-        group_map::change_result m_result = group_map::change_result::none;
+        group_map::ended_change m_change;
         bool m_admission_changed = false;
     };
 
--- a/dewbeam/src/experts/rank_book.cpp
+++ b/dewbeam/src/experts/rank_book.cpp
@@ -142,6 +142,18 @@
     return is_complete(result) ? std::optional(std::move(result)) : std::nullopt;
 }
 
+time_point oldest_sample(const rank_book& book)
+{
+    auto result = no_deadline;
+    for (const auto& sample : book.m_latest) {
+        if (!sample) {
+            return no_deadline;
+        }
+        result = std::min(result, sample->m_at);
+    }
+    return result;
+}
+
 std::optional<observation> take_observation(rank_book& book)
 {
     if (!is_whole(book)) {
--- a/dewbeam/src/experts/rank_book.h
+++ b/dewbeam/src/experts/rank_book.h
@@ -45,6 +45,9 @@
 /// The map that the ranks hold together; none where they differ or it is incomplete.
 std::optional<expert_map> map_in_force(const rank_book& book);
 
+/// When the oldest of the latest samples came; `no_deadline` while a rank has told nothing.
+time_point oldest_sample(const rank_book& book);
+
 /// What was seen since the last observation; none before every rank has told something new in one
 /// formation of the group.
 std::optional<observation> take_observation(rank_book& book);
--- a/dewbeam/src/group_map/coordinator.cpp
+++ b/dewbeam/src/group_map/coordinator.cpp
@@ -48,10 +48,12 @@
     send_to_missing(state, effects, now);
 }
 
-void end_change(coordinator& state, change_result result, coordinator_effects& effects)
+void end_change(coordinator& state, change_result result, coordinator_effects& effects,
+                time_point now)
 {
     if (state.m_change_under_way) {
-        effects.m_result = result;
+        state.m_times.m_ended = now;
+        effects.m_change = {result, state.m_settled, state.m_times};
     }
     state.m_change_under_way = false;
     state.m_content.reset();
@@ -59,7 +61,7 @@
 
 void start_epoch(coordinator& state, coordinator_effects& effects, time_point now)
 {
-    end_change(state, change_result::lost, effects);
+    end_change(state, change_result::lost, effects, now);
     state.m_highest_epoch = std::max(state.m_highest_epoch, state.m_epoch.m_number) + 1;
     state.m_epoch = {state.m_highest_epoch, state.m_options.m_rank, state.m_options.m_incarnation};
     state.m_round = round_number();
@@ -67,9 +69,9 @@
     start_round(state, phase::collecting, command_kind::collect, effects, now);
 }
 
-void stand_down(coordinator& state, coordinator_effects& effects)
+void stand_down(coordinator& state, coordinator_effects& effects, time_point now)
 {
-    end_change(state, change_result::lost, effects);
+    end_change(state, change_result::lost, effects, now);
     state.m_phase = phase::inactive;
     state.m_resend_at = no_deadline;
     state.m_round_deadline = no_deadline;
@@ -196,7 +198,7 @@
 void finish_commit(coordinator& state, coordinator_effects& effects, time_point now)
 {
     state.m_settled = state.m_target.m_map;
-    end_change(state, change_result::committed, effects);
+    end_change(state, change_result::committed, effects, now);
     if (needs_release(state)) {
         release_all(state, effects, now);
     }
@@ -235,7 +237,7 @@
         start_arming(state, effects, now);
         return;
     }
-    end_change(state, change_result::given_up, effects);
+    end_change(state, change_result::given_up, effects, now);
     settle(state, now);
 }
 
@@ -267,9 +269,11 @@
             decide(state, effects, now);
             break;
         case phase::staging:
+            state.m_times.m_staged = now;
             start_arming(state, effects, now);
             break;
         case phase::arming:
+            state.m_times.m_armed = now;
             start_round(state, phase::committing, command_kind::commit, effects, now);
             break;
         case phase::committing:
@@ -311,7 +315,7 @@
         start_epoch(state, effects, now);
     }
     else {
-        stand_down(state, effects);
+        stand_down(state, effects, now);
     }
 }
 
@@ -415,6 +419,8 @@
         return false;
     }
     state.m_change_under_way = true;
+    state.m_times = {};
+    state.m_times.m_proposed = now;
     state.m_content = content;
     state.m_tries = 0;
     state.m_margin = state.m_options.m_first_margin;
--- a/dewbeam/src/group_map/coordinator.h
+++ b/dewbeam/src/group_map/coordinator.h
@@ -60,6 +60,14 @@
     engine_state m_engine;
 };
 
+/// When a change of the map reached its stages; `no_deadline`: not reached.
+struct change_times {
+    time_point m_proposed = no_deadline;
+    time_point m_staged = no_deadline;  ///< all ranks hold the map's weights
+    time_point m_armed = no_deadline;   ///< all ranks hold at the switch step (the last try)
+    time_point m_ended = no_deadline;
+};
+
 /// The state of a coordinator.
 struct coordinator {
     coordinator_options m_options;
@@ -77,6 +85,7 @@
     std::uint32_t m_tries = 0;
     std::uint64_t m_last_number = 0;  ///< of the newest map proposed or met
     bool m_change_under_way = false;  ///< asked for by `propose`
+    change_times m_times;             ///< of that change
     time_point m_resend_at = no_deadline;
     time_point m_round_deadline = no_deadline;
     time_point m_round_began{};
@@ -90,10 +99,17 @@
     lost,      ///< this coordinator was deposed or began anew; the settled map tells
 };
 
+/// A proposed change that has ended.
+struct ended_change {
+    change_result m_result = change_result::none;
+    map_id m_settled;  ///< the map that the ranks use now or certainly will
+    change_times m_times;
+};
+
 /// What the agent must do.
 struct coordinator_effects {
     std::vector<command> m_commands;
-    change_result m_result = change_result::none;
+    ended_change m_change;
 };
 
 /// Low bits of a unique number, which tell proposals of different coordinators apart.
--- /dev/null
+++ b/dewbeam/src/ranks/group_timing.cpp
@@ -0,0 +1,54 @@
+#include "dewbeam/src/ranks/group_timing.h"
+
+#include <algorithm>
+
+namespace dewbeam::ranks {
+
+namespace {
+
+/// How long fetching the experts of one plan may take, at most.
+constexpr time_span stage_limit = std::chrono::seconds(5);
+constexpr time_span arm_limit = std::chrono::seconds(1);
+constexpr time_span stage_poll = std::chrono::milliseconds(40);
+/// For all copies of an order, six of them 25 ms apart: a group that holds must not wait for long.
+constexpr time_span answer_limit = std::chrono::milliseconds(150);
+/// Without fencing numbers an unanswered order may still be carried out for so long.
+constexpr time_span order_lifetime = std::chrono::seconds(15);
+constexpr std::chrono::milliseconds resend_interval{150};
+/// A map is sent to all ranks to be fetched, 10 KB each in a group of 63: sent again before the
+/// first copies are through, it would fill the link of the coordinating host.
+constexpr std::chrono::milliseconds stage_resend_of_rank{25};
+/// A coordinator that stands still while the group holds stops every stream, and callers leave
+/// after two seconds: the next rank steps in after the second span, the one after it after twice
+/// that.
+constexpr time_span heartbeat_interval = std::chrono::milliseconds(200);
+constexpr time_span silence_limit = std::chrono::milliseconds(500);
+/// An agent answers within some 30 ms; a machine that is out of processor time for a while within
+/// 100 ms more.
+constexpr time_span patience = std::chrono::milliseconds(300);
+/// Steps from the newest known to the switch: two rounds of messages take about 30 ms, a step 40 ms
+/// and more.
+constexpr std::uint64_t first_margin = 3;
+
+}  // namespace
+
+void set_timing(agent::group_options& options)
+{
+    auto& participant = options.m_participant;
+    participant.m_poll_interval = stage_poll;
+    participant.m_answer_limit = answer_limit;
+    participant.m_order_lifetime = order_lifetime;
+    participant.m_silence_limit = silence_limit * (participant.m_rank.value() + 1);
+    auto& coordinator = options.m_coordinator;
+    coordinator.m_resend_interval = resend_interval;
+    coordinator.m_stage_resend_interval =
+        std::max<time_span>(resend_interval, stage_resend_of_rank * options.m_members.size());
+    coordinator.m_stage_limit = stage_limit;
+    coordinator.m_arm_limit = arm_limit;
+    coordinator.m_first_margin = first_margin;
+    coordinator.m_unique_numbers = true;
+    coordinator.m_heartbeat_interval = heartbeat_interval;
+    options.m_patience = patience;
+}
+
+}  // namespace dewbeam::ranks
--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -89,6 +89,8 @@
         m_planner = experts::make_planner(planner_options_of(m_facts, m_ranks), *map, now);
     }
     m_planner->m_map = *std::move(map);
+    log_event(log_level::info, "expert_map_followed",
+              {{"map", *number}, {"waited_ms", to_milliseconds(now - m_change_ended_at)}});
     m_planned_on = number;
     m_new_map_until = now;
     return true;
@@ -125,6 +127,8 @@
                {"work_ms", work * 1000.0},
                {"tolerated_skew", planner.m_options.m_tolerated_skew},
                {"map", *m_planned_on},
+               {"counted_ms", to_milliseconds(seen->m_span)},
+               {"counts_age_ms", to_milliseconds(now - experts::oldest_sample(m_book))},
                {"planning_ms", std::chrono::duration<double, std::milli>(took).count()}});
     return to_json(experts::to_lists(m_plan->m_map, m_facts.m_experts));
 }
@@ -152,6 +156,7 @@
     const auto last = *std::exchange(m_plan, std::nullopt);
     const bool is_in_force = result == group_map::change_result::committed;
     experts::settle(*m_planner, last, is_in_force, now);
+    m_change_ended_at = now;
     m_new_map_until = is_in_force ? now + longest_new_map_wait : now;
 }
 
--- a/dewbeam/src/ranks/rank_balancer.h
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -47,6 +47,7 @@
     std::optional<experts::planner> m_planner;
     std::optional<std::uint64_t> m_planned_on;  ///< number of the map that the planner has
     std::optional<experts::plan> m_plan;        ///< proposed and not ended
+    time_point m_change_ended_at{};             ///< the last one
     time_point m_new_map_until{};  ///< a change has ended; the ranks tell of the new map until then
 };
 
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -8,8 +8,9 @@
 
 #include "dewbeam/link"
 #include "dewbeam/src/agent/group_runner.h"
-#include "dewbeam/src/ranks/count_wire.h"
+#include "dewbeam/src/ranks/count_message.h"
 #include "dewbeam/src/ranks/group_layout.h"
+#include "dewbeam/src/ranks/group_timing.h"
 #include "dewbeam/src/ranks/rank_balancer.h"
 #include "dewbeam/src/ranks/rank_engine.h"
 #include "dewbeam/src/registrar/addresses.h"
@@ -21,39 +22,11 @@
 
 using json = nlohmann::json;
 
-constexpr time_span tick_interval = std::chrono::milliseconds(20);
 constexpr time_span report_interval = std::chrono::milliseconds(400);
-/// The shortest time between two tellings of what was counted. Large groups tell less often, so
-/// that all ranks together send no more than `most_counts_rate` to the one that plans: 63 ranks
-/// with 2,016 counts each filled its link of 8 Mbit/s, and no map was changed any more.
-constexpr time_span shortest_counts_interval = std::chrono::milliseconds(120);
-constexpr std::int64_t most_counts_rate = 400'000;  // bytes a second
-constexpr std::int64_t bytes_of_count = 2;
+/// Until the first counts tell how many there are.
+constexpr time_span first_counts_interval = std::chrono::milliseconds(120);
 /// A rank agent needs the registries only for the addresses of the other ranks.
 constexpr time_span watch_interval = std::chrono::milliseconds(500);
-/// How long fetching the experts of one plan may take, at most.
-constexpr time_span stage_limit = std::chrono::seconds(5);
-constexpr time_span arm_limit = std::chrono::seconds(1);
-constexpr time_span stage_poll = std::chrono::milliseconds(40);
-/// For all copies of an order, six of them 25 ms apart: a group that holds must not wait for long.
-constexpr time_span answer_limit = std::chrono::milliseconds(150);
-/// Without fencing numbers an unanswered order may still be carried out for so long.
-constexpr time_span order_lifetime = std::chrono::seconds(15);
-constexpr std::chrono::milliseconds resend_interval{150};
-/// A map is sent to all ranks to be fetched, 10 KB each in a group of 63: sent again before the
-/// first copies are through, it would fill the link of the coordinating host.
-constexpr std::chrono::milliseconds stage_resend_of_rank{25};
-/// A coordinator that stands still while the group holds stops every stream, and callers leave
-/// after two seconds: the next rank steps in after the second span, the one after it after twice
-/// that.
-constexpr time_span heartbeat_interval = std::chrono::milliseconds(200);
-constexpr time_span silence_limit = std::chrono::milliseconds(500);
-/// An agent answers within some 30 ms; a machine that is out of processor time for a while within
-/// 100 ms more.
-constexpr time_span patience = std::chrono::milliseconds(300);
-/// Steps from the newest known to the switch: two rounds of messages take about 30 ms, a step 40 ms
-/// and more.
-constexpr std::uint64_t first_margin = 3;
 
 http::client_options engine_client_options()
 {
@@ -65,13 +38,6 @@
     return result;
 }
 
-time_span counts_interval(std::size_t ranks, std::size_t counts)
-{
-    const auto bytes = static_cast<std::int64_t>(ranks * counts) * bytes_of_count;
-    const std::chrono::microseconds wanted(bytes * 1'000'000 / most_counts_rate);
-    return std::max<time_span>(shortest_counts_interval, wanted);
-}
-
 }  // namespace
 
 std::vector<setting> rank_schema()
@@ -275,18 +241,7 @@
         }
         m_counts_interval = counts_interval(rank_count(), counts.m_counts.size());
         wire::Envelope envelope;
-        auto& message = *envelope.mutable_group();
-        auto& body = *message.mutable_counts();
-        body.set_formation(counts.m_formation);
-        body.set_step(counts.m_step);
-        const auto sent = shorten_counts(counts.m_counts);
-        body.mutable_counts()->Add(sent.begin(), sent.end());
-        body.set_map(holding.m_map);
-        body.set_pace(last_pace());
-        for (const auto& layer : holding.m_held) {
-            body.add_held_in_layer(static_cast<std::uint32_t>(layer.size()));
-            body.mutable_held()->Add(layer.begin(), layer.end());
-        }
+        *envelope.mutable_group()->mutable_counts() = to_wire(counts, holding, last_pace());
         const auto now = program::now();
         for (const auto rank : runner->coordinators(now)) {
             send_to_rank(rank, envelope, now);
@@ -317,41 +272,24 @@
         }
     }
 
-    /// All that a rank told of its counts so far.
-    std::vector<std::uint64_t> counts_of(rank_id from, const wire::RankCounts& body)
-    {
-        const std::lock_guard lock(m_mutex);
-        auto& told = m_told[from];
-        ranks::take_counts(told, {body.counts().begin(), body.counts().end()});
-        return told.m_total;
-    }
-
     void take_counts(const wire::GroupMessage& message, time_point now)
     {
         const auto balancer = current_balancer();
-        const auto& body = message.counts();
         if (!balancer) {
             return;
         }
-        experts::rank_sample sample;
-        sample.m_formation = body.formation();
-        sample.m_step = body.step();
-        sample.m_counts = counts_of(rank_id(message.from_rank()), body);
-        sample.m_map = body.map();
-        sample.m_pace = body.pace();
-        sample.m_at = now;
-        int first = 0;
-        for (const auto size : body.held_in_layer()) {
-            std::vector<std::uint32_t> layer;
-            for (std::uint32_t i = 0; i < size && first < body.held_size(); ++i) {
-                layer.push_back(body.held(first++));
-            }
-            sample.m_held.push_back(std::move(layer));
-        }
+        const rank_id from(message.from_rank());
+        auto sample = read_counts(from, message.counts(), now);
         if (const auto runner = current_runner()) {
-            runner->note_alive(rank_id(message.from_rank()), now);
+            runner->note_alive(from, now);
         }
-        balancer->take(rank_id(message.from_rank()), std::move(sample));
+        balancer->take(from, std::move(sample));
+    }
+
+    experts::rank_sample read_counts(rank_id from, const wire::RankCounts& message, time_point now)
+    {
+        const std::lock_guard lock(m_mutex);
+        return from_wire(message, m_told[from], now);
     }
 
     // The group.
@@ -380,19 +318,7 @@
         auto options = agent::make_group_options(
             at.m_group, at.m_members, at.m_rank, incarnation(m_life.value() + m_runners),
             setting_value<bool>(m_settings, "/engine/checks_fencing"));
-        options.m_participant.m_poll_interval = stage_poll;
-        options.m_participant.m_answer_limit = answer_limit;
-        options.m_participant.m_order_lifetime = order_lifetime;
-        options.m_coordinator.m_resend_interval = resend_interval;
-        options.m_coordinator.m_stage_resend_interval =
-            std::max<time_span>(resend_interval, stage_resend_of_rank * at.m_members.size());
-        options.m_coordinator.m_stage_limit = stage_limit;
-        options.m_coordinator.m_arm_limit = arm_limit;
-        options.m_coordinator.m_first_margin = first_margin;
-        options.m_coordinator.m_unique_numbers = true;
-        options.m_coordinator.m_heartbeat_interval = heartbeat_interval;
-        options.m_participant.m_silence_limit = silence_limit * (at.m_rank.value() + 1);
-        options.m_patience = patience;
+        set_timing(options);
         options.m_make_port =
             [this, engines = at.m_engines](rank_id rank) -> std::shared_ptr<agent::engine_port> {
             const std::lock_guard lock(m_mutex);
@@ -420,12 +346,10 @@
             ended = std::exchange(m_runner, nullptr);
             m_layout = *at;
             agent::group_hooks hooks;
-            hooks.m_on_result = [this](group_map::change_result result) {
+            hooks.m_on_change = [this](const group_map::ended_change& change) {
                 if (const auto balancer = current_balancer()) {
-                    balancer->on_result(result, program::now());
+                    balancer->on_result(change.m_result, program::now());
                 }
-                log_event(log_level::info, "expert_map_change",
-                          {{"committed", result == group_map::change_result::committed}});
             };
             begun = std::make_shared<agent::group_runner>(options_of(*at), std::move(hooks),
                                                           m_engine, now);
@@ -514,7 +438,7 @@
     std::atomic<bool> m_is_started = false;  ///< the node is there
     std::atomic<bool> m_is_asking_report = false;
     std::atomic<bool> m_is_asking_counts = false;
-    std::atomic<time_span> m_counts_interval = shortest_counts_interval;
+    std::atomic<time_span> m_counts_interval = first_counts_interval;
     time_point m_next_report{};   ///< used on the frame's thread alone
     time_point m_next_counts{};   ///< the same
     std::uint64_t m_runners = 0;  ///< the same
--- a/test/group_map_test.cpp
+++ b/test/group_map_test.cpp
@@ -189,8 +189,8 @@
             }
             send({{}, 0, message.m_to.value(), {}, message}, false);
         }
-        m_counts->m_committed += effects.m_result == change_result::committed;
-        m_counts->m_given_up += effects.m_result == change_result::given_up;
+        m_counts->m_committed += effects.m_change.m_result == change_result::committed;
+        m_counts->m_given_up += effects.m_change.m_result == change_result::given_up;
     }
 
     engine_answer obey(engine_model& engine, const engine_order& order) const
