Measure the time of steps over a quarter of a second, and plan nothing before

Cause: between two samples of counts, now 0.12 to 0.16 s apart, lie one or two steps of 75 ms, so that the work of a step was over- or underestimated by half, and maps were made more even than needed; before the first measurement every uneven map was worked on. Change: steps and their span are added up until they make a quarter of a second of one map and one demand; no plan before the first measurement.

--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds slow_average{1500};
 constexpr std::chrono::milliseconds forecast_ahead{300};
 constexpr std::chrono::milliseconds scoring_span{600};
+/// Between two samples lie one or two steps of 75 ms: one such span says little of their time.
+constexpr std::chrono::milliseconds shortest_measurement{250};
 /// A group of 63 counts 100,000 choices of a layer in a step, so that two samples of one demand
 /// differ by 0.02 to 0.03. With it 190 experts a second are fetched in place of 340 while demand
 /// shifts each 2.4 s, and steps are short again as soon (bench `moves`, 63 ranks, busy).
@@ -120,19 +122,38 @@
     experts::observe(planner, *seen, now);
     m_has_news = true;
     const bool knows_map = seen->m_is_of_one_map && m_planned_on == m_book.m_latest.front()->m_map;
-    if (!knows_map) {
-        return;  // which load made the steps so long is not known
+    if (knows_map && planner.m_forecast.m_jumps == 0) {
+        measure_steps(*seen);
     }
-    const auto load = experts::load_of(planner.m_map, seen->m_tokens_per_step);
-    const double step_us = to_seconds(seen->m_span) * 1e6 / std::max(1.0, seen->m_steps);
-    m_work = experts::tolerate(planner, m_facts.m_timing, tight_skews, *seen);
+    else {
+        m_measured = {};  // which load made those steps so long is not known
+    }
+}
+
+/// Learns what a step's work is from a few steps of one map and one demand.
+void rank_balancer::measure_steps(const experts::observation& seen)
+{
+    m_measured.m_steps += seen.m_steps;
+    m_measured.m_span += seen.m_span;
+    if (m_measured.m_span < shortest_measurement) {
+        return;
+    }
+    auto& planner = *m_planner;
+    auto measured = seen;
+    measured.m_steps = m_measured.m_steps;
+    measured.m_span = m_measured.m_span;
+    m_measured = {};
+    m_has_measured = true;
+    const auto load = experts::load_of(planner.m_map, seen.m_tokens_per_step);
+    const double step_us = to_seconds(measured.m_span) * 1e6 / std::max(1.0, measured.m_steps);
+    m_work = experts::tolerate(planner, m_facts.m_timing, tight_skews, measured);
     planner.m_options.m_step.m_microseconds_per_token =
         usual_expert_share * step_us / std::max(1.0, load.m_slowest);
 }
 
 std::optional<std::string> rank_balancer::decide(time_point now)
 {
-    if (m_plan || !std::exchange(m_has_news, false)) {
+    if (m_plan || !m_has_measured || !std::exchange(m_has_news, false)) {
         return std::nullopt;
     }
     auto& planner = *m_planner;
--- a/dewbeam/src/ranks/rank_balancer.h
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -38,6 +38,7 @@
 private:
     [[nodiscard]] bool follow_map(time_point now);
     void observe(time_point now);
+    void measure_steps(const experts::observation& seen);
     std::optional<std::string> decide(time_point now);
 
     engine_facts m_facts;
@@ -49,6 +50,8 @@
     std::optional<std::uint64_t> m_planned_on;  ///< number of the map that the planner has
     std::optional<experts::plan> m_plan;        ///< proposed and not ended
     bool m_has_news = false;                    ///< observed since the last decision
+    experts::observation m_measured;            ///< steps and span since the last measurement
+    bool m_has_measured = false;                ///< which skew does no harm is known
     double m_work = 0.0;                        ///< seconds for tokens in a step
     time_point m_told_by{};  ///< by then all ranks tell of the map that was put in force
 };
