--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -255,6 +255,85 @@
                 heard.m_highest == answer.m_highest && heard.m_state == answer.m_state);
 }
 
+/// A map of many experts as text, with some of them changed.
+group_map::map_content long_map(std::uint64_t seed, std::size_t changes)
+{
+    random_engine random(1);
+    std::vector<std::uint64_t> experts(2'520);
+    for (auto& expert : experts) {
+        expert = uniform_below(random, 252);
+    }
+    random_engine later(seed);
+    for (std::size_t i = 0; i < changes; ++i) {
+        experts[uniform_below(later, experts.size())] = uniform_below(later, 252);
+    }
+    return std::make_shared<const std::string>(nlohmann::json(experts).dump());
+}
+
+group_map::command stage_command(std::uint64_t number, group_map::map_content content)
+{
+    group_map::command result;
+    result.m_kind = group_map::command_kind::stage;
+    result.m_target.m_map = group_map::map_of_number(number);
+    result.m_content = std::move(content);
+    return result;
+}
+
+/// Packs at one agent and unpacks at another.
+absl::Status pass_on(content_codec& from, content_codec& to, const group_map::command& sent,
+                     std::uint64_t base, wire::GroupCommand& message)
+{
+    message = to_wire("g", rank_id(0), sent).command();
+    from.pack(sent, group_map::map_of_number(base), message);
+    wire::GroupMessage whole;
+    *whole.mutable_command() = message;
+    auto received = command_from_wire(whole).value();
+    const auto status = to.unpack(message, received);
+    if (status.ok()) {
+        EXPECT_EQ(*received.m_content, *sent.m_content);
+    }
+    return status;
+}
+
+TEST(content_codec, a_map_that_differs_little_from_the_last_one_takes_few_bytes)
+{
+    content_codec coordinator;
+    content_codec rank;
+    wire::GroupCommand message;
+    ASSERT_TRUE(pass_on(coordinator, rank, stage_command(1, long_map(1, 0)), 0, message).ok());
+    const auto whole = message.packed_content().size();
+    ASSERT_TRUE(pass_on(coordinator, rank, stage_command(2, long_map(2, 300)), 1, message).ok());
+    EXPECT_LT(message.packed_content().size(), 2'000U);
+    EXPECT_LT(message.packed_content().size(), whole);
+    EXPECT_TRUE(message.content().empty());
+}
+
+TEST(content_codec, a_rank_that_lacks_the_last_map_gets_the_repeat_whole)
+{
+    content_codec coordinator;
+    content_codec rank;
+    content_codec restarted;
+    wire::GroupCommand message;
+    ASSERT_TRUE(pass_on(coordinator, rank, stage_command(1, long_map(1, 0)), 0, message).ok());
+    auto second = stage_command(2, long_map(2, 300));
+    EXPECT_FALSE(pass_on(coordinator, restarted, second, 1, message).ok());
+    second.m_is_repeat = true;
+    EXPECT_TRUE(pass_on(coordinator, restarted, second, 1, message).ok());
+    EXPECT_FALSE(message.has_base());
+    // From then on it knows what the others know.
+    EXPECT_TRUE(
+        pass_on(coordinator, restarted, stage_command(3, long_map(3, 300)), 2, message).ok());
+}
+
+RC_GTEST_PROP(content_codec, damaged_bytes_are_refused, (const std::string& bytes))
+{
+    content_codec rank;
+    auto received = stage_command(1, std::make_shared<const std::string>());
+    wire::GroupCommand message;
+    message.set_packed_content(bytes);
+    RC_ASSERT(bytes.empty() || !rank.unpack(message, received).ok());
+}
+
 RC_GTEST_PROP(group_wire, any_bytes_are_read_or_refused, (const std::string& bytes))
 {
     wire::GroupMessage message;
