--- a/bench/planning_common/rank_site.cpp
+++ b/bench/planning_common/rank_site.cpp
@@ -287,7 +287,8 @@
         if (message.m_content) {
             m_hosts[0].m_contents.pack(message, m_coordinator.m_settled, *sent.mutable_command());
         }
-        send(0, message.m_to.value(), sent.ByteSizeLong(), std::move(sent));
+        const auto bytes = sent.ByteSizeLong();
+        send(0, message.m_to.value(), bytes, std::move(sent));
     }
     if (effects.m_change.m_result != group_map::change_result::none) {
         m_figures.m_changes +=
@@ -373,7 +374,7 @@
     for (auto& subject : m_hosts) {
         for (std::size_t i = 0; i < subject.m_counts.size(); ++i) {
             const double mean = m_demand[i / experts][i % experts] / m_options.m_ranks;
-            subject.m_counts[i] += static_cast<std::uint64_t>(noisy(mean, m_random) + 0.5);
+            subject.m_counts[i] += static_cast<std::uint64_t>(std::llround(noisy(mean, m_random)));
         }
     }
 }
--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -145,10 +145,10 @@
     m_measured = {};
     m_has_measured = true;
     const auto load = experts::load_of(planner.m_map, seen.m_tokens_per_step);
-    const double step_us = to_seconds(measured.m_span) * 1e6 / std::max(1.0, measured.m_steps);
+    m_step_seconds = to_seconds(measured.m_span) / std::max(1.0, measured.m_steps);
     m_work = experts::tolerate(planner, m_facts.m_timing, tight_skews, measured);
     planner.m_options.m_step.m_microseconds_per_token =
-        usual_expert_share * step_us / std::max(1.0, load.m_slowest);
+        usual_expert_share * m_step_seconds * 1e6 / std::max(1.0, load.m_slowest);
 }
 
 std::optional<std::string> rank_balancer::decide(time_point now)
@@ -167,6 +167,7 @@
               {{"moves", m_plan->m_moves.size()},
                {"skew_before", m_plan->m_skew_before},
                {"skew_after", m_plan->m_skew_after},
+               {"step_ms", m_step_seconds * 1000.0},
                {"work_ms", m_work * 1000.0},
                {"tolerated_skew", planner.m_options.m_tolerated_skew},
                {"map", *m_planned_on},
--- a/dewbeam/src/ranks/rank_balancer.h
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -52,6 +52,7 @@
     bool m_has_news = false;                    ///< observed since the last decision
     experts::observation m_measured;            ///< steps and span since the last measurement
     bool m_has_measured = false;                ///< which skew does no harm is known
+    double m_step_seconds = 0.0;                ///< of a step, at the last measurement
     double m_work = 0.0;                        ///< seconds for tokens in a step
     time_point m_told_by{};  ///< by then all ranks tell of the map that was put in force
 };
--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -288,7 +288,7 @@
     wire::GroupMessage whole;
     *whole.mutable_command() = message;
     auto received = command_from_wire(whole).value();
-    const auto status = to.unpack(message, received);
+    auto status = to.unpack(message, received);
     if (status.ok()) {
         EXPECT_EQ(*received.m_content, *sent.m_content);
     }
