Plan from what the ranks tell as soon as a group has formed anew

Cause: since the short loop the balancer trusts for 3 s the map that it put in force itself. A group that forms anew in that time runs map 0; a plan made from the forgotten map asks ranks for more new experts than they take, and is refused before the next one is right. Change: the trust ends with the formation of the group in which the map was put in force.

--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -82,11 +82,13 @@
 }
 
 /// Takes the map that all ranks tell of, but for one that this rank put in force itself: waiting
-/// until all had told of it again took 1 s of each 1.9 s in a group of 63.
+/// until all had told of it again took 1 s of each 1.9 s in a group of 63. A group that forms anew
+/// forgets that map: what its ranks tell then counts at once.
 /// \returns whether the planner has the map in force
 bool rank_balancer::follow_map(time_point now)
 {
-    if (m_planner && now < m_told_by) {
+    const auto& own = m_book.m_latest.front();
+    if (m_planner && now < m_told_by && own && own->m_formation == m_changed_formation) {
         return true;
     }
     const auto number = experts::map_number(m_book);
@@ -204,6 +206,7 @@
     m_told_by = is_in_force ? now + longest_new_map_wait : now;
     if (is_in_force) {
         m_planned_on = change.m_settled.m_number;
+        m_changed_formation = m_book.m_latest.front()->m_formation;
     }
 }
 
--- a/dewbeam/src/ranks/rank_balancer.h
+++ b/dewbeam/src/ranks/rank_balancer.h
@@ -54,6 +54,7 @@
     bool m_has_measured = false;                ///< which skew does no harm is known
     double m_step_seconds = 0.0;                ///< of a step, at the last measurement
     double m_work = 0.0;                        ///< seconds for tokens in a step
+    std::uint64_t m_changed_formation = 0;      ///< of the group, when a map was put in force
     time_point m_told_by{};  ///< by then all ranks tell of the map that was put in force
 };
 
