--- a/test/experts_test.cpp
+++ b/test/experts_test.cpp
@@ -220,6 +220,41 @@
     EXPECT_NE(best_after([](int second) { return second < 300 ? 0.2 : 0.8; }), predictor::slow);
 }
 
+/// A sample of two experts of which the first takes this share of 100 tokens.
+group_counts share_of_first(double share)
+{
+    return {{100 * share, 100 * (1 - share)}};
+}
+
+TEST(forecast, a_sudden_change_of_steady_demand_is_a_jump)
+{
+    forecast state;
+    state.m_options = {200ms, 1500ms, 300ms, 600ms, 0.1};
+    time_point now{};
+    for (int i = 0; i < 20; ++i) {
+        observe(state, share_of_first(0.5), now += 120ms);
+    }
+    EXPECT_EQ(state.m_jumps, 0U);
+    observe(state, share_of_first(0.8), now += 120ms);
+    EXPECT_EQ(state.m_jumps, 1U);
+    EXPECT_EQ(predict(state), share_of_first(0.8));
+    observe(state, share_of_first(0.8), now += 120ms);
+    EXPECT_EQ(state.m_jumps, 0U);
+}
+
+/// Few streams choose few experts: what one sample has more, the next one has less.
+TEST(forecast, samples_that_always_differ_much_are_no_jumps)
+{
+    forecast state;
+    state.m_options = {200ms, 1500ms, 300ms, 600ms, 0.1};
+    time_point now{};
+    for (int i = 0; i < 60; ++i) {
+        observe(state, share_of_first(i % 2 == 0 ? 0.35 : 0.65), now += 120ms);
+        EXPECT_TRUE(i < 30 || state.m_jumps == 0) << "sample " << i;
+    }
+    EXPECT_NEAR(predict(state)[0][0], 50, 12);
+}
+
 /// Each change of a search over one layer with random counts leaves a complete map whose busiest
 /// rank is no busier, and tells its load.
 bool lowers_the_busiest_rank(std::uint32_t ranks, std::uint32_t experts, std::uint32_t more_slots,
