--- a/dewbeam/src/ranks/rank_balancer.cpp
+++ b/dewbeam/src/ranks/rank_balancer.cpp
@@ -16,7 +16,7 @@
 /// Between two samples lie one or two steps of 75 ms: one such span says little of their time.
 constexpr std::chrono::milliseconds shortest_measurement{250};
 /// A group of 63 counts 100,000 choices of a layer in a step, so that two samples of one demand
-/// differ by 0.02 to 0.03. With it 190 experts a second are fetched in place of 340 while demand
+/// differ by 0.02 to 0.03. With it 266 experts a second are fetched in place of 336 while demand
 /// shifts each 2.4 s, and steps are short again as soon (bench `moves`, 63 ranks, busy).
 constexpr double jump = 0.1;
 /// The switch itself costs no more than the round trips that a rank waits for at the step.
