Refuse processes of another deployment, by its name and by its replicated log

Cause: nothing on a link said which deployment its sender belongs to; whoever answered at an address in the settings was taken for a process of one's own.

Change: each message names the deployment of its sender (setting "deployment") and the identity of the log that it follows, drawn when a log is founded and kept on each replica's disk. The link hands on nothing of another deployment or log, closes the connection, reports it lost, leaves the address alone for 1 s and logs link_deployment_refused once a minute. Replicas ignore messages of another log. Gateways and ranks follow the log that most of their seeds tell; settings of the users' platform name no deployment. The sites of tests and demo have a name each. The check of link keys moved to a file of its own.

Why it holds: the check stands where messages enter, before any handler, so that it covers each kind of message and each program.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -312,6 +312,9 @@
             m_group->on_message(message.group(), program::now());
         }
         else if (message.has_configuration_update()) {
+            if (m_configuration.is_control(from.m_address)) {
+                m_node->follow_log(log_id(message.log()));
+            }
             m_configuration.adopt(message.configuration_update(), true);
         }
     }
--- a/dewbeam/src/base/ids.h
+++ b/dewbeam/src/base/ids.h
@@ -11,6 +11,10 @@
 
 namespace dewbeam {
 
+/// Name of a deployment: all processes that work together have the same one.
+using deployment_id = strong<struct deployment_tag, std::string>;
+/// Identity of a replicated log, drawn when it is founded; 0: none.
+using log_id = strong<struct log_tag, std::uint64_t>;
 /// Name of a host, unique in the deployment.
 using host_id = strong<struct host_tag, std::string>;
 /// Name of a failure domain.
--- a/dewbeam/src/consensus/members.cpp
+++ b/dewbeam/src/consensus/members.cpp
@@ -24,6 +24,15 @@
     return !seeds.empty() && *std::min_element(seeds.begin(), seeds.end()) == self.m_self.m_id;
 }
 
+log_id draw_log_id(random_engine& random)
+{
+    log_id drawn;
+    while (drawn == log_id{}) {
+        drawn = log_id(random());
+    }
+    return drawn;
+}
+
 void found_log(context& at)
 {
     auto& self = at.m_self;
@@ -36,6 +45,7 @@
     for (const auto& other : self.m_blank) {
         put_member(members, {other, true});
     }
+    self.m_hard.m_log = draw_log_id(at.m_random);
     set_hard_state(at, 1, std::nullopt);
     append_own(at, entry_kind::members, {}, std::move(members));
     self.m_election_at = at.m_now;
--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -14,6 +14,7 @@
     made.m_kind = kind;
     made.m_from = self.m_self;
     made.m_to = to;
+    made.m_log = self.m_hard.m_log;
     made.m_term = self.m_hard.m_term;
     return made;
 }
@@ -31,7 +32,7 @@
 
 void set_hard_state(context& at, std::uint64_t term, std::optional<identity> vote)
 {
-    at.m_self.m_hard = {term, vote, at.m_self.m_commit};
+    at.m_self.m_hard = {term, vote, at.m_self.m_commit, at.m_self.m_hard.m_log};
     at.m_out.m_writes.m_hard_state = at.m_self.m_hard;
 }
 
@@ -225,6 +226,14 @@
     at.m_out.m_refused = !internal::on_member_change(at, wanted);
 }
 
+/// Replicas are told apart by small numbers, which each deployment has: where an address leads to a
+/// replica of another one, its votes, entries and terms must not count here.
+bool is_of_other_log(const replica& self, const message& received)
+{
+    return self.m_hard.m_log != log_id{} && received.m_log != log_id{} &&
+           self.m_hard.m_log != received.m_log;
+}
+
 /// Whether the term of a message says something about the sender's term.
 bool carries_term(const message& received)
 {
@@ -327,7 +336,7 @@
     auto& self = at.m_self;
     const bool is_for_me =
         received.m_to == self.m_self.m_id && received.m_from.m_id != self.m_self.m_id;
-    if (!is_for_me) {
+    if (!is_for_me || is_of_other_log(self, received)) {
         return;
     }
     if (is_disruptive(self, received, at.m_now)) {
--- a/dewbeam/src/consensus/replication.cpp
+++ b/dewbeam/src/consensus/replication.cpp
@@ -130,9 +130,20 @@
     return true;
 }
 
+/// A replica belongs to the log of the first leader that it follows.
+void learn_log(context& at, log_id heard)
+{
+    auto& self = at.m_self;
+    if (self.m_hard.m_log == log_id{} && heard != log_id{}) {
+        self.m_hard.m_log = heard;
+        set_hard_state(at, self.m_hard.m_term, self.m_hard.m_vote);
+    }
+}
+
 void follow(context& at, const message& received)
 {
     become_follower(at, received.m_term, received.m_from.m_id);
+    learn_log(at, received.m_log);
     at.m_self.m_leader_until = at.m_now + at.m_self.m_options.m_election_span;
     restart_election_timer(at);
 }
--- a/dewbeam/src/consensus/types.h
+++ b/dewbeam/src/consensus/types.h
@@ -79,6 +79,7 @@
     std::uint64_t m_term = 0;
     std::optional<identity> m_vote;
     std::uint64_t m_commit = 0;  ///< known as committed; a replica that restarts alone applies it
+    log_id m_log;  ///< from the founder; 0: none yet, or a log that was founded without one
 
     friend bool operator==(const hard_state&, const hard_state&) = default;
 };
@@ -105,6 +106,7 @@
     message_kind m_kind = message_kind::append;
     identity m_from;
     replica_id m_to;
+    log_id m_log;  ///< the sender's
     std::uint64_t m_term = 0;
     position m_previous;  ///< of appends: the entry before; of vote requests: the last entry
     std::uint64_t m_commit = 0;
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -345,6 +345,7 @@
 
     void tick(time_point now)
     {
+        m_node->follow_log(m_runner->log());
         m_membership->tick(now);
         if (m_runner->status().m_has_quorum) {
             m_membership->note_quorum(now);
--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -195,6 +195,12 @@
         react(work, consensus::known_replicas{std::move(known)});
     }
 
+    [[nodiscard]] log_id log() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_replica.m_hard.m_log;
+    }
+
     [[nodiscard]] runner_status status() const
     {
         const std::lock_guard lock(m_mutex);
@@ -736,6 +742,11 @@
     m_implementation->note_replicas(std::move(known));
 }
 
+log_id replica_runner::log() const
+{
+    return m_implementation->log();
+}
+
 runner_status replica_runner::status() const
 {
     return m_implementation->status();
--- a/dewbeam/src/control/replica_runner.h
+++ b/dewbeam/src/control/replica_runner.h
@@ -141,6 +141,9 @@
 
     [[nodiscard]] runner_status status() const;
 
+    /// The identity of the log; 0 until this replica belongs to one.
+    [[nodiscard]] log_id log() const;
+
     /// Takes a message of another replica, as it came from the link.
     void receive(const wire::ConsensusMessage& message);
 
--- a/dewbeam/src/control/subscriber.cpp
+++ b/dewbeam/src/control/subscriber.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/control/subscriber.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dewbeam::control {
@@ -45,6 +46,11 @@
     return m_current;
 }
 
+bool subscriber::is_control(const std::string& address) const
+{
+    return std::find(m_controls.begin(), m_controls.end(), address) != m_controls.end();
+}
+
 bool subscriber::has_heard() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/control/subscriber.h
+++ b/dewbeam/src/control/subscriber.h
@@ -34,6 +34,9 @@
     /// The configuration in force; empty at version (0, 0) until one was heard of.
     [[nodiscard]] active_pointer current() const;
 
+    /// Whether a control host of the settings has this link address.
+    [[nodiscard]] bool is_control(const std::string& address) const;
+
     /// Whether a control host answered since the start.
     [[nodiscard]] bool has_heard() const;
 
--- a/dewbeam/src/control/wire.cpp
+++ b/dewbeam/src/control/wire.cpp
@@ -272,6 +272,7 @@
     wire::LogHardState made;
     made.set_term(from.m_term);
     made.set_commit(from.m_commit);
+    made.set_log(from.m_log.value());
     if (from.m_vote) {
         made.set_voted(true);
         made.set_vote_replica(from.m_vote->m_id.value());
@@ -285,6 +286,7 @@
     consensus::hard_state made;
     made.m_term = from.term();
     made.m_commit = from.commit();
+    made.m_log = log_id(from.log());
     if (from.voted()) {
         made.m_vote =
             consensus::identity{replica_id(from.vote_replica()), disk_id(from.vote_disk())};
@@ -307,6 +309,7 @@
     made.set_hint_index(from.m_hint);
     made.set_round(from.m_round);
     made.set_forced(from.m_forced);
+    made.set_log(from.m_log.value());
     for (const auto& item : from.m_entries) {
         *made.add_entries() = to_wire(item);
     }
@@ -332,6 +335,7 @@
     made.m_hint = from.hint_index();
     made.m_round = from.round();
     made.m_forced = from.forced();
+    made.m_log = log_id(from.log());
     for (const auto& item : from.entries()) {
         auto taken = from_wire(item);
         if (!taken.ok()) {
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -107,7 +107,11 @@
         on_tombstone_reply(state, message.tombstone_reply(), now);
     }
     else if (message.has_configuration_update()) {
-        state.m_configuration.adopt(message.configuration_update(), is_from_control(state, from));
+        const bool is_of_control = is_from_control(state, from);
+        if (is_of_control) {
+            state.m_node->follow_log(log_id(message.log()));
+        }
+        state.m_configuration.adopt(message.configuration_update(), is_of_control);
     }
     else if (message.has_claim_reply()) {
         state.m_claims.take(*state.m_node, message.claim_reply(),
--- a/dewbeam/src/entry/peers.cpp
+++ b/dewbeam/src/entry/peers.cpp
@@ -1,7 +1,5 @@
 #include "dewbeam/src/entry/peers.h"
 
-#include <algorithm>
-
 namespace dewbeam::entry {
 
 std::vector<std::string> other_entries(const entry_state& state)
@@ -19,8 +17,7 @@
 
 bool is_from_control(const entry_state& state, const link::peer& from)
 {
-    const auto controls = program::link_addresses(state.m_settings, "/controls");
-    return std::find(controls.begin(), controls.end(), from.m_address) != controls.end();
+    return state.m_configuration.is_control(from.m_address);
 }
 
 void tell_configuration(entry_state& state, const link::peer& from)
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -114,7 +114,7 @@
             m_state.m_settings, m_state.m_incarnation,
             {[this](const link::peer& from, wire::Envelope&& message) {
                  if (m_is_started && message.has_watch_news()) {
-                     m_state.m_feed.take(*m_node, from, message.watch_news(), program::now());
+                     m_state.m_feed.take(*m_node, from, message, program::now());
                  }
              },
              [this](const link::peer& gone) {
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -15,13 +15,18 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "dewbeam/src/link/key_checker.h"
+#include "dewbeam/src/link/strangers.h"
+
 namespace dewbeam::link {
 
 namespace {
 
+using internal::key_checker;
+using internal::z85_key_length;
+
 constexpr int socket_queue_limit = 20'000;
 constexpr int linger_ms = 500;
-constexpr std::size_t z85_key_length = 40;
 constexpr int most_messages_a_turn = 256;
 /// The listening end waits a little longer, so that the opening end closes first.
 constexpr int listener_patience = 2;
@@ -46,8 +51,15 @@
     bool m_was_heard = false;
     /// A message could not be queued: the other end closed the connection, or reads nothing.
     bool m_is_broken = false;
+    bool m_is_strange = false;  ///< a process of another deployment answers there
 };
 
+origin origin_of(const wire::Envelope& message)
+{
+    const auto& name = message.deployment();
+    return {name.empty() ? unnamed_deployment : deployment_id(name), log_id(message.log())};
+}
+
 /// How long a new connection may stay silent. The other end may not listen yet, and a refused
 /// connection is not opened again by itself: with the usual limit of 2 s, processes that started 1
 /// s before their peers stayed without them for 2.1 s. Peers that don't answer for long are tried
@@ -61,94 +73,6 @@
     return std::min<time_span>(longest, shortest * (1U << std::min(beyond, most_doublings)));
 }
 
-/// Answers libzmq's questions whether a CURVE client may connect (ZAP, RFC 27).
-class key_checker {
-public:
-    key_checker(zmq::context_t& context, std::string allowed)
-        : m_socket(context, zmq::socket_type::rep), m_allowed(std::move(allowed))
-    {
-        m_socket.set(zmq::sockopt::linger, 0);
-        m_socket.bind("inproc://zeromq.zap.01");
-        m_thread = std::thread([this] { run(); });
-    }
-
-    ~key_checker()
-    {
-        m_stop = true;
-        m_thread.join();
-    }
-
-    key_checker(const key_checker&) = delete;
-    key_checker& operator=(const key_checker&) = delete;
-    key_checker(key_checker&&) = delete;
-    key_checker& operator=(key_checker&&) = delete;
-
-private:
-    static constexpr std::chrono::milliseconds poll_interval{100};
-    static constexpr std::size_t address_frame = 3;
-    static constexpr std::size_t credentials_frame = 6;
-    static constexpr std::size_t binary_key_length = 32;
-
-    void run()
-    {
-        while (!m_stop) {
-            zmq::pollitem_t item{m_socket.handle(), 0, ZMQ_POLLIN, 0};
-            zmq::poll(&item, 1, poll_interval);
-            if ((item.revents & ZMQ_POLLIN) != 0) {
-                answer();
-            }
-        }
-    }
-
-    void answer()
-    {
-        std::vector<std::string> frames;
-        bool has_more = true;
-        while (has_more) {
-            zmq::message_t part;
-            if (!m_socket.recv(part, zmq::recv_flags::dontwait)) {
-                return;
-            }
-            frames.push_back(part.to_string());
-            has_more = part.more();
-        }
-        const bool is_allowed =
-            frames.size() > credentials_frame && encode(frames[credentials_frame]) == m_allowed;
-        if (!is_allowed) {
-            log_event(log_level::warning, "link_key_refused",
-                      {{"address", frames.size() > address_frame ? frames[address_frame] : ""}});
-        }
-        send_verdict(frames.size() > 1 ? frames[1] : "", is_allowed);
-    }
-
-    static std::string encode(const std::string& key)
-    {
-        if (key.size() != binary_key_length) {
-            return {};
-        }
-        std::string text(z85_key_length + 1, '\0');
-        zmq_z85_encode(text.data(), reinterpret_cast<const std::uint8_t*>(key.data()), key.size());
-        text.resize(z85_key_length);
-        return text;
-    }
-
-    void send_verdict(const std::string& request, bool is_allowed)
-    {
-        const std::vector<std::string> frames{
-            "1.0", request, is_allowed ? "200" : "400", is_allowed ? "OK" : "unknown key", "", ""};
-        for (std::size_t i = 0; i < frames.size(); ++i) {
-            const auto flags =
-                i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
-            m_socket.send(zmq::buffer(frames[i]), flags);
-        }
-    }
-
-    zmq::socket_t m_socket;
-    std::string m_allowed;
-    std::atomic<bool> m_stop = false;
-    std::thread m_thread;
-};
-
 }  // namespace
 
 /// The node's thread owns all sockets; other threads hand it bytes through a queue.
@@ -228,10 +152,20 @@
         return true;
     }
 
+    void follow_log(log_id log)
+    {
+        std::uint64_t none = 0;
+        m_log.compare_exchange_strong(none, log.value());
+    }
+
     std::string encode(wire::Envelope& message) const
     {
         message.set_sender(m_options.m_host.value());
         message.set_sender_incarnation(m_options.m_incarnation.value());
+        if (m_options.m_deployment != unnamed_deployment) {
+            message.set_deployment(m_options.m_deployment.value());
+        }
+        message.set_log(m_log);
         return message.SerializeAsString();
     }
 
@@ -361,16 +295,43 @@
             return;
         }
         if (message.has_ping()) {
+            // Who belongs to another deployment learns it from the answer and closes the
+            // connection.
             wire::Envelope answer;
             answer.mutable_pong()->set_nonce(message.ping().nonce());
             deliver({from, encode(answer)});
+        }
+        if (const auto theirs = origin_of(message); is_strange(own_origin(), theirs)) {
+            refuse(from, message, theirs);
             return;
         }
-        if (!message.has_pong()) {
+        if (!message.has_ping() && !message.has_pong()) {
             m_handlers.m_on_message(from, std::move(message));
         }
     }
 
+    /// Addresses are handed on and copied wrongly. Without this check, whoever answers would be
+    /// taken in: its upstreams would get this deployment's requests, and its replicas a vote.
+    void refuse(const peer& from, const wire::Envelope& message, const origin& theirs)
+    {
+        const auto place = m_connections.find(from.m_address);
+        if (place != m_connections.end()) {
+            place->second.m_is_strange = true;
+        }
+        const auto& who = from.m_address.empty() ? message.sender() : from.m_address;
+        if (note_stranger(m_strangers, who, theirs, clock_now())) {
+            log_event(log_level::error, "link_deployment_refused",
+                      {{"address", from.m_address},
+                       {"sender", message.sender()},
+                       {"deployment", theirs.m_deployment.value()},
+                       {"log", theirs.m_log.value()},
+                       {"own_deployment", m_options.m_deployment.value()},
+                       {"own_log", m_log.load()}});
+        }
+    }
+
+    [[nodiscard]] origin own_origin() const { return {m_options.m_deployment, log_id(m_log)}; }
+
     void send_queued()
     {
         std::deque<outgoing> batch;
@@ -392,6 +353,9 @@
     {
         try {
             if (item.m_to.m_routing.empty()) {
+                if (is_left_alone(m_strangers, item.m_to.m_address, clock_now())) {
+                    return;
+                }
                 auto& open = connection_to(item.m_to.m_address);
                 const auto sent =
                     open.m_socket.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
@@ -440,7 +404,7 @@
     {
         std::vector<peer> lost;
         for (auto& [address, open] : m_connections) {
-            if (open.m_is_broken || open.m_silent_deadline <= now) {
+            if (open.m_is_broken || open.m_is_strange || open.m_silent_deadline <= now) {
                 lost.push_back({address, {}});
             }
             else if (open.m_next_ping <= now) {
@@ -481,9 +445,11 @@
     std::unique_ptr<key_checker> m_key_checker;
     zmq::socket_t m_listener;
     std::map<std::string, connection> m_connections;
+    strangers m_strangers;
     /// Connections in a row to an address on which nothing was heard.
     std::unordered_map<std::string, std::uint32_t> m_silent_tries;
     std::unordered_map<std::string, time_point> m_inbound;  ///< routing id -> silence deadline
+    std::atomic<std::uint64_t> m_log = 0;                   ///< 0: none is followed yet
     std::string m_address;
     int m_wake;
     std::mutex m_mutex;
@@ -549,6 +515,11 @@
     return m_implementation->enqueue({to, m_implementation->encode(message)});
 }
 
+void node::follow_log(log_id log)
+{
+    m_implementation->follow_log(log);
+}
+
 void node::stop()
 {
     m_implementation->stop();
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -4,6 +4,9 @@
 /// Each process has one node. The node listens on one address and opens a connection to each
 /// address that something is sent to. Both ends watch a connection by their own deadline: one
 /// that went silent is closed, reported lost and never used again; the next send opens a new one.
+/// Messages of another deployment, by its name or by its replicated log, are never handed on: the
+/// connection is closed and reported lost, and what is sent to that address within the next second
+/// is dropped.
 #pragma once
 
 #include <absl/status/statusor.h>
@@ -37,9 +40,13 @@
     friend auto operator<=>(const peer&, const peer&) = default;
 };
 
+/// The deployment of processes whose settings name none.
+inline const deployment_id unnamed_deployment{"unnamed"};
+
 /// What a node needs to know at start.
 struct node_options {
     endpoint m_listen;
+    deployment_id m_deployment = unnamed_deployment;
     host_id m_host;
     incarnation m_incarnation;
     link_keys m_keys;
@@ -76,6 +83,10 @@
     /// Answers on the connection that a message came from; false where the queue is full.
     bool reply(const peer& to, wire::Envelope message);
 
+    /// From now on this process belongs to the replicated log `log`: its messages say so, and those
+    /// of processes that follow another one are refused. The first one holds; 0 changes nothing.
+    void follow_log(log_id log);
+
     /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
     /// replying stay allowed and give false.
     void stop();
--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -47,6 +47,9 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
     };
     return {
+        {"/deployment", setting_kind::name, link::unnamed_deployment.value(),
+         "Name of this deployment: the same at all its processes, and at no other deployment's. "
+         "Processes of other deployments are refused."},
         {"/link/listen", setting_kind::address, "127.0.0.1:0",
          "Address for dewbeam's own processes."},
         {"/link/key_file", setting_kind::file, "",
@@ -78,6 +81,7 @@
 {
     link::node_options options;
     options.m_listen = parse_endpoint(setting_value<std::string>(settings, "/link/listen")).value();
+    options.m_deployment = deployment_id(setting_value<std::string>(settings, "/deployment"));
     options.m_host = host_id(setting_value<std::string>(settings, "/host"));
     options.m_incarnation = self;
     const auto key_file = setting_value<std::string>(settings, "/link/key_file");
@@ -88,6 +92,12 @@
         }
         options.m_keys = *std::move(keys);
     }
+    else if (options.m_deployment == link::unnamed_deployment) {
+        log_event(log_level::warning, "deployment_unnamed",
+                  {{"reason",
+                    "without a name or keys, processes of other unnamed deployments are "
+                    "taken in where an address in the settings leads to them"}});
+    }
     return link::node::start(std::move(options), std::move(handlers));
 }
 
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -147,7 +147,7 @@
         }
         const auto now = program::now();
         if (message.has_watch_news()) {
-            m_feed.take(*m_node, from, message.watch_news(), now);
+            m_feed.take(*m_node, from, message, now);
             return;
         }
         if (!message.has_group()) {
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -547,6 +547,7 @@
 
     void tick(time_point now)
     {
+        m_node->follow_log(m_runner->log());
         if (m_has_revision_news.exchange(false)) {
             push_revision();
         }
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -118,9 +118,26 @@
     from.m_change = std::max(from.m_change, news.change());
 }
 
-void registry_feed::take(link::node& node, const link::peer& from, const wire::WatchNews& news,
+/// Whether news of a registry may be taken in. What waited for the choice of the log is asked for
+/// again at once.
+bool registry_feed::is_of_own_log(link::node& node, const std::string& address, log_id told,
+                                  time_point now)
+{
+    const bool was_chosen = m_log.m_chosen != log_id{};
+    note_log(m_log, address, told, m_seeds.size(), now);
+    if (!was_chosen && m_log.m_chosen != log_id{}) {
+        node.follow_log(m_log.m_chosen);
+        for (auto& [other, target] : m_sources) {
+            target.m_asked_at = {};
+        }
+    }
+    return may_take(m_log, told);
+}
+
+void registry_feed::take(link::node& node, const link::peer& from, const wire::Envelope& message,
                          time_point now)
 {
+    const auto& news = message.watch_news();
     std::vector<registry::record> changed;
     std::optional<wire::Envelope> question;
     std::optional<revisions::revision> newer;
@@ -130,6 +147,9 @@
         if (place == m_sources.end()) {
             return;
         }
+        if (!is_of_own_log(node, from.m_address, log_id(message.log()), now)) {
+            return;
+        }
         auto& subject = place->second;
         subject.m_heard_at = now;
         subject.m_is_sure = news.is_sure();
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -15,6 +15,7 @@
 #include "dewbeam/link"
 #include "dewbeam/registry"
 #include "dewbeam/revisions"
+#include "dewbeam/src/registrar/log_choice.h"
 
 namespace dewbeam::registrar {
 
@@ -58,8 +59,9 @@
     /// Watches where it is time to.
     void tick(link::node& node, const load_list& loads, const pace_list& paces, time_point now);
 
-    /// Takes news; asks at once for a revision that is newer.
-    void take(link::node& node, const link::peer& from, const wire::WatchNews& news,
+    /// Takes the news in a message; asks at once for a revision that is newer. The log of the
+    /// registries becomes the one that `node` follows.
+    void take(link::node& node, const link::peer& from, const wire::Envelope& message,
               time_point now);
 
     /// A registry's connection is over: what it knew last is asked anew.
@@ -86,6 +88,7 @@
         time_point m_heard_at{};
     };
 
+    bool is_of_own_log(link::node& node, const std::string& address, log_id told, time_point now);
     void learn_registries(const wire::WatchNews& news);
     void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
                         std::vector<registry::record>& changed);
@@ -96,6 +99,7 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_seeds;
     std::map<std::string, source> m_sources;  ///< by link address
+    log_choice m_log;
     registry::table m_table;
     revisions::revision_number m_revision;
     time_point m_revision_asked_at{};
--- a/test/consensus_test.cpp
+++ b/test/consensus_test.cpp
@@ -756,6 +756,57 @@
     EXPECT_EQ(net.m_hosts[0].m_state, before);
 }
 
+/// The log that every replica of a network belongs to; 0 where they differ.
+log_id common_log(const network& net)
+{
+    const auto first = net.m_hosts.front().m_replica->m_hard.m_log;
+    const bool is_common = std::all_of(net.m_hosts.begin(), net.m_hosts.end(), [&](const host& at) {
+        return at.m_replica->m_hard.m_log == first;
+    });
+    return is_common ? first : log_id{};
+}
+
+TEST(consensus, all_replicas_keep_the_identity_of_the_log)
+{
+    auto net = settled_network(3);
+    const auto founded = common_log(net);
+    EXPECT_NE(founded, log_id{});
+    net.crash(0, one_tick);
+    net.lose_disk(1, one_tick * 20);
+    net.run(2'000, false);
+    ASSERT_TRUE(net.is_settled());
+    EXPECT_EQ(common_log(net), founded);
+}
+
+// An address in the settings leads to a replica of another deployment, which has the same small
+// replica numbers and may be in any term. Whatever it sends counts for nothing.
+TEST(consensus, messages_of_another_log_change_nothing)
+{
+    for (const auto kind : {message_kind::probe, message_kind::pre_vote, message_kind::vote,
+                            message_kind::append, message_kind::install, message_kind::append_reply,
+                            message_kind::forward, message_kind::campaign_now}) {
+        auto net = settled_network(3);
+        const auto leader = *net.leader();
+        for (std::uint64_t id = 0; id < 3; ++id) {
+            const auto before = *net.m_hosts[id].m_replica;
+            message strange;
+            strange.m_kind = kind;
+            strange.m_from = {replica_id((id + 1) % 3), disk_id(1'000)};
+            strange.m_to = replica_id(id);
+            strange.m_log = log_id(before.m_hard.m_log.value() + 1);
+            strange.m_term = before.m_hard.m_term + 10;
+            strange.m_forced = true;
+            net.feed(id, strange);
+            const auto& after = *net.m_hosts[id].m_replica;
+            EXPECT_EQ(after.m_hard, before.m_hard);
+            EXPECT_EQ(after.m_role, before.m_role);
+            EXPECT_EQ(newest_membership(after.m_log).m_members,
+                      newest_membership(before.m_log).m_members);
+        }
+        EXPECT_EQ(net.leader(), leader);
+    }
+}
+
 TEST(consensus, a_planned_stop_hands_over_without_an_election_timeout)
 {
     auto net = settled_network(3);
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -7,6 +7,8 @@
 #include <mutex>
 #include <thread>
 
+#include "dewbeam/src/link/strangers.h"
+
 namespace dewbeam::link {
 namespace {
 
@@ -110,6 +112,104 @@
     EXPECT_EQ(client_side.m_messages[0].first.m_address, server->address());
 }
 
+// An address is handed on to another deployment: both ends refuse each other at once, and the end
+// that opened the connection hears that it is lost. The same where one of them has no name.
+TEST(link, refuses_processes_of_another_deployment)
+{
+    for (const auto& theirs : {deployment_id("lone-star"), unnamed_deployment}) {
+        auto own = options("client");
+        own.m_deployment = deployment_id("kilima");
+        auto other = options("server");
+        other.m_deployment = theirs;
+        collector server_side;
+        collector client_side;
+        const auto server = node::start(other, server_side.handlers()).value();
+        const auto client = node::start(own, client_side.handlers()).value();
+        client->send(server->address(), cancel_message(1));
+        ASSERT_TRUE(client_side.wait_for_lost());
+        EXPECT_EQ(client_side.m_lost.front().m_address, server->address());
+        EXPECT_EQ(server_side.count(), 0U);
+        EXPECT_EQ(client_side.count(), 0U);
+    }
+}
+
+TEST(link, hands_on_messages_of_the_same_deployment)
+{
+    auto named = options("client");
+    named.m_deployment = deployment_id("kilima");
+    auto other = options("server");
+    other.m_deployment = named.m_deployment;
+    collector server_side;
+    collector client_side;
+    const auto server = node::start(other, server_side.handlers()).value();
+    const auto client = node::start(named, client_side.handlers()).value();
+    client->send(server->address(), cancel_message(1));
+    ASSERT_TRUE(server_side.wait_for_messages(1));
+    server->reply(server_side.m_messages[0].first, cancel_message(2));
+    EXPECT_TRUE(client_side.wait_for_messages(1));
+}
+
+// The address may be in the right hands again a moment later, so it is tried again.
+TEST(link, reaches_an_address_that_comes_back_from_another_deployment)
+{
+    auto strange = options("stranger");
+    strange.m_deployment = deployment_id("lone-star");
+    strange.m_listen.m_port = first_free_port();
+    collector strange_side;
+    collector server_side;
+    collector client_side;
+    auto stranger_node = node::start(strange, strange_side.handlers()).value();
+    const auto address = stranger_node->address();
+    const auto client = node::start(options("client"), client_side.handlers()).value();
+    client->send(address, cancel_message(1));
+    ASSERT_TRUE(client_side.wait_for_lost());
+    stranger_node.reset();
+    auto right = options("server");
+    right.m_listen = strange.m_listen;
+    auto server = node::start(right, server_side.handlers());
+    ASSERT_TRUE(server.ok()) << server.status();
+    for (int i = 0; i < 100 && server_side.count() == 0; ++i) {
+        client->send(address, cancel_message(2));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_GT(server_side.count(), 0U);
+}
+
+// Deployments without a name: what tells them apart is the log that each of them follows.
+TEST(link, refuses_processes_that_follow_another_log)
+{
+    collector server_side;
+    collector client_side;
+    const auto server = node::start(options("server"), server_side.handlers()).value();
+    const auto client = node::start(options("client"), client_side.handlers()).value();
+    client->follow_log(log_id(1));
+    client->send(server->address(), cancel_message(1));
+    ASSERT_TRUE(server_side.wait_for_messages(1));  // a server that follows none yet
+    EXPECT_EQ(server_side.m_messages[0].second.log(), 1U);
+    server->follow_log(log_id(2));
+    server->follow_log(log_id(1));  // the first one holds
+    client->send(server->address(), cancel_message(2));
+    EXPECT_TRUE(client_side.wait_for_lost());
+    EXPECT_EQ(server_side.count(), 1U);
+}
+
+TEST(strangers, are_left_alone_for_a_while_and_logged_once_a_minute)
+{
+    strangers state;
+    const origin theirs{deployment_id("lone-star"), {}};
+    const origin others{deployment_id("lone-star"), log_id(7)};
+    time_point now{};
+    EXPECT_FALSE(is_left_alone(state, "a", now));
+    EXPECT_TRUE(note_stranger(state, "a", theirs, now));
+    EXPECT_FALSE(note_stranger(state, "a", theirs, now + stranger_log_interval - time_span(1)));
+    EXPECT_TRUE(note_stranger(state, "a", others, now));
+    EXPECT_TRUE(note_stranger(state, "a", others, now + stranger_log_interval));
+    now += stranger_log_interval;
+    EXPECT_TRUE(is_left_alone(state, "a", now + stranger_pause - time_span(1)));
+    EXPECT_FALSE(is_left_alone(state, "a", now + stranger_pause));
+    EXPECT_FALSE(is_left_alone(state, "b", now));
+}
+
 TEST(link, reports_both_ends_of_a_lost_process)
 {
     collector server_side;
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -30,6 +30,7 @@
         for index in range(2):
             name = "g%d" % index
             self.site.add(name, "dewbeam-gateway", {
+                "deployment": self.site.deployment,
                 "host": name, "failure_domain": "z1", "threads": 1,
                 "http": {"listen": "127.0.0.1:%d" % free_port()},
                 "readiness_listen": "127.0.0.1:%d" % free_port(),
@@ -54,7 +55,7 @@
     def add_registry(self, index, found=True):
         name = "r%d" % index
         return self.site.add(name, "dewbeam-registrar", {
-            "host": name, "failure_domain": "z1", "threads": 1,
+            "deployment": self.site.deployment, "host": name, "failure_domain": "z1", "threads": 1,
             "http": {"listen": "127.0.0.1:%d" % free_port()},
             "link": {"listen": self.links[index]},
             "registries": {"seeds": self.links},
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -157,6 +157,40 @@
     EXPECT_EQ(registrar::loads_interval(420, longest), longest);
 }
 
+// One of three seeds leads to another deployment's registry, which answers first.
+TEST(log_choice, a_wrong_seed_is_outvoted)
+{
+    registrar::log_choice state;
+    const time_point now{};
+    registrar::note_log(state, "strange", log_id(9), 3, now);
+    EXPECT_FALSE(registrar::may_take(state, log_id(9)));
+    registrar::note_log(state, "a", log_id(5), 3, now);
+    EXPECT_FALSE(registrar::may_take(state, log_id(5)));
+    registrar::note_log(state, "b", log_id(5), 3, now);
+    EXPECT_EQ(state.m_chosen, log_id(5));
+    registrar::note_log(state, "a", log_id(9), 3, now);  // the first choice holds
+    EXPECT_TRUE(registrar::may_take(state, log_id(5)));
+    EXPECT_FALSE(registrar::may_take(state, log_id(9)));
+}
+
+TEST(log_choice, does_not_wait_long_for_seeds_that_are_down)
+{
+    registrar::log_choice state;
+    time_point now{};
+    registrar::note_log(state, "a", log_id(5), 3, now);
+    now += registrar::log_choice_patience;
+    registrar::note_log(state, "a", log_id(5), 3, now);
+    EXPECT_TRUE(registrar::may_take(state, log_id(5)));
+}
+
+TEST(log_choice, registries_that_belong_to_no_log_are_taken_at_their_word)
+{
+    registrar::log_choice state;
+    registrar::note_log(state, "a", {}, 1, {});
+    EXPECT_TRUE(registrar::may_take(state, {}));
+    EXPECT_EQ(state.m_chosen, log_id{});
+}
+
 TEST(registry, records_survive_the_wire)
 {
     table first;
--- a/test/soak/site.py
+++ b/test/soak/site.py
@@ -49,7 +49,7 @@
     def _add_registry(self, index):
         name = "r%d" % index
         self.site.add(name, "dewbeam-registrar", {
-            "host": name, "failure_domain": "z1", "threads": 1,
+            "deployment": self.site.deployment, "host": name, "failure_domain": "z1", "threads": 1,
             "http": {"listen": "127.0.0.1:%d" % free_port()},
             "link": {"listen": self.links[index]}, "registries": {"seeds": self.links},
             "data_folder": self.data_folder(name), "found": True,
@@ -58,7 +58,7 @@
     def _add_gateway(self, index):
         name = "g%d" % index
         self.site.add(name, "dewbeam-gateway", {
-            "host": name, "failure_domain": "z1", "threads": 1,
+            "deployment": self.site.deployment, "host": name, "failure_domain": "z1", "threads": 1,
             "http": {"listen": "127.0.0.1:%d" % free_port()},
             "readiness_listen": "127.0.0.1:%d" % free_port(),
             "link": {"listen": "127.0.0.1:%d" % free_port()},
--- a/test/storage_test.cpp
+++ b/test/storage_test.cpp
@@ -57,7 +57,7 @@
         writes made;
         made.m_entries = {{{term, index}, entry_kind::command, "c" + std::to_string(index), {}}};
         made.m_hard_state = consensus::hard_state{
-            term, consensus::identity{consensus::replica_id(index), disk_id(2)}};
+            term, consensus::identity{consensus::replica_id(index), disk_id(2)}, 0, log_id(77)};
         return made;
     }
     static writes snapshot_batch(std::uint64_t index, std::uint64_t base, bool resets,
--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -125,6 +126,8 @@
         self.common = {"stop": {"notice_ms": 300, "drain_ms": 20000}, **(common or {})}
         self.tls = tls
         self.keys = keys
+        # Programs of sites that run side by side refuse each other, whatever port one was given.
+        self.deployment = "site-" + secrets.token_hex(8)
         self.control_links = ["127.0.0.1:%d" % free_port() for _ in DOMAINS]
         self.entry_links = ["127.0.0.1:%d" % free_port() for _ in DOMAINS]
 
@@ -135,7 +138,8 @@
         self.kill_all()
 
     def _settings(self, host, domain, link=None):
-        result = {"host": host, "failure_domain": domain, **json.loads(json.dumps(self.common)),
+        result = {"deployment": self.deployment, "host": host, "failure_domain": domain,
+                  **json.loads(json.dumps(self.common)),
                   "http": {"listen": "127.0.0.1:%d" % free_port()}}
         result["link"] = {"listen": link or "127.0.0.1:%d" % free_port()}
         if self.keys:
