Never tell a caller "not run" of a request that some upstream may have run

Symptom: 503 retries_exhausted and 504 deadline_passed came with the outcome "not_run" although up to three upstreams had begun the request.

Cause: the entry took the outcome from the kind of the refusal, which speaks of the last try alone; a request that was classified anew forgot its earlier attempts.

Ruled out: a retry that waits although an upstream is open.

Change: a refusal after an attempt that may have run is 502 (504 at the deadline) with outcome "unknown" and no time to come back; the knowledge goes along to the request that takes its place under a newer configuration.

Measured: upstream_session.test_what_may_have_run_is_never_said_to_be_not_run failed before ('not_run' != 'unknown'), passes now. Why it holds: the outcome is decided where the answer is written, from what the request itself knows of all its attempts.

--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -88,7 +88,7 @@
             continue;  // over in the meantime
         }
         if (action.m_kind == dispatch::action::kind::refuse) {
-            fail_request(state, request, to_error(action, now), now);
+            fail_request(state, request, to_error(action, request->may_have_run(), now), now);
         }
         else {
             begin_attempt(state, request, action, now);
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -64,7 +64,8 @@
 entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer)
     : m_facts(std::move(known)),
       m_answer(std::move(answer)),
-      m_is_claim_granted(m_facts.m_is_claim_granted)
+      m_is_claim_granted(m_facts.m_is_claim_granted),
+      m_may_have_run(m_facts.m_may_have_run)
 {
 }
 
@@ -395,6 +396,12 @@
     m_answer->respond(std::move(whole));
 }
 
+bool entry_request::may_have_run() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_may_have_run || m_attempt.m_id.m_sequence != 0;
+}
+
 bool entry_request::is_over() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -84,6 +84,7 @@
         bool m_urgent = false;
         std::optional<request_claim> m_claim;
         bool m_is_claim_granted = false;  ///< by an earlier classification
+        bool m_may_have_run = false;      ///< the same
         configuration_version m_configuration;
     };
 
@@ -142,6 +143,9 @@
     /// Answers with what an earlier run of the same key left, or with what is known of it.
     void respond(http::response whole, ledger::outcome outcome);
 
+    /// Whether some attempt may have run.
+    [[nodiscard]] bool may_have_run() const;
+
     [[nodiscard]] bool is_over() const;
     [[nodiscard]] request_result result() const;
 
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -146,10 +146,12 @@
         end_attempt(state, request, id, dispatch::attempt_end::refused_busy, now);
         return;
     }
+    request->release(id, true);  // an agent that refuses for its configuration has not begun it
     state.m_requests.remove_attempt(id);
     state.m_requests.remove(request);
     auto known = request->known();
     known.m_is_claim_granted = request->is_claim_granted();
+    known.m_may_have_run = request->may_have_run();
     perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
     known.m_ticket = dispatch::ticket(++state.m_last_ticket);
     known.m_call.m_model = known.m_caller_model;
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -37,11 +37,24 @@
             run_outcome::not_run};
 }
 
+/// The words for a request that some upstream may have run: the status must not promise that none
+/// did.
+wording after_attempts(const wording& plain)
+{
+    const bool is_timeout = plain.m_status == 504;
+    return {is_timeout ? 504 : 502, plain.m_type,
+            "no attempt was answered, and the request may have run", caller::run_outcome::unknown};
+}
+
 }  // namespace
 
-caller::error to_error(const dispatch::action& refusal, time_point now)
+caller::error to_error(const dispatch::action& refusal, bool may_have_run, time_point now)
 {
-    const auto words = words_for(refusal.m_refusal);
+    auto words = words_for(refusal.m_refusal);
+    if (may_have_run) {
+        // What ended the last try says nothing of the earlier ones, which may have run.
+        words = after_attempts(words);
+    }
     caller::error fault;
     fault.m_status = words.m_status;
     fault.m_type = words.m_type;
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -8,8 +8,9 @@
 
 namespace dewbeam::entry {
 
-/// The caller's error for a refusal by a broker.
-caller::error to_error(const dispatch::action& refusal, time_point now);
+/// The caller's error for a refusal by a broker. Where some attempt `may_have_run`, it doesn't say
+/// that the request was not run, and gives no time to come back.
+caller::error to_error(const dispatch::action& refusal, bool may_have_run, time_point now);
 
 /// No work selector matches the request's labels.
 caller::error no_selector(const configuration::label_set& labels);
