Log a failed start, and the ranks that a group waits for

Symptom: an agent whose port is taken ended with one unstructured line on standard error; its group waited for it, and nothing said so.

Cause: programs wrote the reason of a failed start beside the log, and a coordinator that collects from its ranks never named who owes an answer.

Change: start_failed with the reason (exit code 2 as before); group_waits with phase, rank and address after 5 s and each 5 s, group_complete when the group goes on.

Why it holds: all programs end through one function; any phase that waits for ranks is covered but staging, which takes its time and holds up nobody.

--- a/app/dewbeam_agent.cpp
+++ b/app/dewbeam_agent.cpp
@@ -1,6 +1,4 @@
 // dewbeam-agent: the only gate to one upstream.
-#include <iostream>
-
 #include "dewbeam/agent"
 
 int main(int argc, char** argv)
@@ -16,8 +14,7 @@
     agent::agent_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/app/dewbeam_control.cpp
+++ b/app/dewbeam_control.cpp
@@ -1,6 +1,4 @@
 // dewbeam-control: accepts configuration changes and spreads what was accepted.
-#include <iostream>
-
 #include "dewbeam/control"
 
 int main(int argc, char** argv)
@@ -17,8 +15,7 @@
     control::control_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/app/dewbeam_entry.cpp
+++ b/app/dewbeam_entry.cpp
@@ -1,6 +1,4 @@
 // dewbeam-entry: takes requests and brings each to an upstream that can serve it.
-#include <iostream>
-
 #include "dewbeam/entry"
 
 int main(int argc, char** argv)
@@ -16,8 +14,7 @@
     entry::entry_server server(frame, started.m_settings);
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/app/dewbeam_fake_engine.cpp
+++ b/app/dewbeam_fake_engine.cpp
@@ -1,6 +1,4 @@
 // dewbeam-fake-engine: stand-in of a model engine or a plain service; for tests and demos only.
-#include <iostream>
-
 #include "dewbeam/fake_engine"
 #include "dewbeam/program"
 
@@ -104,8 +102,7 @@
         },
         plain_error);
     if (!server.ok()) {
-        std::cerr << server.status().message() << "\n";
-        return 2;
+        return program::fail_start(server.status());
     }
     program::write_address_file(settings, to_string((*server)->address()));
     program::program_hooks hooks;
--- a/app/dewbeam_gateway.cpp
+++ b/app/dewbeam_gateway.cpp
@@ -1,6 +1,4 @@
 // dewbeam-gateway: brings callers' requests to upstreams that announce themselves.
-#include <iostream>
-
 #include "dewbeam/gateway"
 #include "platform/formats.h"
 
@@ -18,8 +16,7 @@
     gateway::gateway_server server(frame, started.m_settings, platform::wire_format());
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/app/dewbeam_rank.cpp
+++ b/app/dewbeam_rank.cpp
@@ -1,6 +1,4 @@
 // dewbeam-rank: keeps the expert map of a lock-step group even, from beside one of its ranks.
-#include <iostream>
-
 #include "dewbeam/ranks"
 #include "platform/formats.h"
 
@@ -17,8 +15,7 @@
     ranks::rank_server server(frame, started.m_settings, platform::rank_format());
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/app/dewbeam_registrar.cpp
+++ b/app/dewbeam_registrar.cpp
@@ -1,6 +1,4 @@
 // dewbeam-registrar: keeps announced upstreams and the operator's revisions.
-#include <iostream>
-
 #include "dewbeam/registrar"
 #include "platform/formats.h"
 
@@ -18,8 +16,7 @@
     registrar::registrar_server server(frame, started.m_settings, platform::control_format());
     const auto status = server.start();
     if (!status.ok()) {
-        std::cerr << status.message() << "\n";
-        return 2;
+        return program::fail_start(status);
     }
     return frame.run(server.hooks());
 }
--- a/dewbeam/src/agent/group_runner.cpp
+++ b/dewbeam/src/agent/group_runner.cpp
@@ -15,6 +15,9 @@
 /// map changed for 23 s.
 constexpr std::size_t most_late_divisor = 3;
 
+/// A group that waits for a rank for so long says so, and says it again each time it has passed.
+constexpr time_span missing_log_interval = std::chrono::seconds(5);
+
 /// How long a change took, stage by stage; a stage that it didn't reach is left out.
 void log_change(const group_map::ended_change& change)
 {
@@ -116,11 +119,37 @@
         stand_in_for_late_ranks(todo, now);
         end_stand_ins(todo, now);
         collect(group_map::tick(m_coordinator, now), todo);
+        watch_missing_ranks(now);
         todo = finish(std::move(todo), now);
     }
     carry_out(todo);
 }
 
+/// Names the ranks without which the group makes no step: their agents may not have started.
+void group_runner::watch_missing_ranks(time_point now)
+{
+    const auto missing = group_map::late_ranks(m_coordinator, missing_log_interval, now);
+    if (missing.empty()) {
+        if (m_has_logged_missing && m_coordinator.m_phase == group_map::phase::settled) {
+            m_has_logged_missing = false;
+            log_event(log_level::info, "group_complete", {{"group", m_options.m_group}});
+        }
+        return;
+    }
+    if (now < m_log_missing_at) {
+        return;
+    }
+    m_log_missing_at = now + missing_log_interval;
+    m_has_logged_missing = true;
+    for (const auto rank : missing) {
+        log_event(log_level::warning, "group_waits",
+                  {{"group", m_options.m_group},
+                   {"phase", group_map::to_string(m_coordinator.m_phase)},
+                   {"rank", rank.value()},
+                   {"address", m_options.m_members[rank.value()]}});
+    }
+}
+
 bool group_runner::propose(const std::string& content, time_point now)
 {
     work todo;
--- a/dewbeam/src/agent/group_runner.h
+++ b/dewbeam/src/agent/group_runner.h
@@ -109,6 +109,7 @@
     void collect(const group_map::participant_effects& effects, rank_id rank, work& todo);
     void stand_in_for_late_ranks(work& todo, time_point now);
     void end_stand_ins(work& todo, time_point now);
+    void watch_missing_ranks(time_point now);
     void collect(const group_map::coordinator_effects& effects, work& todo);
     wire::GroupMessage write_command(const group_map::command& message);
     void post(std::uint32_t rank, wire::GroupMessage message);
@@ -132,6 +133,8 @@
     std::map<rank_id, stand_in> m_stand_ins;
     std::set<rank_id> m_alive;  ///< heard while this one stood in
     content_codec m_contents;
+    time_point m_log_missing_at{};  ///< not before: the group waits for ranks
+    bool m_has_logged_missing = false;
     std::deque<wire::GroupMessage> m_own_messages;  ///< to a rank that this one acts for
 };
 
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -148,6 +148,12 @@
     return {false, 0, *std::move(settings)};
 }
 
+int fail_start(const absl::Status& fault)
+{
+    log_event(log_level::error, "start_failed", {{"reason", std::string(fault.message())}});
+    return exit_settings;
+}
+
 void write_address_file(const nlohmann::json& settings, const std::string& address)
 {
     const auto file = setting_value<std::string>(settings, "/address_file");
--- a/dewbeam/src/program/program.h
+++ b/dewbeam/src/program/program.h
@@ -2,6 +2,8 @@
 /// What every program does the same way: command line, settings, logs, signals, graceful stop.
 #pragma once
 
+#include <absl/status/status.h>
+
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -46,6 +48,9 @@
 };
 start_result start_program(const program_info& info, int argc, char** argv);
 
+/// Logs why a program could not start, and gives its exit code.
+int fail_start(const absl::Status& fault);
+
 /// Writes `address` to the file that the setting `/address_file` names, whole or not at all, so
 /// that a script can learn which free port was taken. Does nothing where the setting is empty.
 void write_address_file(const nlohmann::json& settings, const std::string& address);
