Leave an engine alone that is silent, or that is another one

Symptom: requests were sent for a minute to an engine that takes connections and says nothing, and waited there for 30 s with an idle upstream beside; an engine of another name behind the address ran them. No log line named the address.

Cause: the poll of an engine's load waited as long as the longest answer may (30 s), and two had to fail; an engine was known by its address alone.

Ruled out: a frozen host, whose connections the system's probes end after 3 s.

Change: load reports have their own client, which gives up after 1 s; the agent logs upstream_unreachable and upstream_reached, and gives up attempts that may run twice and brought nothing since. With "upstream.engine" a report of another name closes the upstream at once, and requests name their engine, so that another one refuses them as not run. The stand-in does so; the sites of the tests set it.

The gateway's two lines about a group that opens became one function.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -38,6 +38,14 @@
     return options;
 }
 
+http::client_options report_options()
+{
+    http::client_options options;
+    options.m_connect_limit = engine::report_limit;
+    options.m_silence_limit = engine::report_limit;
+    return options;
+}
+
 }  // namespace
 
 std::vector<setting> agent_schema()
@@ -52,6 +60,10 @@
         {"/upstream/name", setting_kind::name, nullptr, "Name of the upstream."},
         {"/upstream/address", setting_kind::address, nullptr,
          "Address of the engine or plain service."},
+        {"/upstream/engine", setting_kind::text, "",
+         "Name that the engine gives in its load report; another engine that answers at the "
+         "address "
+         "gets no requests. Empty: any engine."},
         {"/upstream/labels", setting_kind::text, "",
          "Labels of the upstream: key=value,key=value. A plain service has service=NAME."},
         {"/upstream/slots", setting_kind::integer, 0,
@@ -85,10 +97,15 @@
               frame.context(),
               parse_endpoint(setting_value<std::string>(settings, "/upstream/address")).value(),
               upstream_options(settings)),
-          m_load(m_upstream),
+          m_reports(
+              frame.context(),
+              parse_endpoint(setting_value<std::string>(settings, "/upstream/address")).value(),
+              report_options()),
+          m_load(m_reports, setting_value<std::string>(settings, "/upstream/engine")),
           m_configuration(program::link_addresses(settings, "/controls"),
                           [this] { configuration_changed(); }),
-          m_gate(std::make_shared<gate>(gate_options(), m_upstream, m_configuration))
+          m_gate(std::make_shared<gate>(gate_options(), m_upstream, m_configuration,
+                                        setting_value<std::string>(settings, "/upstream/engine")))
     {
     }
 
@@ -375,9 +392,32 @@
         m_engine_life = load.m_incarnation;
     }
 
+    /// Logs where the upstream goes out of reach and comes back, and gives up what waits there.
+    void watch_reach()
+    {
+        const auto load = m_load.latest();
+        const bool is_lost = !load.m_is_reachable && !load.m_fault.empty();
+        if (is_lost) {
+            m_gate->give_up_silent(load.m_measured_at);
+        }
+        if (is_lost == m_is_upstream_lost) {
+            return;
+        }
+        m_is_upstream_lost = is_lost;
+        const auto address = setting_value<std::string>(m_settings, "/upstream/address");
+        if (is_lost) {
+            log_event(log_level::warning, "upstream_unreachable",
+                      {{"address", address}, {"reason", load.m_fault}});
+        }
+        else {
+            log_event(log_level::info, "upstream_reached", {{"address", address}});
+        }
+    }
+
     void tick(time_point now)
     {
         m_load.tick(now);
+        watch_reach();
         watch_upstream_life();
         m_gate->tick(now);
         if (m_group) {
@@ -446,8 +486,10 @@
     incarnation m_incarnation;
     incarnation m_upstream_life = m_incarnation;
     std::uint64_t m_engine_life = 0;  ///< used on the frame's thread alone
+    bool m_is_upstream_lost = false;  ///< the same
     configuration::label_set m_labels;
     http::client m_upstream;
+    http::client m_reports;  ///< to the same address, for what takes a moment at most
     engine::load_poller m_load;
     control::subscriber m_configuration;
     std::shared_ptr<gate> m_gate;
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -1,8 +1,10 @@
 #include "dewbeam/src/agent/gate.h"
 
+#include <atomic>
 #include <utility>
 #include <vector>
 
+#include "dewbeam/src/engine/identity.h"
 #include "dewbeam/src/program/program.h"
 
 namespace dewbeam::agent {
@@ -73,11 +75,17 @@
     std::uint64_t m_next_chunk = 0;
     std::shared_ptr<http::client_exchange> m_exchange;  ///< under the gate's mutex
     bool m_is_cancelled = false;                        ///< under the gate's mutex
+    bool m_is_given_up = false;                         ///< the same; the upstream is silent
+    bool m_is_idempotent = true;
+    std::atomic<time_point> m_heard_at{};  ///< brought a piece of its answer
+    bool m_is_other_engine = false;        ///< used on the connection's strand alone
 };
 
 gate::gate(ledger::ledger_options options, http::client& upstream,
-           control::subscriber& configuration)
-    : m_upstream(upstream), m_configuration(configuration)
+           control::subscriber& configuration, std::string expected_engine)
+    : m_upstream(upstream),
+      m_configuration(configuration),
+      m_expected_engine(std::move(expected_engine))
 {
     m_ledger.m_options = options;
 }
@@ -93,6 +101,7 @@
     auto running = std::make_shared<attempt>();
     running->m_id = offer.m_id;
     running->m_entry = from;
+    running->m_is_idempotent = message.dispatch().idempotent();
     ledger::decision decided;
     {
         const std::lock_guard lock(m_mutex);
@@ -142,16 +151,26 @@
     wanted.m_target = message.target();
     wanted.m_fields = end_to_end(link::from_wire(message.headers()));
     wanted.m_fields.push_back({"X-Priority", message.urgent() ? "urgent" : "ordinary"});
+    if (!m_expected_engine.empty()) {
+        wanted.m_fields.push_back({engine::expected_engine_field, m_expected_engine});
+    }
     wanted.m_body = message.body();
     http::client_handlers handlers;
     handlers.m_on_head = [self = shared_from_this(), running](int status,
                                                               const http::fields& head) {
+        if (status == engine::other_engine_status && !self->m_expected_engine.empty()) {
+            running->m_is_other_engine = true;
+            return;
+        }
         wire::ReplyChunk chunk;
         chunk.set_status(static_cast<std::uint32_t>(status));
         link::to_wire(end_to_end(head), *chunk.mutable_headers());
         self->send_chunk(*running, std::move(chunk));
     };
     handlers.m_on_data = [self = shared_from_this(), running](std::string bytes) {
+        if (running->m_is_other_engine) {
+            return;
+        }
         wire::ReplyChunk chunk;
         chunk.set_data(std::move(bytes));
         self->send_chunk(*running, std::move(chunk));
@@ -170,6 +189,7 @@
 
 void gate::send_chunk(attempt& running, wire::ReplyChunk chunk)
 {
+    running.m_heard_at = program::now();
     link::to_wire(running.m_id, *chunk.mutable_attempt());
     chunk.set_sequence(running.m_next_chunk++);
     wire::Envelope message;
@@ -179,18 +199,26 @@
 
 void gate::end(const attempt_pointer& running, const absl::Status& result, http::progress how_far)
 {
-    const auto outcome = outcome_of(result, how_far);
+    const auto outcome =
+        running->m_is_other_engine ? ledger::outcome::not_run : outcome_of(result, how_far);
+    bool is_given_up = false;
     {
         const std::lock_guard lock(m_mutex);
         ledger::finish(m_ledger, running->m_id, outcome, program::now());
         m_running.erase(running->m_id);
         running->m_exchange.reset();
+        is_given_up = running->m_is_given_up;
     }
     wire::ReplyChunk chunk;
     chunk.set_last(true);
     chunk.set_outcome(link::to_wire(outcome));
-    if (!result.ok()) {
-        chunk.set_reason(reason_of(result));
+    if (running->m_is_other_engine) {
+        chunk.set_reason("other_engine");
+        log_event(log_level::warning, "attempt_refused_by_other_engine",
+                  {{"attempt", running->m_id.m_sequence}, {"expected", m_expected_engine}});
+    }
+    else if (!result.ok()) {
+        chunk.set_reason(is_given_up ? "upstream_silent" : reason_of(result));
         log_event(
             log_level::info, "attempt_failed",
             {{"attempt", running->m_id.m_sequence}, {"reason", std::string(result.message())}});
@@ -237,6 +265,19 @@
     }
 }
 
+void gate::give_up_silent(time_point silent_from)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [id, running] : m_running) {
+        if (running->m_is_idempotent && !running->m_is_cancelled && running->m_exchange &&
+            running->m_heard_at.load() <= silent_from) {
+            running->m_is_cancelled = true;
+            running->m_is_given_up = true;
+            running->m_exchange->cancel();
+        }
+    }
+}
+
 void gate::set_configuration(configuration_version version)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -17,8 +17,9 @@
 /// The gate between entries and one upstream. Thread-safe.
 class gate : public std::enable_shared_from_this<gate> {
 public:
-    gate(ledger::ledger_options options, http::client& upstream,
-         control::subscriber& configuration);
+    /// `expected_engine` names the engine that requests are meant for; empty: any.
+    gate(ledger::ledger_options options, http::client& upstream, control::subscriber& configuration,
+         std::string expected_engine);
 
     /// The node to answer on; set once, before the first message.
     void use(link::node& node);
@@ -52,6 +53,11 @@
     /// While paused every dispatch is refused; what runs goes on.
     void set_paused(bool paused);
 
+    /// The upstream answers nothing any more, since `silent_from`: attempts that may run twice and
+    /// brought nothing since then are given up, so that they go on elsewhere. The others wait,
+    /// since an answer may yet come.
+    void give_up_silent(time_point silent_from);
+
     /// Forgets old attempts.
     void tick(time_point now);
 
@@ -78,6 +84,7 @@
 
     http::client& m_upstream;
     control::subscriber& m_configuration;
+    std::string m_expected_engine;
     link::node* m_node = nullptr;
     mutable std::mutex m_mutex;
     void reserve_for_urgent(time_point now);
--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -12,6 +12,16 @@
 constexpr std::chrono::milliseconds poll_interval{200};
 constexpr int failures_until_unreachable = 2;
 
+/// The report, where it is one of the engine that is wanted.
+absl::StatusOr<load> read_report(const std::string& body, const std::string& expected)
+{
+    auto report = parse_load(body);
+    if (report.ok() && !expected.empty() && report->m_name != expected) {
+        return absl::FailedPreconditionError("another engine answers there: " + report->m_name);
+    }
+    return report;
+}
+
 }  // namespace
 
 struct load_poller::shared {
@@ -30,11 +40,13 @@
         m_failures = 0;
     }
 
-    void fail()
+    void fail(const absl::Status& fault)
     {
         ++m_failures;
-        if (m_failures >= failures_until_unreachable) {
+        // Another engine at the address is no short pause of the right one.
+        if (m_failures >= failures_until_unreachable || absl::IsFailedPrecondition(fault)) {
             m_latest.m_is_reachable = false;
+            m_latest.m_fault = std::string(fault.message());
         }
     }
 };
@@ -47,6 +59,7 @@
     }
     try {
         load result;
+        result.m_name = source.value("name", "");
         result.m_running = source.value("running", 0U);
         result.m_waiting = source.value("waiting", 0U);
         result.m_free_kv_tokens = source.value("free_kv_tokens", std::uint64_t{0});
@@ -63,8 +76,8 @@
     }
 }
 
-load_poller::load_poller(http::client& client)
-    : m_client(client), m_shared(std::make_shared<shared>())
+load_poller::load_poller(http::client& client, std::string expected)
+    : m_client(client), m_expected(std::move(expected)), m_shared(std::make_shared<shared>())
 {
 }
 
@@ -82,15 +95,17 @@
     http::client_handlers handlers;
     handlers.m_on_head = [](int, const http::fields&) {};
     handlers.m_on_data = [state = m_shared](std::string bytes) { state->m_body += bytes; };
-    handlers.m_on_end = [state = m_shared](const absl::Status& result, http::progress) {
+    handlers.m_on_end = [state = m_shared, expected = m_expected](const absl::Status& result,
+                                                                  http::progress) {
         const std::lock_guard lock(state->m_mutex);
         state->m_is_polling = false;
-        auto fresh = result.ok() ? parse_load(state->m_body) : absl::StatusOr<load>(result);
+        auto fresh =
+            result.ok() ? read_report(state->m_body, expected) : absl::StatusOr<load>(result);
         if (fresh.ok()) {
             state->succeed(*std::move(fresh));
         }
         else {
-            state->fail();
+            state->fail(fresh.status());
         }
     };
     m_client.start({"GET", "/load", {}, {}}, std::move(handlers));
--- a/dewbeam/src/engine/load_poller.h
+++ b/dewbeam/src/engine/load_poller.h
@@ -15,6 +15,8 @@
 /// What an engine said of itself.
 struct load {
     bool m_is_reachable = false;
+    std::string m_fault;  ///< why it is not reachable
+    std::string m_name;   ///< of the engine; empty: it does not say
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
     std::uint64_t m_free_kv_tokens = 0;
@@ -30,10 +32,16 @@
 /// Reads a report; an engine that leaves a figure out keeps the default.
 absl::StatusOr<load> parse_load(const std::string& body);
 
+/// How long an engine may take for its load report. An engine that takes connections and says
+/// nothing must not keep the requests that are sent there until it has failed two polls.
+inline constexpr time_span report_limit = std::chrono::seconds(1);
+
 /// Polls `GET /load`. Thread-safe.
 class load_poller {
 public:
-    explicit load_poller(http::client& client);
+    /// `client` gives up after `report_limit`. A report of an engine that is not `expected` counts
+    /// as none; where that is empty, any engine will do.
+    load_poller(http::client& client, std::string expected);
 
     /// Starts a poll where it is time and none is under way.
     void tick(time_point now);
@@ -44,6 +52,7 @@
 private:
     struct shared;
     http::client& m_client;
+    std::string m_expected;
     std::shared_ptr<shared> m_shared;
 };
 
--- a/dewbeam/src/fake_engine/fake_engine.cpp
+++ b/dewbeam/src/fake_engine/fake_engine.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "dewbeam/src/engine/expert_json.h"
+#include "dewbeam/src/engine/identity.h"
 #include "dewbeam/src/engine/order_json.h"
 #include "dewbeam/src/fake_engine/rank_engine.h"
 
@@ -145,6 +146,13 @@
     void handle(http::request&& request, const std::shared_ptr<http::exchange>& answer)
     {
         const auto path = http::path_of(request.m_target);
+        const auto expected =
+            http::find_field(request.m_fields, dewbeam::engine::expected_engine_field);
+        if (!expected.empty() && expected != m_options.m_host) {
+            answer->respond(
+                error_answer(dewbeam::engine::other_engine_status, "this is another engine"));
+            return;
+        }
         if (path == "/load") {
             answer->respond(http::json_response(200, load_report()));
         }
@@ -362,7 +370,8 @@
             used += work->kv_tokens();
         }
         const auto total = m_options.m_kv_tokens;
-        return json{{"running", m_running.size() + m_calls},
+        return json{{"name", m_options.m_host},
+                    {"running", m_running.size() + m_calls},
                     {"waiting", m_waiting.size()},
                     {"free_kv_tokens", total - std::min(total, used)},
                     {"total_kv_tokens", total},
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -167,13 +167,18 @@
             now);
 }
 
+void log_group_opened(const gateway_request::facts& known, const upstream_id& upstream)
+{
+    log_event(log_level::info, "group_opened",
+              {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+}
+
 void note_first_token(gateway_state& state, const request_pointer& request,
                       const upstream_id& upstream, time_point now)
 {
     const auto& known = request->known();
     if (state.m_pools.first_token(known.m_pool, known.m_ticket, now)) {
-        log_event(log_level::info, "group_opened",
-                  {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+        log_group_opened(known, upstream);
     }
 }
 
@@ -182,8 +187,7 @@
 {
     const auto& known = request->known();
     if (state.m_pools.next_event(known.m_pool, known.m_ticket, now)) {
-        log_event(log_level::info, "group_opened",
-                  {{"request", known.m_request_id}, {"upstream", upstream.value()}});
+        log_group_opened(known, upstream);
     }
 }
 
--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -180,7 +180,8 @@
         settings = self._settings(name, domain)
         settings["controls"] = self.control_links
         settings["entries"] = self.entry_links
-        settings["upstream"] = {"name": name, "address": listen, "labels": labels}
+        settings["upstream"] = {"name": name, "address": listen, "labels": labels,
+                                "engine": name + "-engine"}
         return self.add(name, "dewbeam-agent", settings)
 
     def add_standard(self):
