--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -61,9 +61,8 @@
         {"/upstream/address", setting_kind::address, nullptr,
          "Address of the engine or plain service."},
         {"/upstream/engine", setting_kind::text, "",
-         "Name that the engine gives in its load report; another engine that answers at the "
-         "address "
-         "gets no requests. Empty: any engine."},
+         "Name that the engine gives in its load report; an engine of another name gets no "
+         "requests. Empty: any engine."},
         {"/upstream/labels", setting_kind::text, "",
          "Labels of the upstream: key=value,key=value. A plain service has service=NAME."},
         {"/upstream/slots", setting_kind::integer, 0,
