Let no signal end a program that is still starting

A reload 0.5 s after the gateway's start had ended it before it logged process_started.

Cause: programs listened for signals only once they ran; until then the system's default held, which ends a process. On a busy host a start took up to 5.9 s.

Ruled out: a stop that hangs (the one before took 0.57 s to process_stopped).

Change: the first thing a program does is to ignore reloads and to note stops; a noted stop is carried out as a planned one as soon as the program runs.

What is left are the milliseconds before main.

--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -19,6 +19,24 @@
 constexpr int exit_settings = 2;
 constexpr int exit_cut = 3;
 
+/// Whether a stop was asked for before the program listened for signals.
+volatile std::sig_atomic_t was_stopped_early = 0;
+
+void note_early_stop(int)
+{
+    was_stopped_early = 1;
+}
+
+/// A signal that comes while the program starts, seconds on a busy host, must not end it: a reload
+/// has nothing to do yet, and a stop is carried out as soon as the program runs.
+void mind_early_signals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGTERM, note_early_stop);
+    std::signal(SIGINT, note_early_stop);
+}
+
 log_level to_log_level(const std::string& text)
 {
     if (text == "debug") {
@@ -113,7 +131,7 @@
 
 start_result start_program(const program_info& info, int argc, char** argv)
 {
-    std::signal(SIGPIPE, SIG_IGN);
+    mind_early_signals();
     std::map<std::string, docopt::value> words;
     try {
         words = docopt::docopt_parse(usage_text(info), {argv + 1, argv + argc}, true, false);
@@ -221,6 +239,7 @@
         });
     };
     note_reload();
+    signals += was_stopped_early;
     start_threads();
     int handled_signals = 0;
     log_event(log_level::info, "process_started");
