Don't take an engine on a starved host for a silent one

Callers got no_able_upstream and retries_exhausted (502, outcome unknown) with engines that were alive.

Two polls of 1 s without an answer closed an upstream and gave up what ran there; engines on a starved host answer late as well.

Change: eight polls without any answer are needed; a refused connection still counts twice, another engine at once.

--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::chrono::milliseconds poll_interval{200};
 constexpr int failures_until_unreachable = 2;
+/// The same for polls without any answer: an engine on a starved host answers late as well, and
+/// what it runs must not be given up for that.
+constexpr int silent_polls_until_unreachable = 8;
 
 /// The report, where it is one of the engine that is wanted.
 absl::StatusOr<load> read_report(const std::string& body, const std::string& expected)
@@ -43,8 +46,10 @@
     void fail(const absl::Status& fault)
     {
         ++m_failures;
+        const int most = absl::IsDeadlineExceeded(fault) ? silent_polls_until_unreachable
+                                                         : failures_until_unreachable;
         // Another engine at the address is no short pause of the right one.
-        if (m_failures >= failures_until_unreachable || absl::IsFailedPrecondition(fault)) {
+        if (m_failures >= most || absl::IsFailedPrecondition(fault)) {
             m_latest.m_is_reachable = false;
             m_latest.m_fault = std::string(fault.message());
         }
--- a/dewbeam/src/engine/load_poller.h
+++ b/dewbeam/src/engine/load_poller.h
@@ -32,8 +32,8 @@
 /// Reads a report; an engine that leaves a figure out keeps the default.
 absl::StatusOr<load> parse_load(const std::string& body);
 
-/// How long an engine may take for its load report. An engine that takes connections and says
-/// nothing must not keep the requests that are sent there until it has failed two polls.
+/// How long one poll waits for a load report, far less than requests wait for their answers: an
+/// engine that takes connections and says nothing must not keep what is sent there.
 inline constexpr time_span report_limit = std::chrono::seconds(1);
 
 /// Polls `GET /load`. Thread-safe.
