Tell a silent engine from one on a starved host by the agent's own timers

What callers saw: a request waited 8.1 s for an engine that takes connections and says nothing (bound of its test: 6 s, and nothing sent there after 3 s). Eight silent polls of 1 s were needed, since an engine on a starved host is as silent as one that is gone.

Change: agent and engine share a host. The longest time between two of the agent's own ticks during a poll says whether the host is late. A silent poll on a punctual host counts as a refused one, so that two close the upstream; beside a delay of 0.1 s or more it counts a quarter of that, eight as before. Each silent poll is logged with that delay (load_poll_unanswered), so that the next case can be told from its log.

--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -1,8 +1,10 @@
 #include "dewbeam/src/engine/load_poller.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "dewbeam/src/engine/reach.h"
 #include "dewbeam/src/program/program.h"
 
 namespace dewbeam::engine {
@@ -10,10 +12,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds poll_interval{200};
-constexpr int failures_until_unreachable = 2;
-/// The same for polls without any answer: an engine on a starved host answers late as well, and
-/// what it runs must not be given up for that.
-constexpr int silent_polls_until_unreachable = 8;
 
 /// The report, where it is one of the engine that is wanted.
 absl::StatusOr<load> read_report(const std::string& body, const std::string& expected)
@@ -25,31 +23,52 @@
     return report;
 }
 
+poll_end end_of(const absl::Status& fault)
+{
+    if (absl::IsDeadlineExceeded(fault)) {
+        return poll_end::silent;
+    }
+    return absl::IsFailedPrecondition(fault) ? poll_end::other_engine : poll_end::refused;
+}
+
 }  // namespace
 
 struct load_poller::shared {
     std::mutex m_mutex;
     load m_latest;
     bool m_is_polling = false;
-    int m_failures = 0;
+    reach m_reach;
+    time_span m_host_delay{};  ///< the longest since the poll began
+    time_point m_last_tick = no_deadline;
     time_point m_next_poll{};
     std::string m_body;
 
+    void note_delay(time_point now)
+    {
+        if (m_last_tick < now) {
+            m_host_delay = std::max(m_host_delay, now - m_last_tick);
+        }
+        m_last_tick = now;
+    }
+
     void succeed(load fresh)
     {
         fresh.m_is_reachable = true;
         fresh.m_measured_at = program::now();
         m_latest = std::move(fresh);
-        m_failures = 0;
+        note_poll(m_reach, poll_end::answered, m_host_delay);
     }
 
     void fail(const absl::Status& fault)
     {
-        ++m_failures;
-        const int most = absl::IsDeadlineExceeded(fault) ? silent_polls_until_unreachable
-                                                         : failures_until_unreachable;
-        // Another engine at the address is no short pause of the right one.
-        if (m_failures >= most || absl::IsFailedPrecondition(fault)) {
+        const auto end = end_of(fault);
+        note_poll(m_reach, end, m_host_delay);
+        if (end == poll_end::silent) {
+            log_event(
+                log_level::warning, "load_poll_unanswered",
+                {{"host_delay_ms", to_milliseconds(m_host_delay)}, {"doubt", m_reach.m_doubt}});
+        }
+        if (m_reach.m_is_lost) {
             m_latest.m_is_reachable = false;
             m_latest.m_fault = std::string(fault.message());
         }
@@ -90,10 +109,12 @@
 {
     {
         const std::lock_guard lock(m_shared->m_mutex);
+        m_shared->note_delay(now);
         if (m_shared->m_is_polling || now < m_shared->m_next_poll) {
             return;
         }
         m_shared->m_is_polling = true;
+        m_shared->m_host_delay = time_span::zero();
         m_shared->m_next_poll = now + poll_interval;
         m_shared->m_body.clear();
     }
