Let a link cost what it carries, not how many connections there are

Cause (one of several): each turn of a node's thread asked every ZeroMQ socket for its state and looked through every connection for silence, and every connection was pinged each 0.5 s, whatever else it carried. A host with 129 connections of its own and as many from others did so for each of more than a thousand messages a second.

Change: an epoll set over the sockets' descriptors names those with news; sockets that were written to are looked at again, since writing may swallow the sign of a message. Silence is looked for each 20 ms at most. A connection that was written to and heard from within the ping interval isn't pinged.

Ruled out: fewer or slower pings (a silent peer would be noticed later).

--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -16,6 +16,7 @@
 #include <zmq.hpp>
 
 #include "dewbeam/src/link/key_checker.h"
+#include "dewbeam/src/link/socket_poller.h"
 #include "dewbeam/src/link/strangers.h"
 
 namespace dewbeam::link {
@@ -23,11 +24,18 @@
 namespace {
 
 using internal::key_checker;
+using internal::poll_key;
 using internal::z85_key_length;
 
 constexpr int socket_queue_limit = 20'000;
 constexpr int linger_ms = 500;
 constexpr int most_messages_a_turn = 256;
+/// Keys of a node's poller; connections have the ones above.
+constexpr poll_key wake_key{0};
+constexpr poll_key listener_key{1};
+constexpr std::uint64_t first_connection_key = 2;
+/// How often silent connections are looked for, at most.
+constexpr time_span watch_interval = std::chrono::milliseconds(20);
 /// The listening end waits a little longer, so that the opening end closes first.
 constexpr int listener_patience = 2;
 
@@ -46,7 +54,10 @@
 /// A connection that this process opened.
 struct connection {
     zmq::socket_t m_socket;
+    poll_key m_key;
     time_point m_silent_deadline{};
+    time_point m_sent_at{};
+    time_point m_heard_at{};
     time_point m_next_ping{};
     bool m_was_heard = false;
     /// A message could not be queued: the other end closed the connection, or reads nothing.
@@ -54,6 +65,12 @@
     bool m_is_strange = false;  ///< a process of another deployment answers there
 };
 
+/// Whether messages alone don't show both ends that the other one is there.
+bool needs_ping(const connection& open, time_span interval, time_point now)
+{
+    return std::min(open.m_sent_at, open.m_heard_at) + interval <= now;
+}
+
 origin origin_of(const wire::Envelope& message)
 {
     const auto& name = message.deployment();
@@ -129,6 +146,8 @@
             return absl::UnavailableError("can't listen on " + wanted + ": " + error.what());
         }
         m_address = m_listener.get(zmq::sockopt::last_endpoint);
+        m_poller.add(m_wake, wake_key);
+        m_poller.add(m_listener, listener_key);
         m_thread = std::thread([this] { run(); });
         return absl::OkStatus();
     }
@@ -196,40 +215,26 @@
         while (!m_stop) {
             poll_once();
             send_queued();
-            watch_silence(clock_now());
+            if (const auto now = clock_now(); now >= m_next_watch) {
+                m_next_watch = now + watch_interval;
+                watch_silence(now);
+            }
         }
         send_queued();
     }
 
     void poll_once()
     {
-        std::vector<zmq::pollitem_t> items;
-        std::vector<std::string> addresses;
-        items.push_back({nullptr, m_wake, ZMQ_POLLIN, 0});
-        items.push_back({m_listener.handle(), 0, ZMQ_POLLIN, 0});
-        for (auto& [address, open] : m_connections) {
-            items.push_back({open.m_socket.handle(), 0, ZMQ_POLLIN, 0});
-            addresses.push_back(address);
-        }
-        const auto longest =
-            std::chrono::duration_cast<std::chrono::milliseconds>(m_options.m_ping_interval / 4);
-        try {
-            zmq::poll(items, longest);
-        }
-        catch (const zmq::error_t&) {
-            return;  // interrupted by a signal
-        }
-        if ((items[0].revents & ZMQ_POLLIN) != 0) {
-            std::uint64_t count = 0;
-            [[maybe_unused]] const auto got = ::read(m_wake, &count, sizeof(count));
-        }
-        if ((items[1].revents & ZMQ_POLLIN) != 0) {
-            receive_from_listener();
-        }
-        constexpr std::size_t first_connection = 2;
-        for (std::size_t i = 0; i < addresses.size(); ++i) {
-            if ((items[first_connection + i].revents & ZMQ_POLLIN) != 0) {
-                receive_from_connection(addresses[i]);
+        for (const auto key : m_poller.wait(m_options.m_ping_interval / 4)) {
+            if (key == wake_key) {
+                std::uint64_t count = 0;
+                [[maybe_unused]] const auto got = ::read(m_wake, &count, sizeof(count));
+            }
+            else if (key == listener_key) {
+                receive_from_listener();
+            }
+            else if (const auto place = m_addresses.find(key); place != m_addresses.end()) {
+                receive_from_connection(std::string(place->second));
             }
         }
     }
@@ -250,6 +255,7 @@
             m_inbound[from.m_routing] = clock_now() + m_options.m_silence_limit * listener_patience;
             take(from, body);
         }
+        m_poller.mark(listener_key);
     }
 
     void receive_from_connection(const std::string& address)
@@ -265,11 +271,15 @@
             note_heard(address, place->second);
             take(peer{address, {}}, body);
         }
+        if (const auto place = m_connections.find(address); place != m_connections.end()) {
+            m_poller.mark(place->second.m_key);
+        }
     }
 
     void note_heard(const std::string& address, connection& open)
     {
-        open.m_silent_deadline = clock_now() + m_options.m_silence_limit;
+        open.m_heard_at = clock_now();
+        open.m_silent_deadline = open.m_heard_at + m_options.m_silence_limit;
         if (!std::exchange(open.m_was_heard, true)) {
             m_silent_tries.erase(address);
         }
@@ -341,7 +351,7 @@
         }
         for (const auto& item : batch) {
             if (item.m_is_close) {
-                m_connections.erase(item.m_to.m_address);
+                close_connection(item.m_to.m_address);
             }
             else {
                 deliver(item);
@@ -356,12 +366,10 @@
                 if (is_left_alone(m_strangers, item.m_to.m_address, clock_now())) {
                     return;
                 }
-                auto& open = connection_to(item.m_to.m_address);
-                const auto sent =
-                    open.m_socket.send(zmq::buffer(item.m_bytes), zmq::send_flags::dontwait);
-                open.m_is_broken = !sent.has_value();
+                send_on(connection_to(item.m_to.m_address), item.m_bytes);
                 return;
             }
+            m_poller.mark(listener_key);
             const auto sent = m_listener.send(zmq::buffer(item.m_to.m_routing),
                                               zmq::send_flags::sndmore | zmq::send_flags::dontwait);
             if (sent) {
@@ -377,6 +385,25 @@
         }
     }
 
+    void send_on(connection& open, const std::string& bytes)
+    {
+        const auto sent = open.m_socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        open.m_is_broken = !sent.has_value();
+        open.m_sent_at = clock_now();
+        m_poller.mark(open.m_key);
+    }
+
+    void close_connection(const std::string& address)
+    {
+        const auto place = m_connections.find(address);
+        if (place == m_connections.end()) {
+            return;
+        }
+        m_poller.remove(place->second.m_socket, place->second.m_key);
+        m_addresses.erase(place->second.m_key);
+        m_connections.erase(place);
+    }
+
     connection& connection_to(const std::string& address)
     {
         const auto place = m_connections.find(address);
@@ -384,8 +411,8 @@
             return place->second;
         }
         const auto limit = first_answer_limit(m_silent_tries[address]++, m_options.m_silence_limit);
-        connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer), clock_now() + limit,
-                         time_point{}};
+        connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer), poll_key(m_next_key++),
+                         clock_now() + limit};
         set_common(fresh.m_socket);
         // A broken connection stays silent until its deadline and is then replaced as a whole:
         // libzmq's own reconnect would keep it alive while answers to it are lost.
@@ -397,6 +424,8 @@
         }
         fresh.m_socket.set(zmq::sockopt::ipv6, address.find('[') != std::string::npos);
         fresh.m_socket.connect(address);
+        m_poller.add(fresh.m_socket, fresh.m_key);
+        m_addresses.emplace(fresh.m_key, address);
         return m_connections.emplace(address, std::move(fresh)).first->second;
     }
 
@@ -407,13 +436,11 @@
             if (open.m_is_broken || open.m_is_strange || open.m_silent_deadline <= now) {
                 lost.push_back({address, {}});
             }
-            else if (open.m_next_ping <= now) {
+            else if (needs_ping(open, m_options.m_ping_interval, now) && open.m_next_ping <= now) {
                 open.m_next_ping = now + m_options.m_ping_interval;
                 wire::Envelope message;
                 message.mutable_ping()->set_nonce(1);
-                const auto sent =
-                    open.m_socket.send(zmq::buffer(encode(message)), zmq::send_flags::dontwait);
-                open.m_is_broken = !sent.has_value();
+                send_on(open, encode(message));
             }
         }
         for (const auto& [routing, deadline] : m_inbound) {
@@ -435,7 +462,7 @@
         }
         const auto place = m_connections.find(item.m_address);
         place->second.m_socket.set(zmq::sockopt::linger, 0);
-        m_connections.erase(place);
+        close_connection(item.m_address);
         log_event(log_level::info, "link_lost", {{"address", item.m_address}});
     }
 
@@ -444,6 +471,10 @@
     zmq::context_t m_context;
     std::unique_ptr<key_checker> m_key_checker;
     zmq::socket_t m_listener;
+    internal::socket_poller m_poller;
+    std::uint64_t m_next_key = first_connection_key;
+    std::unordered_map<poll_key, std::string> m_addresses;  ///< of connections
+    time_point m_next_watch{};
     std::map<std::string, connection> m_connections;
     strangers m_strangers;
     /// Connections in a row to an address on which nothing was heard.
