Show the next ranks that a coordinator is there while it waits for a late one

Cause: repeats go to the ranks that owe an answer. Those that have answered hear nothing while a round, or the fetch of a map, takes longer than their patience (1 s at rank 1), and step in.

Ruled out: relays (the same happens with direct messages: only the missing are told); longer patience (a coordinator that is gone would hold its group for longer).

Change: in a round that waits, the ranks that may coordinate and have answered get the command again each heartbeat, without content; they repeat their report.

--- a/dewbeam/src/group_map/coordinator.cpp
+++ b/dewbeam/src/group_map/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/group_map/coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dewbeam::group_map {
 
@@ -47,6 +48,7 @@
     for (auto& view : state.m_ranks) {
         view.m_answered = false;
     }
+    state.m_next_sign_of_life = now + state.m_options.m_heartbeat_interval;
     send_to_missing(state, false, effects, now);
 }
 
@@ -411,6 +413,23 @@
     return state.m_missing > 0 && state.m_phase != phase::broken;
 }
 
+/// A rank that has answered hears nothing more in a round that waits for a late one. Those that
+/// would step in are told again, or they would depose a coordinator that is there.
+void show_life(coordinator& state, coordinator_effects& effects, time_point now)
+{
+    state.m_next_sign_of_life = now + state.m_options.m_heartbeat_interval;
+    const auto count = std::min<std::size_t>(state.m_options.m_candidates, state.m_ranks.size());
+    for (std::uint32_t rank = 0; rank < count; ++rank) {
+        if (state.m_ranks[rank].m_answered && rank != state.m_options.m_rank.value()) {
+            auto sign = make_command(state, rank);
+            sign.m_content.reset();
+            sign.m_is_repeat = true;
+            sign.m_is_sign_of_life = true;
+            effects.m_commands.push_back(std::move(sign));
+        }
+    }
+}
+
 }  // namespace
 
 const char* to_string(phase value)
@@ -521,6 +540,9 @@
         handle_round_deadline(state, effects, now);
         return effects;
     }
+    if (is_waiting(state) && now >= state.m_next_sign_of_life) {
+        show_life(state, effects, now);
+    }
     if (now < state.m_resend_at) {
         return effects;
     }
--- a/dewbeam/src/group_map/coordinator.h
+++ b/dewbeam/src/group_map/coordinator.h
@@ -37,6 +37,8 @@
     rank_id m_rank;
     incarnation m_incarnation;
     std::uint32_t m_ranks = 1;
+    /// Ranks that step in where they hear of no coordinator: the first ones.
+    std::uint32_t m_candidates = 3;
     time_span m_resend_interval = std::chrono::milliseconds(100);
     /// The same while ranks are told the content of a map to fetch.
     time_span m_stage_resend_interval = std::chrono::milliseconds(100);
@@ -95,6 +97,7 @@
     bool m_change_under_way = false;  ///< asked for by `propose`
     change_times m_times;             ///< of that change
     time_point m_resend_at = no_deadline;
+    time_point m_next_sign_of_life = no_deadline;
     time_point m_round_deadline = no_deadline;
     time_point m_round_began{};
 };
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -369,6 +369,40 @@
     EXPECT_EQ(group_map::late_ranks(coordinator, patience, now + patience).size(), 3U);
 }
 
+// A rank whose packets were lost held up a round for more than a second. The next ranks, which had
+// answered, heard nothing meanwhile and took over; the deposed coordinator took over again; no map
+// changed for five seconds.
+TEST(coordinator, shows_those_who_would_step_in_that_it_waits_for_another_rank)
+{
+    group_map::coordinator_options options;
+    options.m_ranks = 5;
+    options.m_heartbeat_interval = std::chrono::milliseconds(200);
+    auto coordinator = group_map::make_coordinator(options);
+    const time_point begin{std::chrono::seconds(5)};
+    group_map::activate(coordinator, 0, begin);
+    for (std::uint32_t rank = 0; rank < 4; ++rank) {
+        group_map::report answer;
+        answer.m_from = rank_id(rank);
+        answer.m_promised = coordinator.m_epoch;
+        answer.m_round = coordinator.m_round;
+        answer.m_life = {incarnation(1), incarnation(1)};
+        group_map::receive(coordinator, answer, begin);
+    }
+    std::map<std::uint32_t, time_point> heard;
+    for (auto now = begin; now < begin + std::chrono::seconds(3);
+         now += std::chrono::milliseconds(20)) {
+        for (const auto& command : group_map::tick(coordinator, now).m_commands) {
+            heard[command.m_to.value()] = now;
+        }
+        for (const std::uint32_t candidate : {1, 2}) {
+            const auto last = heard.contains(candidate) ? heard[candidate] : begin;
+            ASSERT_LE(now - last, std::chrono::milliseconds(220)) << "rank " << candidate;
+        }
+        ASSERT_FALSE(heard.contains(3)) << "it has answered and steps in for nobody";
+    }
+    EXPECT_TRUE(heard.contains(4));
+}
+
 }  // namespace
 }  // namespace dewbeam::ranks
 
