--- a/dewbeam/src/dispatch/group_pulse.h
+++ b/dewbeam/src/dispatch/group_pulse.h
@@ -3,9 +3,7 @@
 ///
 /// All ranks of a group share their steps: one that is frozen or cut off stops every stream of the
 /// group at once, and engines notice only after a second or more. An entry that has streams there
-/// sees it after a few missing events. With a frozen or cut-off rank in one of two groups of 8, 27
-/// in 100 fewer requests failed on one busy day; over five busy days the worth earned rose by 0.009
-/// and 0.002 in two sets of runs with 3 seeds each, which is within noise.
+/// sees it after a few missing events.
 #pragma once
 
 #include <map>
--- a/dewbeam/src/experts/step_model.cpp
+++ b/dewbeam/src/experts/step_model.cpp
@@ -8,9 +8,7 @@
 
 /// Shares of the pause objective: a map is worked on when steps take longer than the first, until
 /// they take the second. Steps must be short enough for a burst of prompts, which adds up to half a
-/// step. Against maps that are always kept even, 250 GB instead of 1,680 GB of experts are fetched
-/// in 44 s by two calm groups of 8, and as many answers meet their objectives (pairs of runs, 3
-/// seeds).
+/// step; a map that is kept even beyond that costs fetches and serves nobody.
 constexpr double most_step_share = 0.62;
 constexpr double good_step_share = 0.52;
 /// Beyond this a few more requests would make steps too long before a plan is through.
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -78,9 +78,9 @@
 }
 
 /// How long a new connection may stay silent. The other end may not listen yet, and a refused
-/// connection is not opened again by itself: with the usual limit of 2 s, processes that started 1
-/// s before their peers stayed without them for 2.1 s. Peers that don't answer for long are tried
-/// less and less often, so that a crowd of new connections doesn't keep a slow process busy.
+/// connection is not opened again by itself, so that the first tries are short. Peers that don't
+/// answer for long are tried less and less often: a crowd of new connections keeps a slow process
+/// busy.
 time_span first_answer_limit(std::uint32_t silent_tries, time_span longest)
 {
     constexpr time_span shortest = std::chrono::milliseconds(300);
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -17,7 +17,7 @@
 /// Registries that a gateway remembers at most: seven may exist, and some were replaced.
 constexpr std::size_t most_registries = 16;
 
-/// 7 gateways then ask a registry 70 times a second, 42 gateways 168 times as with 250 ms.
+/// What a registry bears of such questions grows with the gateways.
 constexpr time_span loads_interval_of_gateway = std::chrono::milliseconds(6);
 constexpr time_span shortest_loads_interval = std::chrono::milliseconds(100);
 
