Refuse a relayed count that can't be read before taking its size for true

Found on reading the change: a relay made room for as many counts as a message names before it looked at whether the message holds them (4,000,000,000 counts: 32 GB), and forgot what it had added up. Now a message that can't be read changes nothing, and is logged as before. Test: count_relay.counts_that_cannot_be_read_change_nothing.

The two ways in of group_runner share their code.

--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -86,27 +86,24 @@
 
 void group_runner::on_message(const wire::GroupMessage& message, time_point now)
 {
-    work todo;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_is_stopped || m_node == nullptr || message.group() != m_options.m_group) {
-            return;
-        }
-        take(group::take(m_courier, message), todo, now);
-        todo = finish(std::move(todo), now);
-    }
-    carry_out(todo);
+    take_arrived(message, now);
 }
 
 void group_runner::on_bundle(const wire::GroupBundle& bundle, time_point now)
+{
+    take_arrived(bundle, now);
+}
+
+template <class Body>
+void group_runner::take_arrived(const Body& arrived, time_point now)
 {
     work todo;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_is_stopped || m_node == nullptr || bundle.group() != m_options.m_group) {
+        if (m_is_stopped || m_node == nullptr || arrived.group() != m_options.m_group) {
             return;
         }
-        take(group::take(m_courier, bundle), todo, now);
+        take(group::take(m_courier, arrived), todo, now);
         todo = finish(std::move(todo), now);
     }
     carry_out(todo);
--- a/dewbeam/src/group/group_runner.h
+++ b/dewbeam/src/group/group_runner.h
@@ -123,6 +123,8 @@
     void post_report(const group_map::report& message);
     void post(deliveries&& out);
     void post(const parcel& item);
+    template <class Body>
+    void take_arrived(const Body& arrived, time_point now);
     void take(deliveries&& arrived, work& todo, time_point now);
     void take(const wire::GroupMessage& message, work& todo, time_point now);
     void take_own_messages(work& todo, time_point now);
--- a/dewbeam/src/ranks/count_relay.cpp
+++ b/dewbeam/src/ranks/count_relay.cpp
@@ -18,17 +18,21 @@
     if (counts.formation() < state.m_formation && to == state.m_to) {
         return true;  // told before the group formed anew
     }
+    std::vector<std::uint64_t> told;
+    if (!add_counts(told, packed_of(counts), counts.experts())) {
+        return false;
+    }
     const bool begins = to != state.m_to || counts.formation() != state.m_formation ||
                         counts.experts() != state.m_totals.size();
     if (begins) {
         state = {};
         state.m_to = to;
         state.m_formation = counts.formation();
-        state.m_totals.assign(counts.experts(), 0);
+        state.m_totals.assign(told.size(), 0);
         state.m_told.m_told = state.m_totals;
     }
-    if (!add_counts(state.m_totals, packed_of(counts), counts.experts())) {
-        return false;
+    for (std::size_t i = 0; i < told.size(); ++i) {
+        state.m_totals[i] += told[i];
     }
     state.m_began_at = state.m_ranks.empty() ? now : state.m_began_at;
     state.m_steps += counts.steps();
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -263,6 +263,20 @@
     EXPECT_FALSE(take_sum(relay, 8)) << "nothing new came";
 }
 
+TEST(count_relay, counts_that_cannot_be_read_change_nothing)
+{
+    const time_point now{std::chrono::seconds(1)};
+    told_counts told;
+    count_relay relay;
+    auto message = to_wire(rank_id(1), {1, 10, {1, 2}}, {1, 0, {{1}}}, 1.0, 8, told);
+    ASSERT_TRUE(add(relay, rank_id(0), message, now));
+    message.set_formation(2);
+    message.set_experts(4'000'000'000);
+    EXPECT_FALSE(add(relay, rank_id(0), message, now));
+    EXPECT_EQ(relay.m_formation, 1U);
+    EXPECT_EQ(relay.m_ranks.size(), 1U);
+}
+
 TEST(count_relay, waits_for_a_late_rank_for_a_moment_only)
 {
     const time_point now{std::chrono::seconds(1)};
