--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -114,7 +114,7 @@
             m_state.m_settings, m_state.m_incarnation,
             {[this](const link::peer& from, wire::Envelope&& message) {
                  if (m_is_started && message.has_watch_news()) {
-                     m_state.m_feed.take(*m_node, from, message, program::now());
+                     m_state.m_feed.take(from, message, program::now());
                  }
              },
              [this](const link::peer& gone) {
@@ -233,6 +233,10 @@
     registrar::feed_handlers feed_handlers_of()
     {
         registrar::feed_handlers result;
+        result.m_send = [this](const std::string& address, wire::Envelope&& message) {
+            m_node->send(address, std::move(message));
+        };
+        result.m_follow_log = [this](log_id log) { m_node->follow_log(log); };
         result.m_on_upstream = [this](const registry::record& changed) { on_upstream(changed); };
         result.m_on_revision = [this](const revisions::revision& newer) {
             return on_revision(newer);
@@ -328,7 +332,7 @@
         for (const auto& load : m_state.m_upstreams.loads()) {
             loads.emplace_back(load.m_name.value(), load.m_in_flight);
         }
-        m_state.m_feed.tick(*m_node, loads, {}, now);
+        m_state.m_feed.tick(loads, {}, now);
         perform(m_state, m_state.m_pools.tick(now), now);
         for (const auto& group : m_state.m_pools.take_still_groups()) {
             log_event(log_level::warning, "group_closed",
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -128,6 +128,10 @@
     registrar::feed_handlers handlers_of()
     {
         registrar::feed_handlers result;
+        result.m_send = [this](const std::string& address, wire::Envelope&& message) {
+            m_node->send(address, std::move(message));
+        };
+        result.m_follow_log = [this](log_id log) { m_node->follow_log(log); };
         result.m_on_upstream = [this](const registry::record& changed) {
             const std::lock_guard lock(m_mutex);
             const auto& known = changed.m_announced;
@@ -157,7 +161,7 @@
         }
         const auto now = program::now();
         if (message.has_watch_news()) {
-            m_feed.take(*m_node, from, message, now);
+            m_feed.take(from, message, now);
             return;
         }
         if (message.has_group() && message.group().has_counts()) {
@@ -482,7 +486,7 @@
 
     void tick(time_point now)
     {
-        m_feed.tick(*m_node, {}, own_pace(), now);
+        m_feed.tick({}, own_pace(), now);
         if (now >= m_next_report) {
             ask_report(now);
             follow_group(now);
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -10,6 +10,7 @@
 #include "dewbeam/src/registrar/addresses.h"
 #include "dewbeam/src/registrar/announcement_wire.h"
 #include "dewbeam/src/registrar/holds.h"
+#include "dewbeam/src/registrar/revision_news.h"
 #include "dewbeam/src/registrar/watchers.h"
 
 namespace dewbeam::registrar {
@@ -445,17 +446,12 @@
         m_node->reply(from, std::move(answer));
     }
 
-    void put_revision_news(wire::WatchNews& news, const wire::Watch& watch) const
+    void put_revision_news(wire::WatchNews& news, const wire::Watch& watch)
     {
-        const auto held = m_runner->revision();
         const auto status = m_runner->status();
         news.set_registry_life(m_life.value());
-        news.set_newest_revision(held.m_number.value());
-        news.set_is_sure(status.m_is_caught_up && status.m_has_quorum);
-        if (watch.wants_revision() && watch.known_revision() < held.m_number.value()) {
-            news.mutable_revision()->set_number(held.m_number.value());
-            news.mutable_revision()->set_content(*held.m_content);
-        }
+        m_revision_news.put(m_runner->revision(), status.m_is_caught_up && status.m_has_quorum,
+                            watch, news);
     }
 
     void on_sync(const link::peer& from, const wire::RegistrySync& sync)
@@ -650,6 +646,7 @@
     std::vector<std::string> m_seeds;
     std::atomic<bool> m_is_started = false;  ///< all members below are there
     std::atomic<bool> m_has_revision_news = false;
+    revision_news m_revision_news;
     std::mutex m_mutex;
     registry::table m_registry;                    ///< under m_mutex
     watcher_table m_watchers;                      ///< the same
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -82,8 +82,7 @@
     return result;
 }
 
-void registry_feed::tick(link::node& node, const load_list& loads, const pace_list& paces,
-                         time_point now)
+void registry_feed::tick(const load_list& loads, const pace_list& paces, time_point now)
 {
     std::vector<std::pair<std::string, wire::Envelope>> due;
     {
@@ -107,7 +106,7 @@
         }
     }
     for (auto& [address, message] : due) {
-        node.send(address, std::move(message));
+        m_handlers.m_send(address, std::move(message));
     }
 }
 
@@ -143,13 +142,12 @@
 
 /// Whether news of a registry may be taken in. What waited for the choice of the log is asked for
 /// again at once.
-bool registry_feed::is_of_own_log(link::node& node, const std::string& address, log_id told,
-                                  time_point now)
+bool registry_feed::is_of_own_log(const std::string& address, log_id told, time_point now)
 {
     const bool was_chosen = m_log.m_chosen != log_id{};
     note_log(m_log, address, told, m_seeds.size(), now);
     if (!was_chosen && m_log.m_chosen != log_id{}) {
-        node.follow_log(m_log.m_chosen);
+        m_handlers.m_follow_log(m_log.m_chosen);
         for (auto& [other, target] : m_sources) {
             target.m_asked_at = {};
         }
@@ -157,8 +155,7 @@
     return may_take(m_log, told);
 }
 
-void registry_feed::take(link::node& node, const link::peer& from, const wire::Envelope& message,
-                         time_point now)
+void registry_feed::take(const link::peer& from, const wire::Envelope& message, time_point now)
 {
     const auto& news = message.watch_news();
     std::vector<registry::record> changed;
@@ -170,7 +167,7 @@
         if (place == m_sources.end()) {
             return;
         }
-        if (!is_of_own_log(node, from.m_address, log_id(message.log()), now)) {
+        if (!is_of_own_log(from.m_address, log_id(message.log()), now)) {
             return;
         }
         auto& subject = place->second;
@@ -193,7 +190,7 @@
         }
     }
     if (question) {
-        node.send(from.m_address, *std::move(question));
+        m_handlers.m_send(from.m_address, *std::move(question));
     }
     for (const auto& item : changed) {
         m_handlers.m_on_upstream(item);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -21,6 +21,9 @@
 
 /// What the feed calls; outside its lock, on the link's thread.
 struct feed_handlers {
+    std::function<void(const std::string& address, wire::Envelope&& message)> m_send;
+    /// The log of the registries, once it is chosen.
+    std::function<void(log_id log)> m_follow_log;
     std::function<void(const registry::record& changed)> m_on_upstream;
     /// A document that is newer than the one held; true where it is taken.
     std::function<bool(const revisions::revision& newer)> m_on_revision;
@@ -60,12 +63,10 @@
                   feed_handlers handlers);
 
     /// Watches where it is time to.
-    void tick(link::node& node, const load_list& loads, const pace_list& paces, time_point now);
+    void tick(const load_list& loads, const pace_list& paces, time_point now);
 
-    /// Takes the news in a message; asks at once for a revision that is newer. The log of the
-    /// registries becomes the one that `node` follows.
-    void take(link::node& node, const link::peer& from, const wire::Envelope& message,
-              time_point now);
+    /// Takes the news in a message; asks at once for a revision that is newer.
+    void take(const link::peer& from, const wire::Envelope& message, time_point now);
 
     /// A registry's connection is over: what it knew last is asked anew.
     void lost(const link::peer& gone);
@@ -91,7 +92,7 @@
         time_point m_heard_at{};
     };
 
-    bool is_of_own_log(link::node& node, const std::string& address, log_id told, time_point now);
+    bool is_of_own_log(const std::string& address, log_id told, time_point now);
     void learn_registries(const wire::WatchNews& news);
     void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
                         std::vector<registry::record>& changed);
