Fetch documents from one registry at a time and compress them

Callers received 401 and 404 responses based on an older configuration for longer after an acknowledgement than gateways are allowed to take to follow.

Cause: every follower (gateways and rank agents) fetched the whole new document from the registry that announced it first, which is the leader for all of them, and requested another copy every 300 ms while the first was still in transit. Copies queued up on the links of the registry and of the gateway, so the time until the last gateway was up to date grew with document size times number of gateways times number of consecutive changes. The class of fault is a retry at a fixed interval that takes no account of how long the answer takes.

In revision_spread_test, in virtual time over links of 170 and 40 Mbit/s, 12 of 42 gateways were later than 2.5 s after one change of a large document, and all 42 after 4 s of changes 60 ms apart.

Change: - A follower asks one registry, and another one only after 1 s (then 2 s, 4 s) without an answer or when the connection is lost (document_fetch). - Each follower has its own order of preference among the registries. - A gateway fetches a newer document 200 ms after the last one at the earliest. - Documents are sent as a zlib stream, compressed once for all watchers (revision_news), to followers that declare support for it. - Maps and documents share one pair of functions for compression and decompression (base/deflate).

--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -17,6 +17,10 @@
 /// Deadlines and late attempts are looked at this often: a small part of the shortest objective.
 constexpr time_span tick_interval = std::chrono::milliseconds(20);
 constexpr time_span slow_interval = std::chrono::milliseconds(500);
+/// Minimum time between two documents that a gateway fetches. Each document is sent to every
+/// gateway, so this bounds the load on the registries when changes follow in quick succession; it
+/// is a small part of the time allowed for a change to take effect.
+constexpr time_span document_interval = std::chrono::milliseconds(200);
 /// How long a start waits for a registry that is sure of the newest revision.
 constexpr time_span sure_wait = std::chrono::seconds(4);
 
@@ -52,6 +56,14 @@
     return result;
 }
 
+registrar::feed_options feed_options_of(incarnation own)
+{
+    registrar::feed_options result;
+    result.m_document_interval = document_interval;
+    result.m_preference_seed = own.value();
+    return result;
+}
+
 http::client_options client_options()
 {
     http::client_options result;
@@ -71,7 +83,7 @@
       m_incarnation(program::new_incarnation()),
       m_pools(broker_options_of(settings)),
       m_upstreams(frame.context(), client_options()),
-      m_feed(registrar::registry_addresses(settings), registrar::feed_options{},
+      m_feed(registrar::registry_addresses(settings), feed_options_of(m_incarnation),
              std::move(handlers)),
       m_random(program::seeded_engine())
 {
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -77,7 +77,7 @@
           m_reports(frame.context(), m_address, engine_client_options()),
           m_engine(make_engine(m_address)),
           m_feed(registrar::registry_addresses(settings),
-                 {false, watch_interval, document_interval}, handlers_of())
+                 {false, watch_interval, document_interval, m_life.value()}, handlers_of())
     {
     }
 
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// An answer that carries a revision takes no longer than this on a sound link.
-constexpr time_span revision_wait = std::chrono::milliseconds(300);
+/// Larger than any request body that an operator may send.
+constexpr std::size_t longest_document = 64UL << 20U;
 /// A registry that didn't answer for so long is not counted as heard.
 constexpr time_span heard_span = std::chrono::milliseconds(2500);
 /// Registries that a gateway remembers at most: seven may exist, and some were replaced.
@@ -26,6 +26,15 @@
 constexpr time_span news_interval_of_gateway = std::chrono::milliseconds(4);
 constexpr time_span longest_news_interval = std::chrono::milliseconds(500);
 
+/// The document as the operator sent it, decompressed if necessary.
+absl::StatusOr<std::string> content_of(const wire::Revision& received)
+{
+    if (received.packed_content().empty()) {
+        return received.content();
+    }
+    return inflate_text(received.packed_content(), longest_document);
+}
+
 }  // namespace
 
 time_span news_interval(std::uint32_t gateways, time_span shortest)
@@ -108,6 +117,55 @@
     for (auto& [address, message] : due) {
         m_handlers.m_send(address, std::move(message));
     }
+    request_document(now);
+}
+
+/// Requests the newest document from one registry, if a request is due.
+void registry_feed::request_document(time_point now)
+{
+    std::string address;
+    wire::Envelope request;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<document_source> sources;
+        for (const auto& [source_address, known] : m_sources) {
+            if (known.m_heard_at + heard_span > now) {
+                sources.push_back({source_address, known.m_newest > m_revision});
+            }
+        }
+        const bool has_no_document = m_revision == revisions::revision_number{};
+        address = next_request(m_document_fetch, sources, m_options.m_preference_seed,
+                               has_no_document, now);
+        if (address.empty()) {
+            return;
+        }
+        request = watch_of(m_sources.at(address), false);
+        request.mutable_watch()->set_wants_revision(true);
+        request.mutable_watch()->set_takes_packed_revision(true);
+    }
+    m_handlers.m_send(address, std::move(request));
+}
+
+void registry_feed::take_document(const std::string& from, const wire::Revision& received,
+                                  time_point now)
+{
+    const revisions::revision_number number(received.number());
+    if (number > revision()) {
+        auto content = content_of(received);
+        if (!content.ok()) {
+            log_event(log_level::warning, "revision_not_unpacked",
+                      {{"revision", received.number()},
+                       {"registry", from},
+                       {"reason", std::string(content.status().message())}});
+            return;  // requested again after the answer deadline
+        }
+        if (!m_handlers.m_on_revision({number, *std::move(content)})) {
+            return;
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_revision = std::max(m_revision, number);
+    note_answer(m_document_fetch, from, now + m_options.m_document_interval);
 }
 
 void registry_feed::learn_registries(const wire::WatchNews& news)
@@ -159,8 +217,6 @@
 {
     const auto& news = message.watch_news();
     std::vector<registry::record> changed;
-    std::optional<wire::Envelope> question;
-    std::optional<revisions::revision> newer;
     {
         const std::lock_guard lock(m_mutex);
         const auto place = m_sources.find(from.m_address);
@@ -177,30 +233,14 @@
         learn_registries(news);
         m_gateways = news.has_loads() ? news.gateways() : m_gateways;
         take_upstreams(subject, news, now, changed);
-        if (news.has_revision() &&
-            revisions::revision_number(news.revision().number()) > m_revision) {
-            newer = revisions::revision{revisions::revision_number(news.revision().number()),
-                                        news.revision().content()};
-        }
-        else if (subject.m_newest > m_revision && m_revision_asked_at + revision_wait <= now &&
-                 m_next_document <= now) {
-            m_revision_asked_at = now;
-            question = watch_of(subject, false);
-            question->mutable_watch()->set_wants_revision(true);
-        }
-    }
-    if (question) {
-        m_handlers.m_send(from.m_address, *std::move(question));
     }
     for (const auto& item : changed) {
         m_handlers.m_on_upstream(item);
     }
-    if (newer && m_handlers.m_on_revision(*newer)) {
-        const std::lock_guard lock(m_mutex);
-        m_revision = std::max(m_revision, newer->m_number);
-        m_revision_asked_at = {};
-        m_next_document = now + m_options.m_document_interval;
+    if (news.has_revision()) {
+        take_document(from.m_address, news.revision(), now);
     }
+    request_document(now);
     if (news.has_loads()) {
         for (const auto& [upstream, in_flight] : loads_of_others(news)) {
             m_handlers.m_on_load(upstream, in_flight);
@@ -221,6 +261,7 @@
         return;
     }
     place->second.m_heard_at = {};
+    note_lost(m_document_fetch, gone.m_address);
     const bool is_seed = std::find(m_seeds.begin(), m_seeds.end(), gone.m_address) != m_seeds.end();
     if (!is_seed && m_sources.size() >= most_registries) {
         m_sources.erase(place);  // room for one that took its place
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -15,6 +15,7 @@
 #include "dewbeam/link"
 #include "dewbeam/registry"
 #include "dewbeam/revisions"
+#include "dewbeam/src/registrar/document_fetch.h"
 #include "dewbeam/src/registrar/log_choice.h"
 
 namespace dewbeam::registrar {
@@ -39,6 +40,9 @@
     time_span m_interval = std::chrono::milliseconds(250);
     /// Once a document is held, a newer one is asked for after this at the earliest.
     time_span m_document_interval = time_span::zero();
+    /// Determines the order in which registries are preferred for documents. Different for each
+    /// process, so that the requests of all followers are distributed over the registries.
+    std::uint64_t m_preference_seed = 0;
 };
 
 /// How often the registry that tells the other gateways' loads is asked, never less often than
@@ -98,6 +102,8 @@
                         std::vector<registry::record>& changed);
     wire::Envelope watch_of(const source& target, bool wants_loads) const;
     void put_own_loads(wire::Watch& watch) const;
+    void request_document(time_point now);
+    void take_document(const std::string& from, const wire::Revision& received, time_point now);
 
     feed_options m_options;
     feed_handlers m_handlers;
@@ -107,8 +113,7 @@
     log_choice m_log;
     registry::table m_table;
     revisions::revision_number m_revision;
-    time_point m_revision_asked_at{};
-    time_point m_next_document{};  ///< none is asked for before
+    document_fetch m_document_fetch;
     std::uint32_t m_gateways = 1;  ///< that watch the registries, as one told last
     load_list m_loads;
     pace_list m_paces;
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -11,6 +11,7 @@
 #include "dewbeam/src/registrar/announcement_wire.h"
 #include "dewbeam/src/registrar/holds.h"
 #include "dewbeam/src/registrar/registry_feed.h"
+#include "dewbeam/src/registrar/revision_news.h"
 #include "dewbeam/src/registrar/watchers.h"
 
 namespace dewbeam::registry {
@@ -317,6 +318,60 @@
     }
 }
 
+TEST(document_fetch, followers_distribute_requests_over_registries)
+{
+    const std::vector<registrar::document_source> sources{{"a", true}, {"b", true}, {"c", true}};
+    std::map<std::string, int> asked;
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        registrar::document_fetch state;
+        ++asked[registrar::next_request(state, sources, seed, false, {})];
+    }
+    for (const auto& [address, count] : asked) {
+        EXPECT_GT(count, 60) << address;
+    }
+    EXPECT_EQ(asked.size(), 3U);
+}
+
+TEST(document_fetch, another_registry_is_asked_after_a_timeout_or_a_lost_connection)
+{
+    std::vector<registrar::document_source> sources{{"a", true}, {"b", true}};
+    registrar::document_fetch state;
+    const auto first = registrar::next_request(state, sources, 1, false, {});
+    EXPECT_EQ(registrar::next_request(state, sources, 1, false, time_point(milliseconds(900))), "");
+    const auto second =
+        registrar::next_request(state, sources, 1, false, time_point(milliseconds(1000)));
+    EXPECT_NE(second, "");
+    EXPECT_NE(second, first);
+    registrar::note_lost(state, second);
+    EXPECT_EQ(registrar::next_request(state, sources, 1, false, time_point(milliseconds(1001))),
+              first);
+    registrar::note_answer(state, first, time_point(milliseconds(1200)));
+    EXPECT_EQ(registrar::next_request(state, sources, 1, false, time_point(milliseconds(1199))),
+              "");
+    EXPECT_NE(registrar::next_request(state, sources, 1, false, time_point(milliseconds(1200))),
+              "");
+}
+
+TEST(revision_news, a_watcher_without_packed_support_gets_the_plain_document)
+{
+    revisions::revision_store held;
+    revisions::apply(held, {revisions::revision_number(3), std::string(5000, 'x')});
+    wire::Watch watch;
+    watch.set_wants_revision(true);
+    registrar::revision_news subject;
+    wire::WatchNews plain;
+    subject.put(held, true, watch, plain);
+    EXPECT_EQ(plain.revision().content(), *held.m_content);
+    watch.set_takes_packed_revision(true);
+    wire::WatchNews packed;
+    subject.put(held, true, watch, packed);
+    EXPECT_TRUE(packed.revision().content().empty());
+    const auto text = inflate_text(packed.revision().packed_content(), 5000);
+    ASSERT_TRUE(text.ok());
+    EXPECT_EQ(*text, *held.m_content);
+    EXPECT_FALSE(inflate_text(packed.revision().packed_content(), 4999).ok());
+}
+
 TEST(registry_feed, many_gateways_ask_registries_that_tell_no_loads_less_often)
 {
     const auto shortest = milliseconds(250);
