Bind the port that a test takes with SO_REUSEADDR

upstream_session failed once with "Address already in use" before any program had started. free_port probes with SO_REUSEADDR, so that a port whose last connection is in TIME_WAIT counts as free, and the test's own socket was bound without it. Shown with a connection closed by its server: without the option the bind fails, with it it succeeds, and a second bind beside the listening socket still fails, so that the program under test meets a taken port as before. Checks unchanged.

--- a/test/upstream_session.py
+++ b/test/upstream_session.py
@@ -161,6 +161,7 @@
             agent.settings["group"] = {"name": "g", "rank": rank, "members": links}
         holder = socket.socket()
         self.addCleanup(holder.close)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind(("127.0.0.1", int(links[1].rsplit(":", 1)[1])))
         holder.listen(1)
         for process in self.site.processes.values():
