Show that an upstream's own rate limit is ignored, as a failing test

An upstream in need names the requests a second that it takes from all gateways together, and gets as many as before.

The test: two gateways, two upstreams, 16 safe calls a second; one upstream limits itself to 1 a second.

--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -194,6 +194,37 @@
                 return status == 200 and json.loads(body) == {**sent, "version": 32}
             self.site.wait_for(newest, "the newest configuration at port %d" % port)
 
+    def load(self, span_s, per_second=16):
+        """Safe calls to both gateways in turn, at a steady rate; their statuses."""
+        results = []
+        threads = []
+        begun = time.monotonic()
+        for index in range(int(span_s * per_second)):
+            time.sleep(max(0.0, begun + index / per_second - time.monotonic()))
+            threads.append(threading.Thread(target=lambda i=index: results.append(
+                self.ask("/safe/%d" % i, gateway=i % 2)[0])))
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+        return results
+
+    def test_gateways_together_keep_to_the_rate_that_an_upstream_limits_itself_to(self):
+        self.begin()
+        self.assertEqual(set(self.load(1.0)), {200})
+        limited = self.upstreams[0]
+        limited.limit = 1.0
+        named_at = time.monotonic()
+        self.assertEqual(set(self.load(11.0)), {200}, "the other upstream has room for all")
+        times = [at for _, at in limited.arrivals if at >= named_at + 3.0]
+        most = max(sum(at <= other < at + 4.0 for other in times) for at in times)
+        self.assertLessEqual(most, 1.5 * limited.limit * 4.0 + 5)
+        self.assertGreaterEqual(len(times), 4, "half of what it takes in 8 s")
+        limited.limit = None
+        self.load(2.5)
+        before = len(limited.arrivals)
+        self.load(2.0)
+        self.assertGreaterEqual(len(limited.arrivals) - before, 8, "a quarter of the load")
+
     def test_a_leaving_upstream_gets_nothing_new_and_a_planned_stop_cuts_nothing(self):
         self.begin()
         self.assertTrue(self.upstreams[0].leave())
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -21,6 +21,7 @@
         self.arrivals = []  # of each run: request id and time
         self.cuts = []  # events after which the next streams break; shared between upstreams
         self.refuses = False
+        self.limit = None  # requests a second that it takes from all gateways together
         self.pause_s = 0.005
         owner = self
 
@@ -58,13 +59,14 @@
         self.arrivals.append((request, time.monotonic()))
         self.runs.append((request, dict(handler.headers)))
         if "/stream/" not in handler.path:
-            return self.answer(handler, 200, request, ("%s ran at %s" % (request, self.name)).encode())
+            return self.answer(handler, 200, request, ("%s ran at %s" % (request, self.name)).encode(),
+                               self.limit_fields())
         first = int(handler.headers.get("Last-Event-Id", 0))
         cut_after = self.cuts.pop(0) if self.cuts else None
         handler.send_response(200)
         for name, value in (("Attempt-Id", request), ("Response-Stamp", "stamp-" + self.name),
                             ("Content-Type", "text/event-stream"),
-                            ("Transfer-Encoding", "chunked")):
+                            ("Transfer-Encoding", "chunked"), *self.limit_fields()):
             handler.send_header(name, value)
         handler.end_headers()
         for event in range(first + 1, EVENTS + 1):
@@ -82,6 +84,9 @@
         handler.wfile.write(b"0\r\n\r\n")
         return None
 
+    def limit_fields(self):
+        return [] if self.limit is None else [("Server-Limit", "%g" % self.limit)]
+
     @staticmethod
     def answer(handler, status, request, body, fields=()):
         handler.send_response(status)
