Stay within the rate limits of upstreams across all gateways

Cause: nothing read the limit.

Why permits: a gateway sees only its own requests, but the limit applies to the sum. With an equal share for each gateway most of the limit goes unused (at 1 a second and 150 gateways, each may send one request every 150 s). With no shares at all the limit is exceeded.

Change: gateways report the limits stated in answers to the registry that sends them the loads. That registry passes the limits on to the other gateways and issues one permit per request at the rate of the limit, round-robin over the gateways that have work (permits/issuer). A gateway may use a limited upstream only while it holds a permit, for first attempts, retries and resumed streams alike (dispatch/permits). A permit expires after a second. Requests go to other upstreams; where there is none, a request that can't get a permit before its wait deadline is refused at once with the time at which to retry. An answer without a limit ends the limit if its request was sent after the limit was heard. A limit of zero lets 0.2 requests a second through, since only an answer can show that the limit has ended. While no registry is reachable, each gateway stays within an equal share. Limits are soft state: they are sent again to a restarted registry.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dewbeam/src/dispatch/group_gate.h"
+#include "dewbeam/src/dispatch/permits.h"
 #include "dewbeam/src/dispatch/request_life.h"
 #include "dewbeam/src/dispatch/serve.h"
 
@@ -30,6 +31,10 @@
     if (const auto reason = lost_cause(state, request, now)) {
         return reason;
     }
+    const auto permit_at = now + shortest_permit_wait(state, *request.m_route, now);
+    if (permit_at > std::min(request.m_info.m_deadline, request.m_info.m_wait_deadline)) {
+        return refusal::overloaded;
+    }
     auto limits = state.m_options.m_queue;
     limits.m_most_queued = state.m_options.m_most_queued;
     const bool may_wait =
@@ -172,6 +177,7 @@
     auto& request = place->second;
     request.m_info = std::move(info);
     request.m_cost = cost_of(request.m_info);
+    state.m_last_submit = now;
     note_block_size(state, request.m_info);
     request.m_route = &route_of(state.m_table, options_of(state), request.m_info.m_upstreams, now);
     ++request.m_route->m_users;
@@ -289,6 +295,7 @@
         upstream.m_health = {};
         upstream.m_slowness = {};
         upstream.m_closed_until = {};
+        upstream.m_permits.clear();
         state.m_prefixes.forget(index);
         refresh(state.m_table, options_of(state), index, now);
     }
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dewbeam/permits"
 #include "dewbeam/quarantine"
 #include "dewbeam/src/dispatch/choose.h"
 #include "dewbeam/src/dispatch/group_pulse.h"
@@ -74,7 +75,8 @@
     std::vector<queued_deadline> m_deadlines;             ///< a heap, the earliest first
     std::vector<quarantine::suspicion> m_new_suspicions;  ///< not yet taken by the program
     std::size_t m_waiting = 0;                            ///< requests that are not running
-    double m_block_tokens = 0.0;                          ///< of a prefix block; 0: not known
+    time_point m_last_submit{};
+    double m_block_tokens = 0.0;  ///< of a prefix block; 0: not known
 };
 
 /// A new request arrives. Its ticket must not be in the broker.
@@ -122,6 +124,13 @@
 /// that makes no steps a part of that margin will do.
 bool is_outrun(const broker& state, ticket request, time_span margin);
 
+/// The further permits wanted for each limited upstream; the count may be zero.
+std::vector<permits::demand> wanted_permits(const broker& state, time_point now);
+
+/// Adds issued permits. Each allows one request to a limited upstream until `deadline`.
+actions add_permits(broker& state, const upstream_id& name, std::uint32_t count,
+                    time_point deadline, time_point now, random_engine& random);
+
 /// The entries that now share the upstreams, and this entry's retries.
 void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries);
 
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -2,6 +2,7 @@
 /// What goes into a broker and what comes out: requests, upstreams, actions.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
     bool m_leaving = false;
     bool m_is_stalled = false;  ///< its group stands still: nothing begins there now
     time_point m_lease_deadline = no_deadline;
+    /// Requests a second from all entries together. If set, each request needs a permit.
+    std::optional<double> m_rate_limit;
     load_report m_report;
 };
 
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "dewbeam/src/dispatch/group_gate.h"
+#include "dewbeam/src/dispatch/permits.h"
 
 namespace dewbeam::dispatch {
 
@@ -64,6 +65,8 @@
         const auto wait = admission::expected_wait(facts_of(state, request, now), subject.m_drain);
         result.m_retry_at = admission::next_return(subject.m_returns, limits, subject.m_drain,
                                                    cost_of(request.m_info), wait, now, random);
+        const auto permit_at = now + shortest_permit_wait(state, *request.m_route, now);
+        result.m_retry_at = std::max(result.m_retry_at, permit_at);
     }
     return result;
 }
@@ -296,6 +299,9 @@
     upstream.m_recent_work = recent_work(upstream, now) + chosen.m_missing_tokens + output_work;
     upstream.m_last_dispatch = now;
     upstream.m_running.push_back(request);
+    if (upstream.m_info.m_rate_limit) {
+        use_permit(upstream, now);
+    }
     state.m_prefixes.note_dispatch(chosen.m_index, request.m_info.m_prefix);
     refresh(state.m_table, options_of(state), chosen.m_index, now);
     note_group_start(state.m_table, options_of(state), chosen.m_index, now);
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dewbeam/src/dispatch/permits.h"
+
 namespace dewbeam::dispatch {
 
 namespace {
@@ -165,7 +167,7 @@
               const route_options& options, configuration::work_class wanted, time_point now)
 {
     if (!is_serving(table, upstream, now) || upstream.m_closed_until > now ||
-        upstream.m_runs_alone || upstream.m_held_for != ticket{}) {
+        upstream.m_runs_alone || upstream.m_held_for != ticket{} || lacks_permit(upstream, now)) {
         return false;
     }
     const bool is_reported = has_fresh_report(upstream, now);
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -87,6 +87,7 @@
     running_list m_running;
     std::deque<ended_run> m_ended;  ///< since the last report was measured
     std::vector<route*> m_routes;
+    std::vector<time_point> m_permits;  ///< expiry times, the earliest first
 };
 
 /// What waits for one route in one class.
--- a/dewbeam/src/dispatch/suspects.cpp
+++ b/dewbeam/src/dispatch/suspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "dewbeam/src/dispatch/permits.h"
 #include "dewbeam/src/dispatch/request_life.h"
 
 namespace dewbeam::dispatch {
@@ -95,8 +96,9 @@
         if (!index) {
             continue;
         }
-        const bool is_empty = state.m_table.m_upstreams[*index]->m_in_flight == 0;
-        if (is_empty && request->m_alone_from <= now) {
+        const auto& upstream = *state.m_table.m_upstreams[*index];
+        const bool is_free = upstream.m_in_flight == 0 && !lacks_permit(upstream, now);
+        if (is_free && request->m_alone_from <= now) {
             const auto prompt = static_cast<double>(request->m_info.m_prompt_tokens.m_count);
             stop_waiting(state, *request, now);
             start(state, *request, {*index, prompt, 0.0}, true, now, result);
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -195,6 +195,29 @@
     }
 }
 
+std::vector<permits::demand> pool_table::wanted_permits(time_point now) const
+{
+    std::vector<permits::demand> result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        const auto more = dispatch::wanted_permits(target->m_broker, now);
+        result.insert(result.end(), more.begin(), more.end());
+    }
+    return result;
+}
+
+dispatch::actions pool_table::add_permits(const std::string& pool, const upstream_id& name,
+                                          std::uint32_t count, time_point deadline, time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::add_permits(target->m_broker, name, count, deadline, now, target->m_random);
+}
+
 bool pool_table::note_result(const std::string& pool, const upstream_id& name,
                              dispatch::upstream_result how, time_point now)
 {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -75,6 +75,12 @@
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
                                  time_span margin) const;
 
+    /// The further permits that each pool wants for its limited upstreams.
+    [[nodiscard]] std::vector<permits::demand> wanted_permits(time_point now) const;
+
+    dispatch::actions add_permits(const std::string& pool, const upstream_id& name,
+                                  std::uint32_t count, time_point deadline, time_point now);
+
     /// States for all pools how many entries share the upstreams, and this entry's retries.
     void set_sharing(std::uint32_t entries, const retry::budget_options& retries);
 
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/gateway/forwarder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dewbeam::gateway {
@@ -18,6 +19,14 @@
 constexpr double outrun_share = 0.75;
 constexpr double outrun_share_of_stream = 2.5;
 
+/// An attempt, where it was sent and when.
+struct sent_attempt {
+    upstream_id m_upstream;
+    incarnation m_incarnation;
+    attempt_number m_number;
+    time_point m_sent_at{};
+};
+
 std::int64_t milliseconds(time_span value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -191,13 +200,41 @@
     }
 }
 
+/// Records the rate limit in an answer's head, or its absence.
+void note_rate_limit(gateway_state& state, const sent_attempt& sent,
+                     const std::optional<double>& limit, time_point now)
+{
+    bool is_changed = false;
+    if (!limit) {
+        is_changed = state.m_upstreams.note_no_limit(sent.m_upstream, sent.m_incarnation,
+                                                     sent.m_sent_at, now);
+    }
+    else if (std::isnan(*limit)) {
+        log_event(log_level::warning, "upstream_limit_unreadable",
+                  {{"upstream", sent.m_upstream.value()}});
+    }
+    else {
+        is_changed =
+            state.m_upstreams.note_limit({sent.m_upstream, sent.m_incarnation, *limit, now});
+    }
+    if (is_changed) {
+        apply_rate_limit(state, sent.m_upstream, limit, now);
+    }
+}
+
 http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
-                                  const upstream_id& upstream, attempt_number attempt)
+                                  const sent_attempt& sent)
 {
     http::client_handlers result;
-    result.m_on_head = [&state, request, upstream, attempt](int status, const http::fields& head) {
+    const auto& upstream = sent.m_upstream;
+    const auto attempt = sent.m_number;
+    result.m_on_head = [&state, request, sent, upstream, attempt](int status,
+                                                                  const http::fields& head) {
         const auto now = program::now();
         auto answer = state.m_format.m_read_answer(status, head);
+        const auto limit = answer.m_rate_limit;
+        const bool is_from_upstream =
+            (answer.m_is_proven || answer.m_is_not_run) && !answer.m_is_other_upstream;
         const bool is_plain_success = status / 100 == 2 && !answer.m_is_event_stream;
         if (!request->take_head(attempt, state.m_format, std::move(answer), head, now)) {
             if (request->abandon(attempt)) {
@@ -206,6 +243,9 @@
             }
             return;
         }
+        if (is_from_upstream) {
+            note_rate_limit(state, sent, limit, now);
+        }
         if (is_plain_success) {
             note_first_token(state, request, upstream, now);
         }
@@ -259,9 +299,10 @@
                {"upstream", action.m_upstream.value()},
                {"waited_ms", milliseconds(now - known.m_arrival)},
                {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)}});
-    auto exchange =
-        target.m_client->start(state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
-                               handlers_of(state, request, action.m_upstream, begun->m_number));
+    auto exchange = target.m_client->start(
+        state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
+        handlers_of(state, request,
+                    {action.m_upstream, target.m_incarnation, begun->m_number, now}));
     request->attach(begun->m_number, std::move(exchange));
 }
 
@@ -314,6 +355,24 @@
     }
 }
 
+void update_broker(gateway_state& state, const upstream_id& name, time_point now)
+{
+    const auto info = state.m_upstreams.info(name, now);
+    if (info) {
+        perform(state, state.m_pools.update_upstream(state.m_upstreams.pool_of(name), *info, now),
+                now);
+    }
+}
+
+void apply_rate_limit(gateway_state& state, const upstream_id& name,
+                      const std::optional<double>& limit, time_point now)
+{
+    log_event(log_level::info, "upstream_limited",
+              {{"upstream", name.value()},
+               {"per_second", limit ? std::to_string(*limit) : std::string("none")}});
+    update_broker(state, name, now);
+}
+
 void caller_gone(gateway_state& state, const request_pointer& request, time_point now)
 {
     if (!request->set_gone()) {
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -261,6 +261,14 @@
         };
         result.m_on_loads_end = [this] { on_loads(); };
         result.m_on_gateways = [this](std::uint32_t gateways) { on_gateways(gateways); };
+        result.m_on_limit = [this](const permits::rate_limit& told) {
+            if (m_state.m_upstreams.note_limit(told)) {
+                apply_rate_limit(m_state, told.m_upstream, told.m_per_second, program::now());
+            }
+        };
+        result.m_on_permits = [this](const upstream_id& upstream, std::uint32_t count) {
+            add_permits(upstream, count, program::now());
+        };
         return result;
     }
 
@@ -282,17 +290,7 @@
             return;
         }
         m_state.m_upstreams.put(known, changed.m_is_silent);
-        update_broker(known.m_name, now);
-    }
-
-    void update_broker(const upstream_id& name, time_point now)
-    {
-        const auto info = m_state.m_upstreams.info(name, now);
-        if (info) {
-            perform(m_state,
-                    m_state.m_pools.update_upstream(m_state.m_upstreams.pool_of(name), *info, now),
-                    now);
-        }
+        update_broker(m_state, known.m_name, now);
     }
 
     bool on_revision(const revisions::revision& newer)
@@ -324,11 +322,39 @@
             const auto place = m_others.find(load.m_name);
             m_state.m_upstreams.set_others(load.m_name, place == m_others.end() ? 0 : place->second,
                                            now);
-            update_broker(load.m_name, now);
+            update_broker(m_state, load.m_name, now);
         }
         m_others.clear();
     }
 
+    void add_permits(const upstream_id& upstream, std::uint32_t count, time_point now)
+    {
+        const auto pool = m_state.m_upstreams.pool_of(upstream);
+        const auto deadline = now + permits::permit_lifetime;
+        perform(m_state, m_state.m_pools.add_permits(pool, upstream, count, deadline, now), now);
+    }
+
+    /// While no registry is reachable, issues this gateway's equal share of each limit.
+    void issue_own_shares(const std::vector<permits::rate_limit>& limits, time_point now)
+    {
+        if (limits.empty() || m_state.m_feed.heard(now) > 0) {
+            m_own_shares.clear();
+            return;
+        }
+        for (const auto& limit : limits) {
+            if (limit.m_per_second && take_own_share(limit, now)) {
+                add_permits(limit.m_upstream, 1, now);
+            }
+        }
+    }
+
+    bool take_own_share(const permits::rate_limit& limit, time_point now)
+    {
+        const std::lock_guard lock(m_state.m_random_mutex);
+        return permits::take_own_share(m_own_shares[limit.m_upstream], *limit.m_per_second,
+                                       m_state.m_feed.gateways(), now, m_state.m_random);
+    }
+
     void on_gateways(std::uint32_t gateways)
     {
         if (gateways == m_gateways || gateways == 0) {
@@ -344,7 +370,11 @@
         for (const auto& load : m_state.m_upstreams.loads()) {
             loads.emplace_back(load.m_name.value(), load.m_in_flight);
         }
+        const auto limits = m_state.m_upstreams.limits(now);
+        m_state.m_feed.set_limits(limits, limits.empty() ? std::vector<permits::demand>{}
+                                                         : m_state.m_pools.wanted_permits(now));
         m_state.m_feed.tick(loads, {}, now);
+        issue_own_shares(limits, now);
         perform(m_state, m_state.m_pools.tick(now), now);
         for (const auto& group : m_state.m_pools.take_still_groups()) {
             log_event(log_level::warning, "group_closed",
@@ -364,7 +394,7 @@
     void slow_tick(time_point now)
     {
         for (const auto& name : m_state.m_upstreams.silent()) {
-            update_broker(name, now);
+            update_broker(m_state, name, now);
         }
         m_state.m_metrics.set_in_flight(m_state.m_requests.size());
         m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
@@ -373,11 +403,12 @@
     }
 
     gateway_state m_state;
-    std::atomic<bool> m_is_started = false;         ///< all members below are there
-    std::map<upstream_id, std::uint32_t> m_others;  ///< used on the link's thread alone
-    std::map<upstream_id, double> m_paces;          ///< the same
-    std::uint32_t m_gateways = 0;                   ///< the same
-    time_point m_next_slow{};                       ///< used on the frame's thread alone
+    std::atomic<bool> m_is_started = false;                  ///< all members below are there
+    std::map<upstream_id, std::uint32_t> m_others;           ///< used on the link's thread alone
+    std::map<upstream_id, double> m_paces;                   ///< the same
+    std::uint32_t m_gateways = 0;                            ///< the same
+    time_point m_next_slow{};                                ///< used on the frame's thread alone
+    std::map<upstream_id, permits::own_share> m_own_shares;  ///< the same
     time_point m_started_at{};
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<http::server> m_server;
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -54,6 +54,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_items.erase(name);
+    m_limits.m_limits.erase(name);
 }
 
 destination upstream_table::find(const upstream_id& name) const
@@ -63,7 +64,8 @@
     if (place == m_items.end()) {
         return {};
     }
-    return {place->second.m_client, place->second.m_known.m_failure_domain};
+    return {place->second.m_client, place->second.m_known.m_failure_domain,
+            place->second.m_known.m_incarnation};
 }
 
 std::optional<dispatch::upstream_info> upstream_table::info(const upstream_id& name,
@@ -91,6 +93,11 @@
     if (subject.m_is_silent) {
         result.m_lease_deadline = subject.m_answered_at + trust_after_answer;
     }
+    const auto limit = m_limits.m_limits.find(name);
+    if (limit != m_limits.m_limits.end() &&
+        limit->second.m_incarnation == subject.m_known.m_incarnation) {
+        result.m_rate_limit = limit->second.m_per_second;
+    }
     if (subject.m_others_at != time_point{}) {
         result.m_report.m_running = subject.m_others + subject.m_in_flight;
         result.m_report.m_measured_at = now;
@@ -157,6 +164,35 @@
     }
 }
 
+bool upstream_table::note_limit(const permits::rate_limit& heard)
+{
+    const std::lock_guard lock(m_mutex);
+    return permits::note_limit(m_limits, heard);
+}
+
+bool upstream_table::note_no_limit(const upstream_id& name, incarnation life, time_point sent_at,
+                                   time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_limits.m_limits.find(name);
+    if (place == m_limits.m_limits.end() || !place->second.m_per_second ||
+        place->second.m_incarnation != life || place->second.m_heard_at >= sent_at) {
+        return false;
+    }
+    return permits::note_limit(m_limits, {name, life, std::nullopt, now});
+}
+
+std::vector<permits::rate_limit> upstream_table::limits(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    permits::forget_old(m_limits, now);
+    std::vector<permits::rate_limit> result;
+    for (const auto& [name, limit] : m_limits.m_limits) {
+        result.push_back(limit);
+    }
+    return result;
+}
+
 std::vector<upstream_load> upstream_table::loads() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -10,6 +10,7 @@
 
 #include "dewbeam/dispatch"
 #include "dewbeam/http"
+#include "dewbeam/permits"
 #include "dewbeam/registry"
 
 namespace dewbeam::gateway {
@@ -18,6 +19,7 @@
 struct destination {
     std::shared_ptr<http::client> m_client;
     failure_domain_id m_failure_domain;
+    incarnation m_incarnation;
 };
 
 /// What the gateway has under way at an upstream.
@@ -57,6 +59,19 @@
     /// Which upstreams are slow, as the agents beside them say; the others are not.
     void set_paces(const std::map<upstream_id, double>& paces);
 
+    /// Records a limit or its end.
+    /// \returns whether the limit changed
+    bool note_limit(const permits::rate_limit& heard);
+
+    /// Records an answer without a limit to a request sent at `sent_at`. This ends a limit that was
+    /// heard before then; a later one stays, as the answer may be older.
+    /// \returns whether a limit ended
+    bool note_no_limit(const upstream_id& name, incarnation life, time_point sent_at,
+                       time_point now);
+
+    /// The known limits, including those that ended recently.
+    std::vector<permits::rate_limit> limits(time_point now);
+
     [[nodiscard]] std::vector<upstream_load> loads() const;
 
     /// Names of silent ones: how long they may be used depends on when they answered last.
@@ -81,6 +96,7 @@
     http::client_options m_options;
     mutable std::mutex m_mutex;
     std::map<upstream_id, item> m_items;
+    permits::limit_table m_limits;
 };
 
 /// The pool of a service's upstreams.
--- a/dewbeam/src/gateway/wire_format.h
+++ b/dewbeam/src/gateway/wire_format.h
@@ -49,6 +49,9 @@
     upstream_id m_fault_at;  ///< of a refusal: whose fault it is, e.g. another rank's; may be empty
     bool m_is_event_stream = false;
     bool m_is_proven = false;  ///< carries the upstream's proof that it gave this answer
+    /// Requests a second that the upstream accepts from all gateways together. Empty if the answer
+    /// names no limit, NaN if the limit can't be parsed.
+    std::optional<double> m_rate_limit;
 };
 
 /// The translation. All functions are pure and thread-safe.
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -10,6 +10,7 @@
 #include "dewbeam/src/registrar/addresses.h"
 #include "dewbeam/src/registrar/announcement_wire.h"
 #include "dewbeam/src/registrar/holds.h"
+#include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/revision_news.h"
 #include "dewbeam/src/registrar/watchers.h"
 
@@ -437,7 +438,9 @@
             subject.m_told_change = m_registry.m_last_change;
             news.set_gateways(m_watchers.m_gateways);
             if (watch.wants_loads()) {
+                take_limits(from, watch, now);
                 put_loads(m_watchers, subject, news);
+                put_limits(m_issuer, now, news);
             }
             for (const auto& address : m_named) {
                 news.add_registries(address);
@@ -454,6 +457,33 @@
                             watch, news);
     }
 
+    void take_limits(const link::peer& from, const wire::Watch& watch, time_point now)
+    {
+        for (const auto& limit :
+             take_watch(m_issuer, permits::holder_id(from.m_routing), watch, now)) {
+            log_event(log_level::info, "upstream_limited",
+                      {{"upstream", limit.m_upstream.value()},
+                       {"per_second", limit.m_per_second ? std::to_string(*limit.m_per_second)
+                                                         : std::string("none")}});
+        }
+    }
+
+    /// Issues the permits that are due and sends them to their gateways.
+    void push_permits(time_point now)
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& item : permits::issue(m_issuer, now)) {
+            wire::Envelope message;
+            auto& news = *message.mutable_watch_news();
+            put_revision_news(news, {});
+            auto& issued = *news.add_issued_permits();
+            issued.set_upstream(item.m_upstream.value());
+            issued.set_incarnation(item.m_incarnation.value());
+            issued.set_count(item.m_count);
+            m_node->reply({{}, item.m_holder.value()}, std::move(message));
+        }
+    }
+
     void on_sync(const link::peer& from, const wire::RegistrySync& sync)
     {
         const auto now = program::now();
@@ -554,6 +584,7 @@
             expire(m_holds, now, calls);
         }
         run(calls);
+        push_permits(now);
         const auto status = m_runner->status();
         note_belief(status);
         note_steadiness(status, now);
@@ -651,6 +682,7 @@
     registry::table m_registry;                    ///< under m_mutex
     watcher_table m_watchers;                      ///< the same
     hold_table m_holds;                            ///< the same
+    permits::issuer m_issuer;                      ///< the same
     std::set<upstream_id> m_renewed;               ///< the same; since the last sync
     std::map<std::string, time_point> m_heard_of;  ///< the same; registries by address
     std::vector<std::string> m_named;              ///< the same; registries that gateways are told
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dewbeam/src/registrar/announcement_wire.h"
+#include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/watchers.h"
 
 namespace dewbeam::registrar {
@@ -17,6 +18,10 @@
 /// Registries that a gateway remembers at most: seven may exist, and some were replaced.
 constexpr std::size_t most_registries = 16;
 
+/// A limit that upstreams keep repeating is sent again at this interval, so that the registry
+/// doesn't expire it.
+constexpr time_span limit_refresh = std::chrono::seconds(5);
+
 /// What a registry bears of such questions grows with the gateways.
 constexpr time_span loads_interval_of_gateway = std::chrono::milliseconds(6);
 constexpr time_span shortest_loads_interval = std::chrono::milliseconds(100);
@@ -73,7 +78,7 @@
     }
 }
 
-wire::Envelope registry_feed::watch_of(const source& target, bool wants_loads) const
+wire::Envelope registry_feed::watch_of(const source& target, bool wants_loads, time_point now) const
 {
     wire::Envelope result;
     auto& watch = *result.mutable_watch();
@@ -83,6 +88,7 @@
     watch.set_wants_loads(wants_loads && m_options.m_is_gateway);
     watch.set_is_gateway(m_options.m_is_gateway);
     put_own_loads(watch);
+    put_limits(watch, now);
     for (const auto& [name, pace] : m_paces) {
         auto& item = *watch.add_paces();
         item.set_upstream(name);
@@ -91,6 +97,56 @@
     return result;
 }
 
+/// Sends each limit until the registry reports it back, so that a restarted registry learns it.
+void registry_feed::put_limits(wire::Watch& watch, time_point now) const
+{
+    if (!watch.wants_loads()) {
+        return;
+    }
+    for (const auto& limit : m_limits) {
+        const auto told = m_told_limits.m_limits.find(limit.m_upstream);
+        const bool is_told = told != m_told_limits.m_limits.end() &&
+                             told->second.m_incarnation == limit.m_incarnation &&
+                             told->second.m_per_second == limit.m_per_second &&
+                             limit.m_heard_at <= told->second.m_heard_at + limit_refresh;
+        if (!is_told) {
+            to_wire(limit, now, *watch.add_limits());
+        }
+    }
+    for (const auto& demand : m_demands) {
+        auto& item = *watch.add_wanted_permits();
+        item.set_upstream(demand.m_upstream.value());
+        item.set_count(demand.m_count);
+    }
+}
+
+void registry_feed::set_limits(std::vector<permits::rate_limit> known,
+                               std::vector<permits::demand> wanted)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limits = std::move(known);
+    m_demands = std::move(wanted);
+}
+
+void registry_feed::take_limits(const wire::WatchNews& news, time_point now)
+{
+    if (news.has_loads()) {
+        permits::limit_table told;
+        for (const auto& item : news.limits()) {
+            const auto limit = from_wire(item, now);
+            told.m_limits.insert_or_assign(limit.m_upstream, limit);
+        }
+        const std::lock_guard lock(m_mutex);
+        m_told_limits = std::move(told);
+    }
+    for (const auto& item : news.limits()) {
+        m_handlers.m_on_limit(from_wire(item, now));
+    }
+    for (const auto& item : news.issued_permits()) {
+        m_handlers.m_on_permits(upstream_id(item.upstream()), item.count());
+    }
+}
+
 void registry_feed::tick(const load_list& loads, const pace_list& paces, time_point now)
 {
     std::vector<std::pair<std::string, wire::Envelope>> due;
@@ -110,7 +166,7 @@
                 continue;
             }
             target.m_asked_at = now;
-            due.emplace_back(address, watch_of(target, wants_loads && is_heard));
+            due.emplace_back(address, watch_of(target, wants_loads && is_heard, now));
             wants_loads = wants_loads && !is_heard;
         }
     }
@@ -139,7 +195,7 @@
         if (address.empty()) {
             return;
         }
-        request = watch_of(m_sources.at(address), false);
+        request = watch_of(m_sources.at(address), false, now);
         request.mutable_watch()->set_wants_revision(true);
         request.mutable_watch()->set_takes_packed_revision(true);
     }
@@ -241,6 +297,9 @@
         take_document(from.m_address, news.revision(), now);
     }
     request_document(now);
+    if (m_options.m_is_gateway) {
+        take_limits(news, now);
+    }
     if (news.has_loads()) {
         for (const auto& [upstream, in_flight] : loads_of_others(news)) {
             m_handlers.m_on_load(upstream, in_flight);
@@ -290,6 +349,12 @@
                       [&](const auto& item) { return item.second.m_heard_at + heard_span > now; }));
 }
 
+std::uint32_t registry_feed::gateways() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gateways;
+}
+
 revisions::revision_number registry_feed::revision() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "dewbeam/link"
+#include "dewbeam/permits"
 #include "dewbeam/registry"
 #include "dewbeam/revisions"
 #include "dewbeam/src/registrar/document_fetch.h"
@@ -32,6 +33,10 @@
     std::function<void(const std::string& upstream, double pace)> m_on_pace;
     std::function<void()> m_on_loads_end;
     std::function<void(std::uint32_t gateways)> m_on_gateways;
+    /// Gateways only: a registry reported a limit or its end.
+    std::function<void(const permits::rate_limit& told)> m_on_limit;
+    /// Gateways only: `count` permits were issued for a limited upstream.
+    std::function<void(const upstream_id& upstream, std::uint32_t count)> m_on_permits;
 };
 
 /// Who follows, and how closely.
@@ -66,6 +71,10 @@
     registry_feed(const std::vector<std::string>& seeds, feed_options options,
                   feed_handlers handlers);
 
+    /// Sets what the next watches send: the limits that this gateway knows and the permits that it
+    /// could use.
+    void set_limits(std::vector<permits::rate_limit> known, std::vector<permits::demand> wanted);
+
     /// Watches where it is time to.
     void tick(const load_list& loads, const pace_list& paces, time_point now);
 
@@ -85,6 +94,9 @@
 
     [[nodiscard]] revisions::revision_number revision() const;
 
+    /// The number of gateways that watch the registries, including this one.
+    [[nodiscard]] std::uint32_t gateways() const;
+
 private:
     struct source {
         std::uint64_t m_life = 0;
@@ -100,8 +112,10 @@
     void learn_registries(const wire::WatchNews& news);
     void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
                         std::vector<registry::record>& changed);
-    wire::Envelope watch_of(const source& target, bool wants_loads) const;
+    wire::Envelope watch_of(const source& target, bool wants_loads, time_point now) const;
     void put_own_loads(wire::Watch& watch) const;
+    void put_limits(wire::Watch& watch, time_point now) const;
+    void take_limits(const wire::WatchNews& news, time_point now);
     void request_document(time_point now);
     void take_document(const std::string& from, const wire::Revision& received, time_point now);
 
@@ -117,6 +131,9 @@
     std::uint32_t m_gateways = 1;  ///< that watch the registries, as one told last
     load_list m_loads;
     pace_list m_paces;
+    std::vector<permits::rate_limit> m_limits;
+    std::vector<permits::demand> m_demands;
+    permits::limit_table m_told_limits;  ///< as last reported with the loads
 };
 
 }  // namespace dewbeam::registrar
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
+
 #include "platform/announcement_codec.h"
 #include "platform/book_codec.h"
 #include "platform/call_codec.h"
@@ -95,6 +97,21 @@
     EXPECT_TRUE(to_caller_fields({{"Keep-Alive", "timeout=9"}, {"Content-Length", "4"}}).empty());
 }
 
+TEST(adapter, reads_the_rate_that_an_upstream_limits_itself_to)
+{
+    const auto limit = [](const char* text) {
+        return read_answer_head(200, {{"server-limit", text}}).m_rate_limit;
+    };
+    EXPECT_FALSE(read_answer_head(200, {}).m_rate_limit.has_value());
+    EXPECT_EQ(limit("1.1"), 1.1);
+    EXPECT_EQ(limit("0"), 0.0);
+    for (const char* bad : {"-1", "many", "inf", "1;2"}) {
+        const auto read = limit(bad);
+        ASSERT_TRUE(read.has_value()) << bad;
+        EXPECT_TRUE(std::isnan(*read)) << bad;
+    }
+}
+
 TEST(adapter, reads_a_configuration)
 {
     const auto book = read_book(book_text);
