Reset the connection of a cancelled request so that its unsent data is not delivered

Cause: cancelling an exchange closed its socket, and a normal close still delivers the data in the kernel's send buffer. An upstream behind a saturated or lossy link, or one that reads late, then receives the whole request although its caller is gone, and runs it.

Change: cancel resets the connection (SO_LINGER with a timeout of zero), which discards the send buffer.

--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -83,6 +83,15 @@
     }
 }
 
+/// Closes a connection with a TCP reset. Unlike a normal close, this discards data in the kernel's
+/// send buffer instead of delivering it.
+void reset_connection(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 /// The time for which a server says that it keeps an idle connection, less a margin; none where it
 /// doesn't say.
 std::optional<time_span> stated_idle_limit(const bhttp::response_header<>& head)
@@ -182,8 +191,7 @@
         m_is_cancelled = true;
         asio::post(*m_executor, [self = this->shared_from_this()] {
             if (self->m_connection) {
-                error_code ignored;
-                self->m_connection->lowest().socket().close(ignored);
+                reset_connection(self->m_connection->lowest().socket());
             }
         });
     }
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -230,5 +230,48 @@
     EXPECT_FALSE(fetch(m_server->address(), {"GET", "/", {}, ""}).ok());
 }
 
+// Guards against a server receiving, and running, a whole request after it was cancelled.
+TEST(http_client, unsent_part_of_a_cancelled_request_is_not_delivered)
+{
+    asio::io_context server_context;
+    asio::ip::tcp::acceptor acceptor(server_context);
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.listen();
+
+    asio::io_context client_context;
+    const auto keep_running = asio::make_work_guard(client_context);
+    std::thread client_thread([&] { client_context.run(); });
+    client client_under_test(client_context, {"127.0.0.1", acceptor.local_endpoint().port()}, {});
+    constexpr std::size_t body_size = 256UL * 1024;
+    request wanted;
+    wanted.m_method = "POST";
+    wanted.m_target = "/";
+    wanted.m_body = std::string(body_size, 'x');
+    std::promise<progress> ended;
+    client_handlers handlers;
+    handlers.m_on_head = [](int, const fields&) {};
+    handlers.m_on_data = [](const std::string&) {};
+    handlers.m_on_end = [&](const absl::Status&, progress how_far) { ended.set_value(how_far); };
+    const auto running = client_under_test.start(std::move(wanted), std::move(handlers));
+    asio::ip::tcp::socket accepted(server_context);
+    acceptor.accept(accepted);
+    accepted.wait(asio::ip::tcp::socket::wait_read);
+    running->cancel();
+    EXPECT_EQ(ended.get_future().get(), progress::sent);
+
+    std::array<char, 4096> piece{};
+    std::size_t received_bytes = 0;
+    boost::system::error_code error;
+    while (!error) {
+        received_bytes += accepted.read_some(asio::buffer(piece), error);
+    }
+    EXPECT_LT(received_bytes, body_size);
+    EXPECT_EQ(error, asio::error::connection_reset);
+    client_context.stop();
+    client_thread.join();
+}
+
 }  // namespace
 }  // namespace dewbeam::http
