Make calls refused by an outdated configuration wait for the newer one

A gateway that knew from a registry that a newer configuration was in force still refused calls by the configuration that it held, with 401 and 404. Routes and keys that had been added and acknowledged appeared unknown until the gateway received the new document.

Cause: intake considered only the configuration that the gateway holds, however outdated it was.

Evidence: intake_test on the previous code: with revision 1 held and revision 3 reported by a registry, a call for a route of revision 3 gets 404 at once, and a call with an unknown key gets 401 (two of its three cases fail).

Change: such a call now waits, as calls before the first configuration do, for the newest revision that was known when it arrived, and is then decided by it. Configuration changes in quick succession don't prolong the wait. Past its deadline the call gets 503 with the time after which to come back; the text of that error says that the newest configuration has not arrived yet. Calls that the newest known configuration refuses are refused at once, as before.

Result: intake_test passes.

--- a/dewbeam/src/gateway/held_calls.h
+++ b/dewbeam/src/gateway/held_calls.h
@@ -1,5 +1,5 @@
 /// \file
-/// Calls that arrived before any configuration was known.
+/// Calls that wait for the first configuration or for a newer one that may admit them.
 #pragma once
 
 #include <memory>
@@ -8,17 +8,20 @@
 #include <vector>
 
 #include "dewbeam/http"
+#include "dewbeam/revisions"
 #include "dewbeam/src/gateway/wire_format.h"
 
 namespace dewbeam::gateway {
 
-/// A call without a route yet.
+/// A call that has been neither admitted nor refused yet.
 struct held_call {
     http::request m_request;
     caller_call m_call;
     std::shared_ptr<http::exchange> m_answer;
     time_point m_arrival{};
     time_point m_deadline{};  ///< then it is refused
+    /// The call is routed only by a configuration of at least this revision; 0 means any.
+    revisions::revision_number m_required_revision;
 };
 
 /// The calls, in the order of their arrival. Thread-safe. After a start the first configuration is
@@ -37,27 +40,33 @@
         return true;
     }
 
-    std::vector<held_call> take_all()
+    /// Takes the calls that need no revision newer than `current`.
+    std::vector<held_call> take_ready(revisions::revision_number current)
     {
-        const std::lock_guard lock(m_mutex);
-        return std::exchange(m_calls, {});
+        return take([&](const held_call& call) { return call.m_required_revision <= current; });
     }
 
     /// Takes those whose deadline has come.
     std::vector<held_call> take_lapsed(time_point now)
+    {
+        return take([&](const held_call& call) { return call.m_deadline <= now; });
+    }
+
+private:
+    template <class Condition>
+    std::vector<held_call> take(Condition is_taken)
     {
         const std::lock_guard lock(m_mutex);
-        std::vector<held_call> lapsed;
+        std::vector<held_call> taken;
         std::vector<held_call> rest;
         for (auto& call : m_calls) {
-            auto& place = call.m_deadline <= now ? lapsed : rest;
+            auto& place = is_taken(call) ? taken : rest;
             place.push_back(std::move(call));
         }
         m_calls = std::move(rest);
-        return lapsed;
+        return taken;
     }
 
-private:
     /// A gateway's share of 1,300 requests a second over three gateways, for the longest wait.
     static constexpr std::size_t most_held = 1000;
 
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -98,11 +98,11 @@
     return routes::choose_target(subject, state.m_random);
 }
 
-void refuse_without_configuration(const held_call& subject)
+void refuse_pending_call(const held_call& subject)
 {
-    refuse(
-        *subject.m_answer, subject.m_call.m_request_id,
-        {503, "no_configuration", "no configuration is known yet", return_without_configuration});
+    refuse(*subject.m_answer, subject.m_call.m_request_id,
+           {503, "no_configuration", "the newest configuration has not arrived yet",
+            return_without_configuration});
 }
 
 void hold_call(gateway_state& state, held_call subject)
@@ -111,22 +111,46 @@
     subject.m_deadline = subject.m_arrival + longest_wait_of(limit);
     const auto request_id = subject.m_call.m_request_id;
     const auto longest = subject.m_deadline - subject.m_arrival;
+    const auto required = subject.m_required_revision;
     if (!state.m_held.add(subject)) {
-        refuse_without_configuration(subject);
+        refuse_pending_call(subject);
         return;
     }
     log_event(
         log_level::info, "request_held",
         {{"request", request_id},
-         {"reason", "no_configuration"},
+         {"reason", required.value() == 0 ? "no_configuration" : "newer_configuration"},
+         {"revision", required.value()},
          {"longest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()}});
 }
 
+/// Holds a refused call if a registry has reported a newer configuration, which may admit it.
+/// A call is held for a newer configuration at most once, so that frequent updates don't delay it
+/// further. Returns false, leaving `subject` unchanged, if the refusal stands.
+bool hold_for_newer_configuration(gateway_state& state, const routes::book& rules,
+                                  held_call& subject)
+{
+    const auto newest = state.m_feed.newest_known_revision();
+    const bool has_waited = subject.m_required_revision.value() != 0;
+    if (has_waited || newest <= rules.m_revision) {
+        return false;
+    }
+    subject.m_required_revision = newest;
+    hold_call(state, std::move(subject));
+    if (state.m_book.current()->m_revision >= newest) {
+        release_held_calls(state);  // adopted between the check and the hold
+    }
+    return true;
+}
+
 /// Finds the call's route and workspace, and gives it to the pool of its service.
 void route_call(gateway_state& state, const std::shared_ptr<const routes::book>& rules,
                 held_call subject, time_point now)
 {
     const auto admitted = admit(*rules, subject.m_call);
+    if (admitted.m_fault && hold_for_newer_configuration(state, *rules, subject)) {
+        return;
+    }
     if (admitted.m_fault) {
         refuse(*subject.m_answer, subject.m_call.m_request_id, *admitted.m_fault);
         return;
@@ -168,7 +192,7 @@
         refuse(*answer, "", {400, "bad_request", reason.c_str(), time_span::zero()});
         return;
     }
-    held_call subject{std::move(wanted), *std::move(call), answer, now, {}};
+    held_call subject{std::move(wanted), *std::move(call), answer, now, {}, {}};
     if (const auto rules = state.m_book.current()) {
         route_call(state, rules, std::move(subject), now);
         return;
@@ -186,7 +210,7 @@
         return;
     }
     const auto now = program::now();
-    for (auto& subject : state.m_held.take_all()) {
+    for (auto& subject : state.m_held.take_ready(rules->m_revision)) {
         route_call(state, rules, std::move(subject), now);
     }
 }
@@ -194,7 +218,7 @@
 void refuse_lapsed_calls(gateway_state& state, time_point now)
 {
     for (const auto& subject : state.m_held.take_lapsed(now)) {
-        refuse_without_configuration(subject);
+        refuse_pending_call(subject);
     }
 }
 
--- a/dewbeam/src/gateway/intake.h
+++ b/dewbeam/src/gateway/intake.h
@@ -10,7 +10,7 @@
 void take_call(gateway_state& state, http::request&& wanted,
                const std::shared_ptr<http::exchange>& answer);
 
-/// Goes on with the calls that waited for the first configuration.
+/// Goes on with the calls that waited for this configuration.
 void release_held_calls(gateway_state& state);
 
 /// Refuses the calls that have waited too long for it.
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -349,6 +349,16 @@
                       [&](const auto& item) { return item.second.m_heard_at + heard_span > now; }));
 }
 
+revisions::revision_number registry_feed::newest_known_revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    auto result = m_revision;
+    for (const auto& [address, known] : m_sources) {
+        result = std::max(result, known.m_newest);
+    }
+    return result;
+}
+
 std::uint32_t registry_feed::gateways() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -94,6 +94,9 @@
 
     [[nodiscard]] revisions::revision_number revision() const;
 
+    /// The newest revision reported by any registry; its document may not have been received yet.
+    [[nodiscard]] revisions::revision_number newest_known_revision() const;
+
     /// The number of gateways that watch the registries, including this one.
     [[nodiscard]] std::uint32_t gateways() const;
 
--- /dev/null
+++ b/test/intake_test.cpp
@@ -0,0 +1,144 @@
+// Guards against refusing calls by an outdated configuration while a newer one is being fetched.
+#include "dewbeam/src/gateway/intake.h"
+
+#include <gtest/gtest.h>
+
+#include "dewbeam/src/gateway/gateway_state.h"
+#include "platform/formats.h"
+
+namespace dewbeam::gateway {
+namespace {
+
+using json = nlohmann::json;
+
+/// Records the response status.
+class recording_exchange : public http::exchange {
+public:
+    void respond(http::response whole) override { m_status = whole.m_status; }
+    void start(int status, http::fields) override { m_status = status; }
+    void write(std::string) override {}
+    void finish() override {}
+    void abort() override {}
+    void on_gone(std::function<void()>) override {}
+
+    int m_status = 0;  ///< 0: not answered
+};
+
+json settings()
+{
+    return {{"threads", 1},
+            {"host", "g1"},
+            {"failure_domain", "z1"},
+            {"gateways", 1},
+            {"retries", {{"share", 0.1}, {"burst", 40.0}}},
+            {"registries", {{"seeds", {"127.0.0.1:7000"}}, {"link_port", 0}}}};
+}
+
+json configuration(std::uint64_t revision, const std::vector<std::string>& prefixes)
+{
+    json routes = json::array();
+    for (const auto& prefix : prefixes) {
+        routes.push_back({{"name", prefix},
+                          {"host", "api.example"},
+                          {"path-prefix", prefix},
+                          {"kind", "safe"},
+                          {"timeout-ms", 4000},
+                          {"priority", 1},
+                          {"max-attempts", 2},
+                          {"service", "chat"}});
+    }
+    return {
+        {"version", revision},
+        {"routes", routes},
+        {"services", {{{"name", "chat"}, {"health-path", "/healthz"}, {"max-connections", 10}}}},
+        {"tenants", {{{"name", "t1"}, {"api-keys", {"key-1"}}}}}};
+}
+
+class intake : public testing::Test {
+protected:
+    intake()
+        : m_frame(settings()), m_state(m_frame, settings(), platform::wire_format(), handlers())
+    {
+        adopt(1, {"/old/"});
+    }
+
+    static registrar::feed_handlers handlers()
+    {
+        registrar::feed_handlers result;
+        result.m_send = [](const std::string&, wire::Envelope&&) {};
+        result.m_follow_log = [](log_id) {};
+        return result;
+    }
+
+    void adopt(std::uint64_t revision, const std::vector<std::string>& prefixes)
+    {
+        auto read = m_state.m_format.m_read_book(configuration(revision, prefixes).dump());
+        auto fresh = std::make_shared<routes::book>(std::move(read).value());
+        routes::index(*fresh);
+        m_state.m_book.adopt(std::move(fresh));
+        release_held_calls(m_state);
+    }
+
+    /// Delivers a registry message that reports `revision` as the newest.
+    void report_newest(std::uint64_t revision)
+    {
+        wire::Envelope message;
+        message.set_log(1);
+        message.mutable_watch_news()->set_newest_revision(revision);
+        m_state.m_feed.take({"tcp://127.0.0.1:7000", {}}, message, program::now());
+    }
+
+    std::shared_ptr<recording_exchange> send_call(const std::string& path,
+                                                  const std::string& key = "key-1")
+    {
+        http::request wanted;
+        wanted.m_method = "GET";
+        wanted.m_target = path;
+        wanted.m_fields = {
+            {"Host", "api.example"}, {"Attempt-Id", "a1"}, {"Authorization", "Bearer " + key}};
+        auto answer = std::make_shared<recording_exchange>();
+        take_call(m_state, std::move(wanted), answer);
+        return answer;
+    }
+
+    program::program m_frame;
+    gateway_state m_state;
+};
+
+TEST_F(intake, a_call_is_refused_at_once_by_the_newest_configuration)
+{
+    EXPECT_EQ(send_call("/new/x")->m_status, 404);
+    EXPECT_EQ(send_call("/old/x", "key-2")->m_status, 401);
+}
+
+TEST_F(intake, a_call_that_an_older_configuration_refuses_waits_for_the_newer_one)
+{
+    report_newest(3);
+    const auto added = send_call("/new/x");
+    const auto unknown = send_call("/nowhere/x");
+    const auto bad_key = send_call("/old/x", "key-2");
+    EXPECT_EQ(added->m_status, 0);
+    EXPECT_EQ(unknown->m_status, 0);
+    EXPECT_EQ(bad_key->m_status, 0);
+    adopt(2, {"/old/"});
+    EXPECT_EQ(added->m_status, 0) << "revision 3 has been reported";
+    report_newest(4);
+    adopt(3, {"/old/", "/new/"});
+    EXPECT_EQ(added->m_status, 0) << "admitted, waiting for an upstream";
+    EXPECT_EQ(m_state.m_requests.size(), 1U);
+    EXPECT_EQ(unknown->m_status, 404) << "refused by the newest revision known at arrival";
+    EXPECT_EQ(bad_key->m_status, 401);
+}
+
+TEST_F(intake, a_call_does_not_wait_for_a_newer_configuration_beyond_its_deadline)
+{
+    report_newest(2);
+    const auto answer = send_call("/new/x");
+    refuse_lapsed_calls(m_state, program::now());
+    EXPECT_EQ(answer->m_status, 0);
+    refuse_lapsed_calls(m_state, program::now() + std::chrono::seconds(2));
+    EXPECT_EQ(answer->m_status, 503);
+}
+
+}  // namespace
+}  // namespace dewbeam::gateway
