Free the places of requests whose callers left before they were submitted

Callers: an upstream got less and less work, and requests waited or were refused beside free places.

Cause: the caller's end is registered on the request's record before its ticket is submitted to the broker. If the caller had left by then, the cancellation found no ticket; the ticket was submitted and dispatched afterwards, no record carried it out, and the place stayed taken for good. Each held call whose caller left before its release leaked one place.

Change: one function in each stack submits a request. It skips a request that is over and cancels the ticket again if the request ended meanwhile, so that whichever comes second, submission or cancellation, the ticket is cancelled. The late grant of an idempotency key goes through it as well.

--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -210,6 +210,7 @@
             watch_deadlines(m_state, request, now);
         }
         m_state.m_metrics.set_in_flight(m_state.m_requests.size());
+        m_state.m_metrics.set_attempts(m_state.m_pools.in_flight());
         m_state.m_metrics.set_upstreams(m_state.m_members.size());
     }
 
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -26,13 +26,28 @@
             now);
 }
 
+/// Gives a request to its pool. A caller that leaves meanwhile cancels the ticket once more here:
+/// its own cancellation may have come before the broker knew the ticket.
+void submit(entry_state& state, const request_pointer& request, dispatch::request_info info,
+            time_point now)
+{
+    const auto& known = request->known();
+    if (request->is_over()) {
+        return;
+    }
+    perform(state, state.m_pools.submit(known.m_pool, std::move(info), now), now);
+    if (request->is_over()) {
+        perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+    }
+}
+
 void take_claim(entry_state& state, const request_pointer& request,
                 const dispatch::request_info& info, const control::claim_reply& reply,
                 time_point now)
 {
     if (reply.m_decision == wire::ClaimReply::DECISION_GRANTED) {
         request->set_claim_granted();
-        perform(state, state.m_pools.submit(request->known().m_pool, info, now), now);
+        submit(state, request, info, now);
         return;
     }
     if (reply.m_decision == wire::ClaimReply::DECISION_FINISHED && reply.m_answer) {
@@ -76,7 +91,7 @@
         claim_then_submit(state, request, std::move(info), now);
         return;
     }
-    perform(state, state.m_pools.submit(known.m_pool, std::move(info), now), now);
+    submit(state, request, std::move(info), now);
 }
 
 void refuse_classified(entry_state& state, const caller::error& fault,
--- a/dewbeam/src/entry/metrics.cpp
+++ b/dewbeam/src/entry/metrics.cpp
@@ -57,10 +57,11 @@
     prometheus::Family<prometheus::Gauge>& m_state =
         prometheus::BuildGauge()
             .Name("dewbeam_entry_state")
-            .Help("Requests in flight, upstreams known, configuration number, by name.")
+            .Help("Requests in flight, attempts under way, upstreams known, configuration number, by name.")
             .Register(m_registry);
     prometheus::Counter& m_dispatched = m_attempts.Add({});
     prometheus::Gauge& m_in_flight = m_state.Add({{"name", "in_flight"}});
+    prometheus::Gauge& m_attempts_now = m_state.Add({{"name", "attempts"}});
     prometheus::Gauge& m_number = m_state.Add({{"name", "configuration_number"}});
     prometheus::Gauge& m_upstreams = m_state.Add({{"name", "upstreams"}});
 };
@@ -98,6 +99,11 @@
     m_families->m_in_flight.Set(static_cast<double>(count));
 }
 
+void metrics::set_attempts(std::size_t count)
+{
+    m_families->m_attempts_now.Set(static_cast<double>(count));
+}
+
 void metrics::set_configuration_number(std::uint64_t number)
 {
     m_families->m_number.Set(static_cast<double>(number));
--- a/dewbeam/src/entry/metrics.h
+++ b/dewbeam/src/entry/metrics.h
@@ -33,6 +33,7 @@
     void attempt_failed(const char* end);
 
     void set_in_flight(std::size_t count);
+    void set_attempts(std::size_t count);
     void set_configuration_number(std::uint64_t number);
     void set_upstreams(std::size_t count);
 
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -285,6 +285,17 @@
     }
 }
 
+std::size_t pool_table::in_flight() const
+{
+    std::size_t result = 0;
+    for (const auto& name : names()) {
+        const auto pool = find(name);
+        const std::lock_guard lock(pool->m_mutex);
+        result += dispatch::in_flight(pool->m_broker);
+    }
+    return result;
+}
+
 std::vector<std::string> pool_table::names() const
 {
     const std::shared_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -84,6 +84,9 @@
     /// States for all pools how many entries share the upstreams, and this entry's retries.
     void set_sharing(std::uint32_t entries, const retry::budget_options& retries);
 
+    /// Attempts under way, over all pools. Each takes a place at its upstream.
+    [[nodiscard]] std::size_t in_flight() const;
+
     /// Names of all pools, sorted.
     [[nodiscard]] std::vector<std::string> names() const;
 
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -46,12 +46,13 @@
     prometheus::Family<prometheus::Gauge>& m_state =
         prometheus::BuildGauge()
             .Name("dewbeam_gateway_state")
-            .Help("Requests in flight, upstreams known, registries heard, revision in force.")
+            .Help("Requests in flight, attempts under way, upstreams known, registries heard, revision in force.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
     prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
     prometheus::Histogram& m_whole = m_latency.Add({{"until", "end"}}, latency_bounds);
     prometheus::Gauge& m_in_flight = m_state.Add({{"name", "in_flight"}});
+    prometheus::Gauge& m_attempts_now = m_state.Add({{"name", "attempts"}});
     prometheus::Gauge& m_upstreams = m_state.Add({{"name", "upstreams"}});
     prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
@@ -92,6 +93,11 @@
     m_families->m_in_flight.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::set_attempts(std::size_t count)
+{
+    m_families->m_attempts_now.Set(static_cast<double>(count));
+}
+
 void gateway_metrics::set_upstreams(std::size_t count)
 {
     m_families->m_upstreams.Set(static_cast<double>(count));
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -36,6 +36,7 @@
     void attempt_ended(const std::string& reason);
 
     void set_in_flight(std::size_t count);
+    void set_attempts(std::size_t count);
     void set_upstreams(std::size_t count);
     void set_registries(std::size_t count);
     void set_revision(std::uint64_t number);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -233,6 +233,7 @@
                   {"revision", m_state.m_feed.revision().value()},
                   {"registries", m_state.m_feed.heard(now)},
                   {"in_flight", m_state.m_requests.size()},
+                  {"attempts", m_state.m_pools.in_flight()},
                   {"upstreams", json::array()}};
         for (const auto& load : m_state.m_upstreams.loads()) {
             page["upstreams"].push_back({{"name", load.m_name.value()},
@@ -397,6 +398,7 @@
             update_broker(m_state, name, now);
         }
         m_state.m_metrics.set_in_flight(m_state.m_requests.size());
+        m_state.m_metrics.set_attempts(m_state.m_pools.in_flight());
         m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
         m_state.m_metrics.set_registries(m_state.m_feed.heard(now));
         m_state.m_metrics.set_revision(m_state.m_feed.revision().value());
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -143,6 +143,21 @@
     return true;
 }
 
+/// Gives a request to its pool. A caller that leaves meanwhile cancels the ticket once more here:
+/// its own cancellation may have come before the broker knew the ticket.
+void submit(gateway_state& state, const request_pointer& request, dispatch::request_info info,
+            time_point now)
+{
+    const auto& known = request->known();
+    if (request->is_over()) {
+        return;
+    }
+    perform(state, state.m_pools.submit(known.m_pool, std::move(info), now), now);
+    if (request->is_over()) {
+        perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+    }
+}
+
 /// Finds the call's route and workspace, and gives it to the pool of its service.
 void route_call(gateway_state& state, const std::shared_ptr<const routes::book>& rules,
                 held_call subject, time_point now)
@@ -177,7 +192,7 @@
     const request_pointer request(new gateway_request(std::move(known), answer));
     state.m_requests.add(request);
     answer->on_gone([&state, request] { caller_gone(state, request, program::now()); });
-    perform(state, state.m_pools.submit(request->known().m_pool, std::move(info), now), now);
+    submit(state, request, std::move(info), now);
 }
 
 }  // namespace
--- /dev/null
+++ b/test/entry_intake_test.cpp
@@ -0,0 +1,61 @@
+// Guards against a place at an upstream that stays taken for a request whose caller has left.
+#include "dewbeam/src/entry/intake.h"
+
+#include <gtest/gtest.h>
+
+#include "test/recording_exchange.h"
+
+namespace dewbeam::entry {
+namespace {
+
+using json = nlohmann::json;
+using test::recording_exchange;
+
+json settings()
+{
+    return {{"threads", 1},
+            {"host", "e1"},
+            {"failure_domain", "d1"},
+            {"burn_file", ""},
+            {"controls", {"127.0.0.1:7000"}},
+            {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
+}
+
+class entry_intake : public testing::Test {
+protected:
+    entry_intake() : m_frame(settings()), m_state(m_frame, settings(), [] {})
+    {
+        wire::Configuration rules;
+        rules.mutable_version()->set_term(1);
+        rules.mutable_version()->set_index(1);
+        rules.set_document(
+            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}.dump());
+        EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
+        dispatch::upstream_info upstream;
+        upstream.m_name = upstream_id("u1");
+        upstream.m_labels.set("pool", "chat");
+        m_state.m_pools.update_upstream(model_pool(model_id("m")), upstream, program::now());
+    }
+
+    program::program m_frame;
+    entry_state m_state;
+};
+
+TEST_F(entry_intake, a_request_whose_caller_left_while_it_was_classified_anew_keeps_no_place)
+{
+    entry_request::facts known;
+    known.m_ticket = dispatch::ticket(++m_state.m_last_ticket);
+    known.m_call.m_model = model_id("m");
+    known.m_caller_model = known.m_call.m_model;
+    known.m_arrival = program::now();
+    auto answer = std::make_shared<recording_exchange>();
+    answer->m_is_gone = true;
+    const request_pointer request(new entry_request(std::move(known), answer));
+    m_state.m_requests.add(request);
+    resubmit(m_state, request, {}, program::now());
+    EXPECT_EQ(m_state.m_requests.size(), 0U);
+    EXPECT_EQ(m_state.m_pools.in_flight(), 0U);
+}
+
+}  // namespace
+}  // namespace dewbeam::entry
--- a/test/intake_test.cpp
+++ b/test/intake_test.cpp
@@ -1,28 +1,19 @@
-// Guards against refusing calls by an outdated configuration while a newer one is being fetched.
+// Guards against refusing calls by an outdated configuration while a newer one is being fetched, and
+// against calls whose callers have left: they must not keep a place at an upstream.
 #include "dewbeam/src/gateway/intake.h"
 
 #include <gtest/gtest.h>
 
+#include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "platform/formats.h"
+#include "test/recording_exchange.h"
 
 namespace dewbeam::gateway {
 namespace {
 
 using json = nlohmann::json;
-
-/// Records the response status.
-class recording_exchange : public http::exchange {
-public:
-    void respond(http::response whole) override { m_status = whole.m_status; }
-    void start(int status, http::fields) override { m_status = status; }
-    void write(std::string) override {}
-    void finish() override {}
-    void abort() override {}
-    void on_gone(std::function<void()>) override {}
-
-    int m_status = 0;  ///< 0: not answered
-};
+using test::recording_exchange;
 
 json settings()
 {
@@ -88,8 +79,22 @@
         m_state.m_feed.take({"tcp://127.0.0.1:7000", {}}, message, program::now());
     }
 
+    /// An upstream of the service with one place.
+    void add_upstream()
+    {
+        registry::announcement known;
+        known.m_name = upstream_id("u1");
+        known.m_service = "chat";
+        known.m_address = {"127.0.0.1", 9};
+        m_state.m_upstreams.put(known, false);
+        update_broker(m_state, known.m_name, program::now());
+    }
+
+    std::uint32_t sent() const { return m_state.m_upstreams.loads().front().m_in_flight; }
+
     std::shared_ptr<recording_exchange> send_call(const std::string& path,
-                                                  const std::string& key = "key-1")
+                                                  const std::string& key = "key-1",
+                                                  bool is_gone = false)
     {
         http::request wanted;
         wanted.m_method = "GET";
@@ -97,6 +102,7 @@
         wanted.m_fields = {
             {"Host", "api.example"}, {"Attempt-Id", "a1"}, {"Authorization", "Bearer " + key}};
         auto answer = std::make_shared<recording_exchange>();
+        answer->m_is_gone = is_gone;
         take_call(m_state, std::move(wanted), answer);
         return answer;
     }
@@ -140,5 +146,28 @@
     EXPECT_EQ(answer->m_status, 503);
 }
 
+// Guards against a place that stays taken for a call which its caller left before it was submitted.
+TEST_F(intake, a_call_whose_caller_has_left_keeps_no_place)
+{
+    add_upstream();
+    send_call("/old/x", "key-1", true);
+    EXPECT_EQ(m_state.m_pools.in_flight(), 0U);
+    send_call("/old/x");
+    EXPECT_EQ(sent(), 1U) << "the upstream has one place, and nothing runs there";
+}
+
+// Guards against the same for calls that are held for a newer configuration.
+TEST_F(intake, a_held_call_whose_caller_has_left_keeps_no_place)
+{
+    add_upstream();
+    report_newest(2);
+    const auto held = send_call("/new/x");
+    held->m_is_gone = true;
+    adopt(2, {"/old/", "/new/"});
+    EXPECT_EQ(m_state.m_pools.in_flight(), 0U);
+    send_call("/old/x");
+    EXPECT_EQ(sent(), 1U);
+}
+
 }  // namespace
 }  // namespace dewbeam::gateway
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -15,6 +15,7 @@
 START_LIMIT_S = 30.0
 RECOVERY_S = 12.0
 DRAIN_GRACE_S = 2.0
+IDLE_LIMIT_S = 2.0
 
 
 def wait_for(condition, limit_s):
@@ -54,6 +55,16 @@
         promises.fail("%d of %d requests were served after the last fault" % (served, len(results)))
 
 
+def check_places(site, promises):
+    """Without callers no gateway counts an attempt: each would take a place for good."""
+    for name in GATEWAYS:
+        def is_idle(gateway=name):
+            page = site.status(gateway)
+            return page is not None and page["attempts"] == 0
+        if not wait_for(is_idle, IDLE_LIMIT_S):
+            promises.fail("%s counts attempts of callers that are gone" % name)
+
+
 def run_seed(bin_folder, seed, seconds, work=None):
     """Runs one seed. Gives what was broken, the faults in order, and the counts of answers."""
     with tempfile.TemporaryDirectory(dir=work) as folder, SoakSite(bin_folder, folder, seed) as site:
@@ -76,6 +87,7 @@
         for thread in [operator, *callers]:
             thread.join(10.0)
         time.sleep(0.5)
+        check_places(site, promises)
         promises.check_runs(site.upstreams)
         for upstream, when in faults.drained:
             promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit)
