See the end of a caller behind bytes that it sent before

Callers: an engine stayed at work, and further attempts were begun, for callers that had left, if they had sent anything behind their request (a line end, their next request) before the close.

Cause: the server waited once for the connection to become readable and peeked at one byte. Bytes that aren't an end finished the watch. Behind TLS each record is such bytes, close_notify too.

Change: while an answer is under way the server reads ahead, up to the size of one largest request, and keeps the bytes for the next request; beyond that it looks at the TCP state at intervals. The limit of a write is a deadline of its own: the stream's timer would also end the read that now runs beside it. A TLS shutdown has a limit too.

--- a/dewbeam/src/http/answer_writer.h
+++ b/dewbeam/src/http/answer_writer.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <utility>
 
+#include "dewbeam/src/http/operation_deadline.h"
 #include "dewbeam/src/http/queued_exchange.h"
 
 namespace dewbeam::http::internal {
@@ -33,9 +34,10 @@
 public:
     /// `is_winding_down` is read as the head goes out: a stop that began while the request ran
     /// still tells the caller to move on.
-    answer_writer(Stream& stream, time_span limit, bool keep_alive, bool is_head,
+    answer_writer(Stream& stream, strand executor, time_span limit, bool keep_alive, bool is_head,
                   const std::atomic<bool>& is_winding_down)
         : m_stream(stream),
+          m_executor(std::move(executor)),
           m_limit(limit),
           m_keep_alive(keep_alive),
           m_is_head(is_head),
@@ -53,8 +55,10 @@
                 co_return false;
             }
             const auto kind = item->m_kind;
-            const auto error = co_await write(std::move(*item));
+            operation_deadline deadline(m_executor, lowest(m_stream).socket(), m_limit);
+            const auto error = deadline.finish(co_await write(std::move(*item)));
             if (error) {
+                close();
                 answer.set_gone();
                 co_return false;
             }
@@ -66,9 +70,15 @@
     }
 
 private:
+    /// Nothing can be sent behind a part of a message.
+    void close()
+    {
+        error_code ignored;
+        lowest(m_stream).socket().close(ignored);
+    }
+
     asio::awaitable<error_code> write(piece item)
     {
-        lowest(m_stream).expires_after(m_limit);
         error_code error;
         const bool has_head = item.m_kind == piece::kind::whole || item.m_kind == piece::kind::head;
         m_keep_alive = m_keep_alive && !(has_head && m_is_winding_down);
@@ -112,6 +122,7 @@
     }
 
     Stream& m_stream;
+    strand m_executor;
     time_span m_limit;
     bool m_keep_alive;
     bool m_is_head;
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -1,7 +1,5 @@
 #include "dewbeam/src/http/server.h"
 
-#include <sys/socket.h>
-
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +11,7 @@
 #include <utility>
 
 #include "dewbeam/src/http/answer_writer.h"
+#include "dewbeam/src/http/caller_watch.h"
 
 namespace dewbeam::http {
 
@@ -141,23 +140,6 @@
     std::shared_ptr<connection_slot> m_slot;
 };
 
-/// Calls `set_gone` when the caller closes its side while an answer is under way.
-asio::awaitable<void> watch_caller(tcp::socket& socket, std::shared_ptr<queued_exchange> answer)
-{
-    error_code error;
-    co_await socket.async_wait(tcp::socket::wait_read, to_value(error));
-    // Once the answer is over the connection, and with it the socket, may be gone.
-    if (error || answer->is_finished()) {
-        co_return;
-    }
-    char byte = 0;
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool is_closed = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    if (is_closed) {
-        answer->set_gone();
-    }
-}
-
 template <class Shared, class Stream>
 asio::awaitable<void> refuse_request(Shared& state, Stream& stream, const read_fault& fault)
 {
@@ -195,35 +177,6 @@
     co_return error;
 }
 
-/// Ends a read that takes too long, and leaves the connection open for the answer that says so:
-/// the deadline of a `tcp_stream` would close it.
-class read_deadline {
-public:
-    read_deadline(const strand& executor, tcp::socket& socket, time_span limit)
-        : m_timer(executor, limit), m_is_over(std::make_shared<bool>(false))
-    {
-        m_timer.async_wait([&socket, is_over = m_is_over](const error_code& error) {
-            if (!error && !*is_over) {
-                *is_over = true;
-                error_code ignored;
-                socket.cancel(ignored);
-            }
-        });
-    }
-
-    /// The read ended with `error`; gives a timeout in its place where this deadline ended it.
-    error_code finish(error_code error)
-    {
-        const bool has_expired = std::exchange(*m_is_over, true);
-        m_timer.cancel();
-        return has_expired && error ? error_code(beast::error::timeout) : error;
-    }
-
-private:
-    asio::steady_timer m_timer;
-    std::shared_ptr<bool> m_is_over;  ///< shared with a wait that may outlive this object
-};
-
 using request_parser = bhttp::request_parser<bhttp::string_body>;
 
 /// Reads one request, and tells a caller that asks first to go on.
@@ -234,7 +187,7 @@
 {
     error_code error;
     lowest(stream).expires_never();
-    read_deadline deadline(executor, lowest(stream).socket(), limit);
+    operation_deadline deadline(executor, lowest(stream).socket(), limit);
     co_await bhttp::async_read_header(stream, buffer, parser, to_value(error));
     if (error) {
         co_return deadline.finish(error);
@@ -276,14 +229,16 @@
         const bool is_head = parser.get().method() == bhttp::verb::head;
         auto answer = std::make_shared<queued_exchange>(executor, limits.m_most_unsent_bytes);
         lowest(stream).expires_never();
-        asio::co_spawn(executor, watch_caller(lowest(stream).socket(), answer), asio::detached);
+        caller_watch<Stream> watch(stream, buffer, executor,
+                                   limits.m_most_header_bytes + limits.m_most_body_bytes);
+        watch.start(executor, answer);
         ++state->m_unanswered;
         state->m_handler(to_request(parser.release()), answer);
-        answer_writer<Stream> writer(stream, limits.m_write_limit, keep_alive, is_head,
+        answer_writer<Stream> writer(stream, executor, limits.m_write_limit, keep_alive, is_head,
                                      state->m_is_winding_down);
         keep_alive = co_await writer.run(*answer);
         --state->m_unanswered;
-        lowest(stream).socket().cancel(error);  // ends the watch
+        co_await watch.stop();
     }
 }
 
@@ -304,6 +259,7 @@
         }
         else {
             co_await serve(state, stream, executor);
+            lowest(stream).expires_after(state->m_options.m_limits.m_write_limit);
             co_await stream.async_shutdown(to_value(error));
         }
     }
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -6,7 +6,10 @@
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+#include <cstdio>
 #include <future>
+#include <memory>
 #include <thread>
 
 namespace dewbeam::http {
@@ -18,9 +21,8 @@
 /// A server on its own thread whose handler is set by each test.
 class fixture : public testing::Test {
 protected:
-    void start(const server_limits& limits, request_handler handler)
+    void start(const server_limits& limits, request_handler handler, server_options options = {})
     {
-        server_options options;
         options.m_listen = {"127.0.0.1", 0};
         options.m_limits = limits;
         m_server = server::start(m_context, options, std::move(handler),
@@ -207,6 +209,171 @@
     EXPECT_EQ(gone.get_future().wait_for(10s), std::future_status::ready);
 }
 
+/// What a caller sends and does before it goes away.
+struct departure {
+    const char* m_name;
+    std::string m_sent_behind;  ///< behind its request
+    bool m_resets = false;      ///< else it closes
+};
+
+class http_departure : public fixture, public testing::WithParamInterface<departure> {};
+
+// Guards against work for callers that have left: their end must be seen behind whatever they sent.
+TEST_P(http_departure, is_reported)
+{
+    std::promise<void> taken;
+    std::promise<void> gone;
+    std::shared_ptr<exchange> kept;
+    start({}, [&](request&&, const std::shared_ptr<exchange>& answer) {
+        kept = answer;
+        answer->on_gone([&] { gone.set_value(); });
+        taken.set_value();
+    });
+    auto socket = connect();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    ASSERT_EQ(taken.get_future().wait_for(10s), std::future_status::ready);
+    asio::write(socket, asio::buffer(GetParam().m_sent_behind));
+    // The server takes note of these bytes before the end comes.
+    std::this_thread::sleep_for(50ms);
+    if (GetParam().m_resets) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    socket.close();
+    EXPECT_EQ(gone.get_future().wait_for(2s), std::future_status::ready);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, http_departure,
+    testing::Values(departure{"closes", ""}, departure{"resets", "", true},
+                    departure{"sends_a_line_end_and_closes", "\r\n"},
+                    departure{"sends_its_next_request_and_closes",
+                              "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"},
+                    departure{"sends_its_next_request_and_resets",
+                              "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n", true},
+                    departure{"sends_a_large_request_and_closes",
+                              "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" +
+                                  std::string(300'000, 'x')}),
+    [](const auto& one) { return one.param.m_name; });
+
+// Guards against losing the requests that are sent before the answer to the one ahead of them.
+TEST_F(http_server, requests_sent_ahead_are_answered_in_order)
+{
+    start({}, [this](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        auto pause = std::make_shared<asio::steady_timer>(m_context, 30ms);
+        pause->async_wait([pause, answer, target = wanted.m_target, size = wanted.m_body.size()](
+                              const boost::system::error_code&) {
+            answer->respond(json_response(200, target + ":" + std::to_string(size) + ";"));
+        });
+    });
+    const std::string large(300'000, 'x');
+    const auto answers = exchange_bytes(
+        "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 300000"
+        "\r\n\r\n" +
+        large + "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const auto first = answers.find("/1:0;");
+    const auto second = answers.find("/2:300000;");
+    const auto third = answers.find("/3:0;");
+    EXPECT_NE(third, std::string::npos) << answers;
+    EXPECT_TRUE(first < second && second < third) << answers;
+}
+
+/// A server behind TLS, with a certificate of its own making.
+class https_server : public fixture {
+protected:
+    using tls_socket = asio::ssl::stream<asio::ip::tcp::socket>;
+
+    https_server()
+    {
+        m_options.m_certificate_file = testing::TempDir() + "http_test_certificate.pem";
+        m_options.m_key_file = testing::TempDir() + "http_test_key.pem";
+        const std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key(EVP_EC_gen("P-256"),
+                                                                      EVP_PKEY_free);
+        const std::unique_ptr<X509, decltype(&X509_free)> certificate(X509_new(), X509_free);
+        constexpr long lifetime_s = 3600;
+        X509_gmtime_adj(X509_getm_notBefore(certificate.get()), 0);
+        X509_gmtime_adj(X509_getm_notAfter(certificate.get()), lifetime_s);
+        X509_set_pubkey(certificate.get(), key.get());
+        X509_sign(certificate.get(), key.get(), EVP_sha256());
+        const file_pointer certificate_file = open(m_options.m_certificate_file);
+        PEM_write_X509(certificate_file.get(), certificate.get());
+        const file_pointer key_file = open(m_options.m_key_file);
+        PEM_write_PrivateKey(key_file.get(), key.get(), nullptr, nullptr, 0, nullptr, nullptr);
+    }
+
+    tls_socket connect_tls()
+    {
+        tls_socket socket(m_client_context, m_tls);
+        socket.next_layer() = connect();
+        socket.handshake(tls_socket::client);
+        return socket;
+    }
+
+    server_options m_options;
+
+private:
+    using file_pointer = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
+
+    static file_pointer open(const std::string& path)
+    {
+        return {std::fopen(path.c_str(), "w"), &std::fclose};
+    }
+
+    asio::ssl::context m_tls{asio::ssl::context::tls_client};
+};
+
+TEST_F(https_server, caller_that_ends_its_session_is_reported)
+{
+    std::promise<void> taken;
+    std::promise<void> gone;
+    std::shared_ptr<exchange> kept;
+    start(
+        {},
+        [&](request&&, const std::shared_ptr<exchange>& answer) {
+            kept = answer;
+            answer->on_gone([&] { gone.set_value(); });
+            taken.set_value();
+        },
+        m_options);
+    auto socket = connect_tls();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    ASSERT_EQ(taken.get_future().wait_for(10s), std::future_status::ready);
+    asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::this_thread::sleep_for(50ms);
+    socket.async_shutdown([](const boost::system::error_code&) {});  // sends close_notify
+    m_client_context.poll();
+    EXPECT_EQ(gone.get_future().wait_for(2s), std::future_status::ready);
+}
+
+// Guards against the limit of one write ending a connection that is read from meanwhile.
+TEST_F(https_server, stream_that_outlasts_the_write_limit_goes_on)
+{
+    server_limits limits;
+    limits.m_write_limit = 100ms;
+    start(
+        limits,
+        [this](request&&, const std::shared_ptr<exchange>& answer) {
+            answer->start(200, {});
+            answer->write("first;");
+            auto pause = std::make_shared<asio::steady_timer>(m_context, 500ms);
+            pause->async_wait([pause, answer](const boost::system::error_code&) {
+                answer->write("last;");
+                answer->finish();
+            });
+        },
+        m_options);
+    auto socket = connect_tls();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::this_thread::sleep_for(50ms);
+    asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: a\r\n"
+                                                 "Connection: close\r\n\r\n")));
+    std::string answers;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answers), error);
+    const auto first = answers.find("last;");
+    EXPECT_NE(first, std::string::npos) << answers;
+    EXPECT_NE(answers.find("last;", first + 1), std::string::npos) << answers;
+}
+
 TEST_F(http_server, client_reads_whole_answers_and_reuses_its_connection)
 {
     start({}, [](request&& wanted, const std::shared_ptr<exchange>& answer) {
