Pass the states of upstreams to brokers in the order in which they were learned

Callers: an upstream that is ready may be left unused (requests wait, or get 503 from a healthy pool), or one that leaves may still get requests.

Cause: a thread changes the table under its lock, takes a copy, and passes it to the broker under another lock. Two threads may swap, and the older copy stays until the next change. In an entry the link's thread and the timer both hand out changes of the membership; in a gateway the link, the timer and each answer with a rate limit update the broker.

Change: the membership queues changes under its own lock and one thread at a time hands them out. In both stacks the table is read and the broker told under one lock; a removed upstream can't be put back by an older copy.

--- a/dewbeam/src/entry/entry_state.h
+++ b/dewbeam/src/entry/entry_state.h
@@ -49,6 +49,7 @@
     control::claim_client m_claims;
     pool_table m_pools;
     member_table m_members;
+    std::mutex m_update_mutex;  ///< held while a member is read from the table and shown to pools
     request_table m_requests;
     loss_memory m_losses;
     std::atomic<std::uint64_t> m_last_ticket = 0;
--- a/dewbeam/src/entry/member_feed.cpp
+++ b/dewbeam/src/entry/member_feed.cpp
@@ -8,8 +8,15 @@
 
 void remove_from_pools(entry_state& state, const membership::member& member, time_point now)
 {
-    for (const auto& pool : pools_of(member)) {
-        perform(state, state.m_pools.remove_upstream(pool, member.m_upstream, now), now);
+    std::vector<dispatch::actions> wanted;
+    {
+        const std::lock_guard lock(state.m_update_mutex);
+        for (const auto& pool : pools_of(member)) {
+            wanted.push_back(state.m_pools.remove_upstream(pool, member.m_upstream, now));
+        }
+    }
+    for (const auto& actions : wanted) {
+        perform(state, actions, now);
     }
 }
 
@@ -29,7 +36,8 @@
             state.m_node->close(member.m_address);
             end_attempts_at(state, member.m_address, now);
         }
-        update_pools(state, state.m_members.take(member), now);
+        state.m_members.take(member);
+        update_pools(state, member.m_host, now);
     }
     else if (state.m_members.remove(member)) {
         log_event(log_level::info, "upstream_gone", {{"upstream", member.m_upstream.value()}});
@@ -45,20 +53,30 @@
     hooks.m_on_change = [&state](const membership::member& member) { on_member(state, member); };
     hooks.m_on_report = [&state](const host_id& host, incarnation,
                                  const membership::member_load& load) {
-        if (const auto changed = state.m_members.take_load(host, load)) {
-            update_pools(state, *changed, program::now());
-        }
+        state.m_members.take_load(host, load);
+        update_pools(state, host, program::now());
     };
     return hooks;
 }
 
-void update_pools(entry_state& state, const membership::member& member, time_point now)
+void update_pools(entry_state& state, const host_id& host, time_point now)
 {
-    const auto active = state.m_configuration.current();
-    const auto labels = configuration::effective_labels(active->m_document, member.m_labels);
-    const auto info = to_upstream(member, labels);
-    for (const auto& pool : pools_of(member)) {
-        perform(state, state.m_pools.update_upstream(pool, info, now), now);
+    std::vector<dispatch::actions> wanted;
+    {
+        const std::lock_guard lock(state.m_update_mutex);
+        const auto member = state.m_members.find(host);
+        if (!member) {
+            return;
+        }
+        const auto active = state.m_configuration.current();
+        const auto labels = configuration::effective_labels(active->m_document, member->m_labels);
+        const auto info = to_upstream(*member, labels);
+        for (const auto& pool : pools_of(*member)) {
+            wanted.push_back(state.m_pools.update_upstream(pool, info, now));
+        }
+    }
+    for (const auto& actions : wanted) {
+        perform(state, actions, now);
     }
 }
 
@@ -67,7 +85,7 @@
     const auto now = program::now();
     state.m_metrics.set_configuration_number(state.m_configuration.current()->m_number);
     for (const auto& member : state.m_members.all()) {
-        update_pools(state, member, now);
+        update_pools(state, member.m_host, now);
     }
 }
 
--- a/dewbeam/src/entry/member_table.cpp
+++ b/dewbeam/src/entry/member_table.cpp
@@ -18,7 +18,7 @@
     return place != m_members.end() && place->second.m_member.m_incarnation < fresh.m_incarnation;
 }
 
-membership::member member_table::take(const membership::member& fresh)
+void member_table::take(const membership::member& fresh)
 {
     const std::lock_guard lock(m_mutex);
     auto& item = m_members[fresh.m_host];
@@ -32,7 +32,6 @@
         item.m_member.m_load = load;
     }
     m_addresses[fresh.m_upstream] = fresh.m_address;
-    return as_seen(item);
 }
 
 bool member_table::remove(const membership::member& dead)
@@ -48,27 +47,31 @@
     return is_known;
 }
 
-std::optional<membership::member> member_table::take_load(const host_id& host,
-                                                          const membership::member_load& load)
+void member_table::take_load(const host_id& host, const membership::member_load& load)
 {
     const std::lock_guard lock(m_mutex);
     const auto place = m_members.find(host);
-    if (place == m_members.end()) {
-        return std::nullopt;
+    if (place != m_members.end()) {
+        place->second.m_member.m_load = load;
+        place->second.m_is_unreachable = false;
     }
-    place->second.m_member.m_load = load;
-    place->second.m_is_unreachable = false;
-    return as_seen(place->second);
 }
 
-std::vector<membership::member> member_table::set_unreachable(const std::string& address)
+std::optional<membership::member> member_table::find(const host_id& host) const
 {
-    std::vector<membership::member> result;
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_members.find(host);
+    return place == m_members.end() ? std::nullopt : std::optional(as_seen(place->second));
+}
+
+std::vector<host_id> member_table::set_unreachable(const std::string& address)
+{
+    std::vector<host_id> result;
     const std::lock_guard lock(m_mutex);
     for (auto& [host, item] : m_members) {
         if (item.m_member.m_address == address) {
             item.m_is_unreachable = true;
-            result.push_back(as_seen(item));
+            result.push_back(host);
         }
     }
     return result;
--- a/dewbeam/src/entry/member_table.h
+++ b/dewbeam/src/entry/member_table.h
@@ -18,19 +18,21 @@
     /// Whether `fresh` is a later process of a host that is known.
     [[nodiscard]] bool is_new_process(const membership::member& fresh) const;
 
-    /// Takes what membership learned of an agent; gives it as the pools should see it.
-    membership::member take(const membership::member& fresh);
+    /// Takes what membership learned of an agent.
+    void take(const membership::member& fresh);
 
     /// Forgets an agent that is held dead; false where a later incarnation is known.
     bool remove(const membership::member& dead);
 
     /// Takes a load report, which shows that the agent can be reached from here.
-    std::optional<membership::member> take_load(const host_id& host,
-                                                const membership::member_load& load);
+    void take_load(const host_id& host, const membership::member_load& load);
 
     /// The link to an agent went silent: nothing goes there until it is heard of again. Gives
     /// those that listen at `address`.
-    std::vector<membership::member> set_unreachable(const std::string& address);
+    std::vector<host_id> set_unreachable(const std::string& address);
+
+    /// An agent as the pools should see it; nothing where it isn't known.
+    [[nodiscard]] std::optional<membership::member> find(const host_id& host) const;
 
     /// The link address of an upstream's agent; empty where it is not known.
     [[nodiscard]] std::string address_of(const upstream_id& upstream) const;
--- a/dewbeam/src/entry/membership_runner.cpp
+++ b/dewbeam/src/entry/membership_runner.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/entry/membership_runner.h"
 
+#include <iterator>
 #include <utility>
 
 #include "dewbeam/src/entry/member_wire.h"
@@ -53,6 +54,7 @@
             return true;
         }
         out = membership::receive(m_view, received, now);
+        keep_changes(out);
     }
     perform(out, now);
     return true;
@@ -68,6 +70,7 @@
         }
         m_tick_at = now + m_view.m_options.m_gossip;
         out = membership::tick(m_view, now, m_random);
+        keep_changes(out);
     }
     perform(out, now);
 }
@@ -181,11 +184,35 @@
     if (out.m_is_superseded && m_hooks.m_on_superseded) {
         m_hooks.m_on_superseded();
     }
-    if (m_hooks.m_on_change) {
-        for (const auto& item : out.m_changes) {
-            m_hooks.m_on_change(item);
+    deliver_changes();
+}
+
+/// Queues what the view learned. Called with the lock held.
+void membership_runner::keep_changes(membership::effects& out)
+{
+    std::move(out.m_changes.begin(), out.m_changes.end(), std::back_inserter(m_undelivered));
+}
+
+/// Hands out the queued changes, unless another thread does so already. Two threads that each
+/// handed out their own could swap them, and a member would stay suspect in the eyes of the program
+/// although the view knows better.
+void membership_runner::deliver_changes()
+{
+    std::unique_lock lock(m_mutex);
+    if (m_is_delivering) {
+        return;
+    }
+    m_is_delivering = true;
+    while (!m_undelivered.empty()) {
+        const auto change = std::move(m_undelivered.front());
+        m_undelivered.pop_front();
+        if (m_hooks.m_on_change) {
+            lock.unlock();
+            m_hooks.m_on_change(change);
+            lock.lock();
         }
     }
+    m_is_delivering = false;
 }
 
 incarnation membership_runner::own_incarnation() const
--- a/dewbeam/src/entry/membership_runner.h
+++ b/dewbeam/src/entry/membership_runner.h
@@ -2,6 +2,7 @@
 /// Joins the membership decisions to a program's link. Entries, agents and controls use it alike.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -18,7 +19,8 @@
 struct membership_hooks {
     /// Sends to the process that listens at an address.
     std::function<void(const std::string&, wire::Envelope)> m_send;
-    /// A member is new, said something new, or is held suspect or dead.
+    /// A member is new, said something new, or is held suspect or dead. One call at a time, in the
+    /// order in which the view learned of it.
     std::function<void(const membership::member&)> m_on_change;
     /// An agent's load report arrived.
     std::function<void(const host_id&, incarnation, const membership::member_load&)> m_on_report;
@@ -78,6 +80,8 @@
     [[nodiscard]] nlohmann::json reach_json(time_point now) const;
 
 private:
+    void keep_changes(membership::effects& out);
+    void deliver_changes();
     void perform(membership::effects& out, time_point now);
     void send(const std::string& address, wire::Envelope message);
 
@@ -87,6 +91,8 @@
     membership::report_readers m_readers;
     random_engine m_random;
     time_point m_tick_at{};
+    std::deque<membership::member> m_undelivered;  ///< changes, oldest first
+    bool m_is_delivering = false;                  ///< some thread hands them out
 };
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -136,10 +136,10 @@
         return;
     }
     const auto now = program::now();
-    for (const auto& member : state.m_members.set_unreachable(gone.m_address)) {
+    for (const auto& host : state.m_members.set_unreachable(gone.m_address)) {
         // A report shows when the agent can be reached again.
         state.m_next_interest = time_point{};
-        update_pools(state, member, now);
+        update_pools(state, host, now);
     }
     end_attempts_at(state, gone.m_address, now);
 }
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -109,13 +109,11 @@
 }
 
 /// An upstream that turned out to be another one is forgotten; its name never comes back.
-void forget_upstream(gateway_state& state, const std::string& pool, const upstream_id& name,
-                     time_point now)
+void forget_upstream(gateway_state& state, const upstream_id& name, time_point now)
 {
     log_event(log_level::info, "upstream_dropped",
               {{"upstream", name.value()}, {"reason", "its address belongs to another"}});
-    state.m_upstreams.remove(name);
-    perform(state, state.m_pools.remove_upstream(pool, name, now), now);
+    remove_upstream(state, name, now);
 }
 
 fingerprint content_of(const gateway_request::facts& known)
@@ -162,7 +160,7 @@
         }
     }
     if (outcome.m_is_other_upstream) {
-        forget_upstream(state, known.m_pool, upstream, now);
+        forget_upstream(state, upstream, now);
     }
     // One broken connection makes no suspect of what ran on it; a second one does.
     if (outcome.m_end == dispatch::attempt_end::upstream_died &&
@@ -357,11 +355,26 @@
 
 void update_broker(gateway_state& state, const upstream_id& name, time_point now)
 {
-    const auto info = state.m_upstreams.info(name, now);
-    if (info) {
-        perform(state, state.m_pools.update_upstream(state.m_upstreams.pool_of(name), *info, now),
-                now);
+    dispatch::actions wanted;
+    {
+        const std::lock_guard lock(state.m_update_mutex);
+        if (const auto info = state.m_upstreams.info(name, now)) {
+            wanted = state.m_pools.update_upstream(state.m_upstreams.pool_of(name), *info, now);
+        }
+    }
+    perform(state, wanted, now);
+}
+
+void remove_upstream(gateway_state& state, const upstream_id& name, time_point now)
+{
+    dispatch::actions wanted;
+    {
+        const std::lock_guard lock(state.m_update_mutex);
+        const auto pool = state.m_upstreams.pool_of(name);
+        state.m_upstreams.remove(name);
+        wanted = state.m_pools.remove_upstream(pool, name, now);
     }
+    perform(state, wanted, now);
 }
 
 void apply_rate_limit(gateway_state& state, const upstream_id& name,
--- a/dewbeam/src/gateway/forwarder.h
+++ b/dewbeam/src/gateway/forwarder.h
@@ -9,9 +9,13 @@
 /// Carries out what a broker decided, in its order.
 void perform(gateway_state& state, const dispatch::actions& wanted, time_point now);
 
-/// Passes the current state of an upstream to the broker of its pool.
+/// Passes the current state of an upstream to the broker of its pool. Threads may call this at the
+/// same time: what the broker sees last is the newest.
 void update_broker(gateway_state& state, const upstream_id& name, time_point now);
 
+/// Forgets an upstream that is gone.
+void remove_upstream(gateway_state& state, const upstream_id& name, time_point now);
+
 /// Logs a changed rate limit and passes it to the broker. Without a value the limit has ended.
 void apply_rate_limit(gateway_state& state, const upstream_id& name,
                       const std::optional<double>& limit, time_point now);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -285,9 +285,7 @@
                    {"incarnation", known.m_incarnation.value()},
                    {"number", known.m_number.value()}});
         if (known.m_state == registry::upstream_state::gone) {
-            const auto pool = m_state.m_upstreams.pool_of(known.m_name);
-            m_state.m_upstreams.remove(known.m_name);
-            perform(m_state, m_state.m_pools.remove_upstream(pool, known.m_name, now), now);
+            remove_upstream(m_state, known.m_name, now);
             return;
         }
         m_state.m_upstreams.put(known, changed.m_is_silent);
--- a/test/intake_test.cpp
+++ b/test/intake_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "platform/formats.h"
@@ -80,12 +83,13 @@
     }
 
     /// An upstream of the service with one place.
-    void add_upstream()
+    void add_upstream(registry::upstream_state phase = registry::upstream_state::ready)
     {
         registry::announcement known;
         known.m_name = upstream_id("u1");
         known.m_service = "chat";
         known.m_address = {"127.0.0.1", 9};
+        known.m_state = phase;
         m_state.m_upstreams.put(known, false);
         update_broker(m_state, known.m_name, program::now());
     }
@@ -169,5 +173,31 @@
     EXPECT_EQ(sent(), 1U);
 }
 
+// Guards against a broker that is left with an older state of an upstream when two threads pass it
+// on at the same time: it would send to an upstream that is leaving, or avoid one that is ready.
+TEST_F(intake, what_the_broker_sees_last_of_an_upstream_is_the_newest)
+{
+    constexpr int rounds = 3000;
+    std::atomic<bool> is_over = false;
+    std::thread other([&] {
+        while (!is_over) {
+            update_broker(m_state, upstream_id("u1"), program::now());
+        }
+    });
+    int sent_while_leaving = 0;
+    for (int round = 0; round < rounds; ++round) {
+        add_upstream();
+        add_upstream(registry::upstream_state::leaving);
+        const auto answer = send_call("/old/x");
+        sent_while_leaving += m_state.m_pools.in_flight() > 0 ? 1 : 0;
+        for (const auto& request : m_state.m_requests.all()) {
+            caller_gone(m_state, request, program::now());
+        }
+    }
+    is_over = true;
+    other.join();
+    EXPECT_EQ(sent_while_leaving, 0);
+}
+
 }  // namespace
 }  // namespace dewbeam::gateway
--- a/test/membership_runner_test.cpp
+++ b/test/membership_runner_test.cpp
@@ -5,6 +5,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <atomic>
+#include <future>
+#include <mutex>
 #include <thread>
 
 #include "dewbeam/link"
@@ -131,6 +133,54 @@
     EXPECT_TRUE(first.m_runner->reach_json(clock_now())["hears_own_domain"].get<bool>());
 }
 
+// Guards against an upstream that is avoided for good: two threads that learn of a member one after
+// the other must not tell the program in the other order.
+TEST(membership_runner, changes_are_told_in_the_order_in_which_they_were_learned)
+{
+    membership::member agent;
+    agent.m_host = host_id("agent-1");
+    agent.m_role = membership::role::agent;
+    agent.m_incarnation = incarnation(1);
+    agent.m_sequence = 1;
+    agent.m_leaving = true;
+    const auto message_of = [](const membership::member& told) {
+        membership::gossip message;
+        message.m_from = told.m_host;
+        message.m_role = told.m_role;
+        message.m_deltas = {told};
+        wire::Envelope result;
+        result.set_sender(told.m_host.value());
+        *result.mutable_gossip() = to_wire(message, clock_now());
+        return result;
+    };
+    std::mutex mutex;
+    std::vector<bool> told;
+    std::promise<void> first_is_told;
+    std::promise<void> second_is_taken;
+    membership_hooks hooks;
+    hooks.m_send = [](const std::string&, const wire::Envelope&) {};
+    hooks.m_on_change = [&](const membership::member& changed) {
+        if (changed.m_leaving) {
+            first_is_told.set_value();
+            second_is_taken.get_future().wait_for(10s);
+        }
+        const std::lock_guard lock(mutex);
+        told.push_back(changed.m_leaving);
+    };
+    membership::member self;
+    self.m_host = host_id("entry-1");
+    self.m_incarnation = incarnation(1);
+    membership_runner runner({}, self, hooks, 7, clock_now());
+    std::thread first([&] { runner.take(message_of(agent), clock_now()); });
+    first_is_told.get_future().wait();
+    agent.m_incarnation = incarnation(2);
+    agent.m_leaving = false;
+    runner.take(message_of(agent), clock_now());
+    second_is_taken.set_value();
+    first.join();
+    EXPECT_EQ(told, (std::vector<bool>{true, false}));
+}
+
 TEST(member_wire, a_message_survives_the_wire)
 {
     const auto now = time_point{} + 1h;
