Make the soak's resets reach both ends at once

Cause: the proxy closed a socket that another of its threads was reading from. The system sends nothing until that read returns, so both ends saw a live connection on which nothing came.

Change: the reading thread is woken first.

--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -68,6 +68,8 @@
                     time.sleep(0.02)  # nothing is lost: the sender's system sends it again
                 if self.mode == "delay":
                     time.sleep(self.random.uniform(0.02, 0.2))
+                if source.fileno() < 0:
+                    raise OSError("reset while it was read")
                 if not piece:
                     sink.shutdown(socket.SHUT_WR)
                     return
@@ -78,8 +80,11 @@
 
 
 def _reset(end):
+    """Resets a connection at once. A close alone waits for a thread that reads from the socket, so
+    that thread is woken first."""
     try:
         end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        end.close()
+        with socket.socket(fileno=end.detach()) as last:
+            last.shutdown(socket.SHUT_RD)
     except OSError:
         pass  # it was closed before
