Never pass on what a stop can't wait for, and answer what is left at its end

Callers: on a rolling stop a gateway passed on a request that it read too late and closed the connection 7.4 s after the signal without an answer.

Cause: whether a request is still taken depended on a timer that the same, possibly busy, process ran, counted from when it came to handle the signal. And the end of a stop closed connections without an answer.

Change: the signal handler takes the time of the stop, from which both limits count. A request read later than the notice is refused at once, 503 with the time to come back; each request is compared with the deadline as it is read, so a late timer can't let it through. Before a process ends with requests in flight it answers them: 503 where none has run, else 504.

--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -149,6 +149,26 @@
     }
 }
 
+namespace {
+
+void give_up(entry_state& state, const request_pointer& request, const caller::error& fault,
+             time_point now)
+{
+    const auto& known = request->known();
+    cancel_attempt(state, request);
+    fail_request(state, request, fault, now);
+    perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+}
+
+}  // namespace
+
+void give_up_all(entry_state& state, time_point now)
+{
+    for (const auto& request : state.m_requests.all()) {
+        give_up(state, request, stopping(request->may_have_run()), now);
+    }
+}
+
 void watch_deadlines(entry_state& state, const request_pointer& request, time_point now)
 {
     const auto attempt = request->attempt();
@@ -156,10 +176,7 @@
         return;
     }
     if (request->known().m_deadline <= now) {
-        cancel_attempt(state, request);
-        fail_request(state, request, deadline_exceeded(), now);
-        perform(state,
-                state.m_pools.cancel(request->known().m_pool, request->known().m_ticket, now), now);
+        give_up(state, request, deadline_exceeded(), now);
     }
     else if (request->begin_tombstone(now)) {
         send_tombstone(state, attempt);
--- a/dewbeam/src/entry/attempts.h
+++ b/dewbeam/src/entry/attempts.h
@@ -22,6 +22,9 @@
 /// The process at an address is gone, or can't be heard: its attempts end here.
 void end_attempts_at(entry_state& state, const std::string& address, time_point now);
 
+/// Answers all requests in flight, which a stop can't wait for.
+void give_up_all(entry_state& state, time_point now);
+
 /// Deadlines of one request in flight.
 void watch_deadlines(entry_state& state, const request_pointer& request, time_point now);
 
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -101,6 +101,7 @@
             m_report_deadline = program::now() + report_limit;
             m_state.m_burn.save();
         };
+        result.m_give_up = [this] { give_up_all(m_state, program::now()); };
         result.m_tick = [this](time_point now) { tick(now); };
         return result;
     }
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -144,6 +144,10 @@
         refuse_unread(state, not_ready(), request_id, *answer);
         return;
     }
+    if (!state.m_frame.takes_requests(now)) {
+        refuse_unread(state, stopping(false), request_id, *answer);
+        return;
+    }
     entry_request::facts known;
     known.m_ticket = ticket;
     known.m_request_id = request_id;
--- a/dewbeam/src/entry/metrics.cpp
+++ b/dewbeam/src/entry/metrics.cpp
@@ -57,7 +57,9 @@
     prometheus::Family<prometheus::Gauge>& m_state =
         prometheus::BuildGauge()
             .Name("dewbeam_entry_state")
-            .Help("Requests in flight, attempts under way, upstreams known, configuration number, by name.")
+            .Help(
+                "Requests in flight, attempts under way, upstreams known, configuration number, by "
+                "name.")
             .Register(m_registry);
     prometheus::Counter& m_dispatched = m_attempts.Add({});
     prometheus::Gauge& m_in_flight = m_state.Add({{"name", "in_flight"}});
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -164,6 +164,20 @@
     return fault;
 }
 
+caller::error stopping(bool may_have_run)
+{
+    caller::error fault;
+    fault.m_status = may_have_run ? 504 : 503;
+    fault.m_type = "upstream_error";
+    fault.m_code = "stopping";
+    fault.m_message = "this entry stops before the request can be finished";
+    fault.m_outcome = may_have_run ? caller::run_outcome::unknown : caller::run_outcome::not_run;
+    if (!may_have_run) {
+        fault.m_retry_after = std::chrono::milliseconds(100);  // another entry takes it
+    }
+    return fault;
+}
+
 caller::error not_ready()
 {
     caller::error fault;
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -33,6 +33,9 @@
 /// What a claim that was not granted means for the caller.
 caller::error claim_refused(wire::ClaimReply::Decision decision);
 
+/// This process stops before it could finish the request.
+caller::error stopping(bool may_have_run);
+
 /// The entry does not serve (yet, or any more).
 caller::error not_ready();
 
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -396,16 +396,22 @@
     perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
 }
 
-void watch_request(gateway_state& state, const request_pointer& request, time_point now)
+void give_up(gateway_state& state, const request_pointer& request, own_error fault, time_point now)
 {
     const auto& known = request->known();
-    if (known.m_deadline <= now) {
-        const bool may_have_run = request->may_have_run();
-        fail_request(state, request,
-                     {may_have_run ? 504 : 503, "time_limit_reached", "the request's time ran out",
-                      time_span::zero()},
-                     now);
-        perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+    if (request->may_have_run()) {
+        fault.m_status = 504;  // 503 would tell that it has not run
+        fault.m_retry_after = time_span::zero();
+    }
+    fail_request(state, request, fault, now);
+    perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
+}
+
+void watch_request(gateway_state& state, const request_pointer& request, time_point now)
+{
+    if (request->known().m_deadline <= now) {
+        give_up(state, request,
+                {503, "time_limit_reached", "the request's time ran out", time_span::zero()}, now);
     }
     else if (is_late(state, *request)) {
         end_late_attempt(state, request, now);
--- a/dewbeam/src/gateway/forwarder.h
+++ b/dewbeam/src/gateway/forwarder.h
@@ -24,6 +24,9 @@
 void fail_request(gateway_state& state, const request_pointer& request, const own_error& fault,
                   time_point now);
 
+/// Ends a request that can't be finished: `fault` is for one that no upstream has run.
+void give_up(gateway_state& state, const request_pointer& request, own_error fault, time_point now);
+
 /// The caller of a request went away.
 void caller_gone(gateway_state& state, const request_pointer& request, time_point now);
 
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -46,7 +46,9 @@
     prometheus::Family<prometheus::Gauge>& m_state =
         prometheus::BuildGauge()
             .Name("dewbeam_gateway_state")
-            .Help("Requests in flight, attempts under way, upstreams known, registries heard, revision in force.")
+            .Help(
+                "Requests in flight, attempts under way, upstreams known, registries heard, "
+                "revision in force.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
     prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -172,6 +172,7 @@
         };
         result.m_announce_leave = [this] { m_server->wind_down(); };
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
+        result.m_give_up = [this] { give_up_all(m_state, program::now()); };
         result.m_tick = [this](time_point now) { tick(now); };
         result.m_tick_interval = tick_interval;
         return result;
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -103,7 +103,8 @@
     entry::pool_table m_pools;
     entry::loss_memory m_losses;
     upstream_table m_upstreams;
-    std::mutex m_update_mutex;  ///< held while an upstream is read from the table and shown to pools
+    std::mutex
+        m_update_mutex;  ///< held while an upstream is read from the table and shown to pools
     request_list m_requests;
     held_calls m_held;
     registrar::registry_feed m_feed;
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -13,6 +13,8 @@
 /// leave when no event has come for two seconds; what goes later than this is lost in any case.
 constexpr time_span longest_wait = std::chrono::milliseconds(1500);
 constexpr double wait_share = 0.4;
+/// Another gateway takes the request of a caller that comes back after so long.
+constexpr time_span return_to_another = std::chrono::milliseconds(100);
 /// A caller that was refused for want of a configuration comes back after so long.
 constexpr time_span return_without_configuration = std::chrono::milliseconds(500);
 /// Share of the latency objective that may pass in the queue. The rest is for the upstream: a first
@@ -207,6 +209,11 @@
         refuse(*answer, "", {400, "bad_request", reason.c_str(), time_span::zero()});
         return;
     }
+    if (!state.m_frame.takes_requests(now)) {
+        refuse(*answer, call->m_request_id,
+               {503, "stopping", "this gateway is about to stop", return_to_another});
+        return;
+    }
     held_call subject{std::move(wanted), *std::move(call), answer, now, {}, {}};
     if (const auto rules = state.m_book.current()) {
         route_call(state, rules, std::move(subject), now);
@@ -237,4 +244,11 @@
     }
 }
 
+void give_up_all(gateway_state& state, time_point now)
+{
+    for (const auto& request : state.m_requests.all()) {
+        give_up(state, request, {503, "stopping", "this gateway stops", return_to_another}, now);
+    }
+}
+
 }  // namespace dewbeam::gateway
--- a/dewbeam/src/gateway/intake.h
+++ b/dewbeam/src/gateway/intake.h
@@ -16,4 +16,7 @@
 /// Refuses the calls that have waited too long for it.
 void refuse_lapsed_calls(gateway_state& state, time_point now);
 
+/// Answers all requests in flight, which a stop can't wait for.
+void give_up_all(gateway_state& state, time_point now);
+
 }  // namespace dewbeam::gateway
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -2,6 +2,7 @@
 
 #include <docopt.h>
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -18,23 +19,31 @@
 constexpr int exit_usage = 1;
 constexpr int exit_settings = 2;
 constexpr int exit_cut = 3;
+/// For the answers to what is given up at the end of a stop.
+constexpr std::chrono::milliseconds answer_limit{200};
 
-/// Whether a stop was asked for before the program listened for signals.
-volatile std::sig_atomic_t was_stopped_early = 0;
+/// Stop signals so far, and when the first one came. The limits of a stop count from then on, and
+/// not from when a busy process comes to handle it.
+std::atomic<int> stop_signals = 0;
+std::atomic<time_point> stopped_at = no_deadline;
+static_assert(std::atomic<int>::is_always_lock_free && std::atomic<time_point>::is_always_lock_free,
+              "a signal handler may use them");
 
-void note_early_stop(int)
+void note_stop(int)
 {
-    was_stopped_early = 1;
+    auto none = no_deadline;
+    stopped_at.compare_exchange_strong(none, now());
+    ++stop_signals;
 }
 
 /// A signal that comes while the program starts, seconds on a busy host, must not end it: a reload
 /// has nothing to do yet, and a stop is carried out as soon as the program runs.
-void mind_early_signals()
+void mind_signals()
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);
-    std::signal(SIGTERM, note_early_stop);
-    std::signal(SIGINT, note_early_stop);
+    std::signal(SIGTERM, note_stop);
+    std::signal(SIGINT, note_stop);
 }
 
 log_level to_log_level(const std::string& text)
@@ -131,7 +140,7 @@
 
 start_result start_program(const program_info& info, int argc, char** argv)
 {
-    mind_early_signals();
+    mind_signals();
     std::map<std::string, docopt::value> words;
     try {
         words = docopt::docopt_parse(usage_text(info), {argv + 1, argv + argc}, true, false);
@@ -213,20 +222,21 @@
     }
 }
 
+void program::give_up(const program_hooks& hooks)
+{
+    if (!hooks.m_give_up) {
+        return;
+    }
+    hooks.m_give_up();
+    const auto deadline = now() + answer_limit;
+    while (hooks.m_in_flight() > 0 && now() < deadline) {
+        std::this_thread::sleep_for(hooks.m_tick_interval);
+    }
+}
+
 int program::run(const program_hooks& hooks)
 {
     lifecycle::process life;
-    std::atomic<int> signals = 0;
-    boost::asio::signal_set waiting(m_context, SIGTERM, SIGINT);
-    const std::function<void()> wait_again = [&] {
-        waiting.async_wait([&](const boost::system::error_code& error, int) {
-            if (!error) {
-                ++signals;
-                wait_again();
-            }
-        });
-    };
-    wait_again();
     // What a process was told at its start holds for its life; the signal must not end it.
     boost::asio::signal_set reloads(m_context, SIGHUP);
     const std::function<void()> note_reload = [&] {
@@ -239,7 +249,6 @@
         });
     };
     note_reload();
-    signals += was_stopped_early;
     start_threads();
     int handled_signals = 0;
     log_event(log_level::info, "process_started");
@@ -248,9 +257,10 @@
         const auto time = now();
         hooks.m_tick(time);
         auto wanted = lifecycle::command::none;
-        if (signals > handled_signals) {
+        if (stop_signals > handled_signals) {
             ++handled_signals;
-            const auto notice = time + seconds_setting(m_settings, "/stop/notice_ms");
+            const auto notice = stopped_at.load() + seconds_setting(m_settings, "/stop/notice_ms");
+            m_taking_deadline = notice;
             wanted =
                 life.stop_requested(notice, notice + seconds_setting(m_settings, "/stop/drain_ms"));
         }
@@ -282,6 +292,7 @@
                 return 0;
             case lifecycle::command::exit_cut:
                 log_event(log_level::error, "process_cut", {{"in_flight", hooks.m_in_flight()}});
+                give_up(hooks);
                 stop_threads();
                 return exit_cut;
         }
--- a/dewbeam/src/program/program.h
+++ b/dewbeam/src/program/program.h
@@ -61,7 +61,9 @@
     std::function<std::size_t()> m_in_flight;  ///< unfinished requests
     std::function<void()> m_announce_leave;    ///< readiness went false
     std::function<void()> m_stop_accepting;    ///< close the listeners
-    std::function<void(time_point)> m_tick;    ///< every `m_tick_interval`
+    /// Answers what a stop can't finish; may be empty where nobody waits for an answer.
+    std::function<void()> m_give_up;
+    std::function<void(time_point)> m_tick;  ///< every `m_tick_interval`
     time_span m_tick_interval = std::chrono::milliseconds(10);
 };
 
@@ -80,18 +82,29 @@
     /// The phase, for readiness and status pages. Thread-safe.
     [[nodiscard]] lifecycle::phase phase() const { return m_phase; }
 
+    /// Whether a request that is read now may still be finished before a stop ends the process.
+    /// Thread-safe.
+    [[nodiscard]] bool takes_requests(time_point time) const
+    {
+        return time < m_taking_deadline.load();
+    }
+
     /// Runs until the process has stopped; gives the exit code: 0 clean, 3 cut.
     int run(const program_hooks& hooks);
 
 private:
     void start_threads();
 
+    /// Has callers answered that a stop can't wait for.
+    static void give_up(const program_hooks& hooks);
+
     /// Nothing runs on the context any more, so that what its handlers use may be destroyed.
     void stop_threads();
 
     nlohmann::json m_settings;
     boost::asio::io_context m_context;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
+    std::atomic<time_point> m_taking_deadline = no_deadline;
     std::vector<std::thread> m_threads;
 };
 
--- a/test/entry_intake_test.cpp
+++ b/test/entry_intake_test.cpp
@@ -1,8 +1,7 @@
 // Guards against a place at an upstream that stays taken for a request whose caller has left.
-#include "dewbeam/src/entry/intake.h"
-
 #include <gtest/gtest.h>
 
+#include "dewbeam/src/entry/intake.h"
 #include "test/recording_exchange.h"
 
 namespace dewbeam::entry {
@@ -29,7 +28,8 @@
         rules.mutable_version()->set_term(1);
         rules.mutable_version()->set_index(1);
         rules.set_document(
-            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}.dump());
+            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}
+                .dump());
         EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
         dispatch::upstream_info upstream;
         upstream.m_name = upstream_id("u1");
--- a/test/faults_session.py
+++ b/test/faults_session.py
@@ -208,6 +208,25 @@
         self.assertEqual(failures, [])
         self.assertGreater(len(answered), 20)
 
+    def test_a_stop_answers_what_it_cannot_finish(self):
+        """Guards against closing a caller's connection without an answer at the end of a stop."""
+        entry = self.site.processes["e1"]
+        self.assertEqual(entry.stop(), 0)
+        entry.settings["stop"] = {"notice_ms": 100, "drain_ms": 300}
+        entry.start()
+        self.site.wait_ready(["e1"])
+        self.site.wait_for_upstreams("e1", 3)
+        results = []
+        caller = threading.Thread(target=lambda: results.append(self.site.try_call(
+            "e1", "POST", "/v1/chat/completions", {**CHAT, "max_tokens": 8000}, None, 30.0)))
+        caller.start()
+        time.sleep(0.5)
+        entry.send(signal.SIGTERM)
+        caller.join()
+        status, _, body = results[0]
+        self.assertEqual((status, json.loads(body)["error"]["code"]), (504, "stopping"))
+        self.assertEqual(entry.wait(), 3)
+
     def is_ready(self, entry):
         return self.site.try_call(entry, "GET", "/readyz")[0] == 200
 
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -244,15 +244,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
     all, http_departure,
-    testing::Values(departure{"closes", ""}, departure{"resets", "", true},
-                    departure{"sends_a_line_end_and_closes", "\r\n"},
-                    departure{"sends_its_next_request_and_closes",
-                              "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"},
-                    departure{"sends_its_next_request_and_resets",
-                              "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n", true},
-                    departure{"sends_a_large_request_and_closes",
-                              "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" +
-                                  std::string(300'000, 'x')}),
+    testing::Values(
+        departure{"closes", ""}, departure{"resets", "", true},
+        departure{"sends_a_line_end_and_closes", "\r\n"},
+        departure{"sends_its_next_request_and_closes", "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"},
+        departure{"sends_its_next_request_and_resets", "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n", true},
+        departure{"sends_a_large_request_and_closes",
+                  "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" +
+                      std::string(300'000, 'x')}),
     [](const auto& one) { return one.param.m_name; });
 
 // Guards against losing the requests that are sent before the answer to the one ahead of them.
@@ -260,8 +259,8 @@
 {
     start({}, [this](request&& wanted, const std::shared_ptr<exchange>& answer) {
         auto pause = std::make_shared<asio::steady_timer>(m_context, 30ms);
-        pause->async_wait([pause, answer, target = wanted.m_target, size = wanted.m_body.size()](
-                              const boost::system::error_code&) {
+        pause->async_wait([pause, answer, target = wanted.m_target,
+                           size = wanted.m_body.size()](const boost::system::error_code&) {
             answer->respond(json_response(200, target + ":" + std::to_string(size) + ";"));
         });
     });
--- a/test/intake_test.cpp
+++ b/test/intake_test.cpp
@@ -1,5 +1,5 @@
-// Guards against refusing calls by an outdated configuration while a newer one is being fetched, and
-// against calls whose callers have left: they must not keep a place at an upstream.
+// Guards against refusing calls by an outdated configuration while a newer one is being fetched,
+// and against calls whose callers have left: they must not keep a place at an upstream.
 #include "dewbeam/src/gateway/intake.h"
 
 #include <gtest/gtest.h>
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -2,6 +2,7 @@
 operator and callers. Streams, plain calls, configurations, keys, planned stops, a lost disk."""
 
 import argparse
+import http.client
 import json
 import os
 import re
@@ -248,6 +249,58 @@
         self.assertTrue(all(body.count("data: ") == EVENTS for _, body in results))
         self.assertEqual(stopped.wait(), 0)
 
+    def restart_with_short_stop(self):
+        gateway = self.site.processes["g0"]
+        self.assertEqual(gateway.stop(), 0)
+        gateway.settings["stop"]["drain_ms"] = 500
+        gateway.start()
+        self.begin()
+        return gateway
+
+    def test_a_stop_answers_what_it_cannot_finish(self):
+        """Guards against closing a caller's connection without an answer at the end of a stop."""
+        gateway = self.restart_with_short_stop()
+        for upstream in self.upstreams:
+            upstream.hold_s = 3.0
+        results = []
+        caller = threading.Thread(target=lambda: results.append(self.ask("/once/x")))
+        caller.start()
+        time.sleep(0.5)
+        gateway.send(signal.SIGTERM)
+        caller.join()
+        self.assertEqual(results[0][0], 504, results)  # it may have run
+        self.assertIn("stopping", results[0][1])
+        self.assertEqual(gateway.wait(), 3)
+
+    def test_what_is_read_too_late_before_a_stop_is_not_sent_on(self):
+        """Guards against passing on a request that a stop can't wait for: one that lies unread when
+        the process comes late to the end of its notice."""
+        gateway = self.restart_with_short_stop()
+        connections = []
+        for index in range(8):
+            connection = http.client.HTTPConnection("127.0.0.1", gateway.http_port(), timeout=5.0)
+            connection.request("POST", "/once/first", "{}", self.head("first-%d" % index))
+            self.assertEqual(connection.getresponse().read()[:5], b"first")
+            connections.append(connection)
+        gateway.send(signal.SIGTERM)
+        time.sleep(0.1)
+        gateway.send(signal.SIGSTOP)
+        for index, connection in enumerate(connections):
+            connection.request("POST", "/once/late", "{}", self.head("late-%d" % index))
+        time.sleep(0.5)  # the notice ends meanwhile
+        gateway.send(signal.SIGCONT)
+        gateway.wait()
+        sent_on = [request for upstream in self.upstreams for request, _ in upstream.runs
+                   if request.startswith("late-")]
+        self.assertEqual(sent_on, [])
+        for connection in connections:
+            connection.close()
+
+    @staticmethod
+    def head(request):
+        return {"Host": "api.example", "Attempt-Id": request, "Deadline-Ms": "4000",
+                "Authorization": "Bearer key-1"}
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -23,6 +23,7 @@
         self.refuses = False
         self.limit = None  # requests a second that it takes from all gateways together
         self.pause_s = 0.005
+        self.hold_s = 0.0  # before each answer
         owner = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -58,6 +59,7 @@
             return self.answer(handler, 503, request, b"", [("Not-Executed", "1")])
         self.arrivals.append((request, time.monotonic()))
         self.runs.append((request, dict(handler.headers)))
+        time.sleep(self.hold_s)
         if "/stream/" not in handler.path:
             return self.answer(handler, 200, request, ("%s ran at %s" % (request, self.name)).encode(),
                                self.limit_fields())
