Keep ranks without a coordinator from overloading the hosts that may coordinate

Callers: on the large deployment requests reached engines, and ran, seconds after their callers had left; streams to the engines of three hosts waited for seconds after each new forming of the group.

Cause: while no coordinator is heard, each of 129 ranks told its counts directly to each of three candidates, at the interval sized for twelve relays: more than twice what a rank's link carries. The queue in front of these hosts grew to seconds, and requests and resets waited in it.

One attempt begun at 55.483 s, its caller's end handled at 57.483 (the gateway is prompt), the request at its engine at 61.739 and the reset at 63.897: both 6.3 s late, 4.7 MB at 6 Mbit/s. All late engines are on the hosts of ranks 0 to 2, shortly after the group formed anew. The new test computes the load of the former telling: over twice the link.

Change: in a group with relays such a rank sends a sign of life without counts, at an interval sized for all ranks. Counts are told once a coordinator is heard. Smaller groups already use a pace for all ranks; the agents' planner tells no counts over links.

Tried beside it and not kept: sharing the free slots among gateways with waiting requests, taking in all load reports before dispatching, refusing streams that can't answer before their callers leave.

--- a/dewbeam/src/group/group_runner.h
+++ b/dewbeam/src/group/group_runner.h
@@ -85,6 +85,9 @@
     /// are told: one of them may stand in for this rank and must learn that its agent is back.
     [[nodiscard]] std::vector<route> routes_to_coordinator(time_point now) const;
 
+    /// Whether a rank coordinates the group and was heard of lately.
+    [[nodiscard]] bool hears_coordinator(time_point now) const;
+
     /// Whether requests may be given to the engine.
     [[nodiscard]] bool may_admit() const;
 
--- a/dewbeam/src/ranks/count_message.cpp
+++ b/dewbeam/src/ranks/count_message.cpp
@@ -52,6 +52,19 @@
             std::max(shortest_counts_interval, interval_with(tellers, counts, bits, link_rate))};
 }
 
+wire::RankCounts sign_of_life(rank_id rank, const rank_counts& counted, const rank_holding& holding,
+                              double pace)
+{
+    wire::RankCounts result;
+    result.set_formation(counted.m_formation);
+    auto& state = *result.add_ranks();
+    state.set_rank(rank.value());
+    state.set_step(counted.m_step);
+    state.set_map(holding.m_map);
+    state.set_pace(pace);
+    return result;
+}
+
 wire::RankCounts to_wire(rank_id rank, const rank_counts& counted, const rank_holding& holding,
                          double pace, std::uint32_t bits, told_counts& told)
 {
--- a/dewbeam/src/ranks/count_message.h
+++ b/dewbeam/src/ranks/count_message.h
@@ -25,6 +25,12 @@
 wire::RankCounts to_wire(rank_id rank, const rank_counts& counted, const rank_holding& holding,
                          double pace, std::uint32_t bits, told_counts& told);
 
+/// What a rank tells while no coordinator is heard: that it is alive, and how far it is. There are
+/// no relays then, and the counts of all ranks of a large group would overload the links of the
+/// hosts that may coordinate. They are told once one does.
+wire::RankCounts sign_of_life(rank_id rank, const rank_counts& counted, const rank_holding& holding,
+                              double pace);
+
 /// The counts in a message and back.
 packed_counts packed_of(const wire::RankCounts& message);
 void set_packed(wire::RankCounts& message, packed_counts packed, std::size_t counts);
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -263,23 +263,31 @@
             return;
         }
         const auto now = program::now();
-        const auto pace = counts_pace(counts.m_counts.size());
-        set_counts_interval(pace.m_interval);
+        const auto ranks = static_cast<std::uint32_t>(rank_count());
+        const auto tellers = group::tellers(ranks);
+        const bool has_relays = tellers < ranks;
         wire::GroupMessage message;
-        *message.mutable_counts() =
-            to_wire(own_rank(), counts, holding, last_pace(), pace.m_bits, m_own_told);
+        if (has_relays && !runner->hears_coordinator(now)) {
+            set_counts_interval(pace_of(ranks, 0, link_rate()).m_interval);
+            *message.mutable_counts() = sign_of_life(own_rank(), counts, holding, last_pace());
+        }
+        else {
+            const auto pace = pace_of(tellers, counts.m_counts.size(), link_rate());
+            set_counts_interval(pace.m_interval);
+            *message.mutable_counts() =
+                to_wire(own_rank(), counts, holding, last_pace(), pace.m_bits, m_own_told);
+        }
         for (const auto& way : runner->routes_to_coordinator(now)) {
             send_to_rank(way, message, now);
         }
     }
 
-    /// Of all ranks that tell this group's coordinator.
-    [[nodiscard]] count_pace counts_pace(std::size_t counts) const
+    /// Of a rank's host, in bytes a second.
+    [[nodiscard]] byte_count link_rate() const
     {
         constexpr double bytes_of_mbit = 125'000;
         const auto rate = setting_value<double>(m_settings, "/link/rate_mbps") * bytes_of_mbit;
-        const auto ranks = static_cast<std::uint32_t>(rank_count());
-        return pace_of(group::tellers(ranks), counts, {static_cast<std::int64_t>(rate)});
+        return {static_cast<std::int64_t>(rate)};
     }
 
     void set_counts_interval(time_span interval)
@@ -336,7 +344,10 @@
         for (const auto& [rank, state] : sample.m_ranks) {
             runner->note_alive(rank, now);
         }
-        balancer->take(std::move(sample), now);
+        const bool is_sign_of_life = message.counts().experts() == 0;
+        if (!is_sign_of_life) {
+            balancer->take(std::move(sample), now);
+        }
     }
 
     void relay_counts(rank_id to, const wire::RankCounts& counts)
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -13,6 +13,7 @@
 
 #include "dewbeam/experts"
 #include "dewbeam/http"
+#include "dewbeam/src/group/courier.h"
 #include "dewbeam/src/ranks/count_message.h"
 #include "dewbeam/src/ranks/count_relay.h"
 #include "dewbeam/src/ranks/count_wire.h"
@@ -300,6 +301,33 @@
     }
 }
 
+// Guards against overloading the hosts that may coordinate while none does: there are no relays
+// then, and requests to the upstreams of those hosts arrived seconds late.
+TEST(count_pace, ranks_without_a_coordinator_leave_half_of_the_link_to_other_messages)
+{
+    constexpr std::size_t ranks = 129;
+    constexpr std::size_t counts = 4128;
+    constexpr byte_count link{750'000};
+    rank_counts counted;
+    counted.m_counts.assign(counts, 1'000'000);
+    counted.m_step = 1'000'000;
+    rank_holding holding;
+    holding.m_map = 1'000'000;
+    holding.m_held.assign(16, std::vector<std::uint32_t>(3, 250));
+    const auto load = [&](const wire::RankCounts& message, time_span interval) {
+        wire::Envelope envelope;
+        *envelope.mutable_group()->mutable_counts() = message;
+        return ranks * envelope.ByteSizeLong() / to_seconds(interval);
+    };
+    const auto sign = sign_of_life(rank_id(7), counted, holding, 1.0);
+    EXPECT_LE(load(sign, pace_of(ranks, 0, link).m_interval), link.m_count / 2);
+    // What relays tell, told by each rank, would not go through.
+    const auto relayed = pace_of(group::tellers(ranks), counts, link);
+    told_counts told;
+    const auto whole = to_wire(rank_id(7), counted, holding, 1.0, relayed.m_bits, told);
+    EXPECT_GT(load(whole, relayed.m_interval), 2 * link.m_count);
+}
+
 TEST(count_wire, bytes_that_fit_no_counts_add_nothing)
 {
     std::vector<std::uint64_t> totals{7, 8, 9};
