Learn of the coordinator and of the ways to it in one look; remove an unused query

A rank that asked first whether a coordinator is heard and then for the ways could send its sign of life, which carries no counts, to a relay if the coordinator came in between; the relay would then have begun its sum anew and lost what others had told. Both now come from one call. queued_exchange::is_finished has had no caller since the caller's watch reads ahead.

--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -38,11 +38,6 @@
                {"committing_ms", to_milliseconds(times.m_ended - times.m_armed)}});
 }
 
-bool has_coordinator(const group_map::participant& state, time_point now)
-{
-    return state.m_promised.m_number != 0 && !group_map::coordinator_silent(state, now);
-}
-
 }  // namespace
 
 group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
@@ -197,27 +192,22 @@
     return m_participant.m_engine;
 }
 
-std::vector<route> group_runner::routes_to_coordinator(time_point now) const
+coordinator_routes group_runner::routes_to_coordinator(time_point now) const
 {
     const std::lock_guard lock(m_mutex);
-    if (has_coordinator(m_participant, now)) {
-        const auto to = m_participant.m_promised.m_rank;
+    const auto& promised = m_participant.m_promised;
+    if (promised.m_number != 0 && !group_map::coordinator_silent(m_participant, now)) {
+        const auto to = promised.m_rank;
         const bool is_self = to == m_options.m_participant.m_rank;
-        return {{to, is_self ? to : m_courier.m_reports_through.value_or(to)}};
+        return {true, {{to, is_self ? to : m_courier.m_reports_through.value_or(to)}}};
     }
-    std::vector<route> result;
+    coordinator_routes result;
     for (std::uint32_t rank = 0; rank < m_options.m_candidates; ++rank) {
-        result.push_back({rank_id(rank), rank_id(rank)});
+        result.m_routes.push_back({rank_id(rank), rank_id(rank)});
     }
     return result;
 }
 
-bool group_runner::hears_coordinator(time_point now) const
-{
-    const std::lock_guard lock(m_mutex);
-    return has_coordinator(m_participant, now);
-}
-
 bool group_runner::may_admit() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/group/group_runner.h
+++ b/dewbeam/src/group/group_runner.h
@@ -45,6 +45,12 @@
     rank_id m_through;  ///< the rank that takes the message first: `m_to`, or a relay
 };
 
+/// The ways to all who must learn of a rank.
+struct coordinator_routes {
+    bool m_has_coordinator = false;  ///< one was heard of lately; else all that may coordinate
+    std::vector<route> m_routes;
+};
+
 /// What a runner asks of the agent around it; called without its lock.
 struct group_hooks {
     std::function<void(bool may_admit)> m_set_admission;
@@ -83,10 +89,7 @@
 
     /// Where to send what the coordinator must learn. Where none is heard, all that may coordinate
     /// are told: one of them may stand in for this rank and must learn that its agent is back.
-    [[nodiscard]] std::vector<route> routes_to_coordinator(time_point now) const;
-
-    /// Whether a rank coordinates the group and was heard of lately.
-    [[nodiscard]] bool hears_coordinator(time_point now) const;
+    [[nodiscard]] coordinator_routes routes_to_coordinator(time_point now) const;
 
     /// Whether requests may be given to the engine.
     [[nodiscard]] bool may_admit() const;
--- a/dewbeam/src/http/queued_exchange.h
+++ b/dewbeam/src/http/queued_exchange.h
@@ -100,13 +100,6 @@
         m_on_gone = nullptr;
     }
 
-    /// Whether the answer is over, one way or the other.
-    [[nodiscard]] bool is_finished() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_is_gone || m_is_over;
-    }
-
     /// The next step, or nothing where the caller went away.
     asio::awaitable<std::optional<piece>> next()
     {
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -266,8 +266,9 @@
         const auto ranks = static_cast<std::uint32_t>(rank_count());
         const auto tellers = group::tellers(ranks);
         const bool has_relays = tellers < ranks;
+        const auto ways = runner->routes_to_coordinator(now);
         wire::GroupMessage message;
-        if (has_relays && !runner->hears_coordinator(now)) {
+        if (has_relays && !ways.m_has_coordinator) {
             set_counts_interval(pace_of(ranks, 0, link_rate()).m_interval);
             *message.mutable_counts() = sign_of_life(own_rank(), counts, holding, last_pace());
         }
@@ -277,7 +278,7 @@
             *message.mutable_counts() =
                 to_wire(own_rank(), counts, holding, last_pace(), pace.m_bits, m_own_told);
         }
-        for (const auto& way : runner->routes_to_coordinator(now)) {
+        for (const auto& way : ways.m_routes) {
             send_to_rank(way, message, now);
         }
     }
