Log why attempts end, what a lost link had heard, and how long a process was held up

- link_lost tells whether anything was ever heard there, for how long nothing was, and how long ago this process had last looked.
- process_held_up: a program's tick came 0.5 s late or more.
How late a loop is comes from a module of its own, turns.
- attempt_dispatched is logged at info as the gateway's attempt_begun is; attempt_ended tells why; an agent logs attempt_begun and attempt_refused; an entry logs upstream_doubted.

No decision changes.

--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -124,6 +124,8 @@
 void gate::refuse(const link::peer& from, const attempt_id& id, const ledger::decision& why,
                   time_point now)
 {
+    log_event(log_level::info, "attempt_refused",
+              {{"attempt", id.m_sequence}, {"reason", ledger::to_string(why.m_refusal)}});
     if (why.m_refusal == ledger::refusal::stale_configuration) {
         // The entry catches up from here, before it hears of the refusal.
         wire::Envelope newer;
@@ -143,6 +145,7 @@
 
 void gate::begin(const attempt_pointer& running, const wire::Dispatch& message)
 {
+    log_event(log_level::info, "attempt_begun", {{"attempt", running->m_id.m_sequence}});
     wire::Envelope accepted;
     link::to_wire(running->m_id, *accepted.mutable_accepted()->mutable_attempt());
     m_node->reply(running->m_entry, std::move(accepted));
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -58,14 +58,14 @@
     }
     state.m_requests.add_attempt(id, request);
     state.m_metrics.dispatched();
-    log_event(log_level::debug, "attempt_dispatched",
+    log_event(log_level::info, "attempt_dispatched",
               {{"request", request->known().m_request_id},
                {"attempt", id.m_sequence},
                {"upstream", action.m_upstream.value()}});
     wire::Envelope envelope;
     *envelope.mutable_dispatch() = *std::move(message);
     if (address.empty() || !state.m_node->send(address, std::move(envelope))) {
-        end_attempt(state, request, id, dispatch::attempt_end::not_run, now);
+        end_attempt(state, request, id, dispatch::attempt_end::not_run, "not_sent", now);
     }
 }
 
@@ -109,7 +109,7 @@
 }
 
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
-                 dispatch::attempt_end end, time_point now)
+                 dispatch::attempt_end end, std::string_view reason, time_point now)
 {
     if (!request->release(id, retry::is_never_begun(end))) {
         return;
@@ -120,7 +120,8 @@
         log_event(log_level::info, "attempt_ended",
                   {{"request", request->known().m_request_id},
                    {"attempt", id.m_sequence},
-                   {"end", to_text(end)}});
+                   {"end", to_text(end)},
+                   {"reason", reason}});
     }
     const auto& known = request->known();
     if (end == dispatch::attempt_end::completed) {
@@ -134,7 +135,8 @@
     perform(state, wanted, now);
 }
 
-void end_attempts_at(entry_state& state, const std::string& address, time_point now)
+void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
+                     time_point now)
 {
     for (const auto& request : state.m_requests.all()) {
         const auto attempt = request->attempt();
@@ -145,7 +147,7 @@
         end_attempt(
             state, request, attempt.m_id,
             is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::unknown,
-            now);
+            reason, now);
     }
 }
 
@@ -183,10 +185,12 @@
     }
     else if (request->is_broken(now)) {
         cancel_attempt(state, request);
-        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, now);
+        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, "chunk_missing",
+                    now);
     }
     else if (request->is_tombstone_late(now)) {
-        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, now);
+        end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown,
+                    "not_acknowledged", now);
     }
 }
 
--- a/dewbeam/src/entry/attempts.h
+++ b/dewbeam/src/entry/attempts.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "dewbeam/src/entry/entry_request.h"
 #include "dewbeam/src/entry/entry_state.h"
@@ -15,12 +16,13 @@
 /// Tells the agent that the answer is not wanted any more.
 void cancel_attempt(entry_state& state, const request_pointer& request);
 
-/// Ends the attempt for the request, which is then retried or refused.
+/// Ends the attempt for the request, which is then retried or refused. `reason` is for the log.
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
-                 dispatch::attempt_end end, time_point now);
+                 dispatch::attempt_end end, std::string_view reason, time_point now);
 
 /// The process at an address is gone, or can't be heard: its attempts end here.
-void end_attempts_at(entry_state& state, const std::string& address, time_point now);
+void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
+                     time_point now);
 
 /// Answers all requests in flight, which a stop can't wait for.
 void give_up_all(entry_state& state, time_point now);
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -162,7 +162,8 @@
               time_point now)
 {
     if (!request->supersede()) {
-        end_attempt(state, request, id, dispatch::attempt_end::refused_busy, now);
+        end_attempt(state, request, id, dispatch::attempt_end::refused_busy, "stale_configuration",
+                    now);
         return;
     }
     request->release(id, true);  // an agent that refuses for its configuration has not begun it
--- a/dewbeam/src/entry/member_feed.cpp
+++ b/dewbeam/src/entry/member_feed.cpp
@@ -34,7 +34,11 @@
             // Its load is wanted at once, and nothing more comes from the process before it.
             state.m_next_interest = time_point{};
             state.m_node->close(member.m_address);
-            end_attempts_at(state, member.m_address, now);
+            end_attempts_at(state, member.m_address, "agent_restarted", now);
+        }
+        if (member.m_suspect) {
+            log_event(log_level::info, "upstream_doubted",
+                      {{"host", member.m_host.value()}, {"reason", "lease_ended"}});
         }
         state.m_members.take(member);
         update_pools(state, member.m_host, now);
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -61,7 +61,7 @@
     if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_died") {
         end = dispatch::attempt_end::upstream_died;
     }
-    end_attempt(state, request, id, end, now);
+    end_attempt(state, request, id, end, chunk.reason(), now);
 }
 
 void on_tombstone_reply(entry_state& state, const wire::TombstoneReply& reply, time_point now)
@@ -73,7 +73,7 @@
     }
     const auto effect = request->take(reply);
     if (effect != chunk_effect::none) {
-        end_attempt(state, request, id, to_end(effect), now);
+        end_attempt(state, request, id, to_end(effect), "tombstone_answered", now);
     }
 }
 
@@ -137,11 +137,13 @@
     }
     const auto now = program::now();
     for (const auto& host : state.m_members.set_unreachable(gone.m_address)) {
+        log_event(log_level::info, "upstream_doubted",
+                  {{"host", host.value()}, {"reason", "link_lost"}});
         // A report shows when the agent can be reached again.
         state.m_next_interest = time_point{};
         update_pools(state, host, now);
     }
-    end_attempts_at(state, gone.m_address, now);
+    end_attempts_at(state, gone.m_address, "link_lost", now);
 }
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -55,6 +55,7 @@
 struct connection {
     zmq::socket_t m_socket;
     poll_key m_key;
+    time_point m_opened_at{};
     time_point m_silent_deadline{};
     time_point m_sent_at{};
     time_point m_heard_at{};
@@ -218,6 +219,7 @@
             if (const auto now = clock_now(); now >= m_next_watch) {
                 m_next_watch = now + watch_interval;
                 watch_silence(now);
+                m_watched_at = now;
             }
         }
         send_queued();
@@ -411,8 +413,9 @@
             return place->second;
         }
         const auto limit = first_answer_limit(m_silent_tries[address]++, m_options.m_silence_limit);
+        const auto now = clock_now();
         connection fresh{zmq::socket_t(m_context, zmq::socket_type::dealer), poll_key(m_next_key++),
-                         clock_now() + limit};
+                         now, now + limit};
         set_common(fresh.m_socket);
         // A broken connection stays silent until its deadline and is then replaced as a whole:
         // libzmq's own reconnect would keep it alive while answers to it are lost.
@@ -449,21 +452,27 @@
             }
         }
         for (const auto& item : lost) {
-            forget(item);
+            forget(item, now);
             m_handlers.m_on_lost(item);
         }
     }
 
-    void forget(const peer& item)
+    void forget(const peer& item, time_point now)
     {
         if (!item.m_routing.empty()) {
             m_inbound.erase(item.m_routing);
             return;
         }
         const auto place = m_connections.find(item.m_address);
-        place->second.m_socket.set(zmq::sockopt::linger, 0);
+        auto& open = place->second;
+        const auto heard_at = std::max(open.m_heard_at, open.m_opened_at);
+        log_event(log_level::info, "link_lost",
+                  {{"address", item.m_address},
+                   {"was_heard", open.m_was_heard},
+                   {"silent_ms", to_milliseconds(now - heard_at)},
+                   {"not_looked_ms", to_milliseconds(now - m_watched_at)}});
+        open.m_socket.set(zmq::sockopt::linger, 0);
         close_connection(item.m_address);
-        log_event(log_level::info, "link_lost", {{"address", item.m_address}});
     }
 
     node_options m_options;
@@ -475,6 +484,7 @@
     std::uint64_t m_next_key = first_connection_key;
     std::unordered_map<poll_key, std::string> m_addresses;  ///< of connections
     time_point m_next_watch{};
+    time_point m_watched_at{};  ///< when silent connections were last looked for
     std::map<std::string, connection> m_connections;
     strangers m_strangers;
     /// Connections in a row to an address on which nothing was heard.
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -12,6 +12,8 @@
 #include <iostream>
 #include <random>
 
+#include "dewbeam/turns"
+
 namespace dewbeam::program {
 
 namespace {
@@ -21,6 +23,8 @@
 constexpr int exit_cut = 3;
 /// For the answers to what is given up at the end of a stop.
 constexpr std::chrono::milliseconds answer_limit{200};
+/// A tick that comes so late is logged.
+constexpr std::chrono::milliseconds late_tick_limit{500};
 
 /// Stop signals so far, and when the first one came. The limits of a stop count from then on, and
 /// not from when a busy process comes to handle it.
@@ -251,10 +255,15 @@
     note_reload();
     start_threads();
     int handled_signals = 0;
+    turn_watch turns;
     log_event(log_level::info, "process_started");
     for (;;) {
         std::this_thread::sleep_for(hooks.m_tick_interval);
         const auto time = now();
+        if (const auto late = begin_turn(turns, time, hooks.m_tick_interval);
+            late >= late_tick_limit) {
+            log_event(log_level::warning, "process_held_up", {{"ms", to_milliseconds(late)}});
+        }
         hooks.m_tick(time);
         auto wanted = lifecycle::command::none;
         if (stop_signals > handled_signals) {
