Don't judge others by the time for which this process itself read nothing

What callers saw: 502 no_able_upstream for running requests, 503 for new ones, from pools whose agents and engines all lived; in experts_session "request N of which N-1 run" and a stall never seen.

Cause: a process that is held up (stopped, frozen, starved of processor time) judged its peers by that time. The link's thread held each connection for silent, in one look, before it had read or asked anything; the timer's thread let leases end whose renewals lay unread, also where only the link's thread had been late.

By forced order: an entry stopped for 3 s while 12 requests run loses them all, 5 of 5 times, and link_lost says silent_ms=3002 not_looked_ms=3010 for every peer.

Change: a node tells for how long its thread was held up. Deadlines of connections, leases of members and of a registry's watchers, deadlines of an entry's attempts, the silence of a group's coordinator and stand-ins for late ranks are put off by that time; a gateway's broker does the same for groups without events, by its own ticks. A peer that is really gone is found later by as much as this process was held up itself.

Why it holds: silence is what follows a question, and a process that doesn't run asks none. What an expired deadline meant, that the other end had the whole span to be heard, is true again.

Ruled out: the first-answer limit of new connections. Of 9,088 lost links 7,866 had never been heard, most of them settings entries that never start, and none of those ended an attempt.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -14,6 +14,7 @@
 
 using configuration::work_class;
 
+constexpr time_span longest_tick = std::chrono::milliseconds(50);
 /// An upstream that said `not_run` gets nothing for so long.
 constexpr time_span refusal_pause = std::chrono::milliseconds(50);
 constexpr double block_gain = 0.01;
@@ -333,6 +334,10 @@
 {
     if (const auto index = find_upstream(state.m_table, name)) {
         state.m_prefixes.note_event(*index, event);
+    if (const auto held_up = begin_turn(state.m_ticks, now, longest_tick);
+        held_up > time_span::zero()) {
+        put_off_stillness(state.m_pulses, held_up);
+    }
     }
 }
 
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -21,6 +21,7 @@
 #include "dewbeam/src/dispatch/group_pulse.h"
 #include "dewbeam/src/dispatch/request.h"
 #include "dewbeam/src/dispatch/route_table.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::dispatch {
 
@@ -79,6 +80,7 @@
     double m_block_tokens = 0.0;  ///< of a prefix block; 0: not known
 };
 
+    turn_watch m_ticks;
 /// A new request arrives. Its ticket must not be in the broker.
 actions submit(broker& state, request_info info, time_point now, random_engine& random);
 
@@ -106,7 +108,8 @@
 actions remove_upstream(broker& state, const upstream_id& name, time_point now,
                         random_engine& random);
 
-/// Time passed: deadlines in the queue, leases, waiting retries. Call it every 50 ms or sooner.
+/// Time passed: deadlines in the queue, leases, waiting retries. Call it every 50 ms or sooner; a
+/// call that comes later than that shows that this process was held up.
 actions tick(broker& state, time_point now, random_engine& random);
 
 /// An upstream says what its prefix cache stored or removed.
--- a/dewbeam/src/dispatch/group_pulse.cpp
+++ b/dewbeam/src/dispatch/group_pulse.cpp
@@ -67,6 +67,13 @@
     return result;
 }
 
+void put_off_stillness(group_pulses& state, time_span held_up)
+{
+    for (auto& [group, pulse] : state.m_groups) {
+        pulse.m_last_event += held_up;
+    }
+}
+
 bool is_still(const group_pulses& state, const std::string& group)
 {
     const auto place = state.m_groups.find(group);
--- a/dewbeam/src/dispatch/group_pulse.h
+++ b/dewbeam/src/dispatch/group_pulse.h
@@ -32,6 +32,9 @@
 std::vector<std::string> find_still_groups(group_pulses& state, const route_table& table,
                                            time_point now);
 
+/// This process was held up for so long: events that came meanwhile may not have been read yet.
+void put_off_stillness(group_pulses& state, time_span held_up);
+
 /// Whether the group was found still.
 bool is_still(const group_pulses& state, const std::string& group);
 
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -337,6 +337,15 @@
 void entry_request::fail(const caller::error& fault)
 {
     const std::lock_guard lock(m_mutex);
+void entry_request::put_off_deadlines(time_span held_up)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto* deadline :
+         {&m_attempt.m_ack_deadline, &m_attempt.m_tombstone_deadline, &m_attempt.m_gap_deadline}) {
+        *deadline += *deadline == no_deadline ? time_span::zero() : held_up;
+    }
+}
+
     if (m_is_over) {
         return;
     }
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -12,6 +12,7 @@
 #include "dewbeam/src/entry/peers.h"
 #include "dewbeam/src/entry/status_page.h"
 #include "dewbeam/src/entry/suspicions.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::entry {
 
@@ -207,7 +208,11 @@
             m_state.m_next_interest = now + report_interest_interval;
             m_state.m_membership->want_reports(report_subset);
         }
+        const auto held_up = take_growth(m_link_held_up, m_state.m_node->held_up());
         for (const auto& request : m_state.m_requests.all()) {
+            if (held_up > time_span::zero()) {
+                request->put_off_deadlines(held_up);
+            }
             watch_deadlines(m_state, request, now);
         }
         m_state.m_metrics.set_in_flight(m_state.m_requests.size());
@@ -217,6 +222,7 @@
 
     std::atomic<time_point> m_report_deadline = no_deadline;
     time_point m_next_scan{};
+    held_up_since m_link_held_up;  ///< as of the last scan
     time_point m_next_peers{};
     std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
     time_point m_started_at = program::now();
--- a/dewbeam/src/entry/membership_runner.h
+++ b/dewbeam/src/entry/membership_runner.h
@@ -12,6 +12,7 @@
 #include "dewbeam.pb.h"
 #include "dewbeam/base"
 #include "dewbeam/membership"
+#include "dewbeam/turns"
 
 namespace dewbeam::entry {
 
@@ -19,6 +20,8 @@
 struct membership_hooks {
     /// Sends to the process that listens at an address.
     std::function<void(const std::string&, wire::Envelope)> m_send;
+    /// For how long the link was held up since the start; none: never.
+    std::function<time_span()> m_held_up;
     /// A member is new, said something new, or is held suspect or dead. One call at a time, in the
     /// order in which the view learned of it.
     std::function<void(const membership::member&)> m_on_change;
@@ -91,6 +94,7 @@
     membership::report_readers m_readers;
     random_engine m_random;
     time_point m_tick_at{};
+    held_up_since m_link_held_up;
     std::deque<membership::member> m_undelivered;  ///< changes, oldest first
     bool m_is_delivering = false;                  ///< some thread hands them out
 };
--- a/dewbeam/src/entry/status_page.cpp
+++ b/dewbeam/src/entry/status_page.cpp
@@ -96,6 +96,7 @@
     hooks.m_send = [&node](const std::string& address, wire::Envelope message) {
         node.send(address, std::move(message));
     };
+    hooks.m_held_up = [&node] { return node.held_up(); };
     auto random = program::seeded_engine();
     return std::make_unique<membership_runner>(options, self, std::move(hooks), random(),
                                                program::now());
--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -117,6 +117,7 @@
         if (m_is_stopped || m_node == nullptr) {
             return;
         }
+        note_held_up(now);
         collect(group_map::tick(m_participant, now), m_options.m_participant.m_rank, todo);
         for (auto& [rank, item] : m_stand_ins) {
             collect(group_map::tick(item.m_participant, now), rank, todo);
@@ -138,6 +139,17 @@
     carry_out(todo);
 }
 
+/// Others are not judged by the time for which this process read nothing.
+void group_runner::note_held_up(time_point now)
+{
+    const auto held_up = take_growth(m_link_held_up, m_node->held_up());
+    if (held_up == time_span::zero()) {
+        return;
+    }
+    group_map::put_off_silence(m_participant, held_up);
+    m_stand_in_from = now + m_options.m_patience;
+}
+
 /// Names the ranks without which the group makes no step: their agents may not have started.
 void group_runner::watch_missing_ranks(time_point now)
 {
@@ -233,7 +245,7 @@
 /// Acts for ranks whose agents owe an answer.
 void group_runner::stand_in_for_late_ranks(work& todo, time_point now)
 {
-    if (!m_options.m_make_port) {
+    if (!m_options.m_make_port || now < m_stand_in_from) {
         return;
     }
     const auto late = group_map::late_ranks(m_coordinator, m_options.m_patience, now);
--- a/dewbeam/src/group/group_runner.h
+++ b/dewbeam/src/group/group_runner.h
@@ -16,6 +16,7 @@
 #include "dewbeam/src/group/content_codec.h"
 #include "dewbeam/src/group/courier.h"
 #include "dewbeam/src/group/engine_port.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::group {
 
@@ -123,6 +124,7 @@
     void collect(const group_map::participant_effects& effects, rank_id rank, work& todo);
     void stand_in_for_late_ranks(work& todo, time_point now);
     void end_stand_ins(work& todo, time_point now);
+    void note_held_up(time_point now);
     void watch_missing_ranks(time_point now);
     void collect(const group_map::coordinator_effects& effects, work& todo, time_point now);
     wire::GroupMessage write_command(const group_map::command& message);
@@ -150,7 +152,9 @@
     group_map::participant m_participant;
     group_map::coordinator m_coordinator;
     std::map<rank_id, stand_in> m_stand_ins;
-    std::set<rank_id> m_alive;  ///< heard while this one stood in
+    std::set<rank_id> m_alive;     ///< heard while this one stood in
+    held_up_since m_link_held_up;  ///< as of the last tick
+    time_point m_stand_in_from{};  ///< after the link was held up
     courier m_courier;
     content_codec m_contents;
     time_point m_log_missing_at{};  ///< not before: the group waits for ranks
--- a/dewbeam/src/group_map/participant.cpp
+++ b/dewbeam/src/group_map/participant.cpp
@@ -322,4 +322,9 @@
     return now >= state.m_silent_at;
 }
 
+void put_off_silence(participant& state, time_span held_up)
+{
+    state.m_silent_at += held_up;
+}
+
 }  // namespace dewbeam::group_map
--- a/dewbeam/src/group_map/participant.h
+++ b/dewbeam/src/group_map/participant.h
@@ -69,4 +69,7 @@
 /// Whether no coordinator was heard of for so long that another rank should step in.
 bool coordinator_silent(const participant& state, time_point now);
 
+/// This process was held up for so long: that time is no silence of the coordinator.
+void put_off_silence(participant& state, time_span held_up);
+
 }  // namespace dewbeam::group_map
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -18,6 +18,7 @@
 #include "dewbeam/src/link/key_checker.h"
 #include "dewbeam/src/link/socket_poller.h"
 #include "dewbeam/src/link/strangers.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::link {
 
@@ -172,6 +173,8 @@
         return true;
     }
 
+    [[nodiscard]] time_span held_up() const { return m_held_up.until(clock_now()); }
+
     void follow_log(log_id log)
     {
         std::uint64_t none = 0;
@@ -218,6 +221,7 @@
             send_queued();
             if (const auto now = clock_now(); now >= m_next_watch) {
                 m_next_watch = now + watch_interval;
+                put_off_silence(m_held_up.begin_turn(now, longest_wait() + watch_interval));
                 watch_silence(now);
                 m_watched_at = now;
             }
@@ -225,9 +229,11 @@
         send_queued();
     }
 
+    [[nodiscard]] time_span longest_wait() const { return m_options.m_ping_interval / 4; }
+
     void poll_once()
     {
-        for (const auto key : m_poller.wait(m_options.m_ping_interval / 4)) {
+        for (const auto key : m_poller.wait(longest_wait())) {
             if (key == wake_key) {
                 std::uint64_t count = 0;
                 [[maybe_unused]] const auto got = ::read(m_wake, &count, sizeof(count));
@@ -432,6 +438,21 @@
         return m_connections.emplace(address, std::move(fresh)).first->second;
     }
 
+    /// While this thread is held up it asks nobody and hears nobody: that time is no silence of
+    /// the others.
+    void put_off_silence(time_span held_up)
+    {
+        if (held_up == time_span::zero()) {
+            return;
+        }
+        for (auto& [address, open] : m_connections) {
+            open.m_silent_deadline += held_up;
+        }
+        for (auto& [routing, deadline] : m_inbound) {
+            deadline += held_up;
+        }
+    }
+
     void watch_silence(time_point now)
     {
         std::vector<peer> lost;
@@ -486,6 +507,7 @@
     time_point m_next_watch{};
     time_point m_watched_at{};  ///< when silent connections were last looked for
     std::map<std::string, connection> m_connections;
+    held_up_total m_held_up;    ///< by turns of looking for silent connections
     strangers m_strangers;
     /// Connections in a row to an address on which nothing was heard.
     std::unordered_map<std::string, std::uint32_t> m_silent_tries;
@@ -563,6 +585,11 @@
 
 void node::stop()
 {
+time_span node::held_up() const
+{
+    return m_implementation->held_up();
+}
+
     m_implementation->stop();
 }
 
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -4,6 +4,7 @@
 /// Each process has one node. The node listens on one address and opens a connection to each
 /// address that something is sent to. Both ends watch a connection by their own deadline: one
 /// that went silent is closed, reported lost and never used again; the next send opens a new one.
+/// Time for which this process itself was held up doesn't count as silence.
 /// Messages of another deployment, by its name or by its replicated log, are never handed on: the
 /// connection is closed and reported lost, and what is sent to that address within the next second
 /// is dropped.
@@ -89,6 +90,10 @@
 
     /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
     /// replying stay allowed and give false.
+    /// For how long the node's thread was held up since it started, until now: what the others sent
+    /// meanwhile was read later, and whoever judges their silence must not count that time.
+    [[nodiscard]] time_span held_up() const;
+
     void stop();
 
     /// Closes the connection to `address`; what was queued on it may be lost.
--- a/dewbeam/src/membership/protocol.cpp
+++ b/dewbeam/src/membership/protocol.cpp
@@ -468,6 +468,19 @@
     return out;
 }
 
+void put_off_leases(view& state, time_span held_up)
+{
+    for (const auto& host : state.m_watched) {
+        const auto place = state.m_records.find(host);
+        if (place == state.m_records.end() || place->second.m_member.m_dead) {
+            continue;
+        }
+        auto& item = place->second;
+        item.m_member.m_lease_deadline += held_up;
+        item.m_dead_at += item.m_dead_at == no_deadline ? time_span::zero() : held_up;
+    }
+}
+
 effects tick(view& state, time_point now, random_engine& random)
 {
     effects out;
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -13,6 +13,7 @@
 #include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/revision_news.h"
 #include "dewbeam/src/registrar/watchers.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::registrar {
 
@@ -580,9 +581,13 @@
         hold_calls calls;
         {
             const std::lock_guard lock(m_mutex);
+        const auto held_up = take_growth(m_link_held_up, m_node->held_up());
             expire(m_watchers, now);
             expire(m_holds, now, calls);
         }
+            if (held_up > time_span::zero()) {
+                put_off_leases(m_watchers, held_up);
+            }
         run(calls);
         push_permits(now);
         const auto status = m_runner->status();
@@ -692,6 +697,7 @@
     time_point m_steady_since{};                   ///< the same
     bool m_has_asked_all = false;                  ///< the same
     std::unique_ptr<link::node> m_node;
+    held_up_since m_link_held_up;                  ///< the same; as of the last tick
     std::unique_ptr<control::replica_runner> m_runner;
     std::unique_ptr<http::server> m_server;
 };
--- a/dewbeam/src/registrar/watchers.cpp
+++ b/dewbeam/src/registrar/watchers.cpp
@@ -101,6 +101,13 @@
     }
 }
 
+void put_off_leases(watcher_table& table, time_span held_up)
+{
+    for (auto& [peer, subject] : table.m_watchers) {
+        subject.m_lease_deadline += held_up;
+    }
+}
+
 void forget(watcher_table& table, const link::peer& gone)
 {
     const auto place = table.m_watchers.find(gone);
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -41,6 +41,9 @@
 /// Forgets watchers whose lease ended.
 void expire(watcher_table& table, time_point now);
 
+/// For so long this registry read nothing of what watchers sent.
+void put_off_leases(watcher_table& table, time_span held_up);
+
 /// Forgets one whose connection is over.
 void forget(watcher_table& table, const link::peer& gone);
 
--- a/dewbeam/src/turns/turn_watch.h
+++ b/dewbeam/src/turns/turn_watch.h
@@ -6,6 +6,8 @@
 /// arrived and waits to be read.
 #pragma once
 
+#include <mutex>
+
 #include "dewbeam/base"
 
 namespace dewbeam {
@@ -19,4 +21,27 @@
 /// \returns by how much this turn is late; zero for the first one
 time_span begin_turn(turn_watch& state, time_point now, time_span longest_turn);
 
+/// For how long a loop was held up in all, for other threads to read. Thread-safe.
+class held_up_total {
+public:
+    /// The loop begins a turn. \returns by how much this turn is late
+    time_span begin_turn(time_point now, time_span longest_turn);
+
+    /// The total until `now`; a turn that is late and has not begun yet counts too.
+    [[nodiscard]] time_span until(time_point now) const;
+
+private:
+    mutable std::mutex m_mutex;
+    turn_watch m_turns;
+    time_span m_total{};
+};
+
+/// What a total has grown by since the last look at it.
+struct held_up_since {
+    time_span m_known{};
+};
+
+/// \returns the growth of `total`; zero for one that fell, as of a loop that began anew
+time_span take_growth(held_up_since& state, time_span total);
+
 }  // namespace dewbeam
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -114,6 +114,33 @@
 
 // An address is handed on to another deployment: both ends refuse each other at once, and the end
 // that opened the connection hears that it is lost. The same where one of them has no name.
+// Guards against connections that are lost because this process did not run for longer than the
+// limit of silence.
+TEST(link, a_process_that_was_held_up_keeps_its_connections)
+{
+    collector server_side;
+    collector client_side;
+    const auto server = node::start(options("server"), server_side.handlers()).value();
+    auto handlers = client_side.handlers();
+    handlers.m_on_message = [inner = std::move(handlers.m_on_message)](const peer& from,
+                                                                       wire::Envelope&& message) {
+        if (message.cancel().attempt().sequence() == 1) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        }
+        inner(from, std::move(message));
+    };
+    const auto client = node::start(options("client"), std::move(handlers)).value();
+    ASSERT_TRUE(client->send(server->address(), cancel_message(0)));
+    ASSERT_TRUE(server_side.wait_for_messages(1));
+    const auto way_back = server_side.m_messages[0].first;
+    server->reply(way_back, cancel_message(1));
+    ASSERT_TRUE(client_side.wait_for_messages(1));
+    ASSERT_TRUE(client->send(server->address(), cancel_message(2)));
+    ASSERT_TRUE(server_side.wait_for_messages(2));
+    EXPECT_EQ(server_side.m_messages[1].first, way_back);
+    EXPECT_TRUE(client_side.m_lost.empty());
+}
+
 TEST(link, refuses_processes_of_another_deployment)
 {
     for (const auto& theirs : {deployment_id("lone-star"), unnamed_deployment}) {
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -278,6 +278,22 @@
     EXPECT_TRUE(subject.all_agree(agent, true));
 }
 
+TEST(membership, an_entry_doubts_nobody_for_the_time_in_which_it_read_nothing)
+{
+    site subject(9);
+    subject.add_usual();
+    subject.run(10s);
+    auto& entry = subject.m_processes[0];
+    entry.m_is_running = false;
+    subject.run(4s);
+    entry.m_is_running = true;
+    put_off_leases(entry.m_view, 4s);
+    random_engine random(1);
+    EXPECT_TRUE(tick(entry.m_view, subject.m_now, random).m_changes.empty());
+    subject.run(10s);
+    EXPECT_TRUE(subject.all_agree(2, true));
+}
+
 TEST(membership, a_member_that_returned_is_watched_again)
 {
     site subject(7);
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -280,6 +280,17 @@
     EXPECT_EQ(table.m_gateways, 0U);
 }
 
+TEST(watchers, leases_are_put_off_by_the_time_for_which_the_registry_was_held_up)
+{
+    registrar::watcher_table table;
+    registrar::note_watch(table, {"a", ""}, {}, {});
+    registrar::put_off_leases(table, seconds(3));
+    registrar::expire(table, time_point(seconds(6)));
+    EXPECT_EQ(table.m_watchers.size(), 1U);
+    registrar::expire(table, time_point(seconds(7)));
+    EXPECT_TRUE(table.m_watchers.empty());
+}
+
 TEST(watchers, sums_follow_every_telling_lease_and_loss)
 {
     registrar::watcher_table table;
