Let requests wait for a moment while no upstream can be heard

What callers saw: the links to all agents are lost for a moment (an entry or all agents held up for 3 s, a cut), and each idempotent request, running or new, gets 502 or 503 no_able_upstream in that instant, though the agents answer again 2 to 22 ms later. Others were begun again at the agent that was lost next in the same look, three times in 0 to 17 ms, and got 502 retries_exhausted.

Cause: an upstream that can't be heard counted like one that leaves. A retry or a new request with no other upstream was a lost cause at once; each lost peer was told by itself, so that what it had run was begun again at the next one; and every such attempt cost a retry of a budget of ten.

Change: an upstream that can't be heard is doubted. A route whose upstreams are all doubted keeps its requests for 2.5 s, longer than membership takes to tell who died; then they are refused, and new ones at once. The peers that one look finds lost are told together, and doubted before anything goes on elsewhere. An attempt that ends with its link costs no retry, but counts as an attempt.

Why it holds: what is refused at once is what is known to fail; a silent link is not. The budget guards against retries that add work; an attempt that was cancelled with its link adds none.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -129,11 +129,12 @@
             return absl::InvalidArgumentError("/upstream/labels: " +
                                               std::string(labels.status().message()));
         }
-        auto node = program::start_node(m_settings, m_incarnation,
-                                        {[this](const link::peer& from, wire::Envelope&& message) {
-                                             on_message(from, message);
-                                         },
-                                         [this](const link::peer& gone) { on_lost(gone); }});
+        auto node =
+            program::start_node(m_settings, m_incarnation,
+                                {[this](const link::peer& from, wire::Envelope&& message) {
+                                     on_message(from, message);
+                                 },
+                                 [this](const std::vector<link::peer>& gone) { on_lost(gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -339,11 +340,13 @@
         }
     }
 
-    void on_lost(const link::peer& gone)
+    void on_lost(const std::vector<link::peer>& gone)
     {
-        m_configuration.peer_lost(gone.m_address);
-        if (!gone.m_routing.empty()) {
-            m_gate->entry_lost(gone);
+        for (const auto& item : gone) {
+            m_configuration.peer_lost(item.m_address);
+            if (!item.m_routing.empty()) {
+                m_gate->entry_lost(item);
+            }
         }
     }
 
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -52,11 +52,12 @@
 
     absl::Status start()
     {
-        auto node = program::start_node(m_settings, m_incarnation,
-                                        {[this](const link::peer& from, wire::Envelope&& message) {
-                                             on_message(from, message);
-                                         },
-                                         [this](const link::peer& gone) { on_lost(gone); }});
+        auto node =
+            program::start_node(m_settings, m_incarnation,
+                                {[this](const link::peer& from, wire::Envelope&& message) {
+                                     on_message(from, message);
+                                 },
+                                 [this](const std::vector<link::peer>& gone) { on_lost(gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -311,10 +312,12 @@
                                });
     }
 
-    void on_lost(const link::peer& gone)
+    void on_lost(const std::vector<link::peer>& gone)
     {
         const std::lock_guard lock(m_mutex);
-        m_subscribers.erase(gone);
+        for (const auto& item : gone) {
+            m_subscribers.erase(item);
+        }
     }
 
     wire::Envelope configuration_message() const
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -50,12 +50,23 @@
 {
     constexpr time_span shortest_wait = std::chrono::milliseconds(100);
     const auto longest = now + state.m_options.m_longest_retry_wait;
+    if (request.m_route->m_able == 0 && has_hope(state.m_table, *request.m_route, now)) {
+        return now + state.m_options.m_longest_doubt;
+    }
     if (request.m_was_answered) {
         return longest;
     }
     return std::min(longest, std::max(request.m_info.m_wait_deadline, now + shortest_wait));
 }
 
+/// Takes a retry from the budget where the attempt's end costs one: what was cancelled because the
+/// way to its upstream was lost brings no more work in all, however many attempts that ends at
+/// once.
+bool may_retry(broker& state, attempt_end end)
+{
+    return end == attempt_end::lost || retry::take_retry(state.m_retry_budget);
+}
+
 /// A failed attempt: a suspect of a death, a retry, or the final answer.
 void after_failure(broker& state, pending_request& request, attempt_end end, time_point now,
                    random_engine& random, actions& result)
@@ -80,7 +91,7 @@
     }
     else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
                  most_attempts(state, request) ||
-             !retry::take_retry(state.m_retry_budget)) {
+             !may_retry(state, end)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
@@ -323,6 +334,10 @@
     for (const auto& [name, index] : state.m_table.m_names) {
         refresh(state.m_table, options_of(state), index, now);
     }
+    if (const auto held_up = begin_turn(state.m_ticks, now, longest_tick);
+        held_up > time_span::zero()) {
+        put_off_stillness(state.m_pulses, held_up);
+    }
     close_still_groups(state, now);
     refuse_lapsed(state, now, random, result);
     quarantine::expire(state.m_suspicions, now);
@@ -334,10 +349,6 @@
 {
     if (const auto index = find_upstream(state.m_table, name)) {
         state.m_prefixes.note_event(*index, event);
-    if (const auto held_up = begin_turn(state.m_ticks, now, longest_tick);
-        held_up > time_span::zero()) {
-        put_off_stillness(state.m_pulses, held_up);
-    }
     }
 }
 
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -36,6 +36,9 @@
     health_options m_health;
     /// A request that must be sent again waits for so long for an upstream with room.
     time_span m_longest_retry_wait = std::chrono::seconds(1);
+    /// Requests wait for so long for upstreams that can't be heard, where there are no others:
+    /// longer than membership takes to tell a member that died from one that is late.
+    time_span m_longest_doubt = std::chrono::milliseconds(2500);
     fairness::class_options m_classes;
     admission::queue_options m_queue;  ///< its `m_most_queued` is the one above
     retry::budget_options m_retries;
@@ -77,10 +80,10 @@
     std::vector<quarantine::suspicion> m_new_suspicions;  ///< not yet taken by the program
     std::size_t m_waiting = 0;                            ///< requests that are not running
     time_point m_last_submit{};
+    turn_watch m_ticks;
     double m_block_tokens = 0.0;  ///< of a prefix block; 0: not known
 };
 
-    turn_watch m_ticks;
 /// A new request arrives. Its ticket must not be in the broker.
 actions submit(broker& state, request_info info, time_point now, random_engine& random);
 
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -38,6 +38,7 @@
     std::uint32_t m_slots = 1;  ///< requests that it runs at once
     bool m_leaving = false;
     bool m_is_stalled = false;  ///< its group stands still: nothing begins there now
+    bool m_is_doubted = false;  ///< can't be heard now; it may be back in a moment, or be gone
     time_point m_lease_deadline = no_deadline;
     /// Requests a second from all entries together. If set, each request needs a permit.
     std::optional<double> m_rate_limit;
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -97,8 +97,8 @@
 route_options options_of(const broker& state)
 {
     const auto& options = state.m_options;
-    return {options.m_failure_domain, options.m_entry, options.m_subset_size,
-            options.m_entries_sharing, options.m_classes};
+    return {options.m_failure_domain,  options.m_entry,         options.m_subset_size,
+            options.m_entries_sharing, options.m_longest_doubt, options.m_classes};
 }
 
 lane& lane_of(const pending_request& request)
@@ -246,6 +246,12 @@
     return quarantine::standing_of(state.m_suspicions, info.m_fingerprint, now);
 }
 
+bool is_hopeless(const broker& state, const route& subject, time_point now)
+{
+    return subject.m_able == 0 && !state.m_options.m_waits_for_upstreams &&
+           !has_hope(state.m_table, subject, now);
+}
+
 std::optional<refusal> lost_cause(const broker& state, const pending_request& request,
                                   time_point now)
 {
@@ -256,7 +262,7 @@
     if (standing_of(state, info, now) == quarantine::standing::quarantined) {
         return refusal::quarantined;
     }
-    if (request.m_route->m_able == 0 && !state.m_options.m_waits_for_upstreams) {
+    if (is_hopeless(state, *request.m_route, now)) {
         return refusal::no_able_upstream;
     }
     const auto least_run = to_span(to_seconds(expected_run(state, request, now)) * least_run_share);
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -59,6 +59,9 @@
 /// Where the request's content stands.
 quarantine::standing standing_of(const broker& state, const request_info& info, time_point now);
 
+/// Whether no upstream of the route can take a request, now or in a moment.
+bool is_hopeless(const broker& state, const route& subject, time_point now);
+
 /// Why a waiting request can't go any more; none while it still can.
 std::optional<refusal> lost_cause(const broker& state, const pending_request& request,
                                   time_point now);
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -234,6 +234,9 @@
     const bool is_moved = is_new || upstream.m_info.m_labels != info.m_labels ||
                           upstream.m_info.m_failure_domain != info.m_failure_domain;
     const bool is_reported = upstream.m_info.m_report.m_measured_at != info.m_report.m_measured_at;
+    if (info.m_is_doubted && !upstream.m_info.m_is_doubted) {
+        upstream.m_doubt_until = now + options.m_longest_doubt;
+    }
     upstream.m_info = info;
     upstream.m_is_known = true;
     if (is_reported) {
@@ -267,8 +270,8 @@
 {
     auto& upstream = *table.m_upstreams[index];
     const bool was_able = upstream.m_is_able;
-    upstream.m_is_able =
-        upstream.m_is_known && !upstream.m_info.m_leaving && upstream.m_info.m_lease_deadline > now;
+    upstream.m_is_able = upstream.m_is_known && !upstream.m_info.m_leaving &&
+                         !upstream.m_info.m_is_doubted && upstream.m_info.m_lease_deadline > now;
     const std::array<bool, 2> is_open = {
         has_room(table, upstream, options, configuration::work_class::urgent, now),
         has_room(table, upstream, options, configuration::work_class::ordinary, now)};
@@ -291,6 +294,16 @@
     }
 }
 
+bool has_hope(const route_table& table, const route& subject, time_point now)
+{
+    return std::any_of(subject.m_members.begin(), subject.m_members.end(),
+                       [&](upstream_index index) {
+                           const auto& upstream = *table.m_upstreams[index];
+                           return upstream.m_info.m_is_doubted && !upstream.m_info.m_leaving &&
+                                  upstream.m_doubt_until > now;
+                       });
+}
+
 bool has_serving(const route_table& table, const route& subject, time_point now)
 {
     return std::any_of(
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -69,7 +69,7 @@
 struct upstream_state {
     upstream_info m_info;
     bool m_is_known = false;        ///< false: removed, but its attempts have not all ended
-    bool m_is_able = false;         ///< known, not leaving, lease valid
+    bool m_is_able = false;         ///< known, not leaving, not doubted, lease valid
     std::uint32_t m_in_flight = 0;  ///< own dispatches without an end
     std::uint32_t m_ordinary_in_flight = 0;
     std::uint32_t m_others_running = 0;  ///< of other entries, by the last report
@@ -80,6 +80,7 @@
     double m_recent_work = 0.0;          ///< of own dispatches, decayed until the last of them
     time_point m_last_dispatch{};        ///< own
     time_point m_closed_until{};         ///< it said `not_run`: it is fuller than we knew
+    time_point m_doubt_until{};          ///< while doubted: until then it may be back in a moment
     health m_health;
     slowness m_slowness;
     bool m_runs_alone = false;
@@ -125,6 +126,7 @@
     host_id m_entry;                 ///< of the subset
     std::size_t m_subset_size = 64;  ///< upstreams of a route in one domain group
     std::uint32_t m_entries_sharing = 1;
+    time_span m_longest_doubt = time_span::zero();  ///< for members that can't be heard
     fairness::class_options m_classes;
 };
 
@@ -165,6 +167,9 @@
 void refresh_members(route_table& table, const route_options& options, const route& subject,
                      time_point now);
 
+/// Whether some member that can't be heard may be able again in a moment.
+bool has_hope(const route_table& table, const route& subject, time_point now);
+
 /// Whether some member would take a request if it had a slot.
 bool has_serving(const route_table& table, const route& subject, time_point now);
 
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -27,19 +27,13 @@
     return !subject.m_open[place].m_near.empty() || !subject.m_open[place].m_far.empty();
 }
 
-/// Whether its requests are refused because no upstream could ever take them.
-bool must_refuse(const broker& state, const route& subject)
-{
-    return subject.m_able == 0 && !state.m_options.m_waits_for_upstreams;
-}
-
 /// The lane of a class that was served least and can go, or whose requests must be refused.
-route* next_route(const broker& state, std::size_t place, bool is_late)
+route* next_route(const broker& state, std::size_t place, bool is_late, time_point now)
 {
     route* best = nullptr;
     for (const auto& candidate : state.m_table.m_routes) {
         auto& subject = candidate->m_lanes[place];
-        const bool can_go = is_open(*candidate, place) || must_refuse(state, *candidate);
+        const bool can_go = is_open(*candidate, place) || is_hopeless(state, *candidate, now);
         if (queue_of(subject, is_late).m_size == 0 || !can_go) {
             continue;
         }
@@ -75,10 +69,10 @@
     return 0.0;
 }
 
-turn next_turn(const broker& state, bool is_late)
+turn next_turn(const broker& state, bool is_late, time_point now)
 {
-    auto* urgent = next_route(state, place_of(work_class::urgent), is_late);
-    auto* ordinary = next_route(state, place_of(work_class::ordinary), is_late);
+    auto* urgent = next_route(state, place_of(work_class::urgent), is_late, now);
+    auto* ordinary = next_route(state, place_of(work_class::ordinary), is_late, now);
     if (ordinary == nullptr) {
         return {urgent, place_of(work_class::urgent), is_late,
                 urgent == nullptr ? 0.0 : waiting_ordinary_cost(state, is_late)};
@@ -170,8 +164,8 @@
             serve_retries(state, subject, is_late, now, random, result);
         }
     }
-    for (auto next = next_turn(state, is_late); next.m_route != nullptr;
-         next = next_turn(state, is_late)) {
+    for (auto next = next_turn(state, is_late, now); next.m_route != nullptr;
+         next = next_turn(state, is_late, now)) {
         if (!serve(state, next, now, random, result)) {
             break;
         }
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -110,12 +110,12 @@
 private:
     absl::Status start_link()
     {
-        auto node =
-            program::start_node(m_state.m_settings, m_state.m_incarnation,
-                                {[this](const link::peer& from, wire::Envelope&& message) {
-                                     on_message(m_state, from, std::move(message));
-                                 },
-                                 [this](const link::peer& gone) { on_lost(m_state, gone); }});
+        auto node = program::start_node(
+            m_state.m_settings, m_state.m_incarnation,
+            {[this](const link::peer& from, wire::Envelope&& message) {
+                 on_message(m_state, from, std::move(message));
+             },
+             [this](const std::vector<link::peer>& gone) { on_lost(m_state, gone); }});
         if (!node.ok()) {
             return node.status();
         }
--- a/dewbeam/src/entry/member_table.cpp
+++ b/dewbeam/src/entry/member_table.cpp
@@ -5,7 +5,7 @@
 membership::member member_table::as_seen(const entry& item)
 {
     auto result = item.m_member;
-    result.m_leaving = result.m_leaving || result.m_suspect || item.m_is_unreachable;
+    result.m_suspect = result.m_suspect || item.m_is_unreachable;
     // Membership keeps the lease; what it holds dead is removed.
     result.m_lease_deadline = no_deadline;
     return result;
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -83,6 +83,17 @@
     perform(state, state.m_pools.merge_suspicion(message.pool(), record, now), now);
 }
 
+void doubt_upstreams_at(entry_state& state, const std::string& address, time_point now)
+{
+    for (const auto& host : state.m_members.set_unreachable(address)) {
+        log_event(log_level::info, "upstream_doubted",
+                  {{"host", host.value()}, {"reason", "link_lost"}});
+        // A report shows when the agent can be reached again.
+        state.m_next_interest = time_point{};
+        update_pools(state, host, now);
+    }
+}
+
 }  // namespace
 
 void on_message(entry_state& state, const link::peer& from, wire::Envelope&& message)
@@ -128,22 +139,22 @@
     }
 }
 
-void on_lost(entry_state& state, const link::peer& gone)
+void on_lost(entry_state& state, const std::vector<link::peer>& gone)
 {
-    state.m_configuration.peer_lost(gone.m_address);
-    state.m_claims.peer_lost(*state.m_node, gone.m_address);
-    if (gone.m_address.empty()) {
-        return;
-    }
     const auto now = program::now();
-    for (const auto& host : state.m_members.set_unreachable(gone.m_address)) {
-        log_event(log_level::info, "upstream_doubted",
-                  {{"host", host.value()}, {"reason", "link_lost"}});
-        // A report shows when the agent can be reached again.
-        state.m_next_interest = time_point{};
-        update_pools(state, host, now);
+    for (const auto& item : gone) {
+        state.m_configuration.peer_lost(item.m_address);
+        state.m_claims.peer_lost(*state.m_node, item.m_address);
+        if (!item.m_address.empty()) {
+            doubt_upstreams_at(state, item.m_address, now);
+        }
+    }
+    // Only now: else what goes on elsewhere would be sent to the next one that is lost.
+    for (const auto& item : gone) {
+        if (!item.m_address.empty()) {
+            end_attempts_at(state, item.m_address, "link_lost", now);
+        }
     }
-    end_attempts_at(state, gone.m_address, "link_lost", now);
 }
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/messages.h
+++ b/dewbeam/src/entry/messages.h
@@ -10,6 +10,6 @@
 void on_message(entry_state& state, const link::peer& from, wire::Envelope&& message);
 
 /// The link to a process was lost.
-void on_lost(entry_state& state, const link::peer& gone);
+void on_lost(entry_state& state, const std::vector<link::peer>& gone);
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -39,6 +39,7 @@
     info.m_incarnation = member.m_upstream_life;
     info.m_slots = member.m_slots;
     info.m_leaving = member.m_leaving || (drain != nullptr && *drain == "true");
+    info.m_is_doubted = member.m_suspect;
     info.m_lease_deadline = member.m_lease_deadline;
     info.m_report.m_running = member.m_load.m_running;
     info.m_report.m_waiting = member.m_load.m_waiting;
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -129,9 +129,11 @@
                      m_state.m_feed.take(from, message, program::now());
                  }
              },
-             [this](const link::peer& gone) {
-                 log_event(log_level::warning, "registry_lost", {{"address", gone.m_address}});
-                 m_state.m_feed.lost(gone);
+             [this](const std::vector<link::peer>& gone) {
+                 for (const auto& item : gone) {
+                     log_event(log_level::warning, "registry_lost", {{"address", item.m_address}});
+                     m_state.m_feed.lost(item);
+                 }
              }});
         if (!node.ok()) {
             return node.status();
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -474,7 +474,9 @@
         }
         for (const auto& item : lost) {
             forget(item, now);
-            m_handlers.m_on_lost(item);
+        }
+        if (!lost.empty()) {
+            m_handlers.m_on_lost(lost);
         }
     }
 
@@ -505,9 +507,9 @@
     std::uint64_t m_next_key = first_connection_key;
     std::unordered_map<poll_key, std::string> m_addresses;  ///< of connections
     time_point m_next_watch{};
+    held_up_total m_held_up;    ///< by turns of looking for silent connections
     time_point m_watched_at{};  ///< when silent connections were last looked for
     std::map<std::string, connection> m_connections;
-    held_up_total m_held_up;    ///< by turns of looking for silent connections
     strangers m_strangers;
     /// Connections in a row to an address on which nothing was heard.
     std::unordered_map<std::string, std::uint32_t> m_silent_tries;
@@ -583,13 +585,13 @@
     m_implementation->follow_log(log);
 }
 
-void node::stop()
-{
 time_span node::held_up() const
 {
     return m_implementation->held_up();
 }
 
+void node::stop()
+{
     m_implementation->stop();
 }
 
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "dewbeam.pb.h"
 #include "dewbeam/base"
@@ -59,7 +60,8 @@
 /// Called on the node's thread; must not block.
 struct node_handlers {
     std::function<void(const peer&, wire::Envelope&&)> m_on_message;
-    std::function<void(const peer&)> m_on_lost;
+    /// Those that were found lost in one look: what is done about one may depend on the others.
+    std::function<void(const std::vector<peer>&)> m_on_lost;
 };
 
 /// One process's end of all links. Thread-safe.
@@ -88,12 +90,12 @@
     /// of processes that follow another one are refused. The first one holds; 0 changes nothing.
     void follow_log(log_id log);
 
-    /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
-    /// replying stay allowed and give false.
     /// For how long the node's thread was held up since it started, until now: what the others sent
     /// meanwhile was read later, and whoever judges their silence must not count that time.
     [[nodiscard]] time_span held_up() const;
 
+    /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
+    /// replying stay allowed and give false.
     void stop();
 
     /// Closes the connection to `address`; what was queued on it may be lost.
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -87,7 +87,11 @@
                                         {[this](const link::peer& from, wire::Envelope&& message) {
                                              on_message(from, message);
                                          },
-                                         [this](const link::peer& gone) { m_feed.lost(gone); }});
+                                         [this](const std::vector<link::peer>& gone) {
+                                             for (const auto& item : gone) {
+                                                 m_feed.lost(item);
+                                             }
+                                         }});
         if (!node.ok()) {
             return node.status();
         }
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -93,11 +93,12 @@
 
     absl::Status start()
     {
-        auto node = program::start_node(m_settings, m_life,
-                                        {[this](const link::peer& from, wire::Envelope&& message) {
-                                             on_message(from, message);
-                                         },
-                                         [this](const link::peer& gone) { on_lost(gone); }});
+        auto node =
+            program::start_node(m_settings, m_life,
+                                {[this](const link::peer& from, wire::Envelope&& message) {
+                                     on_message(from, message);
+                                 },
+                                 [this](const std::vector<link::peer>& gone) { on_lost(gone); }});
         if (!node.ok()) {
             return node.status();
         }
@@ -527,10 +528,12 @@
         m_node->reply(from, std::move(answer));
     }
 
-    void on_lost(const link::peer& gone)
+    void on_lost(const std::vector<link::peer>& gone)
     {
         const std::lock_guard lock(m_mutex);
-        forget(m_watchers, gone);
+        for (const auto& item : gone) {
+            forget(m_watchers, item);
+        }
     }
 
     // News.
@@ -578,16 +581,16 @@
         if (m_has_revision_news.exchange(false)) {
             push_revision();
         }
+        const auto held_up = take_growth(m_link_held_up, m_node->held_up());
         hold_calls calls;
         {
             const std::lock_guard lock(m_mutex);
-        const auto held_up = take_growth(m_link_held_up, m_node->held_up());
-            expire(m_watchers, now);
-            expire(m_holds, now, calls);
-        }
             if (held_up > time_span::zero()) {
                 put_off_leases(m_watchers, held_up);
             }
+            expire(m_watchers, now);
+            expire(m_holds, now, calls);
+        }
         run(calls);
         push_permits(now);
         const auto status = m_runner->status();
@@ -694,10 +697,10 @@
     belief m_belief;                               ///< used on the frame's thread alone
     time_point m_next_sync{};                      ///< the same
     time_point m_last_tick{};                      ///< the same
+    held_up_since m_link_held_up;                  ///< the same; as of the last tick
     time_point m_steady_since{};                   ///< the same
     bool m_has_asked_all = false;                  ///< the same
     std::unique_ptr<link::node> m_node;
-    held_up_since m_link_held_up;                  ///< the same; as of the last tick
     std::unique_ptr<control::replica_runner> m_runner;
     std::unique_ptr<http::server> m_server;
 };
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -14,6 +14,7 @@
     not_reached,    ///< never begun, since no connection to the upstream came about
     refused_busy,   ///< never begun, since the upstream had no room at that moment
     unknown,        ///< may have run
+    lost,           ///< may have run; the way there was lost, and it was cancelled there
     upstream_died,  ///< unknown, and the upstream's process went away while it ran
     cancelled,      ///< the caller went away
 };
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -253,6 +253,61 @@
     EXPECT_EQ(refused[0].m_refusal, refusal::no_able_upstream);
 }
 
+/// The upstream, where it can't be heard.
+upstream_info doubted(upstream_info subject)
+{
+    subject.m_is_doubted = true;
+    return subject;
+}
+
+// All links may be back a moment later: nobody is refused for that moment.
+TEST(broker, requests_wait_for_a_moment_while_no_upstream_can_be_heard)
+{
+    fixture f;
+    const auto upstream = make_upstream("u", 4);
+    f.put(upstream);
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    EXPECT_TRUE(f.put(doubted(upstream)).empty());
+    EXPECT_TRUE(f.end(1, attempt_end::unknown).empty());
+    EXPECT_TRUE(f.add(make_request(2)).empty());
+    EXPECT_TRUE(f.pass(milliseconds(500)).empty());
+    const auto steps = f.put(upstream);
+    ASSERT_EQ(steps.size(), 2U);
+    EXPECT_EQ(steps[0].m_kind, action::kind::dispatch);
+    EXPECT_EQ(steps[1].m_kind, action::kind::dispatch);
+}
+
+// All links to a pool may be lost at once, with more requests than the budget has retries.
+TEST(broker, requests_whose_way_was_lost_cost_no_retry)
+{
+    fixture f;
+    f.put(make_upstream("u", 30));
+    for (std::uint64_t id = 1; id <= 30; ++id) {
+        f.add(make_request(id));
+    }
+    f.put(make_upstream("v", 30));
+    for (std::uint64_t id = 1; id <= 30; ++id) {
+        const auto steps = f.end(id, attempt_end::lost);
+        ASSERT_EQ(steps.size(), 1U);
+        EXPECT_EQ(steps[0].m_kind, action::kind::dispatch);
+    }
+}
+
+TEST(broker, requests_are_refused_once_no_upstream_was_heard_for_longer_than_a_moment)
+{
+    fixture f;
+    const auto upstream = make_upstream("u", 4);
+    f.put(upstream);
+    f.put(doubted(upstream));
+    EXPECT_TRUE(f.add(make_request(1)).empty());
+    const auto refused = f.pass(f.m_broker.m_options.m_longest_doubt);
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].m_refusal, refusal::no_able_upstream);
+    const auto at_once = f.add(make_request(2));
+    ASSERT_EQ(at_once.size(), 1U);
+    EXPECT_EQ(at_once[0].m_refusal, refusal::no_able_upstream);
+}
+
 TEST(broker, labels_decide_and_a_change_of_labels_takes_effect_at_once)
 {
     fixture f;
--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -152,7 +152,7 @@
                                                 runner->on_message(m.group(), program::now());
                                             }
                                         },
-                                        [](const link::peer&) {}})
+                                        [](const std::vector<link::peer>&) {}})
                 .value();
         m_members.push_back(host.m_node->address());
     }
@@ -366,8 +366,8 @@
     node_options.m_listen = {"127.0.0.1", 0};
     node_options.m_host = host_id("h");
     node_options.m_incarnation = incarnation(5);
-    auto node = link::node::start(
-        node_options, {[](const link::peer&, wire::Envelope&&) {}, [](const link::peer&) {}});
+    auto node = link::node::start(node_options, {[](const link::peer&, wire::Envelope&&) {},
+                                                 [](const std::vector<link::peer>&) {}});
     const std::vector<std::string> members(ranks, "tcp://127.0.0.1:1");  // nobody listens there
     auto options = make_group_options("g", members, rank_id(0), incarnation(5), true);
     std::set<rank_id> made;
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -20,7 +20,9 @@
         return {[this](const peer& from, wire::Envelope&& message) {
                     add([&] { m_messages.emplace_back(from, std::move(message)); });
                 },
-                [this](const peer& gone) { add([&] { m_lost.push_back(gone); }); }};
+                [this](const std::vector<peer>& gone) {
+                    add([&] { m_lost.insert(m_lost.end(), gone.begin(), gone.end()); });
+                }};
     }
 
     /// Waits until `count` messages came; false where they did not within ten seconds.
@@ -112,8 +114,6 @@
     EXPECT_EQ(client_side.m_messages[0].first.m_address, server->address());
 }
 
-// An address is handed on to another deployment: both ends refuse each other at once, and the end
-// that opened the connection hears that it is lost. The same where one of them has no name.
 // Guards against connections that are lost because this process did not run for longer than the
 // limit of silence.
 TEST(link, a_process_that_was_held_up_keeps_its_connections)
@@ -141,6 +141,8 @@
     EXPECT_TRUE(client_side.m_lost.empty());
 }
 
+// An address is handed on to another deployment: both ends refuse each other at once, and the end
+// that opened the connection hears that it is lost. The same where one of them has no name.
 TEST(link, refuses_processes_of_another_deployment)
 {
     for (const auto& theirs : {deployment_id("lone-star"), unnamed_deployment}) {
--- a/test/membership_runner_test.cpp
+++ b/test/membership_runner_test.cpp
@@ -34,7 +34,7 @@
         options.m_incarnation = incarnation(1);
         m_node = *link::node::start(
             options, {[this](const link::peer&, wire::Envelope&& message) { take(message); },
-                      [](const link::peer&) {}});
+                      [](const std::vector<link::peer>&) {}});
         membership::member self;
         self.m_host = host_id(host);
         self.m_failure_domain = failure_domain_id("a");
