Cancel attempts at their agents when the entry ends them

What callers saw: requests that wait behind places that nobody uses.

Cause: an end was told to the broker alone. A dispatch that was still queued when its link was lost goes out on the connection that comes after it, which is never lost; an attempt ended by another thread before it was sent is sent all the same; and an agent says "unknown" of what it runs and of what it doesn't know alike, so that an entry gave up an attempt that the agent had just accepted.

Change: what an entry ends it cancels at the agent, in order after the dispatch. An acknowledged attempt outlives an "unknown" answer to its tombstone.

--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -43,6 +43,13 @@
             now);
 }
 
+void send_cancel(entry_state& state, const attempt_id& id, const std::string& address)
+{
+    wire::Envelope message;
+    link::to_wire(id, *message.mutable_cancel()->mutable_attempt());
+    state.m_node->send(address, std::move(message));
+}
+
 void begin_attempt(entry_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
@@ -69,6 +76,9 @@
     if (address.empty() || !state.m_node->send(address, std::move(envelope))) {
         end_attempt(state, request, id, dispatch::attempt_end::not_run, "not_sent", now);
     }
+    else if (request->attempt().m_id != id) {
+        send_cancel(state, id, address);  // another thread ended it before it was sent
+    }
 }
 
 void send_tombstone(entry_state& state, const owned_attempt& attempt)
@@ -105,9 +115,7 @@
         return;
     }
     state.m_requests.remove_attempt(attempt.m_id);
-    wire::Envelope message;
-    link::to_wire(attempt.m_id, *message.mutable_cancel()->mutable_attempt());
-    state.m_node->send(attempt.m_agent_address, std::move(message));
+    send_cancel(state, attempt.m_id, attempt.m_agent_address);
 }
 
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
@@ -145,11 +153,12 @@
         if (attempt.m_agent_address != address) {
             continue;
         }
-        const bool is_suspect = state.m_losses.note(request->known().m_call.m_content, now);
-        end_attempt(
-            state, request, attempt.m_id,
-            is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::unknown,
-            reason, now);
+        const bool is_suspect = attempt.m_is_acknowledged &&
+                                state.m_losses.note(request->known().m_call.m_content, now);
+        cancel_attempt(state, request);
+        end_attempt(state, request, attempt.m_id,
+                    is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::lost,
+                    reason, now);
     }
 }
 
@@ -191,6 +200,7 @@
                     now);
     }
     else if (request->is_tombstone_late(now)) {
+        cancel_attempt(state, request);
         end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown,
                     "not_acknowledged", now);
     }
--- a/dewbeam/src/entry/attempts.h
+++ b/dewbeam/src/entry/attempts.h
@@ -20,7 +20,9 @@
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
                  dispatch::attempt_end end, std::string_view reason, time_point now);
 
-/// The process at an address is gone, or can't be heard: its attempts end here.
+/// The process at an address is gone, or can't be heard: its attempts end here. They are cancelled
+/// there too: a dispatch may go out on the connection that comes after the lost one, and nobody
+/// would wait for its answer.
 void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
                      time_point now);
 
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -289,7 +289,10 @@
     if (m_is_over || link::from_wire(reply.attempt()) != m_attempt.m_id) {
         return chunk_effect::none;
     }
-    return to_effect(link::from_wire(reply.outcome()), {});
+    const auto effect = to_effect(link::from_wire(reply.outcome()), {});
+    // The agent accepted it in the meantime: that it can't say how it ends is no end.
+    const bool is_under_way = m_attempt.m_is_acknowledged && effect == chunk_effect::unknown;
+    return is_under_way ? chunk_effect::none : effect;
 }
 
 owned_attempt entry_request::attempt() const
@@ -334,9 +337,6 @@
     return !m_is_over && m_attempt.m_gap_deadline <= now;
 }
 
-void entry_request::fail(const caller::error& fault)
-{
-    const std::lock_guard lock(m_mutex);
 void entry_request::put_off_deadlines(time_span held_up)
 {
     const std::lock_guard lock(m_mutex);
@@ -346,6 +346,9 @@
     }
 }
 
+void entry_request::fail(const caller::error& fault)
+{
+    const std::lock_guard lock(m_mutex);
     if (m_is_over) {
         return;
     }
--- /dev/null
+++ b/test/entry_attempts_test.cpp
@@ -0,0 +1,226 @@
+// Attempts of an entry whose links to agents are lost, or whose agents are late.
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+#include "dewbeam/src/entry/attempts.h"
+#include "dewbeam/src/entry/intake.h"
+#include "dewbeam/src/entry/member_feed.h"
+#include "dewbeam/src/entry/messages.h"
+#include "test/recording_exchange.h"
+
+namespace dewbeam::entry {
+namespace {
+
+using json = nlohmann::json;
+using test::recording_exchange;
+
+json settings()
+{
+    return {{"threads", 1},
+            {"host", "e1"},
+            {"failure_domain", "d1"},
+            {"burn_file", ""},
+            {"controls", {"127.0.0.1:7000"}},
+            {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
+}
+
+std::unique_ptr<link::node> start_node(const char* host, link::node_handlers handlers)
+{
+    link::node_options options;
+    options.m_listen = {"127.0.0.1", 0};
+    options.m_host = host_id(host);
+    options.m_incarnation = incarnation(1);
+    return link::node::start(options, std::move(handlers)).value();
+}
+
+/// An agent that only records what it is sent.
+class silent_agent {
+public:
+    explicit silent_agent(const char* host)
+        : m_node(start_node(host, {[this](const link::peer&, wire::Envelope&& message) {
+                                       const std::lock_guard lock(m_mutex);
+                                       m_messages.push_back(std::move(message));
+                                       m_changed.notify_all();
+                                   },
+                                   [](const std::vector<link::peer>&) {}}))
+    {
+    }
+
+    [[nodiscard]] const std::string& address() const { return m_node->address(); }
+
+    /// The attempt of the first message that `pick` finds one in; none after ten seconds.
+    template <class Pick>
+    std::optional<attempt_id> wait_for(Pick&& pick)
+    {
+        std::unique_lock lock(m_mutex);
+        std::optional<attempt_id> found;
+        m_changed.wait_for(lock, std::chrono::seconds(10), [&] {
+            for (const auto& message : m_messages) {
+                found = found ? found : pick(message);
+            }
+            return found.has_value();
+        });
+        return found;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<wire::Envelope> m_messages;
+    std::unique_ptr<link::node> m_node;
+};
+
+std::optional<attempt_id> dispatched(const wire::Envelope& message)
+{
+    return message.has_dispatch() ? std::optional(link::from_wire(message.dispatch().attempt()))
+                                  : std::nullopt;
+}
+
+std::optional<attempt_id> cancelled(const wire::Envelope& message)
+{
+    return message.has_cancel() ? std::optional(link::from_wire(message.cancel().attempt()))
+                                : std::nullopt;
+}
+
+class entry_attempts : public testing::Test {
+protected:
+    entry_attempts() : m_frame(settings()), m_state(m_frame, settings(), [] {})
+    {
+        m_state.m_node = start_node("e1", {[](const link::peer&, wire::Envelope&&) {},
+                                           [](const std::vector<link::peer>&) {}});
+        wire::Configuration rules;
+        rules.mutable_version()->set_term(1);
+        rules.mutable_version()->set_index(1);
+        rules.set_document(
+            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}
+                .dump());
+        EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
+    }
+
+    ~entry_attempts() override { m_state.m_node->stop(); }
+
+    void add_upstream(const std::string& name, const std::string& address)
+    {
+        membership::member agent;
+        agent.m_host = host_id(name);
+        agent.m_upstream = upstream_id(name);
+        agent.m_address = address;
+        agent.m_role = membership::role::agent;
+        agent.m_failure_domain = failure_domain_id("d1");
+        agent.m_incarnation = agent.m_upstream_life = incarnation(1);
+        agent.m_models.emplace_back("m");
+        agent.m_labels.set("pool", "chat");
+        agent.m_slots = 8;
+        m_state.m_members.take(agent);
+        update_pools(m_state, agent.m_host, program::now());
+    }
+
+    request_pointer send_request()
+    {
+        entry_request::facts known;
+        known.m_ticket = dispatch::ticket(++m_state.m_last_ticket);
+        known.m_call.m_model = known.m_caller_model = model_id("m");
+        known.m_call.m_content = fingerprint(7);
+        known.m_arrival = program::now();
+        const request_pointer first(
+            new entry_request(std::move(known), std::make_shared<recording_exchange>()));
+        m_state.m_requests.add(first);
+        resubmit(m_state, first, {}, program::now());
+        return m_state.m_requests.all().at(0);
+    }
+
+    void lose_link(const std::string& address)
+    {
+        on_lost(m_state, std::vector{link::peer{address, {}}});
+    }
+
+    program::program m_frame;
+    entry_state m_state;
+};
+
+// A dispatch may go out on the connection that comes after the lost one: then no loss would tell
+// the agent, and the attempt would hold a place there for the whole of its run.
+TEST_F(entry_attempts, an_attempt_that_ends_with_its_link_is_cancelled_at_its_agent)
+{
+    silent_agent agent("a1");
+    add_upstream("u1", agent.address());
+    send_request();
+    const auto begun = agent.wait_for(dispatched);
+    ASSERT_TRUE(begun);
+    lose_link(agent.address());
+    EXPECT_EQ(agent.wait_for(cancelled), begun);
+}
+
+TEST_F(entry_attempts, an_attempt_without_any_acknowledgement_is_cancelled_at_its_agent)
+{
+    silent_agent agent("a1");
+    add_upstream("u1", agent.address());
+    const auto request = send_request();
+    const auto begun = agent.wait_for(dispatched);
+    ASSERT_TRUE(begun);
+    const auto late = program::now() + std::chrono::seconds(2);
+    watch_deadlines(m_state, request, late);
+    watch_deadlines(m_state, request, late + std::chrono::seconds(2));
+    EXPECT_EQ(agent.wait_for(cancelled), begun);
+}
+
+TEST_F(entry_attempts, a_request_does_not_go_on_at_an_upstream_that_is_lost_at_the_same_time)
+{
+    silent_agent first("a1");
+    silent_agent second("a2");
+    add_upstream("u1", first.address());
+    add_upstream("u2", second.address());
+    const auto request = send_request();
+    on_lost(m_state, {link::peer{first.address(), {}}, link::peer{second.address(), {}}});
+    EXPECT_EQ(request->attempt().m_id.m_sequence, 0U);
+    EXPECT_FALSE(request->is_over());
+}
+
+// What an agent never accepted can't have ended it.
+TEST_F(entry_attempts, a_content_is_not_blamed_for_links_that_were_lost_before_it_was_accepted)
+{
+    silent_agent first("a1");
+    silent_agent second("a2");
+    add_upstream("u1", first.address());
+    add_upstream("u2", second.address());
+    send_request();
+    for (int loss = 0; loss < 2; ++loss) {
+        lose_link(m_state.m_requests.all().at(0)->attempt().m_agent_address);
+    }
+    EXPECT_TRUE(m_state.m_pools.take_suspicions().empty());
+}
+
+// An agent answers a tombstone for what it runs with "unknown"; that is no end of it.
+TEST_F(entry_attempts, an_accepted_attempt_goes_on_after_the_answer_to_its_tombstone)
+{
+    silent_agent agent("a1");
+    add_upstream("u1", agent.address());
+    const auto request = send_request();
+    const auto owned = request->attempt();
+    ASSERT_TRUE(request->begin_tombstone(program::now() + std::chrono::seconds(2)));
+    wire::Accepted accepted;
+    link::to_wire(owned.m_id, *accepted.mutable_attempt());
+    request->take(accepted);
+    wire::TombstoneReply answer;
+    link::to_wire(owned.m_id, *answer.mutable_attempt());
+    answer.set_outcome(link::to_wire(ledger::outcome::unknown));
+    EXPECT_EQ(request->take(answer), chunk_effect::none);
+    EXPECT_EQ(request->attempt().m_id, owned.m_id);
+}
+
+// An entry that was held up has not read yet what its agents sent meanwhile.
+TEST_F(entry_attempts, time_for_which_the_entry_was_held_up_does_not_count_against_the_agent)
+{
+    silent_agent agent("a1");
+    add_upstream("u1", agent.address());
+    const auto request = send_request();
+    const auto late = program::now() + std::chrono::seconds(2);
+    request->put_off_deadlines(std::chrono::seconds(2));
+    EXPECT_FALSE(request->begin_tombstone(late));
+    EXPECT_TRUE(request->begin_tombstone(late + std::chrono::seconds(2)));
+}
+
+}  // namespace
+}  // namespace dewbeam::entry
