Give ids of requests and attempts that no other entry gives

Cause: ids were the entry's incarnation and a count, and an incarnation is the microsecond of the process's start: two entries had started in the same one. Attempts share the fault, which is worse than a name: control grants a key again to the attempt that holds it, so that two entries with equal ids may both run a call that must run once, and an agent drops the second one's attempt as a repeat of the first one's.

Change: ids carry a hash of the host's name and the incarnation. Hosts' names are unique in a deployment, and one host's incarnations differ.

Ruled out: a coarse clock (20,000 readings in a row all differ); a replayed header (the answer of a replay carries the id of the request that it answers).

Test: entry_ids.entries_that_started_at_the_same_time_give_different_ids, with two entries of one incarnation: the ids before are equal by their definition.

--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -54,7 +54,7 @@
                    const dispatch::action& action, time_point now)
 {
     owned_attempt attempt;
-    attempt.m_id = {state.m_incarnation, ++state.m_last_attempt};
+    attempt.m_id = next_attempt_id(state);
     attempt.m_agent_address = state.m_members.address_of(action.m_upstream);
     attempt.m_agent = action.m_incarnation;
     const auto id = attempt.m_id;
--- a/dewbeam/src/entry/entry_state.cpp
+++ b/dewbeam/src/entry/entry_state.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/entry/entry_state.h"
 
+#include <absl/strings/str_format.h>
+
 #include <utility>
 
 namespace dewbeam::entry {
@@ -24,6 +26,13 @@
     return limits;
 }
 
+/// What sets this process's ids apart from those of all others.
+incarnation id_scope(const entry_state& state)
+{
+    const auto host = stable_hash(setting_value<std::string>(state.m_settings, "/host"));
+    return incarnation(combine_hash(host, state.m_incarnation.value()));
+}
+
 }  // namespace
 
 entry_state::entry_state(program::program& frame, const nlohmann::json& settings,
@@ -39,4 +48,14 @@
 {
 }
 
+attempt_id next_attempt_id(entry_state& state)
+{
+    return {id_scope(state), ++state.m_last_attempt};
+}
+
+std::string request_id_of(const entry_state& state, dispatch::ticket request)
+{
+    return absl::StrFormat("req-%x-%x", id_scope(state).value(), request.value());
+}
+
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/entry_state.h
+++ b/dewbeam/src/entry/entry_state.h
@@ -63,4 +63,11 @@
     std::unique_ptr<http::server> m_server;
 };
 
+/// An id for a new attempt, unlike that of any other entry's attempts. Incarnations alone don't
+/// tell entries apart: they are times, and two processes may start at the same one.
+attempt_id next_attempt_id(entry_state& state);
+
+/// The id of a request, as its caller sees it; unique like those of attempts.
+std::string request_id_of(const entry_state& state, dispatch::ticket request);
+
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -1,7 +1,5 @@
 #include "dewbeam/src/entry/intake.h"
 
-#include <absl/strings/str_format.h>
-
 #include <utility>
 #include <variant>
 
@@ -119,7 +117,7 @@
         known.m_claim.emplace();
         known.m_claim->m_key = claims::claim_key(
             caller::claim_key_of(known.m_workspace, known.m_call.m_idempotency_key));
-        known.m_claim->m_attempt = {state.m_incarnation, ++state.m_last_attempt};
+        known.m_claim->m_attempt = next_attempt_id(state);
     }
     auto info = to_request_info(match, known);
     const request_pointer request(new entry_request(std::move(known), answer));
@@ -133,8 +131,7 @@
 {
     const auto now = program::now();
     const dispatch::ticket ticket(++state.m_last_ticket);
-    const auto request_id =
-        absl::StrFormat("req-%x-%x", state.m_incarnation.value(), ticket.value());
+    const auto request_id = request_id_of(state, ticket);
     auto read = caller::read_call(request, state.m_limits);
     if (const auto* fault = std::get_if<caller::error>(&read)) {
         refuse_unread(state, *fault, request_id, *answer);
--- a/test/entry_intake_test.cpp
+++ b/test/entry_intake_test.cpp
@@ -1,4 +1,5 @@
-// Guards against a place at an upstream that stays taken for a request whose caller has left.
+// What an entry takes in: ids that no other entry gives, and no place at an upstream that stays
+// taken for a request whose caller has left.
 #include <gtest/gtest.h>
 
 #include "dewbeam/src/entry/intake.h"
@@ -57,5 +58,20 @@
     EXPECT_EQ(m_state.m_pools.in_flight(), 0U);
 }
 
+// Two entries with the same ids would share the record of a key at control, which then lets a call
+// that must run once run twice, and each other's attempts at agents.
+TEST(entry_ids, entries_that_started_at_the_same_time_give_different_ids)
+{
+    auto other_settings = settings();
+    other_settings["host"] = "e2";
+    program::program frame(settings());
+    entry_state first(frame, settings(), [] {});
+    entry_state second(frame, other_settings, [] {});
+    second.m_incarnation = first.m_incarnation;
+    EXPECT_NE(next_attempt_id(first), next_attempt_id(second));
+    EXPECT_NE(request_id_of(first, dispatch::ticket(1)),
+              request_id_of(second, dispatch::ticket(1)));
+}
+
 }  // namespace
 }  // namespace dewbeam::entry
