Put no deadline off beyond its whole span

Change: put_off in turns, used at all places, never goes beyond the whole span from now on.

Test: turns.a_deadline_is_put_off_by_the_time_held_up_and_never_beyond_the_whole_span.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -336,7 +336,7 @@
     }
     if (const auto held_up = begin_turn(state.m_ticks, now, longest_tick);
         held_up > time_span::zero()) {
-        put_off_stillness(state.m_pulses, held_up);
+        put_off_stillness(state.m_pulses, held_up, now);
     }
     close_still_groups(state, now);
     refuse_lapsed(state, now, random, result);
--- a/dewbeam/src/dispatch/group_pulse.cpp
+++ b/dewbeam/src/dispatch/group_pulse.cpp
@@ -67,10 +67,10 @@
     return result;
 }
 
-void put_off_stillness(group_pulses& state, time_span held_up)
+void put_off_stillness(group_pulses& state, time_span held_up, time_point now)
 {
     for (auto& [group, pulse] : state.m_groups) {
-        pulse.m_last_event += held_up;
+        pulse.m_last_event = std::min(pulse.m_last_event + held_up, now);
     }
 }
 
--- a/dewbeam/src/dispatch/group_pulse.h
+++ b/dewbeam/src/dispatch/group_pulse.h
@@ -33,7 +33,7 @@
                                            time_point now);
 
 /// This process was held up for so long: events that came meanwhile may not have been read yet.
-void put_off_stillness(group_pulses& state, time_span held_up);
+void put_off_stillness(group_pulses& state, time_span held_up, time_point now);
 
 /// Whether the group was found still.
 bool is_still(const group_pulses& state, const std::string& group);
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "dewbeam/link"
+#include "dewbeam/turns"
 
 namespace dewbeam::entry {
 
@@ -337,13 +338,13 @@
     return !m_is_over && m_attempt.m_gap_deadline <= now;
 }
 
-void entry_request::put_off_deadlines(time_span held_up)
+void entry_request::put_off_deadlines(time_span held_up, time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    for (auto* deadline :
-         {&m_attempt.m_ack_deadline, &m_attempt.m_tombstone_deadline, &m_attempt.m_gap_deadline}) {
-        *deadline += *deadline == no_deadline ? time_span::zero() : held_up;
-    }
+    auto& own = m_attempt;
+    own.m_ack_deadline = put_off(own.m_ack_deadline, held_up, now + acknowledgement_limit);
+    own.m_tombstone_deadline = put_off(own.m_tombstone_deadline, held_up, now + tombstone_limit);
+    own.m_gap_deadline = put_off(own.m_gap_deadline, held_up, now + gap_limit);
 }
 
 void entry_request::fail(const caller::error& fault)
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -135,7 +135,7 @@
     [[nodiscard]] bool is_broken(time_point now) const;
 
     /// This process was held up for so long: what the agent sent meanwhile may not have been read.
-    void put_off_deadlines(time_span held_up);
+    void put_off_deadlines(time_span held_up, time_point now);
 
     /// Ends the request with an error, in the way that still fits what the caller has seen.
     void fail(const caller::error& fault);
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -211,7 +211,7 @@
         const auto held_up = take_growth(m_link_held_up, m_state.m_node->held_up());
         for (const auto& request : m_state.m_requests.all()) {
             if (held_up > time_span::zero()) {
-                request->put_off_deadlines(held_up);
+                request->put_off_deadlines(held_up, now);
             }
             watch_deadlines(m_state, request, now);
         }
--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -146,7 +146,7 @@
     if (held_up == time_span::zero()) {
         return;
     }
-    group_map::put_off_silence(m_participant, held_up);
+    group_map::put_off_silence(m_participant, held_up, now);
     m_stand_in_from = now + m_options.m_patience;
 }
 
--- a/dewbeam/src/group_map/participant.cpp
+++ b/dewbeam/src/group_map/participant.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dewbeam/turns"
+
 namespace dewbeam::group_map {
 
 namespace {
@@ -322,9 +324,9 @@
     return now >= state.m_silent_at;
 }
 
-void put_off_silence(participant& state, time_span held_up)
+void put_off_silence(participant& state, time_span held_up, time_point now)
 {
-    state.m_silent_at += held_up;
+    state.m_silent_at = put_off(state.m_silent_at, held_up, now + state.m_options.m_silence_limit);
 }
 
 }  // namespace dewbeam::group_map
--- a/dewbeam/src/group_map/participant.h
+++ b/dewbeam/src/group_map/participant.h
@@ -70,6 +70,6 @@
 bool coordinator_silent(const participant& state, time_point now);
 
 /// This process was held up for so long: that time is no silence of the coordinator.
-void put_off_silence(participant& state, time_span held_up);
+void put_off_silence(participant& state, time_span held_up, time_point now);
 
 }  // namespace dewbeam::group_map
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -221,7 +221,7 @@
             send_queued();
             if (const auto now = clock_now(); now >= m_next_watch) {
                 m_next_watch = now + watch_interval;
-                put_off_silence(m_held_up.begin_turn(now, longest_wait() + watch_interval));
+                put_off_silence(m_held_up.begin_turn(now, longest_wait() + watch_interval), now);
                 watch_silence(now);
                 m_watched_at = now;
             }
@@ -440,16 +440,18 @@
 
     /// While this thread is held up it asks nobody and hears nobody: that time is no silence of
     /// the others.
-    void put_off_silence(time_span held_up)
+    void put_off_silence(time_span held_up, time_point now)
     {
         if (held_up == time_span::zero()) {
             return;
         }
         for (auto& [address, open] : m_connections) {
-            open.m_silent_deadline += held_up;
+            open.m_silent_deadline =
+                put_off(open.m_silent_deadline, held_up, now + m_options.m_silence_limit);
         }
         for (auto& [routing, deadline] : m_inbound) {
-            deadline += held_up;
+            deadline =
+                put_off(deadline, held_up, now + m_options.m_silence_limit * listener_patience);
         }
     }
 
--- a/dewbeam/src/membership/protocol.cpp
+++ b/dewbeam/src/membership/protocol.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dewbeam/turns"
+
 namespace dewbeam::membership {
 
 namespace {
@@ -468,7 +470,7 @@
     return out;
 }
 
-void put_off_leases(view& state, time_span held_up)
+void put_off_leases(view& state, time_span held_up, time_point now)
 {
     for (const auto& host : state.m_watched) {
         const auto place = state.m_records.find(host);
@@ -476,8 +478,9 @@
             continue;
         }
         auto& item = place->second;
-        item.m_member.m_lease_deadline += held_up;
-        item.m_dead_at += item.m_dead_at == no_deadline ? time_span::zero() : held_up;
+        auto& lease = item.m_member.m_lease_deadline;
+        lease = put_off(lease, held_up, now + state.m_options.m_lease);
+        item.m_dead_at = put_off(item.m_dead_at, held_up, now + state.m_options.m_suspicion);
     }
 }
 
--- a/dewbeam/src/membership/protocol.h
+++ b/dewbeam/src/membership/protocol.h
@@ -65,7 +65,7 @@
 
 /// Puts off the leases that this process keeps: for so long it read nothing of what the others
 /// sent.
-void put_off_leases(view& state, time_span held_up);
+void put_off_leases(view& state, time_span held_up, time_point now);
 
 /// Does what is due; call it at least every `m_gossip`.
 effects tick(view& state, time_point now, random_engine& random);
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -586,7 +586,7 @@
         {
             const std::lock_guard lock(m_mutex);
             if (held_up > time_span::zero()) {
-                put_off_leases(m_watchers, held_up);
+                put_off_leases(m_watchers, held_up, now);
             }
             expire(m_watchers, now);
             expire(m_holds, now, calls);
--- a/dewbeam/src/registrar/watchers.cpp
+++ b/dewbeam/src/registrar/watchers.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dewbeam/src/registrar/announcement_wire.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::registrar {
 
@@ -101,10 +102,10 @@
     }
 }
 
-void put_off_leases(watcher_table& table, time_span held_up)
+void put_off_leases(watcher_table& table, time_span held_up, time_point now)
 {
     for (auto& [peer, subject] : table.m_watchers) {
-        subject.m_lease_deadline += held_up;
+        subject.m_lease_deadline = put_off(subject.m_lease_deadline, held_up, now + lease);
     }
 }
 
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -42,7 +42,7 @@
 void expire(watcher_table& table, time_point now);
 
 /// For so long this registry read nothing of what watchers sent.
-void put_off_leases(watcher_table& table, time_span held_up);
+void put_off_leases(watcher_table& table, time_span held_up, time_point now);
 
 /// Forgets one whose connection is over.
 void forget(watcher_table& table, const link::peer& gone);
--- a/dewbeam/src/turns/turn_watch.cpp
+++ b/dewbeam/src/turns/turn_watch.cpp
@@ -12,6 +12,14 @@
     return late;
 }
 
+time_point put_off(time_point deadline, time_span held_up, time_point latest)
+{
+    if (deadline == no_deadline) {
+        return deadline;
+    }
+    return std::max(deadline, std::min(deadline + held_up, latest));
+}
+
 time_span held_up_total::begin_turn(time_point now, time_span longest_turn)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/turns/turn_watch.h
+++ b/dewbeam/src/turns/turn_watch.h
@@ -21,6 +21,10 @@
 /// \returns by how much this turn is late; zero for the first one
 time_span begin_turn(turn_watch& state, time_point now, time_span longest_turn);
 
+/// A deadline by which another process must have been heard, after this one read nothing for
+/// `held_up`. What was renewed since is not put off beyond `latest`, the whole span from now on.
+time_point put_off(time_point deadline, time_span held_up, time_point latest);
+
 /// For how long a loop was held up in all, for other threads to read. Thread-safe.
 class held_up_total {
 public:
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -287,7 +287,7 @@
     entry.m_is_running = false;
     subject.run(4s);
     entry.m_is_running = true;
-    put_off_leases(entry.m_view, 4s);
+    put_off_leases(entry.m_view, 4s, subject.m_now);
     random_engine random(1);
     EXPECT_TRUE(tick(entry.m_view, subject.m_now, random).m_changes.empty());
     subject.run(10s);
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -284,7 +284,7 @@
 {
     registrar::watcher_table table;
     registrar::note_watch(table, {"a", ""}, {}, {});
-    registrar::put_off_leases(table, seconds(3));
+    registrar::put_off_leases(table, seconds(3), time_point(seconds(3)));
     registrar::expire(table, time_point(seconds(6)));
     EXPECT_EQ(table.m_watchers.size(), 1U);
     registrar::expire(table, time_point(seconds(7)));
--- a/test/turns_test.cpp
+++ b/test/turns_test.cpp
@@ -21,6 +21,18 @@
     EXPECT_EQ(begin_turn(turns, now, milliseconds(100)), time_span::zero());
 }
 
+TEST(turns, a_deadline_is_put_off_by_the_time_held_up_and_never_beyond_the_whole_span)
+{
+    const time_point now(milliseconds(10'000));
+    const auto latest = now + milliseconds(2000);
+    EXPECT_EQ(put_off(now - milliseconds(500), milliseconds(1500), latest),
+              now + milliseconds(1000));
+    EXPECT_EQ(put_off(now + milliseconds(1900), milliseconds(1500), latest), latest);
+    EXPECT_EQ(put_off(latest + milliseconds(1), milliseconds(1500), latest),
+              latest + milliseconds(1));
+    EXPECT_EQ(put_off(no_deadline, milliseconds(1500), latest), no_deadline);
+}
+
 TEST(turns, other_threads_see_the_total_while_a_turn_is_still_late)
 {
     held_up_total total;
