Let requests outlive links that are lost one after the other, and entries that agents gave up

What callers saw: idempotent requests get 502 retries_exhausted although every agent lives.

Cause: an attempt that ends since the two processes can't hear each other was counted like one that an upstream failed.

Change: such an end counts no attempt and costs no retry, whoever finds it: the entry (link_lost) or the agent (entry_lost). A process that began anew counts as before. Losses found at the same time are one loss of a content. What the entry ends it takes back by the ids that it ended, not by what the request owns by then, and with a tombstone too, since the cancellation may overtake the dispatch on another connection.

Tests: entry_attempts (two more cases), held_up_session with the entry held up for 5 s.

--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -76,6 +76,7 @@
     std::shared_ptr<http::client_exchange> m_exchange;  ///< under the gate's mutex
     bool m_is_cancelled = false;                        ///< under the gate's mutex
     bool m_is_given_up = false;                         ///< the same; the upstream is silent
+    bool m_is_entry_lost = false;                       ///< the same
     bool m_is_idempotent = true;
     std::atomic<time_point> m_heard_at{};  ///< brought a piece of its answer
     bool m_is_other_engine = false;        ///< used on the connection's strand alone
@@ -204,13 +205,18 @@
 {
     const auto outcome =
         running->m_is_other_engine ? ledger::outcome::not_run : outcome_of(result, how_far);
-    bool is_given_up = false;
+    const char* cancelled_for = nullptr;
     {
         const std::lock_guard lock(m_mutex);
         ledger::finish(m_ledger, running->m_id, outcome, program::now());
         m_running.erase(running->m_id);
         running->m_exchange.reset();
-        is_given_up = running->m_is_given_up;
+        if (running->m_is_given_up) {
+            cancelled_for = "upstream_silent";
+        }
+        else if (running->m_is_entry_lost) {
+            cancelled_for = ledger::entry_lost;
+        }
     }
     wire::ReplyChunk chunk;
     chunk.set_last(true);
@@ -221,7 +227,7 @@
                   {{"attempt", running->m_id.m_sequence}, {"expected", m_expected_engine}});
     }
     else if (!result.ok()) {
-        chunk.set_reason(is_given_up ? "upstream_silent" : reason_of(result));
+        chunk.set_reason(cancelled_for != nullptr ? cancelled_for : reason_of(result));
         log_event(
             log_level::info, "attempt_failed",
             {{"attempt", running->m_id.m_sequence}, {"reason", std::string(result.message())}});
@@ -263,6 +269,7 @@
     for (auto& [id, running] : m_running) {
         if (running->m_entry == gone && running->m_exchange) {
             running->m_is_cancelled = true;
+            running->m_is_entry_lost = true;
             running->m_exchange->cancel();
         }
     }
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -59,14 +59,6 @@
     return std::min(longest, std::max(request.m_info.m_wait_deadline, now + shortest_wait));
 }
 
-/// Takes a retry from the budget where the attempt's end costs one: what was cancelled because the
-/// way to its upstream was lost brings no more work in all, however many attempts that ends at
-/// once.
-bool may_retry(broker& state, attempt_end end)
-{
-    return end == attempt_end::lost || retry::take_retry(state.m_retry_budget);
-}
-
 /// A failed attempt: a suspect of a death, a retry, or the final answer.
 void after_failure(broker& state, pending_request& request, attempt_end end, time_point now,
                    random_engine& random, actions& result)
@@ -86,12 +78,14 @@
         ++request.m_busy_refusals;
         request.m_tried.pop_back();
     }
-    else if (end == attempt_end::not_reached) {
-        ++request.m_unreached;  // no upstream has seen it, so this costs no retry either
+    else if (end == attempt_end::not_reached || end == attempt_end::lost) {
+        // It brings no more work in all: no upstream has seen it, or it was cancelled there. Many
+        // may end so at once, and one after the other as their links are found to be lost.
+        ++request.m_unreached;
     }
     else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
                  most_attempts(state, request) ||
-             !may_retry(state, end)) {
+             !retry::take_retry(state.m_retry_budget)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -40,7 +40,7 @@
     request_phase m_phase = request_phase::fresh;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_busy_refusals = 0;  ///< of the attempts: refused for lack of room
-    std::uint32_t m_unreached = 0;      ///< of the attempts: no connection came about
+    std::uint32_t m_unreached = 0;      ///< of the attempts: no way to the upstream, or it was lost
     std::vector<upstream_id> m_tried;
     upstream_index m_running_on = 0;  ///< while running
     incarnation m_running_incarnation;
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -50,6 +50,23 @@
     state.m_node->send(address, std::move(message));
 }
 
+void send_tombstone(entry_state& state, const owned_attempt& attempt)
+{
+    wire::Envelope message;
+    auto& tombstone = *message.mutable_tombstone();
+    link::to_wire(attempt.m_id, *tombstone.mutable_attempt());
+    tombstone.set_agent_incarnation(attempt.m_agent.value());
+    state.m_node->send(attempt.m_agent_address, std::move(message));
+}
+
+/// Ends at its agent what the entry ends. Where the dispatch is read after the cancellation, since
+/// they took two connections, the tombstone keeps it from being begun.
+void take_back(entry_state& state, const owned_attempt& attempt)
+{
+    send_cancel(state, attempt.m_id, attempt.m_agent_address);
+    send_tombstone(state, attempt);
+}
+
 void begin_attempt(entry_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
@@ -81,15 +98,6 @@
     }
 }
 
-void send_tombstone(entry_state& state, const owned_attempt& attempt)
-{
-    wire::Envelope message;
-    auto& tombstone = *message.mutable_tombstone();
-    link::to_wire(attempt.m_id, *tombstone.mutable_attempt());
-    tombstone.set_agent_incarnation(attempt.m_agent.value());
-    state.m_node->send(attempt.m_agent_address, std::move(message));
-}
-
 }  // namespace
 
 void perform(entry_state& state, const dispatch::actions& wanted, time_point now)
@@ -148,6 +156,9 @@
 void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
                      time_point now)
 {
+    // A process that began anew has run into its end; one that can't be heard may be well.
+    const auto end =
+        reason == link_lost ? dispatch::attempt_end::lost : dispatch::attempt_end::unknown;
     for (const auto& request : state.m_requests.all()) {
         const auto attempt = request->attempt();
         if (attempt.m_agent_address != address) {
@@ -155,10 +166,9 @@
         }
         const bool is_suspect = attempt.m_is_acknowledged &&
                                 state.m_losses.note(request->known().m_call.m_content, now);
-        cancel_attempt(state, request);
+        take_back(state, attempt);
         end_attempt(state, request, attempt.m_id,
-                    is_suspect ? dispatch::attempt_end::upstream_died : dispatch::attempt_end::lost,
-                    reason, now);
+                    is_suspect ? dispatch::attempt_end::upstream_died : end, reason, now);
     }
 }
 
@@ -195,12 +205,12 @@
         send_tombstone(state, attempt);
     }
     else if (request->is_broken(now)) {
-        cancel_attempt(state, request);
+        take_back(state, attempt);
         end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown, "chunk_missing",
                     now);
     }
     else if (request->is_tombstone_late(now)) {
-        cancel_attempt(state, request);
+        take_back(state, attempt);
         end_attempt(state, request, attempt.m_id, dispatch::attempt_end::unknown,
                     "not_acknowledged", now);
     }
--- a/dewbeam/src/entry/attempts.h
+++ b/dewbeam/src/entry/attempts.h
@@ -10,6 +10,9 @@
 
 namespace dewbeam::entry {
 
+/// Reason of attempts whose agent can't be heard any more.
+inline constexpr std::string_view link_lost = "link_lost";
+
 /// Carries out what a broker decided, in its order.
 void perform(entry_state& state, const dispatch::actions& wanted, time_point now);
 
--- a/dewbeam/src/entry/loss_memory.cpp
+++ b/dewbeam/src/entry/loss_memory.cpp
@@ -16,8 +16,10 @@
     if (m_forget_at.size() >= most_contents) {
         m_forget_at.erase(m_forget_at.begin());
     }
-    const bool is_new = m_forget_at.insert_or_assign(content, now + memory).second;
-    return !is_new;
+    const auto [place, is_new] = m_forget_at.try_emplace(content, now + memory);
+    const bool is_another = !is_new && place->second != now + memory;
+    place->second = now + memory;
+    return is_another;
 }
 
 }  // namespace dewbeam::entry
--- a/dewbeam/src/entry/loss_memory.h
+++ b/dewbeam/src/entry/loss_memory.h
@@ -16,7 +16,8 @@
 /// The memory of one entry. Thread-safe; bounded.
 class loss_memory {
 public:
-    /// Notes a loss; true where the content met one before, not long ago.
+    /// Notes a loss; true where the content met another one before, not long ago. Losses noted at
+    /// the same time are one.
     bool note(fingerprint content, time_point now);
 
 private:
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -61,6 +61,9 @@
     if (end == dispatch::attempt_end::unknown && chunk.reason() == "upstream_died") {
         end = dispatch::attempt_end::upstream_died;
     }
+    else if (end == dispatch::attempt_end::unknown && chunk.reason() == ledger::entry_lost) {
+        end = dispatch::attempt_end::lost;
+    }
     end_attempt(state, request, id, end, chunk.reason(), now);
 }
 
@@ -152,7 +155,7 @@
     // Only now: else what goes on elsewhere would be sent to the next one that is lost.
     for (const auto& item : gone) {
         if (!item.m_address.empty()) {
-            end_attempts_at(state, item.m_address, "link_lost", now);
+            end_attempts_at(state, item.m_address, link_lost, now);
         }
     }
 }
--- a/dewbeam/src/ledger/ledger.h
+++ b/dewbeam/src/ledger/ledger.h
@@ -50,6 +50,9 @@
     paused,      ///< the group changes its expert map, and its engine can't hold at a step
 };
 
+/// Reason of an attempt that its agent cancelled since it could not hear the entry any more.
+inline constexpr const char* entry_lost = "entry_lost";
+
 /// Field term of a refusal for logs and replies.
 const char* to_string(refusal value);
 
--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -8,6 +8,7 @@
 #include "dewbeam/src/entry/intake.h"
 #include "dewbeam/src/entry/member_feed.h"
 #include "dewbeam/src/entry/messages.h"
+#include "dewbeam/src/entry/status_page.h"
 #include "test/recording_exchange.h"
 
 namespace dewbeam::entry {
@@ -23,6 +24,7 @@
             {"failure_domain", "d1"},
             {"burn_file", ""},
             {"controls", {"127.0.0.1:7000"}},
+            {"entries", json::array()},
             {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
 }
 
@@ -178,6 +180,42 @@
     EXPECT_FALSE(request->is_over());
 }
 
+// Agents that stand still are found lost one after the other.
+TEST_F(entry_attempts, a_request_outlives_the_loss_of_one_link_after_the_other)
+{
+    std::vector<std::unique_ptr<silent_agent>> agents;
+    for (const auto* name : {"u1", "u2", "u3", "u4"}) {
+        agents.push_back(std::make_unique<silent_agent>(name));
+        add_upstream(name, agents.back()->address());
+    }
+    const auto request = send_request();
+    for (std::size_t loss = 0; loss < agents.size(); ++loss) {
+        ASSERT_NE(request->attempt().m_id.m_sequence, 0U);
+        lose_link(request->attempt().m_agent_address);
+    }
+    EXPECT_FALSE(request->is_over());
+}
+
+TEST_F(entry_attempts, what_an_agent_cancels_for_want_of_its_entry_goes_on_elsewhere)
+{
+    silent_agent first("a1");
+    silent_agent second("a2");
+    add_upstream("u1", first.address());
+    add_upstream("u2", second.address());
+    const auto request = send_request();
+    const auto begun = request->attempt();
+    wire::Envelope message;
+    auto& chunk = *message.mutable_reply_chunk();
+    link::to_wire(begun.m_id, *chunk.mutable_attempt());
+    chunk.set_last(true);
+    chunk.set_outcome(link::to_wire(ledger::outcome::unknown));
+    chunk.set_reason(ledger::entry_lost);
+    m_state.m_is_started = true;
+    m_state.m_membership = join(settings(), {}, *m_state.m_node, membership_hooks_of(m_state));
+    on_message(m_state, {}, std::move(message));
+    EXPECT_NE(request->attempt().m_agent_address, begun.m_agent_address);
+}
+
 // What an agent never accepted can't have ended it.
 TEST_F(entry_attempts, a_content_is_not_blamed_for_links_that_were_lost_before_it_was_accepted)
 {
@@ -217,7 +255,7 @@
     add_upstream("u1", agent.address());
     const auto request = send_request();
     const auto late = program::now() + std::chrono::seconds(2);
-    request->put_off_deadlines(std::chrono::seconds(2));
+    request->put_off_deadlines(std::chrono::seconds(2), late);
     EXPECT_FALSE(request->begin_tombstone(late));
     EXPECT_TRUE(request->begin_tombstone(late + std::chrono::seconds(2)));
 }
--- a/test/held_up_session.py
+++ b/test/held_up_session.py
@@ -21,6 +21,7 @@
 PREFERENCE = {"when": "model=ad-copy", "upstreams": "pool=chat", "balance": "skew"}
 REQUESTS = 12  # fewer than half of the upstreams' places
 LINK_LOST_S = 3.0  # longer than a link may be silent, shorter than a member may be
+AGENTS_GIVE_UP_S = 5.0  # longer than an agent runs what a silent entry sent
 LATE_ANSWER_S = 1.2  # longer than an acknowledgement may take, shorter than a link may be silent
 START_LIMIT_S = 120.0
 LONG, SHORT = 8000, 20  # tokens: outlasts a case; ends at once
@@ -137,6 +138,13 @@
         self.hold_up(["e1"], LINK_LOST_S)
         self.check_requests_go_on()
 
+    def test_entry_held_up_for_longer_than_agents_wait_loses_no_request(self):
+        """Guards against ends of what agents cancelled, since they could not hear the entry: 502."""
+        self.send(LONG)
+        self.site.wait_for(lambda: self.running() == REQUESTS, "the requests to run")
+        self.hold_up(["e1"], AGENTS_GIVE_UP_S)
+        self.check_requests_go_on()
+
     def test_entry_held_up_answers_what_came_meanwhile(self):
         """Guards against refusing what waits while agents that live are held to be lost: 502."""
         self.hold_up(["e1"], LINK_LOST_S, lambda: self.send(SHORT))
