Force the cut stream of faults_session: an agent is frozen while the entry is held up

What callers saw: a stream that should go on elsewhere is cut ("IncompleteRead(0 bytes read)"), listed once as test_agent_frozen_mid_stream_then_thawed. That the listed run met this order is not shown; its case is unchanged and stays listed.

--- a/test/faults_session.py
+++ b/test/faults_session.py
@@ -104,6 +104,18 @@
         self.assertEqual(indexes(body), list(range(200)))
         self.assertTrue(body.endswith("data: [DONE]\n\n"))
 
+    def test_agent_frozen_mid_stream_while_the_entry_is_held_up(self):
+        """Guards against a stream that is cut, since the entry holds all other agents for lost too."""
+        def freeze(agent):
+            agent.send(signal.SIGSTOP)
+            entry = self.site.processes["e1"]
+            entry.send(signal.SIGSTOP)
+            threading.Timer(2.5, lambda: entry.send(signal.SIGCONT)).start()
+
+        body = self.stream_with_fault(freeze)
+        self.assertEqual(indexes(body), list(range(200)))
+        self.assertTrue(body.endswith("data: [DONE]\n\n"))
+
     def test_engine_killed_mid_stream(self):
         body = self.stream_with_fault(
             lambda agent: self.site.processes[agent.name + "-engine"].kill())
