--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -101,7 +101,7 @@
         EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
     }
 
-    ~entry_attempts() override { m_state.m_node->stop(); }
+    void TearDown() override { m_state.m_node->stop(); }
 
     void add_upstream(const std::string& name, const std::string& address)
     {
