Count the notice of a stop from its signal in callers' threads too

Callers saw: a request that was read behind the end of a stop's notice was passed on, and could be cut when the process ended.

Cause: the signal handler noted the time, but the limit that callers' threads look at was set only when the main loop came to handle the signal. A busy process serves requests before that.

The limit now follows from the time that the handler noted, which any thread can read.

--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -206,6 +206,12 @@
     stop_threads();
 }
 
+bool program::takes_requests(time_point time) const
+{
+    const auto stopped = stopped_at.load();
+    return stopped == no_deadline || time < stopped + m_stop_notice;
+}
+
 void program::stop_threads()
 {
     m_context.stop();
@@ -253,6 +259,7 @@
         });
     };
     note_reload();
+    m_stop_notice = seconds_setting(m_settings, "/stop/notice_ms");
     start_threads();
     int handled_signals = 0;
     turn_watch turns;
@@ -268,8 +275,7 @@
         auto wanted = lifecycle::command::none;
         if (stop_signals > handled_signals) {
             ++handled_signals;
-            const auto notice = stopped_at.load() + seconds_setting(m_settings, "/stop/notice_ms");
-            m_taking_deadline = notice;
+            const auto notice = stopped_at.load() + m_stop_notice;
             wanted =
                 life.stop_requested(notice, notice + seconds_setting(m_settings, "/stop/drain_ms"));
         }
--- a/dewbeam/src/program/program.h
+++ b/dewbeam/src/program/program.h
@@ -83,11 +83,8 @@
     [[nodiscard]] lifecycle::phase phase() const { return m_phase; }
 
     /// Whether a request that is read now may still be finished before a stop ends the process.
-    /// Thread-safe.
-    [[nodiscard]] bool takes_requests(time_point time) const
-    {
-        return time < m_taking_deadline.load();
-    }
+    /// That counts from the stop signal itself, which `run` may be late to handle. Thread-safe.
+    [[nodiscard]] bool takes_requests(time_point time) const;
 
     /// Runs until the process has stopped; gives the exit code: 0 clean, 3 cut.
     int run(const program_hooks& hooks);
@@ -104,7 +101,7 @@
     nlohmann::json m_settings;
     boost::asio::io_context m_context;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
-    std::atomic<time_point> m_taking_deadline = no_deadline;
+    time_span m_stop_notice{};  ///< set before the threads start
     std::vector<std::thread> m_threads;
 };
 
