Take requests from a silent engine only where another one can run them

Callers saw: all engines of a pool stand still for 3 s and go on; 12 of 12 idempotent requests that run there get 502 retries_exhausted.

Cause: each agent gave up what ran at its engine after two silent polls. The retries went to engines that were as silent, and were given up there as well, until the attempts or the budget were spent. Only the entry knows whether another upstream is better.

Agents now tell entries which attempts a silent engine keeps waiting. The entry takes one back only where another upstream takes the request at once; else the request goes on where it is. Engines that refuse polls are given up as before.

Ruled out: waiting for more polls, which keeps callers at engines that are gone.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -398,13 +398,16 @@
         m_engine_life = load.m_incarnation;
     }
 
-    /// Logs where the upstream goes out of reach and comes back, and gives up what waits there.
-    void watch_reach()
+    /// Logs where the upstream goes out of reach and comes back, and sees to what waits there.
+    void watch_reach(time_point now)
     {
         const auto load = m_load.latest();
         const bool is_lost = !load.m_is_reachable && !load.m_fault.empty();
-        if (is_lost) {
-            m_gate->give_up_silent(load.m_measured_at);
+        if (is_lost && load.m_is_silent) {
+            m_gate->tell_silence(load.m_measured_at, now);
+        }
+        else if (is_lost) {
+            m_gate->give_up_lost(load.m_measured_at);
         }
         if (is_lost == m_is_upstream_lost) {
             return;
@@ -423,7 +426,7 @@
     void tick(time_point now)
     {
         m_load.tick(now);
-        watch_reach();
+        watch_reach(now);
         watch_upstream_life();
         m_gate->tick(now);
         if (m_group) {
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Entries are told of a silent upstream so often: one that has no room elsewhere may have some
+/// now.
+constexpr time_span silence_interval = std::chrono::milliseconds(500);
+
 ledger::offered_attempt to_offer(const wire::Envelope& message, time_point now)
 {
     const auto& source = message.dispatch();
@@ -275,17 +279,45 @@
     }
 }
 
-void gate::give_up_silent(time_point silent_from)
+/// Attempts that may run twice and brought nothing since `lost_from`. Under the mutex.
+std::vector<gate::attempt_pointer> gate::unheard_since(time_point lost_from) const
 {
-    const std::lock_guard lock(m_mutex);
-    for (auto& [id, running] : m_running) {
+    std::vector<attempt_pointer> result;
+    for (const auto& [id, running] : m_running) {
         if (running->m_is_idempotent && !running->m_is_cancelled && running->m_exchange &&
-            running->m_heard_at.load() <= silent_from) {
-            running->m_is_cancelled = true;
-            running->m_is_given_up = true;
-            running->m_exchange->cancel();
+            running->m_heard_at.load() <= lost_from) {
+            result.push_back(running);
         }
     }
+    return result;
+}
+
+void gate::give_up_lost(time_point lost_from)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& running : unheard_since(lost_from)) {
+        running->m_is_cancelled = true;
+        running->m_is_given_up = true;
+        running->m_exchange->cancel();
+    }
+}
+
+void gate::tell_silence(time_point silent_from, time_point now)
+{
+    std::vector<attempt_pointer> unheard;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (now < m_next_silence) {
+            return;
+        }
+        m_next_silence = now + silence_interval;
+        unheard = unheard_since(silent_from);
+    }
+    for (const auto& running : unheard) {
+        wire::Envelope message;
+        link::to_wire(running->m_id, *message.mutable_silence()->mutable_attempt());
+        m_node->reply(running->m_entry, std::move(message));
+    }
 }
 
 void gate::set_configuration(configuration_version version)
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -53,10 +53,15 @@
     /// While paused every dispatch is refused; what runs goes on.
     void set_paused(bool paused);
 
-    /// The upstream answers nothing any more, since `silent_from`: attempts that may run twice and
+    /// The upstream can't be reached any more, since `lost_from`: attempts that may run twice and
     /// brought nothing since then are given up, so that they go on elsewhere. The others wait,
     /// since an answer may yet come.
-    void give_up_silent(time_point silent_from);
+    void give_up_lost(time_point lost_from);
+
+    /// The upstream answers nothing any more, since `silent_from`, and may yet go on: the entries
+    /// are told of the same attempts now and then, so that those which have a better upstream for
+    /// them take them back.
+    void tell_silence(time_point silent_from, time_point now);
 
     /// Forgets old attempts.
     void tick(time_point now);
@@ -81,6 +86,7 @@
     void send_chunk(attempt& running, wire::ReplyChunk chunk);
     void end(const attempt_pointer& running, const absl::Status& result, http::progress how_far);
     attempt_pointer find(const attempt_id& id) const;
+    [[nodiscard]] std::vector<attempt_pointer> unheard_since(time_point lost_from) const;
 
     http::client& m_upstream;
     control::subscriber& m_configuration;
@@ -92,6 +98,7 @@
     ledger::attempt_ledger m_ledger;
     fairness::urgent_demand m_urgent_demand;
     std::map<attempt_id, attempt_pointer> m_running;
+    time_point m_next_silence{};  ///< when entries are told of a silent upstream again
 };
 
 }  // namespace dewbeam::agent
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -153,6 +153,19 @@
     perform(state, wanted, now);
 }
 
+void restart_elsewhere(entry_state& state, const request_pointer& request, const attempt_id& id,
+                       time_point now)
+{
+    const auto attempt = request->attempt();
+    const auto& known = request->known();
+    if (attempt.m_id != id ||
+        !state.m_pools.can_restart_elsewhere(known.m_pool, known.m_ticket, now)) {
+        return;
+    }
+    take_back(state, attempt);
+    end_attempt(state, request, id, dispatch::attempt_end::unknown, "upstream_silent", now);
+}
+
 void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
                      time_point now)
 {
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -67,6 +67,14 @@
     end_attempt(state, request, id, end, chunk.reason(), now);
 }
 
+void on_silence(entry_state& state, const wire::Silence& message, time_point now)
+{
+    const auto id = link::from_wire(message.attempt());
+    if (const auto request = state.m_requests.find(id)) {
+        restart_elsewhere(state, request, id, now);
+    }
+}
+
 void on_tombstone_reply(entry_state& state, const wire::TombstoneReply& reply, time_point now)
 {
     const auto id = link::from_wire(reply.attempt());
@@ -117,6 +125,9 @@
             request->take(message.accepted());
         }
     }
+    else if (message.has_silence()) {
+        on_silence(state, message.silence(), now);
+    }
     else if (message.has_tombstone_reply()) {
         on_tombstone_reply(state, message.tombstone_reply(), now);
     }
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -75,6 +75,10 @@
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
                                  time_span margin) const;
 
+    /// Whether a running request would be begun at once at an upstream that it was not sent to yet.
+    [[nodiscard]] bool can_restart_elsewhere(const std::string& pool, dispatch::ticket request,
+                                             time_point now) const;
+
     /// The further permits that each pool wants for its limited upstreams.
     [[nodiscard]] std::vector<permits::demand> wanted_permits(time_point now) const;
 
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -130,6 +130,37 @@
     EXPECT_EQ(f.m_broker.m_retry_budget.m_retries, retries);
 }
 
+TEST(broker, a_request_can_restart_only_where_another_upstream_has_room)
+{
+    fixture f;
+    f.put(make_upstream("u1", 1));
+    ASSERT_EQ(f.add(make_request(1)).size(), 1U);
+    EXPECT_FALSE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now)) << "there is no other";
+    f.put(make_upstream("u2", 1));
+    EXPECT_TRUE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now));
+    ASSERT_EQ(f.add(make_request(2)).at(0).m_upstream, upstream_id("u2"));
+    EXPECT_FALSE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now)) << "the other is full";
+    ASSERT_TRUE(f.end(2, attempt_end::completed).empty());
+    EXPECT_TRUE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now));
+    EXPECT_EQ(f.end(1, attempt_end::unknown).at(0).m_upstream, upstream_id("u2"));
+    EXPECT_FALSE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now)) << "it has been at both";
+}
+
+TEST(broker, a_request_that_may_not_be_sent_again_can_not_restart)
+{
+    fixture f;
+    f.put(make_upstream("u1", 1));
+    f.put(make_upstream("u2", 1));
+    auto once = make_request(1);
+    once.m_idempotent = false;
+    ASSERT_EQ(f.add(once).size(), 1U);
+    EXPECT_FALSE(can_restart_elsewhere(f.m_broker, ticket{1}, f.m_now));
+    ASSERT_TRUE(f.end(1, attempt_end::completed).empty());
+    ASSERT_EQ(f.add(make_request(2)).size(), 1U);
+    f.m_broker.m_retry_budget.m_tokens = 0.5;
+    EXPECT_FALSE(can_restart_elsewhere(f.m_broker, ticket{2}, f.m_now)) << "no retry is left";
+}
+
 TEST(broker, requests_that_can_meet_their_objective_go_before_those_that_cannot)
 {
     fixture f;
--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -133,6 +133,20 @@
         return m_state.m_requests.all().at(0);
     }
 
+    void deliver(wire::Envelope&& message)
+    {
+        m_state.m_is_started = true;
+        m_state.m_membership = join(settings(), {}, *m_state.m_node, membership_hooks_of(m_state));
+        on_message(m_state, {}, std::move(message));
+    }
+
+    void tell_silence(const attempt_id& id)
+    {
+        wire::Envelope message;
+        link::to_wire(id, *message.mutable_silence()->mutable_attempt());
+        deliver(std::move(message));
+    }
+
     void lose_link(const std::string& address)
     {
         on_lost(m_state, std::vector{link::peer{address, {}}});
@@ -210,10 +224,34 @@
     chunk.set_last(true);
     chunk.set_outcome(link::to_wire(ledger::outcome::unknown));
     chunk.set_reason(ledger::entry_lost);
-    m_state.m_is_started = true;
-    m_state.m_membership = join(settings(), {}, *m_state.m_node, membership_hooks_of(m_state));
-    on_message(m_state, {}, std::move(message));
+    deliver(std::move(message));
+    EXPECT_NE(request->attempt().m_agent_address, begun.m_agent_address);
+}
+
+TEST_F(entry_attempts, a_request_leaves_a_silent_upstream_for_one_with_room)
+{
+    silent_agent first("a1");
+    silent_agent second("a2");
+    add_upstream("u1", first.address());
+    add_upstream("u2", second.address());
+    const auto request = send_request();
+    const auto begun = request->attempt();
+    tell_silence(begun.m_id);
     EXPECT_NE(request->attempt().m_agent_address, begun.m_agent_address);
+    auto& left = begun.m_agent_address == first.address() ? first : second;
+    EXPECT_EQ(left.wait_for(cancelled), begun.m_id);
+}
+
+// Its answer may yet come; ended, it would be refused.
+TEST_F(entry_attempts, a_request_stays_at_a_silent_upstream_while_no_other_has_room)
+{
+    silent_agent agent("a1");
+    add_upstream("u1", agent.address());
+    const auto request = send_request();
+    const auto begun = request->attempt();
+    tell_silence(begun.m_id);
+    EXPECT_EQ(request->attempt().m_id, begun.m_id);
+    EXPECT_FALSE(request->is_over());
 }
 
 // What an agent never accepted can't have ended it.
