Hold a stalled group for stalled until it makes a step

Callers saw: once a stalled group had lost its work, the next requests went to its ranks in turn and waited 30 s each, with an idle upstream beside.

Cause: a rank counted as stalled only while it had work. Without work it was as good as any other, though nothing had shown that it goes on.

A stall now ends with a step. A rank without work makes none, so it is offered again after 10 s, and twice that after each try in vain, up to 60 s.

--- a/dewbeam/src/experts/stall.cpp
+++ b/dewbeam/src/experts/stall.cpp
@@ -22,6 +22,23 @@
     return *middle;
 }
 
+/// Whether the group has work and makes no steps.
+bool is_silent(const stall_detector& state, time_point now)
+{
+    return state.m_is_busy && now - state.m_last_step >= state.m_options.m_silence;
+}
+
+/// How long a still group without work is left alone.
+time_span pause_of(const stall_detector& state)
+{
+    const auto longest = state.m_options.m_longest_pause;
+    auto pause = state.m_options.m_shortest_pause;
+    for (std::uint32_t stall = 1; stall < state.m_stalls && pause < longest; ++stall) {
+        pause *= 2;
+    }
+    return std::min(pause, longest);
+}
+
 bool is_slow(const rank_health& rank)
 {
     return rank.m_slow_since != no_deadline;
@@ -74,6 +91,8 @@
                 times.m_predicted.size() == state.m_ranks.size(),
             "the detector needs one time for each rank");
     state.m_last_step = now;
+    state.m_is_still = false;
+    state.m_stalls = 0;
     std::vector<double> ratios;
     for (std::size_t rank = 0; rank < state.m_ranks.size(); ++rank) {
         ratios.push_back(ratio_of(times.m_measured[rank], times.m_predicted[rank]));
@@ -86,18 +105,28 @@
 
 void set_busy(stall_detector& state, bool is_busy, time_point now)
 {
+    if (is_silent(state, now) && !state.m_is_still) {
+        state.m_is_still = true;
+        ++state.m_stalls;
+    }
     if (is_busy && !state.m_is_busy) {
         state.m_last_step = now;
     }
+    if (!is_busy && state.m_is_busy) {
+        state.m_next_try = now + pause_of(state);
+    }
     state.m_is_busy = is_busy;
+    if (!is_busy && now >= state.m_next_try) {
+        state.m_is_still = false;
+    }
 }
 
 stall_advice advise(const stall_detector& state, time_point now)
 {
     stall_advice advice;
-    const bool is_silent = state.m_is_busy && now - state.m_last_step >= state.m_options.m_silence;
-    advice.m_route_around = is_silent || now < state.m_around_until;
-    advice.m_may_rebalance = !is_silent;
+    const bool is_still = state.m_is_still || is_silent(state, now);
+    advice.m_route_around = is_still || now < state.m_around_until;
+    advice.m_may_rebalance = !is_still;
     for (std::size_t rank = 0; rank < state.m_ranks.size(); ++rank) {
         const auto& health = state.m_ranks[rank];
         advice.m_speeds.push_back(health.m_speed);
--- a/dewbeam/src/experts/stall.h
+++ b/dewbeam/src/experts/stall.h
@@ -21,6 +21,9 @@
     time_span m_silence = std::chrono::milliseconds(300);  ///< no step this long: stalled
     time_span m_hold = std::chrono::seconds(1);            ///< route around at least this long
     time_span m_lasting = std::chrono::seconds(10);        ///< slow this long: slow for good
+    /// A stalled group that has lost its work may be tried again after this, ...
+    time_span m_shortest_pause = std::chrono::seconds(10);
+    time_span m_longest_pause = std::chrono::seconds(60);  ///< ... twice it, and so on up to this
 };
 
 /// Times of one step, or the mean of several, as the ranks report them.
@@ -43,6 +46,9 @@
     time_point m_last_step{};
     time_point m_around_until{};  ///< route around the group until then
     bool m_is_busy = false;
+    bool m_is_still = false;     ///< had work and made no step; ends by a step or a new try
+    std::uint32_t m_stalls = 0;  ///< in a row, without a step between them
+    time_point m_next_try{};     ///< of a still group without work
 };
 
 /// What to do about the group.
@@ -60,7 +66,8 @@
 /// Takes in the times of a step.
 void observe(stall_detector& state, const rank_times& times, time_point now);
 
-/// Says whether the group has work; a busy group that doesn't step is stalled.
+/// Says whether the group has work; call it often. A busy group that doesn't step is stalled, and
+/// stays so when it loses its work: that it has nothing to do shows nothing.
 void set_busy(stall_detector& state, bool is_busy, time_point now);
 
 /// What to do now.
--- a/test/experts_test.cpp
+++ b/test/experts_test.cpp
@@ -354,7 +354,29 @@
     EXPECT_FALSE(advise(state, now + 200ms).m_route_around);
     EXPECT_TRUE(advise(state, now + 400ms).m_route_around);
     set_busy(state, false, now + 500ms);
-    EXPECT_FALSE(advise(state, now + 500ms).m_route_around);
+    EXPECT_TRUE(advise(state, now + 500ms).m_route_around) << "it lost its work, and made no step";
+    observe(state, times_with(8, 3, 1), now + 600ms);
+    EXPECT_FALSE(advise(state, now + 600ms).m_route_around);
+}
+
+TEST(stall, a_stalled_group_without_work_is_tried_again_less_and_less_often)
+{
+    time_point now{};
+    auto state = make_stall_detector({}, 8, now);
+    for (const auto pause : {10s, 20s, 40s, 60s, 60s}) {
+        set_busy(state, true, now);
+        EXPECT_FALSE(advise(state, now).m_route_around) << "this is the try";
+        set_busy(state, false, now + 500ms);
+        set_busy(state, false, now + 400ms + pause);
+        EXPECT_TRUE(advise(state, now + 400ms + pause).m_route_around);
+        now += 500ms + pause;
+        set_busy(state, false, now);
+    }
+    observe(state, times_with(8, 3, 1), now);
+    set_busy(state, true, now);
+    set_busy(state, false, now + 500ms);
+    set_busy(state, false, now + 500ms + 10s);
+    EXPECT_FALSE(advise(state, now + 500ms + 10s).m_route_around) << "a step ended the row";
 }
 
 TEST(stall, a_rank_is_not_slow_for_having_more_tokens)
--- a/test/held_up_session.py
+++ b/test/held_up_session.py
@@ -23,6 +23,7 @@
 LINK_LOST_S = 3.0  # longer than a link may be silent, shorter than a member may be
 AGENTS_GIVE_UP_S = 5.0  # longer than an agent runs what a silent entry sent
 LATE_ANSWER_S = 1.2  # longer than an acknowledgement may take, shorter than a link may be silent
+STALL_SEEN_S = 8.0  # longer than it takes until a stall is known
 START_LIMIT_S = 120.0
 LONG, SHORT = 8000, 20  # tokens: outlasts a case; ends at once
 
@@ -120,6 +121,11 @@
         time.sleep(1.0)
         self.assertEqual(self.answers, [])
 
+    def stall(self, milliseconds):
+        """The group makes no steps for so long; its engines go on to answer everything else."""
+        for name in RANKS:
+            self.site.call(name + "-engine", "POST", "/faults", {"stall_ms": milliseconds})
+
     def check_nothing_is_left(self):
         """Once all callers have left or were answered, no attempt holds a place at an agent."""
         self.wait_for_callers()
@@ -179,6 +185,18 @@
         self.hold_up(engines, LINK_LOST_S)
         self.check_requests_go_on()
 
+    def test_stalled_group_that_lost_its_work_is_left_alone(self):
+        """Guards against taking a stalled group for well once nothing runs there: waits of 30 s."""
+        self.stall(600_000)
+        self.send(LONG, STALL_SEEN_S)
+        self.site.wait_for(lambda: self.running() == REQUESTS, "the requests to run")
+        self.wait_for_callers()
+        for number in range(REQUESTS):
+            body = {"model": "ad-copy", "prompt": "after %d" % number, "max_tokens": SHORT}
+            status, _, answer = self.site.try_call("e1", "POST", "/v1/completions", body, None,
+                                                   STALL_SEEN_S)
+            self.assertEqual(status, 200, answer)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
