Move requests away from a silent engine in one turn of the broker

Callers would have seen, with the version before: in a busy pool nothing leaves an engine that is silent for good for 30 s, since each freed place goes to the queue in the turn in which it becomes free; more requests than the retry budget holds wait as long; requests move to engines that are as silent.

The broker now keeps requests at silent upstreams in a list of their route and dispatches them anew before what is queued, as soon as an upstream takes them that they were not sent to yet and that is expected to answer within 5 s. That costs no retry: the attempt before is cancelled in the same turn. For the first 1.2 s they stay, so that agents of engines that are as silent have said so.

A refused poll or an unreadable report counts as silence as well: two of them cancelled all running work of an agent though nobody else could take it. Only another engine at the address is given up at once.

Ruled out: ending the attempt first and leaving the rest to the retries, which spends the budget and may find the place taken.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -403,11 +403,11 @@
     {
         const auto load = m_load.latest();
         const bool is_lost = !load.m_is_reachable && !load.m_fault.empty();
-        if (is_lost && load.m_is_silent) {
-            m_gate->tell_silence(load.m_measured_at, now);
+        if (is_lost && load.m_is_other_engine) {
+            m_gate->give_up_unanswered(load.m_measured_at);
         }
         else if (is_lost) {
-            m_gate->give_up_lost(load.m_measured_at);
+            m_gate->tell_silence(load.m_measured_at, now);
         }
         if (is_lost == m_is_upstream_lost) {
             return;
--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -79,7 +79,7 @@
     std::uint64_t m_next_chunk = 0;
     std::shared_ptr<http::client_exchange> m_exchange;  ///< under the gate's mutex
     bool m_is_cancelled = false;                        ///< under the gate's mutex
-    bool m_is_given_up = false;                         ///< the same; the upstream is silent
+    bool m_is_given_up = false;                         ///< the same; another engine is there
     bool m_is_entry_lost = false;                       ///< the same
     bool m_is_idempotent = true;
     std::atomic<time_point> m_heard_at{};  ///< brought a piece of its answer
@@ -216,7 +216,7 @@
         m_running.erase(running->m_id);
         running->m_exchange.reset();
         if (running->m_is_given_up) {
-            cancelled_for = "upstream_silent";
+            cancelled_for = "upstream_replaced";
         }
         else if (running->m_is_entry_lost) {
             cancelled_for = ledger::entry_lost;
@@ -279,41 +279,41 @@
     }
 }
 
-/// Attempts that may run twice and brought nothing since `lost_from`. Under the mutex.
-std::vector<gate::attempt_pointer> gate::unheard_since(time_point lost_from) const
+/// Attempts that may run twice and brought nothing since `heard_at`. Under the mutex.
+std::vector<gate::attempt_pointer> gate::unanswered_since(time_point heard_at) const
 {
     std::vector<attempt_pointer> result;
     for (const auto& [id, running] : m_running) {
         if (running->m_is_idempotent && !running->m_is_cancelled && running->m_exchange &&
-            running->m_heard_at.load() <= lost_from) {
+            running->m_heard_at.load() <= heard_at) {
             result.push_back(running);
         }
     }
     return result;
 }
 
-void gate::give_up_lost(time_point lost_from)
+void gate::give_up_unanswered(time_point heard_at)
 {
     const std::lock_guard lock(m_mutex);
-    for (const auto& running : unheard_since(lost_from)) {
+    for (const auto& running : unanswered_since(heard_at)) {
         running->m_is_cancelled = true;
         running->m_is_given_up = true;
         running->m_exchange->cancel();
     }
 }
 
-void gate::tell_silence(time_point silent_from, time_point now)
+void gate::tell_silence(time_point heard_at, time_point now)
 {
-    std::vector<attempt_pointer> unheard;
+    std::vector<attempt_pointer> unanswered;
     {
         const std::lock_guard lock(m_mutex);
         if (now < m_next_silence) {
             return;
         }
         m_next_silence = now + silence_interval;
-        unheard = unheard_since(silent_from);
+        unanswered = unanswered_since(heard_at);
     }
-    for (const auto& running : unheard) {
+    for (const auto& running : unanswered) {
         wire::Envelope message;
         link::to_wire(running->m_id, *message.mutable_silence()->mutable_attempt());
         m_node->reply(running->m_entry, std::move(message));
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -53,15 +53,14 @@
     /// While paused every dispatch is refused; what runs goes on.
     void set_paused(bool paused);
 
-    /// The upstream can't be reached any more, since `lost_from`: attempts that may run twice and
-    /// brought nothing since then are given up, so that they go on elsewhere. The others wait,
+    /// Another engine has taken the upstream's place after `heard_at`: attempts that may run twice
+    /// and brought nothing since then are given up, so that they go on elsewhere. The others wait,
     /// since an answer may yet come.
-    void give_up_lost(time_point lost_from);
+    void give_up_unanswered(time_point heard_at);
 
-    /// The upstream answers nothing any more, since `silent_from`, and may yet go on: the entries
-    /// are told of the same attempts now and then, so that those which have a better upstream for
-    /// them take them back.
-    void tell_silence(time_point silent_from, time_point now);
+    /// The upstream answers nothing after `heard_at`, and may yet go on: entries are told which of
+    /// the same attempts wait, now and then, and take them back where another upstream is better.
+    void tell_silence(time_point heard_at, time_point now);
 
     /// Forgets old attempts.
     void tick(time_point now);
@@ -86,7 +85,7 @@
     void send_chunk(attempt& running, wire::ReplyChunk chunk);
     void end(const attempt_pointer& running, const absl::Status& result, http::progress how_far);
     attempt_pointer find(const attempt_id& id) const;
-    [[nodiscard]] std::vector<attempt_pointer> unheard_since(time_point lost_from) const;
+    [[nodiscard]] std::vector<attempt_pointer> unanswered_since(time_point heard_at) const;
 
     http::client& m_upstream;
     control::subscriber& m_configuration;
--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -59,13 +59,6 @@
     return std::min(longest, std::max(request.m_info.m_wait_deadline, now + shortest_wait));
 }
 
-/// Whether the request may be sent to one more upstream. What no upstream has begun doesn't count.
-bool has_attempts_left(const broker& state, const pending_request& request)
-{
-    return request.m_attempts - request.m_busy_refusals - request.m_unreached <
-           most_attempts(state, request);
-}
-
 /// A failed attempt: a suspect of a death, a retry, or the final answer.
 void after_failure(broker& state, pending_request& request, attempt_end end, time_point now,
                    random_engine& random, actions& result)
@@ -90,7 +83,9 @@
         // may end so at once, and one after the other as their links are found to be lost.
         ++request.m_unreached;
     }
-    else if (!has_attempts_left(state, request) || !retry::take_retry(state.m_retry_budget)) {
+    else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
+                 most_attempts(state, request) ||
+             !retry::take_retry(state.m_retry_budget)) {
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
@@ -393,27 +388,17 @@
     return subject.m_dispatched_at + least < state.m_answered_dispatch;
 }
 
-bool can_restart_elsewhere(broker& state, ticket request, time_point now)
+actions upstream_is_silent(broker& state, ticket request, time_point now, random_engine& random)
 {
+    actions result;
     const auto place = state.m_requests.find(request);
-    if (place == state.m_requests.end() || place->second.m_phase != request_phase::running) {
-        return false;
-    }
-    const auto& subject = place->second;
-    const bool may_retry = subject.m_info.m_idempotent && has_attempts_left(state, subject) &&
-                           retry::has_retry(state.m_retry_budget) &&
-                           standing_of(state, subject.m_info, now) == quarantine::standing::clear &&
-                           !lost_cause(state, subject, now);
-    if (!may_retry) {
-        return false;
+    if (place == state.m_requests.end() || place->second.m_phase != request_phase::running ||
+        !place->second.m_info.m_idempotent) {
+        return result;
     }
-    const auto& target = *subject.m_route;
-    refresh_members(state.m_table, options_of(state), target, now);
-    const auto& open = target.m_open[place_of(subject.m_info.m_class)];
-    return std::any_of(target.m_members.begin(), target.m_members.end(), [&](auto index) {
-        return (open.m_near.contains(index) || open.m_far.contains(index)) &&
-               !was_tried(subject, *state.m_table.m_upstreams[index]);
-    });
+    note_silence(place->second, now);
+    pump(state, now, random, result);
+    return result;
 }
 
 void set_sharing(broker& state, std::uint32_t entries, const retry::budget_options& retries)
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -130,9 +130,11 @@
 /// that makes no steps a part of that margin will do.
 bool is_outrun(const broker& state, ticket request, time_span margin);
 
-/// Whether a running request would be begun at once at an upstream that it was not sent to yet, if
-/// its attempt ended now with an unknown outcome.
-bool can_restart_elsewhere(broker& state, ticket request, time_point now);
+/// The upstream of a running request answers nothing; to be said again each half second while that
+/// lasts. An idempotent request is dispatched anew as soon as an upstream takes it that it was not
+/// sent to before: the caller of the broker ends the attempt before. Until then, or until the
+/// upstream goes on, it stays where it is.
+actions upstream_is_silent(broker& state, ticket request, time_point now, random_engine& random);
 
 /// The further permits wanted for each limited upstream; the count may be zero.
 std::vector<permits::demand> wanted_permits(const broker& state, time_point now);
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -21,6 +21,11 @@
 constexpr double run_lifetime = 30.0;
 /// What producing the answer costs an upstream, in prompt tokens.
 constexpr double output_work = 300.0;
+/// A request leaves a silent upstream only after this: by then it is known of the others whether
+/// they are as silent, and an upstream that stood still for a moment goes on.
+constexpr time_span silence_settles = std::chrono::milliseconds(1200);
+/// Twice as long as the pauses in which a silence is told.
+constexpr time_span silence_lapses = std::chrono::seconds(1);
 /// Without this many lapsed entries the heap of deadlines is not worth tidying.
 constexpr std::size_t most_lapsed_deadlines = 1024;
 
@@ -320,8 +325,27 @@
     result.push_back(std::move(step));
 }
 
+void note_silence(pending_request& request, time_point now)
+{
+    if (!request.m_meets_silence) {
+        request.m_meets_silence = true;
+        request.m_restart_from = now + silence_settles;
+        request.m_route->m_unanswered.push_back(request);
+    }
+    request.m_silence_ends = now + silence_lapses;
+}
+
+void end_silence(pending_request& request)
+{
+    if (request.m_meets_silence) {
+        request.m_meets_silence = false;
+        request.m_route->m_unanswered.erase(request.m_route->m_unanswered.iterator_to(request));
+    }
+}
+
 void release(broker& state, pending_request& request, time_point now)
 {
+    end_silence(request);
     const auto index = request.m_running_on;
     auto& upstream = *state.m_table.m_upstreams[index];
     upstream.m_running.erase(upstream.m_running.iterator_to(request));
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -77,6 +77,12 @@
 /// A running request leaves its upstream.
 void release(broker& state, pending_request& request, time_point now);
 
+/// A running request's upstream is silent, for now.
+void note_silence(pending_request& request, time_point now);
+
+/// The upstream goes on, or the request leaves it.
+void end_silence(pending_request& request);
+
 /// Gives up what waited until its deadline.
 void refuse_lapsed(broker& state, time_point now, random_engine& random, actions& result);
 
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -46,13 +46,16 @@
     incarnation m_running_incarnation;
     bool m_runs_alone = false;
     bool m_has_first_token = false;
-    bool m_was_answered = false;  ///< some attempt got its first token
-    bool m_waits_late = false;    ///< while queued: in the late queue of its lane
-    double m_prompt_work = 0.0;   ///< prompt tokens that its upstream must compute for it
-    double m_work_before = 0.0;   ///< and those that were queued there before it
+    bool m_was_answered = false;   ///< some attempt got its first token
+    bool m_waits_late = false;     ///< while queued: in the late queue of its lane
+    bool m_meets_silence = false;  ///< while running: its upstream answers nothing
+    double m_prompt_work = 0.0;    ///< prompt tokens that its upstream must compute for it
+    double m_work_before = 0.0;    ///< and those that were queued there before it
     time_point m_dispatched_at{};
     time_point m_alone_from{};               ///< of a suspect: when it may start
     time_point m_waits_until = no_deadline;  ///< while it waits
+    time_point m_restart_from{};             ///< while its upstream is silent: when it may leave it
+    time_point m_silence_ends{};             ///< unless it is said again
 };
 
 using running_list =
@@ -117,7 +120,8 @@
     std::array<lane, 2> m_lanes;
     fairness::item_list m_retries;
     fairness::item_list m_suspects;
-    std::size_t m_users = 0;  ///< requests that name it
+    fairness::item_list m_unanswered;  ///< running ones whose upstreams are silent
+    std::size_t m_users = 0;           ///< requests that name it
 };
 
 /// Limits of a table, from the broker's options.
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -11,6 +11,10 @@
 
 using configuration::work_class;
 
+/// An upstream with a longer expected time to a first token, as one of a stalled group, is no
+/// better than a silent one.
+constexpr double longest_restart_wait = 5.0;
+
 choice_context context_of(const broker& state, time_point now)
 {
     return {state.m_table,
@@ -154,6 +158,32 @@
     }
 }
 
+/// Requests at silent upstreams go where they are answered soon. That costs no retry, since the
+/// attempt before is cancelled, and it ends, since none goes twice to one upstream.
+void serve_unanswered(broker& state, route& subject, time_point now, random_engine& random,
+                      actions& result)
+{
+    for (auto* request : first_of(subject.m_unanswered)) {
+        if (now >= request->m_silence_ends) {
+            end_silence(*request);
+            continue;
+        }
+        const bool may_go =
+            now >= request->m_restart_from &&
+            standing_of(state, request->m_info, now) == quarantine::standing::clear &&
+            !lost_cause(state, *request, now);
+        const auto chosen =
+            may_go ? choose(context_of(state, now), *request, random) : std::nullopt;
+        if (!chosen || chosen->m_seconds > longest_restart_wait ||
+            was_tried(*request, *state.m_table.m_upstreams[chosen->m_index])) {
+            continue;
+        }
+        release(state, *request, now);
+        ++request->m_unreached;
+        start(state, *request, *chosen, false, now, result);
+    }
+}
+
 /// Serves all that can go now: those that can still meet their objective, or the others.
 void serve_waiting(broker& state, bool is_late, time_point now, random_engine& random,
                    actions& result)
@@ -190,6 +220,9 @@
         if (!subject.m_suspects.empty()) {
             serve_suspects(state, subject, now, random, result);
         }
+        if (!subject.m_unanswered.empty()) {
+            serve_unanswered(state, subject, now, random, result);
+        }
     }
     // After a pause of a whole pool, or in a burst, first come first served would make everything
     // late: each request that goes has waited for all late ones before it. Those that can still
--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -71,7 +71,7 @@
         if (m_reach.m_is_lost) {
             m_latest.m_is_reachable = false;
             m_latest.m_fault = std::string(fault.message());
-            m_latest.m_is_silent = end == poll_end::silent;
+            m_latest.m_is_other_engine = end == poll_end::other_engine;
         }
     }
 };
--- a/dewbeam/src/engine/load_poller.h
+++ b/dewbeam/src/engine/load_poller.h
@@ -15,9 +15,9 @@
 /// What an engine said of itself.
 struct load {
     bool m_is_reachable = false;
-    std::string m_fault;       ///< why it is not reachable
-    bool m_is_silent = false;  ///< why: it takes connections, and answers nothing
-    std::string m_name;        ///< of the engine; empty: it does not say
+    std::string m_fault;             ///< why it is not reachable
+    bool m_is_other_engine = false;  ///< why: an engine of another name answers
+    std::string m_name;              ///< of the engine; empty: it does not say
     std::uint32_t m_running = 0;
     std::uint32_t m_waiting = 0;
     std::uint64_t m_free_kv_tokens = 0;
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -67,9 +67,33 @@
     send_tombstone(state, attempt);
 }
 
+void log_end(entry_state& state, const request_pointer& request, const attempt_id& id,
+             dispatch::attempt_end end, std::string_view reason)
+{
+    state.m_metrics.attempt_failed(to_text(end));
+    log_event(log_level::info, "attempt_ended",
+              {{"request", request->known().m_request_id},
+               {"attempt", id.m_sequence},
+               {"end", to_text(end)},
+               {"reason", reason}});
+}
+
+/// Ends the attempt, if one runs, in whose place the broker dispatches the request anew.
+void leave_silent_upstream(entry_state& state, const request_pointer& request)
+{
+    const auto left = request->attempt();
+    if (left.m_id.m_sequence == 0 || !request->release(left.m_id, false)) {
+        return;
+    }
+    state.m_requests.remove_attempt(left.m_id);
+    take_back(state, left);
+    log_end(state, request, left.m_id, dispatch::attempt_end::lost, "upstream_silent");
+}
+
 void begin_attempt(entry_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
+    leave_silent_upstream(state, request);
     owned_attempt attempt;
     attempt.m_id = next_attempt_id(state);
     attempt.m_agent_address = state.m_members.address_of(action.m_upstream);
@@ -134,12 +158,7 @@
     }
     state.m_requests.remove_attempt(id);
     if (end != dispatch::attempt_end::completed) {
-        state.m_metrics.attempt_failed(to_text(end));
-        log_event(log_level::info, "attempt_ended",
-                  {{"request", request->known().m_request_id},
-                   {"attempt", id.m_sequence},
-                   {"end", to_text(end)},
-                   {"reason", reason}});
+        log_end(state, request, id, end, reason);
     }
     const auto& known = request->known();
     if (end == dispatch::attempt_end::completed) {
@@ -153,19 +172,6 @@
     perform(state, wanted, now);
 }
 
-void restart_elsewhere(entry_state& state, const request_pointer& request, const attempt_id& id,
-                       time_point now)
-{
-    const auto attempt = request->attempt();
-    const auto& known = request->known();
-    if (attempt.m_id != id ||
-        !state.m_pools.can_restart_elsewhere(known.m_pool, known.m_ticket, now)) {
-        return;
-    }
-    take_back(state, attempt);
-    end_attempt(state, request, id, dispatch::attempt_end::unknown, "upstream_silent", now);
-}
-
 void end_attempts_at(entry_state& state, const std::string& address, std::string_view reason,
                      time_point now)
 {
--- a/dewbeam/src/entry/attempts.h
+++ b/dewbeam/src/entry/attempts.h
@@ -23,11 +23,6 @@
 void end_attempt(entry_state& state, const request_pointer& request, const attempt_id& id,
                  dispatch::attempt_end end, std::string_view reason, time_point now);
 
-/// The upstream of an attempt answers nothing: the request is begun at another one where that can
-/// take it now. Otherwise it goes on where it is, since its answer may yet come.
-void restart_elsewhere(entry_state& state, const request_pointer& request, const attempt_id& id,
-                       time_point now);
-
 /// The process at an address is gone, or can't be heard: its attempts end here. They are cancelled
 /// there too: a dispatch may go out on the connection that comes after the lost one, and nobody
 /// would wait for its answer.
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -69,9 +69,9 @@
 
 void on_silence(entry_state& state, const wire::Silence& message, time_point now)
 {
-    const auto id = link::from_wire(message.attempt());
-    if (const auto request = state.m_requests.find(id)) {
-        restart_elsewhere(state, request, id, now);
+    if (const auto request = state.m_requests.find(link::from_wire(message.attempt()))) {
+        const auto& known = request->known();
+        perform(state, state.m_pools.upstream_is_silent(known.m_pool, known.m_ticket, now), now);
     }
 }
 
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -116,6 +116,17 @@
     return dispatch::attempt_ended(target->m_broker, request, end, now, target->m_random);
 }
 
+dispatch::actions pool_table::upstream_is_silent(const std::string& pool, dispatch::ticket request,
+                                                 time_point now)
+{
+    const auto target = find(pool);
+    if (!target) {
+        return {};
+    }
+    const std::lock_guard lock(target->m_mutex);
+    return dispatch::upstream_is_silent(target->m_broker, request, now, target->m_random);
+}
+
 dispatch::actions pool_table::cancel(const std::string& pool, dispatch::ticket request,
                                      time_point now)
 {
@@ -275,17 +286,6 @@
     return dispatch::is_outrun(target->m_broker, request, margin);
 }
 
-bool pool_table::can_restart_elsewhere(const std::string& pool, dispatch::ticket request,
-                                       time_point now) const
-{
-    const auto target = find(pool);
-    if (!target) {
-        return false;
-    }
-    const std::lock_guard lock(target->m_mutex);
-    return dispatch::can_restart_elsewhere(target->m_broker, request, now);
-}
-
 void pool_table::set_sharing(std::uint32_t entries, const retry::budget_options& retries)
 {
     const std::unique_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -43,6 +43,8 @@
     bool first_token(const std::string& pool, dispatch::ticket request, time_point now);
     dispatch::actions attempt_ended(const std::string& pool, dispatch::ticket request,
                                     dispatch::attempt_end end, time_point now);
+    dispatch::actions upstream_is_silent(const std::string& pool, dispatch::ticket request,
+                                         time_point now);
     dispatch::actions cancel(const std::string& pool, dispatch::ticket request, time_point now);
     dispatch::actions update_upstream(const std::string& pool, const dispatch::upstream_info& info,
                                       time_point now);
@@ -75,10 +77,6 @@
     [[nodiscard]] bool is_outrun(const std::string& pool, dispatch::ticket request,
                                  time_span margin) const;
 
-    /// Whether a running request would be begun at once at an upstream that it was not sent to yet.
-    [[nodiscard]] bool can_restart_elsewhere(const std::string& pool, dispatch::ticket request,
-                                             time_point now) const;
-
     /// The further permits that each pool wants for its limited upstreams.
     [[nodiscard]] std::vector<permits::demand> wanted_permits(time_point now) const;
 
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -10,14 +10,9 @@
     state.m_tokens = std::min(state.m_tokens + options.m_share, options.m_burst);
 }
 
-bool has_retry(const budget& state)
-{
-    return state.m_tokens >= 1.0;
-}
-
 bool take_retry(budget& state)
 {
-    if (!has_retry(state)) {
+    if (state.m_tokens < 1.0) {
         return false;
     }
     state.m_tokens -= 1.0;
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -38,9 +38,6 @@
 /// A request was dispatched for the first time.
 void count_first_try(budget& state, const budget_options& options);
 
-/// Whether a retry is left.
-bool has_retry(const budget& state);
-
 /// Takes one retry from the budget; false when none is left.
 bool take_retry(budget& state);
 
