Judge requests that a cut held by when they reached it

Callers saw nothing.

Cause: the check knew of faults of gateways, not of cuts between a gateway and the leaving upstream. The users' rules exempt these: a request is not counted as late at a replica if the link to it was cut or harmed in the last contact-ms (RULES.md, Held up; 3 s on the sites).

Ruled out: gateways that send on after they heard of the end (no request reached the proxy later), and taking requests back: the bytes are acknowledged to the sender, and a call that may not run twice can't be moved. Attempts that may be repeated were moved and their connections reset.

A request that a cut held is judged by its last piece, against the same 2 s.

--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -73,11 +73,12 @@
             if kind == "once" and status in NOT_RUN and count > 0:
                 self.fail("%s was answered %d, and ran" % (request, status))
 
-    def check_drained(self, upstream, acknowledged_at, grace_s, exempt):
+    def check_drained(self, upstream, acknowledged_at, grace_s, exempt, received_at):
         """No request reached an upstream later than `grace_s` after its end was acknowledged, but
-        from gateways that faults had hit, by `exempt(request, time)`."""
+        from gateways that faults had hit, by `exempt(request, time)`. A request that a cut held on
+        the way there is judged by when it reached the cut, by `received_at(request, time)`."""
         for request, when in upstream.arrivals:
-            if when > acknowledged_at + grace_s and not exempt(request, when):
+            if received_at(request, when) > acknowledged_at + grace_s and not exempt(request, when):
                 self.fail("%s reached %s %.1f s after its end was acknowledged" %
                           (request, upstream.name, when - acknowledged_at))
 
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -90,7 +90,8 @@
         check_places(site, promises)
         promises.check_runs(site.upstreams)
         for upstream, when in faults.drained:
-            promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit)
+            promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit,
+                                   site.proxies[upstream.name].received_at)
         logs = {name: site.process(name).log() for name in GATEWAYS + REGISTRIES} \
             if promises.broken else {}
         return {"seed": seed, "broken": promises.broken, "faults": faults.log,
