Forget losses at upstreams that went on in the same life

Callers saw: content that is sent often could be refused as quarantined although every upstream lives.

Cause: an entry remembers for ten minutes what ran at an agent whose link was lost, and a second loss counts as the end of an upstream. A link is lost also where an agent or a network stands still for a moment and goes on; that the same upstream came back was not told to this memory.

A loss is now noted with the agent's address and the life of its upstream. Load reports name the life that was measured; one that was measured after the loss in the same life takes the loss back. A restarted agent or engine has another life and counts as before, as does one that is never heard of. The gateway's notes have no place and are never taken back.

Evidence: entry_attempts.a_content_is_not_blamed_for_a_lost_link_to_an_upstream_ that_goes_on failed on the code before (the second loss was "upstream_died"). The two cases beside it, that a restarted or silent upstream still counts, passed before and hold the other side.

Ruled out: news of the membership as the sign of life, which may be older than the loss; the membership's incarnation, which changes without a new process where an agent was held dead; a life for engines that don't name their process, whose restart can't be told.

Left: suspicions that were told before the report came are not taken back.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -487,7 +487,10 @@
         const auto classes = m_gate->classes();
         figures.m_urgent = classes.m_urgent;
         figures.m_ordinary_slots = classes.m_ordinary_slots;
-        m_membership->report(figures, now);
+        // An engine that restarted since the last look, or that doesn't name its process, may be
+        // another one than this agent's callers know.
+        const bool is_known_life = load.m_incarnation != 0 && load.m_incarnation == m_engine_life;
+        m_membership->report(figures, is_known_life ? m_upstream_life : incarnation(), now);
     }
 
     program::program& m_frame;
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -177,8 +177,9 @@
         if (attempt.m_agent_address != address) {
             continue;
         }
-        const bool is_suspect = attempt.m_is_acknowledged &&
-                                state.m_losses.note(request->known().m_call.m_content, now);
+        const bool is_suspect =
+            attempt.m_is_acknowledged &&
+            state.m_losses.note(request->known().m_call.m_content, {address, attempt.m_agent}, now);
         take_back(state, attempt);
         end_attempt(state, request, attempt.m_id,
                     is_suspect ? dispatch::attempt_end::upstream_died : end, reason, now);
--- a/dewbeam/src/entry/member_feed.cpp
+++ b/dewbeam/src/entry/member_feed.cpp
@@ -49,16 +49,25 @@
     }
 }
 
+/// An upstream that was measured in the life of its losses shows that no content ended it.
+void forget_losses(entry_state& state, const agent_report& report)
+{
+    if (const auto member = state.m_members.find(report.m_host)) {
+        state.m_losses.forget({member->m_address, report.m_upstream_life},
+                              report.m_load.m_measured_at);
+    }
+}
+
 }  // namespace
 
 membership_hooks membership_hooks_of(entry_state& state)
 {
     membership_hooks hooks;
     hooks.m_on_change = [&state](const membership::member& member) { on_member(state, member); };
-    hooks.m_on_report = [&state](const host_id& host, incarnation,
-                                 const membership::member_load& load) {
-        state.m_members.take_load(host, load);
-        update_pools(state, host, program::now());
+    hooks.m_on_report = [&state](const agent_report& report) {
+        state.m_members.take_load(report.m_host, report.m_load);
+        forget_losses(state, report);
+        update_pools(state, report.m_host, program::now());
     };
     return hooks;
 }
--- a/dewbeam/src/entry/membership_runner.cpp
+++ b/dewbeam/src/entry/membership_runner.cpp
@@ -37,8 +37,8 @@
     if (message.has_announcement() && message.announcement().has_report()) {
         const auto& source = message.announcement();
         if (m_hooks.m_on_report) {
-            m_hooks.m_on_report(host_id(message.sender()), incarnation(source.incarnation()),
-                                from_wire(source.report(), now));
+            m_hooks.m_on_report({host_id(message.sender()), incarnation(source.upstream_life()),
+                                 from_wire(source.report(), now)});
         }
         return true;
     }
@@ -113,7 +113,8 @@
     membership::note_quorum(m_view, now);
 }
 
-void membership_runner::report(const membership::member_load& load, time_point now)
+void membership_runner::report(const membership::member_load& load, incarnation upstream_life,
+                               time_point now)
 {
     wire::Envelope message;
     std::vector<std::string> readers;
@@ -123,6 +124,7 @@
         message.mutable_announcement()->set_host(m_view.m_self.m_host.value());
         message.mutable_announcement()->set_incarnation(m_view.m_self.m_incarnation.value());
     }
+    message.mutable_announcement()->set_upstream_life(upstream_life.value());
     *message.mutable_announcement()->mutable_report() = to_wire(load, now);
     for (const auto& address : readers) {
         send(address, message);
--- a/dewbeam/src/entry/membership_runner.h
+++ b/dewbeam/src/entry/membership_runner.h
@@ -16,6 +16,13 @@
 
 namespace dewbeam::entry {
 
+/// A load report of an agent.
+struct agent_report {
+    host_id m_host;
+    incarnation m_upstream_life;  ///< of the upstream that was measured; 0: the agent can't tell
+    membership::member_load m_load;
+};
+
 /// What a program gives to its runner. None is called while the runner's lock is held.
 struct membership_hooks {
     /// Sends to the process that listens at an address.
@@ -26,7 +33,7 @@
     /// order in which the view learned of it.
     std::function<void(const membership::member&)> m_on_change;
     /// An agent's load report arrived.
-    std::function<void(const host_id&, incarnation, const membership::member_load&)> m_on_report;
+    std::function<void(const agent_report&)> m_on_report;
     /// This process was held dead and goes on under a new incarnation.
     std::function<void(incarnation)> m_on_new_incarnation;
     /// A later process runs under the same host name; this one should stop.
@@ -39,7 +46,7 @@
 /// membership_runner runner(options, self, hooks, seed, program::now());
 /// // in the link's handler:      if (runner.take(message, now)) { return; }
 /// // in the program's tick:      runner.tick(now);
-/// // when the agent reads loads: runner.report(load, now);
+/// // when the agent reads loads: runner.report(load, life, now);
 /// // when readiness goes false:  runner.leave(now);
 /// \endcode
 class membership_runner {
@@ -63,8 +70,9 @@
     /// This control is part of a majority now.
     void note_quorum(time_point now);
 
-    /// Sends an agent's load to the entries that asked for it.
-    void report(const membership::member_load& load, time_point now);
+    /// Sends an agent's load to the entries that asked for it. `upstream_life` is that of the
+    /// upstream that was measured; 0 where it can't be told from an earlier one.
+    void report(const membership::member_load& load, incarnation upstream_life, time_point now);
 
     /// Asks for the reports of the agents that this entry uses, `size` of each model, for
     /// 15 s; call it every few seconds.
--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -152,6 +152,40 @@
         on_lost(m_state, std::vector{link::peer{address, {}}});
     }
 
+    /// A load report of an agent whose upstream was measured `age_ms` ago.
+    void report(const std::string& host, incarnation life, std::uint64_t age_ms = 0)
+    {
+        wire::Envelope message;
+        message.set_sender(host);
+        message.mutable_announcement()->set_upstream_life(life.value());
+        message.mutable_announcement()->mutable_report()->set_measured_ms(age_ms);
+        deliver(std::move(message));
+    }
+
+    /// One content is accepted at two agents, one after the other, and each link is lost.
+    /// `between` is called with the host of the first. Whether an upstream counts as ended by it.
+    template <class Between>
+    bool is_blamed_after_two_losses(Between&& between)
+    {
+        deliver({});
+        silent_agent first("a1");
+        silent_agent second("a2");
+        add_upstream("u1", first.address());
+        add_upstream("u2", second.address());
+        const auto request = send_request();
+        for (const bool is_first : {true, false}) {
+            const auto owned = request->attempt();
+            wire::Accepted accepted;
+            link::to_wire(owned.m_id, *accepted.mutable_attempt());
+            request->take(accepted);
+            lose_link(owned.m_agent_address);
+            if (is_first) {
+                between(owned.m_agent_address == first.address() ? "u1" : "u2");
+            }
+        }
+        return m_state.m_metrics.text().find("upstream_died") != std::string::npos;
+    }
+
     program::program m_frame;
     entry_state m_state;
 };
@@ -268,6 +302,27 @@
     EXPECT_TRUE(m_state.m_pools.take_suspicions().empty());
 }
 
+// An agent or a network that stood still for a moment shows that nothing was ended there.
+TEST_F(entry_attempts, a_content_is_not_blamed_for_a_lost_link_to_an_upstream_that_goes_on)
+{
+    EXPECT_FALSE(is_blamed_after_two_losses([&](auto host) { report(host, incarnation(1)); }));
+}
+
+TEST_F(entry_attempts, a_content_is_blamed_where_the_upstream_is_not_heard_of)
+{
+    EXPECT_TRUE(is_blamed_after_two_losses([](auto) {}));
+}
+
+TEST_F(entry_attempts, a_content_is_blamed_where_the_upstream_began_anew_or_may_have)
+{
+    const auto between = [&](auto host) {
+        report(host, incarnation(2));
+        report(host, incarnation(1), 10'000);  // measured before the loss
+        report(host, incarnation());           // an agent that can't tell
+    };
+    EXPECT_TRUE(is_blamed_after_two_losses(between));
+}
+
 // An agent answers a tombstone for what it runs with "unknown"; that is no end of it.
 TEST_F(entry_attempts, an_accepted_attempt_goes_on_after_the_answer_to_its_tombstone)
 {
--- a/test/membership_runner_test.cpp
+++ b/test/membership_runner_test.cpp
@@ -50,9 +50,9 @@
         hooks.m_send = [this](const std::string& address, wire::Envelope message) {
             m_node->send(address, std::move(message));
         };
-        hooks.m_on_report = [this](const host_id&, incarnation,
-                                   const membership::member_load& load) {
-            m_running = load.m_running;
+        hooks.m_on_report = [this](const agent_report& report) {
+            m_running = report.m_load.m_running;
+            m_upstream_life = report.m_upstream_life.value();
         };
         m_self = self;
         m_runner = std::make_unique<membership_runner>(limits, self, hooks, 7, clock_now());
@@ -78,6 +78,7 @@
     membership::member m_self;
     std::unique_ptr<membership_runner> m_runner;
     std::atomic<std::uint32_t> m_running = 0;
+    std::atomic<std::uint64_t> m_upstream_life = 0;
 
     [[nodiscard]] const std::string& address() const { return m_node->address(); }
 
@@ -121,8 +122,8 @@
     load.m_running = 17;
     EXPECT_TRUE(eventually(all, [&] {
         second.m_runner->want_reports(4);
-        agent.m_runner->report(load, clock_now());
-        return second.m_running == 17;
+        agent.m_runner->report(load, incarnation(3), clock_now());
+        return second.m_running == 17 && second.m_upstream_life == 3;
     }));
     EXPECT_EQ(first.m_running, 0U);
     agent.m_self.m_models = {model_id("chat")};
