Begin no request anew whose answer has just come

An attempt is now left only while its request is not over; else whoever saw the end tells the broker. Some names and comments are mended, a declaration without a definition is gone.

--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -84,7 +84,6 @@
     void begin(const attempt_pointer& running, const wire::Dispatch& message);
     void send_chunk(attempt& running, wire::ReplyChunk chunk);
     void end(const attempt_pointer& running, const absl::Status& result, http::progress how_far);
-    attempt_pointer find(const attempt_id& id) const;
     [[nodiscard]] std::vector<attempt_pointer> unanswered_since(time_point heard_at) const;
 
     http::client& m_upstream;
--- a/dewbeam/src/entry/attempts.cpp
+++ b/dewbeam/src/entry/attempts.cpp
@@ -78,22 +78,29 @@
                {"reason", reason}});
 }
 
-/// Ends the attempt, if one runs, in whose place the broker dispatches the request anew.
-void leave_silent_upstream(entry_state& state, const request_pointer& request)
+/// Ends the attempt, if one runs, in whose place the broker dispatches the request anew. False
+/// where it ended by itself in the meantime: whoever saw that tells the broker.
+bool leave_silent_upstream(entry_state& state, const request_pointer& request)
 {
     const auto left = request->attempt();
-    if (left.m_id.m_sequence == 0 || !request->release(left.m_id, false)) {
-        return;
+    if (left.m_id.m_sequence == 0) {
+        return true;
+    }
+    if (!request->release_unanswered(left.m_id)) {
+        return false;
     }
     state.m_requests.remove_attempt(left.m_id);
     take_back(state, left);
     log_end(state, request, left.m_id, dispatch::attempt_end::lost, "upstream_silent");
+    return true;
 }
 
 void begin_attempt(entry_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
-    leave_silent_upstream(state, request);
+    if (!leave_silent_upstream(state, request)) {
+        return;
+    }
     owned_attempt attempt;
     attempt.m_id = next_attempt_id(state);
     attempt.m_agent_address = state.m_members.address_of(action.m_upstream);
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -314,6 +314,18 @@
     return true;
 }
 
+bool entry_request::release_unanswered(const attempt_id& id)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || m_attempt.m_id != id) {
+        return false;
+    }
+    m_attempt = {};
+    m_may_have_run = true;
+    replies::drop_attempt(m_stream);
+    return true;
+}
+
 bool entry_request::begin_tombstone(time_point now)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -125,6 +125,9 @@
     /// or none is owned. `is_not_run`: it is certain that it never ran.
     bool release(const attempt_id& id, bool is_not_run);
 
+    /// The same for an attempt that may have run, unless the request is over.
+    bool release_unanswered(const attempt_id& id);
+
     /// Whether the agent is late with its acknowledgement; the tombstone is then under way.
     [[nodiscard]] bool begin_tombstone(time_point now);
 
--- a/dewbeam/src/experts/stall.h
+++ b/dewbeam/src/experts/stall.h
@@ -21,9 +21,10 @@
     time_span m_silence = std::chrono::milliseconds(300);  ///< no step this long: stalled
     time_span m_hold = std::chrono::seconds(1);            ///< route around at least this long
     time_span m_lasting = std::chrono::seconds(10);        ///< slow this long: slow for good
-    /// A stalled group that has lost its work may be tried again after this, ...
+    /// How long a stalled group without work is left alone; twice as long after each stall in a
+    /// row.
     time_span m_shortest_pause = std::chrono::seconds(10);
-    time_span m_longest_pause = std::chrono::seconds(60);  ///< ... twice it, and so on up to this
+    time_span m_longest_pause = std::chrono::seconds(60);  ///< no pause is longer
 };
 
 /// Times of one step, or the mean of several, as the ranks report them.
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -80,7 +80,7 @@
     return {true, code, {}};
 }
 
-time_span seconds_setting(const nlohmann::json& settings, const char* path)
+time_span span_setting(const nlohmann::json& settings, const char* path)
 {
     return std::chrono::milliseconds(setting_value<std::int64_t>(settings, path));
 }
@@ -259,7 +259,7 @@
         });
     };
     note_reload();
-    m_stop_notice = seconds_setting(m_settings, "/stop/notice_ms");
+    m_stop_notice = span_setting(m_settings, "/stop/notice_ms");
     start_threads();
     int handled_signals = 0;
     turn_watch turns;
@@ -277,7 +277,7 @@
             ++handled_signals;
             const auto notice = stopped_at.load() + m_stop_notice;
             wanted =
-                life.stop_requested(notice, notice + seconds_setting(m_settings, "/stop/drain_ms"));
+                life.stop_requested(notice, notice + span_setting(m_settings, "/stop/drain_ms"));
         }
         else if (life.current() == lifecycle::phase::starting && hooks.m_is_ready()) {
             wanted = life.learned();
--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -284,6 +284,20 @@
     EXPECT_EQ(left.wait_for(cancelled), begun.m_id);
 }
 
+// Begun again, it would never end: nobody waits for a second answer.
+TEST_F(entry_attempts, a_request_whose_answer_has_just_come_is_not_begun_elsewhere)
+{
+    silent_agent first("a1");
+    silent_agent second("a2");
+    add_upstream("u1", first.address());
+    add_upstream("u2", second.address());
+    const auto request = send_request();
+    const auto begun = request->attempt();
+    request->respond({}, ledger::outcome::completed);
+    tell_silence(request);
+    EXPECT_EQ(request->attempt().m_id, begun.m_id);
+}
+
 // Its answer may yet come; ended, it would be refused.
 TEST_F(entry_attempts, a_request_stays_at_a_silent_upstream_while_no_other_has_room)
 {
--- a/test/program_test.cpp
+++ b/test/program_test.cpp
@@ -13,6 +13,8 @@
 // A busy process comes late to its own ticks, while its threads go on to read requests.
 TEST(program, a_stop_counts_from_its_signal_and_not_from_when_it_is_handled)
 {
+    // Any start installs the signal handlers. They keep the stop for the whole process, so that
+    // this file can have no second case.
     std::string name = "program_test";
     std::string option = "--print-defaults";
     std::array words = {name.data(), option.data()};
