Let tests of an entry share their settings, route and pair of upstreams

Two test files had a copy each of the settings and the route, and six cases of one set up the same pair of agents; test/entry_site.h and the fixture now hold them.

--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -9,25 +9,16 @@
 #include "dewbeam/src/entry/member_feed.h"
 #include "dewbeam/src/entry/messages.h"
 #include "dewbeam/src/entry/status_page.h"
+#include "test/entry_site.h"
 #include "test/recording_exchange.h"
 
 namespace dewbeam::entry {
 namespace {
 
-using json = nlohmann::json;
+using test::adopt_chat_route;
+using test::entry_settings;
 using test::recording_exchange;
 
-json settings()
-{
-    return {{"threads", 1},
-            {"host", "e1"},
-            {"failure_domain", "d1"},
-            {"burn_file", ""},
-            {"controls", {"127.0.0.1:7000"}},
-            {"entries", json::array()},
-            {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
-}
-
 std::unique_ptr<link::node> start_node(const char* host, link::node_handlers handlers)
 {
     link::node_options options;
@@ -88,17 +79,11 @@
 
 class entry_attempts : public testing::Test {
 protected:
-    entry_attempts() : m_frame(settings()), m_state(m_frame, settings(), [] {})
+    entry_attempts() : m_frame(entry_settings()), m_state(m_frame, entry_settings(), [] {})
     {
         m_state.m_node = start_node("e1", {[](const link::peer&, wire::Envelope&&) {},
                                            [](const std::vector<link::peer>&) {}});
-        wire::Configuration rules;
-        rules.mutable_version()->set_term(1);
-        rules.mutable_version()->set_index(1);
-        rules.set_document(
-            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}
-                .dump());
-        EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
+        adopt_chat_route(m_state);
     }
 
     void TearDown() override { m_state.m_node->stop(); }
@@ -119,6 +104,14 @@
         update_pools(m_state, agent.m_host, program::now());
     }
 
+    void add_two_upstreams()
+    {
+        m_first = std::make_unique<silent_agent>("a1");
+        m_second = std::make_unique<silent_agent>("a2");
+        add_upstream("u1", m_first->address());
+        add_upstream("u2", m_second->address());
+    }
+
     request_pointer send_request()
     {
         entry_request::facts known;
@@ -136,7 +129,8 @@
     void deliver(wire::Envelope&& message)
     {
         m_state.m_is_started = true;
-        m_state.m_membership = join(settings(), {}, *m_state.m_node, membership_hooks_of(m_state));
+        m_state.m_membership =
+            join(entry_settings(), {}, *m_state.m_node, membership_hooks_of(m_state));
         on_message(m_state, {}, std::move(message));
     }
 
@@ -176,10 +170,7 @@
     bool is_blamed_after_two_losses(Between&& between)
     {
         deliver({});
-        silent_agent first("a1");
-        silent_agent second("a2");
-        add_upstream("u1", first.address());
-        add_upstream("u2", second.address());
+        add_two_upstreams();
         const auto request = send_request();
         for (const bool is_first : {true, false}) {
             const auto owned = request->attempt();
@@ -188,7 +179,7 @@
             request->take(accepted);
             lose_link(owned.m_agent_address);
             if (is_first) {
-                between(owned.m_agent_address == first.address() ? "u1" : "u2");
+                between(owned.m_agent_address == m_first->address() ? "u1" : "u2");
             }
         }
         return m_state.m_metrics.text().find("upstream_died") != std::string::npos;
@@ -196,6 +187,8 @@
 
     program::program m_frame;
     entry_state m_state;
+    std::unique_ptr<silent_agent> m_first;
+    std::unique_ptr<silent_agent> m_second;
 };
 
 // A dispatch may go out on the connection that comes after the lost one: then no loss would tell
@@ -226,12 +219,9 @@
 
 TEST_F(entry_attempts, a_request_does_not_go_on_at_an_upstream_that_is_lost_at_the_same_time)
 {
-    silent_agent first("a1");
-    silent_agent second("a2");
-    add_upstream("u1", first.address());
-    add_upstream("u2", second.address());
+    add_two_upstreams();
     const auto request = send_request();
-    on_lost(m_state, {link::peer{first.address(), {}}, link::peer{second.address(), {}}});
+    on_lost(m_state, {link::peer{m_first->address(), {}}, link::peer{m_second->address(), {}}});
     EXPECT_EQ(request->attempt().m_id.m_sequence, 0U);
     EXPECT_FALSE(request->is_over());
 }
@@ -254,10 +244,7 @@
 
 TEST_F(entry_attempts, what_an_agent_cancels_for_want_of_its_entry_goes_on_elsewhere)
 {
-    silent_agent first("a1");
-    silent_agent second("a2");
-    add_upstream("u1", first.address());
-    add_upstream("u2", second.address());
+    add_two_upstreams();
     const auto request = send_request();
     const auto begun = request->attempt();
     wire::Envelope message;
@@ -272,25 +259,19 @@
 
 TEST_F(entry_attempts, a_request_leaves_a_silent_upstream_for_one_with_room)
 {
-    silent_agent first("a1");
-    silent_agent second("a2");
-    add_upstream("u1", first.address());
-    add_upstream("u2", second.address());
+    add_two_upstreams();
     const auto request = send_request();
     const auto begun = request->attempt();
     tell_silence(request);
     EXPECT_NE(request->attempt().m_agent_address, begun.m_agent_address);
-    auto& left = begun.m_agent_address == first.address() ? first : second;
+    auto& left = begun.m_agent_address == m_first->address() ? *m_first : *m_second;
     EXPECT_EQ(left.wait_for(cancelled), begun.m_id);
 }
 
 // Begun again, it would never end: nobody waits for a second answer.
 TEST_F(entry_attempts, a_request_whose_answer_has_just_come_is_not_begun_elsewhere)
 {
-    silent_agent first("a1");
-    silent_agent second("a2");
-    add_upstream("u1", first.address());
-    add_upstream("u2", second.address());
+    add_two_upstreams();
     const auto request = send_request();
     const auto begun = request->attempt();
     request->respond({}, ledger::outcome::completed);
@@ -313,10 +294,7 @@
 // What an agent never accepted can't have ended it.
 TEST_F(entry_attempts, a_content_is_not_blamed_for_links_that_were_lost_before_it_was_accepted)
 {
-    silent_agent first("a1");
-    silent_agent second("a2");
-    add_upstream("u1", first.address());
-    add_upstream("u2", second.address());
+    add_two_upstreams();
     send_request();
     for (int loss = 0; loss < 2; ++loss) {
         lose_link(m_state.m_requests.all().at(0)->attempt().m_agent_address);
--- a/test/entry_intake_test.cpp
+++ b/test/entry_intake_test.cpp
@@ -3,35 +3,21 @@
 #include <gtest/gtest.h>
 
 #include "dewbeam/src/entry/intake.h"
+#include "test/entry_site.h"
 #include "test/recording_exchange.h"
 
 namespace dewbeam::entry {
 namespace {
 
-using json = nlohmann::json;
+using test::adopt_chat_route;
+using test::entry_settings;
 using test::recording_exchange;
 
-json settings()
-{
-    return {{"threads", 1},
-            {"host", "e1"},
-            {"failure_domain", "d1"},
-            {"burn_file", ""},
-            {"controls", {"127.0.0.1:7000"}},
-            {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
-}
-
 class entry_intake : public testing::Test {
 protected:
-    entry_intake() : m_frame(settings()), m_state(m_frame, settings(), [] {})
+    entry_intake() : m_frame(entry_settings()), m_state(m_frame, entry_settings(), [] {})
     {
-        wire::Configuration rules;
-        rules.mutable_version()->set_term(1);
-        rules.mutable_version()->set_index(1);
-        rules.set_document(
-            json{{"selectors", {{"chat", {{"when", "model=m"}, {"upstreams", "pool=chat"}}}}}}
-                .dump());
-        EXPECT_TRUE(m_state.m_configuration.adopt(rules, true));
+        adopt_chat_route(m_state);
         dispatch::upstream_info upstream;
         upstream.m_name = upstream_id("u1");
         upstream.m_labels.set("pool", "chat");
@@ -62,10 +48,10 @@
 // that must run once run twice, and each other's attempts at agents.
 TEST(entry_ids, entries_that_started_at_the_same_time_give_different_ids)
 {
-    auto other_settings = settings();
+    auto other_settings = entry_settings();
     other_settings["host"] = "e2";
-    program::program frame(settings());
-    entry_state first(frame, settings(), [] {});
+    program::program frame(entry_settings());
+    entry_state first(frame, entry_settings(), [] {});
     entry_state second(frame, other_settings, [] {});
     second.m_incarnation = first.m_incarnation;
     EXPECT_NE(next_attempt_id(first), next_attempt_id(second));
