Log the content of each attempt at a gateway

Whether copies of one request end upstream after upstream, and at which gateways, could not be told: lines name the request alone, and each copy has an id of its own. attempt_begun and attempt_failed now carry the content: a hash of method, target, body, workspace and pool. The query and the method are part of it now; what counts losses of a content (loss_memory) uses it too.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -116,12 +116,6 @@
     remove_upstream(state, name, now);
 }
 
-fingerprint content_of(const gateway_request::facts& known)
-{
-    const auto content = stable_hash(known.m_request.m_body, stable_hash(known.m_call.m_path));
-    return fingerprint(combine_hash(content, stable_hash(known.m_workspace.value())));
-}
-
 dispatch::upstream_result result_of(const attempt_outcome& outcome)
 {
     if (outcome.m_end == dispatch::attempt_end::not_reached) {
@@ -151,7 +145,8 @@
                   {{"request", known.m_request_id},
                    {"upstream", upstream.value()},
                    {"reason", outcome.m_reason},
-                   {"not_run", retry::is_never_begun(outcome.m_end)}});
+                   {"not_run", retry::is_never_begun(outcome.m_end)},
+                   {"content", known.m_content.value()}});
     }
     if (outcome.m_is_group_fault) {
         if (state.m_pools.note_group_refusal(known.m_pool, upstream, now)) {
@@ -164,7 +159,7 @@
     }
     // One broken connection makes no suspect of what ran on it; a second one does.
     if (outcome.m_end == dispatch::attempt_end::upstream_died &&
-        !state.m_losses.note(content_of(known), now)) {
+        !state.m_losses.note(known.m_content, now)) {
         outcome.m_end = dispatch::attempt_end::unknown;
     }
     if (is_completed) {
@@ -296,7 +291,8 @@
                {"attempt", begun->m_number.value()},
                {"upstream", action.m_upstream.value()},
                {"waited_ms", milliseconds(now - known.m_arrival)},
-               {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)}});
+               {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)},
+               {"content", known.m_content.value()}});
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
         handlers_of(state, request,
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -74,6 +74,7 @@
         const routes::route* m_route = nullptr;
         workspace_id m_workspace;
         std::uint32_t m_priority = 0;
+        fingerprint m_content;  ///< the same for each copy of the request
         caller_call m_call;
         http::request m_request;
         time_point m_arrival{};
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -61,6 +61,15 @@
     return std::min(longest_wait, std::chrono::duration_cast<time_span>(time_limit * wait_share));
 }
 
+/// Names what upstreams get to see of a request, whoever sends it again.
+fingerprint content_of(const gateway_request::facts& known)
+{
+    auto content = stable_hash(known.m_request.m_target, stable_hash(known.m_request.m_method));
+    content = stable_hash(known.m_request.m_body, content);
+    content = combine_hash(content, stable_hash(known.m_workspace.value()));
+    return fingerprint(combine_hash(content, stable_hash(known.m_pool)));
+}
+
 /// Until when the request can be sent off and still meet its objective.
 time_point prompt_deadline(const gateway_request::facts& known)
 {
@@ -189,6 +198,7 @@
     known.m_deadline = known.m_arrival + std::min(limit, known.m_call.m_time_limit.value_or(limit));
     const auto& service = draw_target(state, *known.m_route);
     known.m_pool = pool_name(service);
+    known.m_content = content_of(known);
     auto info = to_info(known, service);
     const auto answer = std::move(subject.m_answer);
     const request_pointer request(new gateway_request(std::move(known), answer));
