--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -3,6 +3,8 @@
 import http.client
 import http.server
 import json
+import socket
+import struct
 import threading
 import time
 
@@ -123,6 +125,73 @@
         self.server.shutdown()
 
 
+class MortalUpstream(Upstream):
+    """An upstream that ends when it runs a path with `deadly-HOW` in it, or when it is told to; it
+    never comes back. HOW: `reset`, `part` (after a part of its answer) or `silent`."""
+
+    def __init__(self, name, service, registries, on_end):
+        self.on_end = on_end
+        self.has_ended = False
+        self.connections = set()
+        super().__init__(name, service, registries)
+
+    def serve(self, handler):
+        self.connections.add(handler.connection)
+        if self.has_ended:
+            time.sleep(3600.0)
+        how = handler.path.rpartition("/deadly-")[2]
+        if how not in ("reset", "part", "silent"):
+            return super().serve(handler)
+        self.arrivals.append((handler.headers["Attempt-Id"], time.monotonic()))
+        self.runs.append((handler.headers["Attempt-Id"], dict(handler.headers)))
+        if how == "part":
+            self.begin_answer(handler)
+        time.sleep(0.02)
+        self.end(how)
+        handler.close_connection = True
+        return None
+
+    def begin_answer(self, handler):
+        handler.send_response(200)
+        handler.send_header("Attempt-Id", handler.headers["Attempt-Id"])
+        handler.send_header("Response-Stamp", "stamp-" + self.name)
+        is_stream = "/stream/" in handler.path
+        handler.send_header("Content-Type", "text/event-stream" if is_stream else "text/plain")
+        handler.send_header("Content-Length", "1000")
+        handler.end_headers()
+        handler.wfile.write(b"id: 1\ndata: word-1\n\n")
+        handler.wfile.flush()
+        time.sleep(0.02)
+
+    def end(self, how):
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.is_announcing = False
+        if how != "silent":
+            self.server.socket.shutdown(socket.SHUT_RDWR)
+            self.reset_connections()
+        threading.Thread(target=self.on_end, args=(self,), daemon=True).start()
+        if how == "silent":
+            time.sleep(3600.0)
+
+    def reset_connections(self):
+        for connection in list(self.connections):
+            self.connections.discard(connection)
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+            except OSError:
+                pass  # it was over
+
+    def end_as_planned(self):
+        """Announces the end, serves on for a while, and goes."""
+        self.is_announcing = False
+        if self.announce("draining"):
+            threading.Timer(3.0, self.end, ("reset",)).start()
+
+
 def call(port, method, path, body=None, fields=None, limit_s=5.0):
     """One request; status 0 where there is no whole answer."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=limit_s)
