--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/dispatch/broker.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "dewbeam/src/dispatch/group_gate.h"
@@ -89,13 +90,12 @@
         give_up(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
-    if (standing_of(state, request.m_info, now) == quarantine::standing::suspect) {
-        wait_as_suspect(state, request, now);
+    const auto waits_until = retry_wait_deadline(state, request, now);
+    if (must_wait_as_suspect(state, request, now)) {
+        wait_as_suspect(state, request, waits_until, now);
         return;
     }
-    begin_waiting(state, request, request_phase::retrying,
-                  retry_wait_deadline(state, request, now));
-    request.m_route->m_retries.push_back(request);
+    wait_for_retry(state, request, waits_until);
 }
 
 void note_death(broker& state, const pending_request& request, time_point now)
@@ -193,13 +193,11 @@
     if (const auto reason = refusal_of_new(state, request, now)) {
         give_up(state, request, *reason, now, random, result);
     }
-    else if (standing_of(state, request.m_info, now) == quarantine::standing::suspect) {
-        wait_as_suspect(state, request, now);
+    else if (must_wait_as_suspect(state, request, now)) {
+        wait_as_suspect(state, request, request.m_info.m_wait_deadline, now);
     }
     else {
-        catch_up(state, request);
-        begin_waiting(state, request, request_phase::queued, request.m_info.m_wait_deadline);
-        enqueue(request, is_late(request, now));
+        wait_in_queue(state, request, now);
     }
     pump(state, now, random, result);
     return result;
@@ -427,6 +425,40 @@
     return result;
 }
 
+std::vector<fingerprint> wanted_turns(const broker& state)
+{
+    std::set<fingerprint> wanted;
+    for (const auto& [content, turn] : state.m_turns) {
+        if (turn.m_runs != ticket{}) {
+            wanted.insert(content);
+        }
+    }
+    for (const auto& subject : state.m_table.m_routes) {
+        for (const auto& item : subject->m_suspects) {
+            wanted.insert(static_cast<const pending_request&>(item).m_info.m_fingerprint);
+        }
+    }
+    return {wanted.begin(), wanted.end()};
+}
+
+actions set_turns(broker& state, const std::vector<fingerprint>& granted, bool is_cut_off,
+                  time_point now, random_engine& random)
+{
+    actions result;
+    state.m_is_cut_off = is_cut_off;
+    for (auto& [content, turn] : state.m_turns) {
+        turn.m_is_granted = false;
+    }
+    for (const auto content : granted) {
+        state.m_turns[content].m_is_granted = true;
+    }
+    std::erase_if(state.m_turns, [](const auto& item) {
+        return !item.second.m_is_granted && item.second.m_runs == ticket{};
+    });
+    pump(state, now, random, result);
+    return result;
+}
+
 void lift_quarantine(broker& state, fingerprint content, time_point now)
 {
     clear_suspicion(state, content, now);
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -12,6 +12,7 @@
 /// \endcode
 #pragma once
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +55,16 @@
     /// A suspect starts no sooner, so that what other entries have learned of it arrives first:
     /// longer than a suspicion takes from entry to entry.
     time_span m_suspect_pause = std::chrono::milliseconds(200);
+    quarantine::quarantine_options m_quarantine;
+    /// Suspects run where others do, but one copy at a time over all processes, by turns that the
+    /// program obtains (`wanted_turns`). Off: each runs alone, on an upstream that is held for it.
+    bool m_suspects_take_turns = false;
+};
+
+/// This process's turn to run a suspected content.
+struct suspect_turn {
+    bool m_is_granted = false;
+    ticket m_runs;  ///< the request that uses it now; none: 0
 };
 
 /// A deadline of a waiting request.
@@ -78,7 +89,9 @@
     std::unordered_map<ticket, pending_request> m_requests;
     std::vector<queued_deadline> m_deadlines;             ///< a heap, the earliest first
     std::vector<quarantine::suspicion> m_new_suspicions;  ///< not yet taken by the program
-    std::size_t m_waiting = 0;                            ///< requests that are not running
+    std::map<fingerprint, suspect_turn> m_turns;
+    bool m_is_cut_off = false;  ///< nobody can grant turns
+    std::size_t m_waiting = 0;  ///< requests that are not running
     time_point m_last_submit{};
     turn_watch m_ticks;
     double m_block_tokens = 0.0;  ///< of a prefix block; 0: not known
@@ -156,6 +169,14 @@
 actions merge_suspicion(broker& state, const quarantine::suspicion& record, time_point now,
                         random_engine& random);
 
+/// Contents for which this process wants to have, or to keep, the turn.
+std::vector<fingerprint> wanted_turns(const broker& state);
+
+/// The turns that this process has now. A process that is cut off from those who grant turns runs
+/// what one upstream died of, and refuses what more of them did.
+actions set_turns(broker& state, const std::vector<fingerprint>& granted, bool is_cut_off,
+                  time_point now, random_engine& random);
+
 /// An operator lifts a quarantine; the record goes to the other entries by `take_suspicions`.
 void lift_quarantine(broker& state, fingerprint content, time_point now);
 
--- a/dewbeam/src/dispatch/request_life.cpp
+++ b/dewbeam/src/dispatch/request_life.cpp
@@ -5,6 +5,7 @@
 
 #include "dewbeam/src/dispatch/group_gate.h"
 #include "dewbeam/src/dispatch/permits.h"
+#include "dewbeam/src/dispatch/serve.h"
 
 namespace dewbeam::dispatch {
 
@@ -64,7 +65,8 @@
     result.m_retry_at = now + limits.m_shortest_return;
     if (reason == refusal::quarantined) {
         result.m_retry_at =
-            quarantine::ends_at(state.m_suspicions, request.m_info.m_fingerprint, now);
+            std::max(result.m_retry_at,
+                     quarantine::ends_at(state.m_suspicions, request.m_info.m_fingerprint, now));
     }
     else if (reason == refusal::overloaded || reason == refusal::deadline_passed) {
         const auto wait = admission::expected_wait(facts_of(state, request, now), subject.m_drain);
@@ -97,6 +99,23 @@
            !has_untried(state.m_table, request);
 }
 
+/// A suspect that runs by a turn uses it.
+void take_turn(broker& state, const pending_request& request, time_point now)
+{
+    if (state.m_options.m_suspects_take_turns &&
+        standing_of(state, request.m_info, now) == quarantine::standing::suspect) {
+        state.m_turns[request.m_info.m_fingerprint].m_runs = request.m_info.m_ticket;
+    }
+}
+
+void end_turn(broker& state, const pending_request& request)
+{
+    const auto turn = state.m_turns.find(request.m_info.m_fingerprint);
+    if (turn != state.m_turns.end() && turn->second.m_runs == request.m_info.m_ticket) {
+        turn->second.m_runs = ticket{};
+    }
+}
+
 }  // namespace
 
 route_options options_of(const broker& state)
@@ -212,13 +231,38 @@
     --state.m_waiting;
 }
 
-void wait_as_suspect(broker& state, pending_request& request, time_point now)
+bool must_wait_as_suspect(const broker& state, const pending_request& request, time_point now)
 {
+    if (standing_of(state, request.m_info, now) != quarantine::standing::suspect) {
+        return false;
+    }
+    const auto turn = state.m_turns.find(request.m_info.m_fingerprint);
+    return turn == state.m_turns.end() || !turn->second.m_is_granted ||
+           turn->second.m_runs != ticket{};
+}
+
+void wait_as_suspect(broker& state, pending_request& request, time_point waits_until,
+                     time_point now)
+{
+    const bool takes_turn = state.m_options.m_suspects_take_turns;
     request.m_alone_from = now + state.m_options.m_suspect_pause;
-    begin_waiting(state, request, request_phase::suspect, no_deadline);
+    begin_waiting(state, request, request_phase::suspect, takes_turn ? waits_until : no_deadline);
     request.m_route->m_suspects.push_back(request);
 }
 
+void wait_in_queue(broker& state, pending_request& request, time_point now)
+{
+    catch_up(state, request);
+    begin_waiting(state, request, request_phase::queued, request.m_info.m_wait_deadline);
+    enqueue(request, is_late(request, now));
+}
+
+void wait_for_retry(broker& state, pending_request& request, time_point waits_until)
+{
+    begin_waiting(state, request, request_phase::retrying, waits_until);
+    request.m_route->m_retries.push_back(request);
+}
+
 void forget(broker& state, pending_request& request)
 {
     --request.m_route->m_users;
@@ -248,7 +292,12 @@
     if (info.m_fingerprint == fingerprint{} || state.m_suspicions.m_records.empty()) {
         return quarantine::standing::clear;
     }
-    return quarantine::standing_of(state.m_suspicions, info.m_fingerprint, now);
+    const auto standing = quarantine::standing_of(state.m_suspicions, info.m_fingerprint, now);
+    if (standing != quarantine::standing::suspect || !state.m_is_cut_off) {
+        return standing;
+    }
+    const bool may_run = quarantine::deaths_of(state.m_suspicions, info.m_fingerprint, now) <= 1;
+    return may_run ? quarantine::standing::clear : quarantine::standing::quarantined;
 }
 
 bool is_hopeless(const broker& state, const route& subject, time_point now)
@@ -292,6 +341,7 @@
     if (request.m_attempts == 0) {
         retry::count_first_try(state.m_retry_budget, state.m_options.m_retries);
     }
+    take_turn(state, request, now);
     ++request.m_attempts;
     request.m_phase = request_phase::running;
     request.m_running_on = chosen.m_index;
@@ -346,6 +396,7 @@
 void release(broker& state, pending_request& request, time_point now)
 {
     end_silence(request);
+    end_turn(state, request);
     const auto index = request.m_running_on;
     auto& upstream = *state.m_table.m_upstreams[index];
     upstream.m_running.erase(upstream.m_running.iterator_to(request));
--- a/dewbeam/src/dispatch/request_life.h
+++ b/dewbeam/src/dispatch/request_life.h
@@ -46,8 +46,18 @@
 /// The upstream that was held for a suspect is free again.
 void end_hold(broker& state, const pending_request& request, time_point now);
 
-/// A suspect begins to wait for an upstream of its own.
-void wait_as_suspect(broker& state, pending_request& request, time_point now);
+/// Whether a request may not be dispatched, as its content is suspected and not in turn.
+bool must_wait_as_suspect(const broker& state, const pending_request& request, time_point now);
+
+/// A suspect begins to wait for an upstream of its own, or for its turn.
+void wait_as_suspect(broker& state, pending_request& request, time_point waits_until,
+                     time_point now);
+
+/// A request begins to wait for its first dispatch.
+void wait_in_queue(broker& state, pending_request& request, time_point now);
+
+/// A request begins to wait for another dispatch.
+void wait_for_retry(broker& state, pending_request& request, time_point waits_until);
 
 /// Forgets a request that neither waits nor runs.
 void forget(broker& state, pending_request& request);
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -117,9 +117,10 @@
         give_up(state, request, *reason, now, random, result);
         return true;
     }
-    if (standing_of(state, request.m_info, now) == quarantine::standing::suspect) {
+    if (must_wait_as_suspect(state, request, now)) {
+        const auto waits_until = request.m_waits_until;
         stop_waiting(state, request, now);
-        wait_as_suspect(state, request, now);
+        wait_as_suspect(state, request, waits_until, now);
         return true;
     }
     const auto chosen = choose(context_of(state, now), request, random);
@@ -145,9 +146,10 @@
             give_up(state, *request, *reason, now, random, result);
             continue;
         }
-        if (standing_of(state, request->m_info, now) == quarantine::standing::suspect) {
+        if (must_wait_as_suspect(state, *request, now)) {
+            const auto waits_until = request->m_waits_until;
             stop_waiting(state, *request, now);
-            wait_as_suspect(state, *request, now);
+            wait_as_suspect(state, *request, waits_until, now);
             continue;
         }
         const auto chosen = choose(context_of(state, now), *request, random);
--- a/dewbeam/src/dispatch/suspects.cpp
+++ b/dewbeam/src/dispatch/suspects.cpp
@@ -74,11 +74,42 @@
     return index;
 }
 
+/// Those in turn, and those that nothing speaks against any more, go where others wait.
+void serve_turns(broker& state, route& subject, time_point now, random_engine& random,
+                 actions& result)
+{
+    std::vector<pending_request*> all;  // few, and one that waits must not hold up another content
+    for (auto& item : subject.m_suspects) {
+        all.push_back(&static_cast<pending_request&>(item));
+    }
+    for (auto* request : all) {
+        if (const auto reason = lost_cause(state, *request, now)) {
+            give_up(state, *request, *reason, now, random, result);
+            continue;
+        }
+        if (must_wait_as_suspect(state, *request, now)) {
+            continue;
+        }
+        const auto waits_until = request->m_waits_until;
+        stop_waiting(state, *request, now);
+        if (request->m_attempts > 0) {
+            wait_for_retry(state, *request, waits_until);
+        }
+        else {
+            wait_in_queue(state, *request, now);
+        }
+    }
+}
+
 }  // namespace
 
 void serve_suspects(broker& state, route& subject, time_point now, random_engine& random,
                     actions& result)
 {
+    if (state.m_options.m_suspects_take_turns) {
+        serve_turns(state, subject, now, random, result);
+        return;
+    }
     refresh_members(state.m_table, options_of(state), subject, now);
     for (auto* request : first_of(subject.m_suspects)) {
         if (const auto reason = lost_cause(state, *request, now)) {
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -72,6 +72,7 @@
     if (!place) {
         place = std::make_shared<cell>();
         place->m_broker.m_options = m_options;
+        place->m_broker.m_suspicions.m_options = m_options.m_quarantine;
         dispatch::set_sharing(place->m_broker, m_options.m_entries_sharing, m_options.m_retries);
         place->m_random = program::seeded_engine();
     }
@@ -191,7 +192,7 @@
 dispatch::actions pool_table::merge_suspicion(const std::string& pool,
                                               const quarantine::suspicion& record, time_point now)
 {
-    const auto target = find(pool);
+    const auto target = m_options.m_waits_for_upstreams ? find_or_make(pool) : find(pool);
     if (!target) {
         return {};
     }
@@ -199,6 +200,32 @@
     return dispatch::merge_suspicion(target->m_broker, record, now, target->m_random);
 }
 
+std::vector<fingerprint> pool_table::wanted_turns() const
+{
+    std::vector<fingerprint> result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        const auto more = dispatch::wanted_turns(target->m_broker);
+        result.insert(result.end(), more.begin(), more.end());
+    }
+    return result;
+}
+
+dispatch::actions pool_table::set_turns(const std::vector<fingerprint>& granted, bool is_cut_off,
+                                        time_point now)
+{
+    dispatch::actions result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        const auto more =
+            dispatch::set_turns(target->m_broker, granted, is_cut_off, now, target->m_random);
+        result.insert(result.end(), more.begin(), more.end());
+    }
+    return result;
+}
+
 void pool_table::lift_quarantine(const std::string& pool, fingerprint content, time_point now)
 {
     if (const auto target = find(pool)) {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -58,6 +58,11 @@
                                       time_point now);
     void lift_quarantine(const std::string& pool, fingerprint content, time_point now);
 
+    /// Suspected contents for which this process wants to have, or to keep, the turn.
+    [[nodiscard]] std::vector<fingerprint> wanted_turns() const;
+    dispatch::actions set_turns(const std::vector<fingerprint>& granted, bool is_cut_off,
+                                time_point now);
+
     /// An upstream's fault failed an attempt, or it answered one; true where it is closed for it.
     bool note_result(const std::string& pool, const upstream_id& name,
                      dispatch::upstream_result how, time_point now);
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "dewbeam/src/gateway/crash_blame.h"
+
 namespace dewbeam::gateway {
 
 namespace {
@@ -19,14 +21,6 @@
 constexpr double outrun_share = 0.75;
 constexpr double outrun_share_of_stream = 2.5;
 
-/// An attempt, where it was sent and when.
-struct sent_attempt {
-    upstream_id m_upstream;
-    incarnation m_incarnation;
-    attempt_number m_number;
-    time_point m_sent_at{};
-};
-
 std::int64_t milliseconds(time_span value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -96,6 +90,11 @@
     if (request.may_have_run()) {
         fault.m_message = "an upstream failed while the request may have been running";
     }
+    if (refusal.m_refusal == dispatch::refusal::quarantined) {
+        fault.m_message = "upstreams ended while they ran copies of this request";
+        fault.m_retry_after = refusal.m_retry_at - now;
+        return fault;
+    }
     const auto left = std::max(time_span::zero(), request.known().m_deadline - now);
     const auto longest = std::chrono::duration_cast<time_span>(left * return_share);
     // Upstreams that refuse or can't be reached are back after seconds, if at all: a caller that
@@ -157,11 +156,13 @@
     if (outcome.m_is_other_upstream) {
         forget_upstream(state, upstream, now);
     }
-    // One broken connection makes no suspect of what ran on it; a second one does.
-    if (outcome.m_end == dispatch::attempt_end::upstream_died &&
-        !state.m_losses.note(known.m_content, now)) {
+    // Whether the upstream ended is found out apart from how its connections do.
+    if (outcome.m_end == dispatch::attempt_end::upstream_died) {
         outcome.m_end = dispatch::attempt_end::unknown;
     }
+    if (is_completed && !outcome.m_is_upstream_fault) {
+        note_good_run(state, request, now);
+    }
     if (is_completed) {
         finish(state, request, now);
     }
@@ -215,6 +216,17 @@
     }
 }
 
+/// The request goes on, and its content's turn ends, as soon as it is known what became of the
+/// upstream.
+void end_broken_attempt(gateway_state& state, const request_pointer& request,
+                        const sent_attempt& sent, const attempt_outcome& outcome, time_point now)
+{
+    const auto end = [&state, request, sent, outcome] {
+        end_attempt(state, request, sent.m_upstream, outcome, program::now());
+    };
+    judge_broken_attempt(state, request, sent, end, now);
+}
+
 http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
                                   const sent_attempt& sent)
 {
@@ -237,6 +249,7 @@
             return;
         }
         if (is_from_upstream) {
+            note_sign_of_life(state, sent, now);
             note_rate_limit(state, sent, limit, now);
         }
         if (is_plain_success) {
@@ -256,13 +269,20 @@
                 break;
         }
     };
-    result.m_on_end = [&state, request, upstream, attempt](const absl::Status& ended,
-                                                           http::progress how_far) {
+    result.m_on_end = [&state, request, sent, upstream, attempt](const absl::Status& ended,
+                                                                 http::progress how_far) {
         const auto now = program::now();
         state.m_upstreams.end_attempt(upstream, ended.ok(), now);
-        if (const auto outcome = request->take_end(attempt, ended, how_far)) {
+        const auto outcome = request->take_end(attempt, ended, how_far);
+        if (!outcome) {
+            return;
+        }
+        if (ended.ok() || how_far == http::progress::not_sent) {
             end_attempt(state, request, upstream, *outcome, now);
         }
+        else {
+            end_broken_attempt(state, request, sent, *outcome, now);
+        }
     };
     return result;
 }
@@ -279,7 +299,8 @@
                 now);
         return;
     }
-    const auto begun = request->begin(action.m_upstream, now);
+    const auto order = state.m_feed.next_order(known.m_content);
+    const auto begun = request->begin(action.m_upstream, target.m_incarnation, order, now);
     if (!begun) {
         perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
         return;
@@ -296,7 +317,7 @@
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
         handlers_of(state, request,
-                    {action.m_upstream, target.m_incarnation, begun->m_number, now}));
+                    {action.m_upstream, target.m_incarnation, begun->m_number, now, order}));
     request->attach(begun->m_number, std::move(exchange));
 }
 
@@ -304,7 +325,11 @@
 {
     const auto attempt = request->attempt();
     const auto upstream = request->upstream();
+    const auto unanswered = request->unanswered_attempt();
     if (attempt && request->abandon(*attempt)) {
+        if (unanswered) {
+            judge_silent_attempt(state, request, *unanswered, now);
+        }
         end_attempt(state, request, upstream,
                     {dispatch::attempt_end::unknown, true, false, "outrun_by_others"}, now);
     }
@@ -384,9 +409,13 @@
 
 void caller_gone(gateway_state& state, const request_pointer& request, time_point now)
 {
+    const auto unanswered = request->unanswered_attempt();
     if (!request->set_gone()) {
         return;
     }
+    if (unanswered) {
+        judge_silent_attempt(state, request, *unanswered, now);
+    }
     const auto& known = request->known();
     finish(state, request, now);
     perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
@@ -399,6 +428,9 @@
         fault.m_status = 504;  // 503 would tell that it has not run
         fault.m_retry_after = time_span::zero();
     }
+    if (const auto unanswered = request->unanswered_attempt()) {
+        judge_silent_attempt(state, request, *unanswered, now);
+    }
     fail_request(state, request, fault, now);
     perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
 }
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -33,6 +33,11 @@
             .Name("dewbeam_gateway_attempts_total")
             .Help("Attempts that ended, by reason.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_suspected_contents =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_suspected_contents_total")
+            .Help("Contents under which an upstream ended, by how that was found.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Counter>& m_begun_attempts =
         prometheus::BuildCounter()
             .Name("dewbeam_gateway_attempts_begun_total")
@@ -90,6 +95,11 @@
     m_families->m_ended_attempts.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::content_suspected(const std::string& reason)
+{
+    m_families->m_suspected_contents.Add({{"reason", reason}}).Increment();
+}
+
 void gateway_metrics::set_in_flight(std::size_t count)
 {
     m_families->m_in_flight.Set(static_cast<double>(count));
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -35,6 +35,9 @@
     /// An attempt ended; `reason` is the field term of the logs.
     void attempt_ended(const std::string& reason);
 
+    /// A content was suspected; `reason` is the field term of the logs.
+    void content_suspected(const std::string& reason);
+
     void set_in_flight(std::size_t count);
     void set_attempts(std::size_t count);
     void set_upstreams(std::size_t count);
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -49,7 +49,8 @@
 {
 }
 
-std::optional<attempt_start> gateway_request::begin(const upstream_id& upstream, time_point now)
+std::optional<attempt_start> gateway_request::begin(const upstream_id& upstream, incarnation life,
+                                                    std::uint32_t order, time_point now)
 {
     const std::lock_guard lock(m_mutex);
     if (m_is_over) {
@@ -58,6 +59,8 @@
     ++m_attempts;
     m_has_attempt = true;
     m_upstream = upstream;
+    m_life = life;
+    m_order = order;
     m_last_sent = now;
     m_has_events_of_it = false;
     if (m_result.m_times.m_first_sent == time_point{}) {
@@ -267,6 +270,15 @@
     return attempt_number(m_attempts);
 }
 
+std::optional<sent_attempt> gateway_request::unanswered_attempt() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_is_over || !m_has_attempt || m_head.m_status != 0) {
+        return std::nullopt;
+    }
+    return sent_attempt{m_upstream, m_life, attempt_number(m_attempts), m_last_sent, m_order};
+}
+
 upstream_id gateway_request::upstream() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -30,6 +30,15 @@
     bool m_is_group_fault = false;     ///< its whole group can't serve, by another rank's fault
 };
 
+/// An attempt, where it was sent and when.
+struct sent_attempt {
+    upstream_id m_upstream;
+    incarnation m_incarnation;
+    attempt_number m_number;
+    time_point m_sent_at{};
+    std::uint32_t m_order = 0;  ///< that the upstream's death would have; see quarantine::death
+};
+
 /// An attempt that begins.
 struct attempt_start {
     attempt_number m_number;
@@ -86,7 +95,8 @@
     [[nodiscard]] const facts& known() const { return m_facts; }
 
     /// Begins an attempt at an upstream; nothing where the request is over.
-    std::optional<attempt_start> begin(const upstream_id& upstream, time_point now);
+    std::optional<attempt_start> begin(const upstream_id& upstream, incarnation life,
+                                       std::uint32_t order, time_point now);
 
     /// The exchange of an attempt that began; cancelled at once where the attempt is over.
     void attach(attempt_number attempt, std::shared_ptr<http::client_exchange> exchange);
@@ -109,6 +119,9 @@
     /// The attempt owned now; nothing where there is none.
     [[nodiscard]] std::optional<attempt_number> attempt() const;
 
+    /// The attempt owned now, where its upstream has not begun to answer.
+    [[nodiscard]] std::optional<sent_attempt> unanswered_attempt() const;
+
     /// The upstream of the attempt owned now; empty where there is none.
     [[nodiscard]] upstream_id upstream() const;
 
@@ -146,6 +159,8 @@
     std::uint32_t m_attempts = 0;
     bool m_has_attempt = false;
     upstream_id m_upstream;
+    incarnation m_life;         ///< of that upstream
+    std::uint32_t m_order = 0;  ///< of the attempt
     std::shared_ptr<http::client_exchange> m_exchange;
     answer_head m_head;
     http::fields m_fields;  ///< of the answer, as the caller gets them
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "dewbeam/link"
+#include "dewbeam/src/gateway/crash_blame.h"
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "dewbeam/src/gateway/intake.h"
@@ -38,6 +39,15 @@
     return result;
 }
 
+/// Contents run beside others on the upstreams, which no gateway has to itself, so that one more
+/// death than where suspects run alone tells a cause from what stood beside it.
+quarantine::quarantine_options quarantine_of_contents()
+{
+    quarantine::quarantine_options result;
+    result.m_deaths_to_quarantine = 3;
+    return result;
+}
+
 dispatch::broker_options broker_options_of(const json& settings)
 {
     dispatch::broker_options result;
@@ -52,6 +62,8 @@
     result.m_choice.m_waiting_lifetime = std::chrono::milliseconds(500);
     result.m_runs_must_fit = false;
     result.m_waits_for_upstreams = true;
+    result.m_quarantine = quarantine_of_contents();
+    result.m_suspects_take_turns = true;
     result.m_queue.m_shortest_return = std::chrono::milliseconds(300);
     return result;
 }
@@ -61,6 +73,7 @@
     registrar::feed_options result;
     result.m_document_interval = document_interval;
     result.m_preference_seed = own.value();
+    result.m_quarantine = quarantine_of_contents();
     return result;
 }
 
@@ -82,6 +95,7 @@
       m_format(format),
       m_incarnation(program::new_incarnation()),
       m_pools(broker_options_of(settings)),
+      m_crashes(frame.context()),
       m_upstreams(frame.context(), client_options()),
       m_feed(registrar::registry_addresses(settings), feed_options_of(m_incarnation),
              std::move(handlers)),
@@ -270,6 +284,12 @@
                 apply_rate_limit(m_state, told.m_upstream, told.m_per_second, program::now());
             }
         };
+        result.m_on_suspicion = [this](const registrar::noted_suspicion& heard) {
+            take_suspicion(m_state, heard, program::now());
+        };
+        result.m_on_turns = [this](const std::vector<fingerprint>& granted) {
+            take_turns(m_state, granted, program::now());
+        };
         result.m_on_permits = [this](const upstream_id& upstream, std::uint32_t count) {
             add_permits(upstream, count, program::now());
         };
@@ -287,6 +307,7 @@
                    {"silent", changed.m_is_silent},
                    {"incarnation", known.m_incarnation.value()},
                    {"number", known.m_number.value()}});
+        judge_change(m_state, changed, now);
         if (known.m_state == registry::upstream_state::gone) {
             remove_upstream(m_state, known.m_name, now);
             return;
@@ -375,6 +396,7 @@
         const auto limits = m_state.m_upstreams.limits(now);
         m_state.m_feed.set_limits(limits, limits.empty() ? std::vector<permits::demand>{}
                                                          : m_state.m_pools.wanted_permits(now));
+        ask_for_turns(m_state, now);
         m_state.m_feed.tick(loads, {}, now);
         issue_own_shares(limits, now);
         perform(m_state, m_state.m_pools.tick(now), now);
@@ -395,6 +417,7 @@
     /// What is due less often than each tick.
     void slow_tick(time_point now)
     {
+        judge_silent_upstreams(m_state, now);
         for (const auto& name : m_state.m_upstreams.silent()) {
             update_broker(m_state, name, now);
         }
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -9,11 +9,13 @@
 #include <nlohmann/json.hpp>
 
 #include "dewbeam/program"
-#include "dewbeam/src/entry/loss_memory.h"
 #include "dewbeam/src/entry/pool_table.h"
 #include "dewbeam/src/gateway/gateway_metrics.h"
 #include "dewbeam/src/gateway/gateway_request.h"
+#include "dewbeam/src/gateway/good_runs.h"
 #include "dewbeam/src/gateway/held_calls.h"
+#include "dewbeam/src/gateway/loss_watch.h"
+#include "dewbeam/src/gateway/upstream_probe.h"
 #include "dewbeam/src/gateway/upstream_table.h"
 #include "dewbeam/src/registrar/registry_feed.h"
 
@@ -89,6 +91,21 @@
     std::map<dispatch::ticket, request_pointer> m_requests;
 };
 
+/// What this gateway saw itself of contents that may end upstreams. What all gateways know of them
+/// is in the feed and in the pools.
+struct crash_watch {
+    explicit crash_watch(boost::asio::io_context& context) : m_probe(context) {}
+
+    std::mutex m_mutex;
+    loss_watch m_losses;                           ///< under m_mutex
+    loss_watch m_judged;                           ///< the same; may have to be taken back
+    std::map<upstream_life, time_point> m_silent;  ///< the same; and when to judge them
+    good_runs m_good_runs;                         ///< the same
+    std::size_t m_granted = 0;                     ///< the same; turns
+    bool m_is_cut_off = false;                     ///< the same
+    upstream_probe m_probe;
+};
+
 /// The parts of one gateway.
 struct gateway_state {
     gateway_state(program::program& frame, const nlohmann::json& settings,
@@ -101,7 +118,7 @@
     gateway_metrics m_metrics;
     book_holder m_book;
     entry::pool_table m_pools;
-    entry::loss_memory m_losses;
+    crash_watch m_crashes;
     upstream_table m_upstreams;
     std::mutex
         m_update_mutex;  ///< held while an upstream is read from the table and shown to pools
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -84,6 +84,7 @@
 {
     dispatch::request_info info;
     info.m_ticket = known.m_ticket;
+    info.m_fingerprint = known.m_content;
     info.m_workspace = known.m_workspace;
     info.m_selector = known.m_route->m_name;
     info.m_class = known.m_priority == 0 ? configuration::work_class::urgent
--- /dev/null
+++ b/dewbeam/src/gateway/loss_watch.cpp
@@ -0,0 +1,73 @@
+#include "dewbeam/src/gateway/loss_watch.h"
+
+#include <algorithm>
+
+namespace dewbeam::gateway {
+
+namespace {
+
+constexpr std::size_t most_of_one_life = 256;
+
+}  // namespace
+
+void note_loss(loss_watch& watch, const upstream_life& where, const lost_attempt& loss)
+{
+    auto& losses = watch.m_losses[where];
+    const bool is_known = std::any_of(losses.begin(), losses.end(), [&](const lost_attempt& known) {
+        return known.m_content == loss.m_content;
+    });
+    if (!is_known && losses.size() < most_of_one_life) {
+        losses.push_back(loss);
+    }
+}
+
+std::vector<lost_attempt> take_losses(loss_watch& watch, const upstream_life& where)
+{
+    const auto place = watch.m_losses.find(where);
+    if (place == watch.m_losses.end()) {
+        return {};
+    }
+    auto result = std::move(place->second);
+    watch.m_losses.erase(place);
+    return result;
+}
+
+void forget_losses(loss_watch& watch, const upstream_life& where, time_point seen_at)
+{
+    const auto place = watch.m_losses.find(where);
+    if (place == watch.m_losses.end()) {
+        return;
+    }
+    std::erase_if(place->second,
+                  [&](const lost_attempt& loss) { return loss.m_lost_at < seen_at; });
+    if (place->second.empty()) {
+        watch.m_losses.erase(place);
+    }
+}
+
+void forget_upstream(loss_watch& watch, const upstream_id& name)
+{
+    std::erase_if(watch.m_losses, [&](const auto& item) { return item.first.m_upstream == name; });
+}
+
+std::vector<upstream_life> earlier_lives(const loss_watch& watch, const upstream_life& current)
+{
+    std::vector<upstream_life> result;
+    for (const auto& [life, losses] : watch.m_losses) {
+        if (life.m_upstream == current.m_upstream && life != current) {
+            result.push_back(life);
+        }
+    }
+    return result;
+}
+
+void expire(loss_watch& watch, time_span kept_for, time_point now)
+{
+    for (auto& [life, losses] : watch.m_losses) {
+        std::erase_if(losses,
+                      [&](const lost_attempt& loss) { return loss.m_lost_at + kept_for <= now; });
+    }
+    std::erase_if(watch.m_losses, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace dewbeam::gateway
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/gateway/upstream_table.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "dewbeam/src/entry/pool_table.h"
@@ -64,8 +65,9 @@
     if (place == m_items.end()) {
         return {};
     }
-    return {place->second.m_client, place->second.m_known.m_failure_domain,
-            place->second.m_known.m_incarnation};
+    const auto& known = place->second.m_known;
+    return {place->second.m_client, known.m_failure_domain, known.m_incarnation, known.m_address,
+            known.m_state != registry::upstream_state::ready};
 }
 
 std::optional<dispatch::upstream_info> upstream_table::info(const upstream_id& name,
@@ -135,6 +137,74 @@
     }
 }
 
+void upstream_table::note_heard(const upstream_id& name, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place != m_items.end()) {
+        place->second.m_heard_at = now;
+    }
+}
+
+time_point upstream_table::heard_at(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    return place == m_items.end() ? time_point{} : place->second.m_heard_at;
+}
+
+bool upstream_table::was_neighbour_heard(const upstream_id& name, time_point since) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end()) {
+        return false;
+    }
+    const auto& self = place->second.m_known;
+    return std::any_of(m_items.begin(), m_items.end(), [&](const auto& other) {
+        const auto& known = other.second.m_known;
+        return other.first != name && known.m_service == self.m_service &&
+               known.m_failure_domain == self.m_failure_domain && other.second.m_heard_at >= since;
+    });
+}
+
+bool upstream_table::do_neighbours_announce(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    if (place == m_items.end() || !place->second.m_is_silent) {
+        return false;
+    }
+    std::size_t neighbours = 0;
+    std::size_t announcing = 0;
+    for (const auto& [other, subject] : m_items) {
+        const bool is_neighbour = other != name && subject.m_known.m_failure_domain ==
+                                                       place->second.m_known.m_failure_domain;
+        neighbours += is_neighbour ? 1 : 0;
+        announcing += is_neighbour && !subject.m_is_silent ? 1 : 0;
+    }
+    return 2 * announcing > neighbours;
+}
+
+bool upstream_table::is_silent(const upstream_id& name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto place = m_items.find(name);
+    return place != m_items.end() && place->second.m_is_silent;
+}
+
+std::vector<upstream_life> upstream_table::at_address(const endpoint& address) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<upstream_life> result;
+    for (const auto& [name, subject] : m_items) {
+        if (subject.m_known.m_address == address) {
+            result.push_back({name, subject.m_known.m_incarnation});
+        }
+    }
+    return result;
+}
+
 void upstream_table::set_others(const upstream_id& name, std::uint32_t in_flight, time_point now)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -12,6 +12,7 @@
 #include "dewbeam/http"
 #include "dewbeam/permits"
 #include "dewbeam/registry"
+#include "dewbeam/src/gateway/loss_watch.h"
 
 namespace dewbeam::gateway {
 
@@ -20,6 +21,8 @@
     std::shared_ptr<http::client> m_client;
     failure_domain_id m_failure_domain;
     incarnation m_incarnation;
+    endpoint m_address;
+    bool m_is_leaving = false;
 };
 
 /// What the gateway has under way at an upstream.
@@ -53,6 +56,23 @@
     void begin_attempt(const upstream_id& name);
     void end_attempt(const upstream_id& name, bool has_answered, time_point now);
 
+    /// The upstream answered something.
+    void note_heard(const upstream_id& name, time_point now);
+
+    /// When that was last.
+    [[nodiscard]] time_point heard_at(const upstream_id& name) const;
+
+    /// Whether another upstream of its service in its failure domain has answered since then.
+    [[nodiscard]] bool was_neighbour_heard(const upstream_id& name, time_point since) const;
+
+    /// Whether it is silent, and most other upstreams of its failure domain are not.
+    [[nodiscard]] bool do_neighbours_announce(const upstream_id& name) const;
+
+    [[nodiscard]] bool is_silent(const upstream_id& name) const;
+
+    /// Upstreams at an address.
+    [[nodiscard]] std::vector<upstream_life> at_address(const endpoint& address) const;
+
     /// The other gateways' requests under way there.
     void set_others(const upstream_id& name, std::uint32_t in_flight, time_point now);
 
@@ -87,7 +107,8 @@
         std::uint32_t m_in_flight = 0;
         std::uint32_t m_others = 0;
         time_point m_others_at{};
-        time_point m_answered_at{};
+        time_point m_answered_at{};  ///< the end of an answer
+        time_point m_heard_at{};     ///< the head of an answer
         double m_pace = 1.0;
         bool m_is_avoided = false;  ///< slow, while enough others of its service are not
     };
--- a/dewbeam/src/quarantine/suspicion.cpp
+++ b/dewbeam/src/quarantine/suspicion.cpp
@@ -7,11 +7,10 @@
 
 namespace {
 
-/// Two deaths convict; the first makes a suspect. Suspects run alone, so the second death of an
-/// innocent needs a second fault at the same upstream while nothing else ran there.
-constexpr std::size_t deaths_to_quarantine = 2;
 /// More deaths than this tell nothing new.
-constexpr std::size_t most_deaths = 4;
+constexpr std::size_t most_deaths = 8;
+/// Of looking at all records.
+constexpr time_span expiry_interval = std::chrono::seconds(1);
 
 bool is_same_death(const death& a, const death& b)
 {
@@ -19,10 +18,14 @@
 }
 
 /// Newest first; a total order, so that what the limit drops doesn't depend on the order of merges.
+/// Where the order of deaths is known, times are left out: each process has its own of them.
 bool is_newer(const death& a, const death& b)
 {
-    return std::tie(b.m_at, a.m_upstream, a.m_incarnation) <
-           std::tie(a.m_at, b.m_upstream, b.m_incarnation);
+    const bool has_order = a.m_order != 0 || b.m_order != 0;
+    const auto at_a = has_order ? time_point{} : a.m_at;
+    const auto at_b = has_order ? time_point{} : b.m_at;
+    return std::tie(b.m_order, at_b, a.m_upstream, a.m_incarnation) <
+           std::tie(a.m_order, at_a, b.m_upstream, b.m_incarnation);
 }
 
 void add_death(suspicion& record, const death& how)
@@ -36,6 +39,9 @@
     }
     same->m_at = std::max(same->m_at, how.m_at);
     same->m_alone = same->m_alone || how.m_alone;
+    same->m_order = std::max(same->m_order, how.m_order);
+    same->m_is_doubtful = same->m_is_doubtful && how.m_is_doubtful;
+    same->m_is_outweighed = same->m_is_outweighed || how.m_is_outweighed;
 }
 
 /// Drops what a clearing wiped out and what is beyond the limit.
@@ -51,13 +57,37 @@
 
 time_point last_event(const suspicion& record)
 {
-    return record.m_deaths.empty() ? record.m_cleared_at : record.m_deaths.front().m_at;
+    auto result = record.m_cleared_at;
+    for (const auto& item : record.m_deaths) {
+        result = std::max(result, item.m_at);
+    }
+    return result;
+}
+
+/// Deaths that count, by their order, with those that are in doubt at `now`, if given.
+std::vector<const death*> counted(const suspicion& record, time_span doubt_for = {},
+                                  time_point now = no_deadline)
+{
+    std::vector<const death*> result;
+    for (const auto& item : record.m_deaths) {
+        const bool is_open = !item.m_is_doubtful || now - doubt_for < item.m_at;
+        const bool is_known =
+            item.m_order != 0 && std::any_of(result.begin(), result.end(), [&](const death* other) {
+                return other->m_order == item.m_order;
+            });
+        if (is_open && !item.m_is_outweighed && !is_known) {
+            result.push_back(&item);
+        }
+    }
+    std::stable_sort(result.begin(), result.end(),
+                     [](const death* a, const death* b) { return a->m_order < b->m_order; });
+    return result;
 }
 
 time_point end_of(const suspicion_table& table, const suspicion& record)
 {
     const auto& options = table.m_options;
-    const bool is_quarantined = record.m_deaths.size() >= deaths_to_quarantine;
+    const bool is_quarantined = counted(record).size() >= options.m_deaths_to_quarantine;
     return last_event(record) + (is_quarantined ? options.m_quarantine_for : options.m_suspect_for);
 }
 
@@ -122,11 +152,83 @@
 standing standing_of(const suspicion_table& table, fingerprint content, time_point now)
 {
     const auto* record = find(table, content);
-    if (record == nullptr || record->m_deaths.empty() || end_of(table, *record) <= now) {
+    if (record == nullptr || end_of(table, *record) <= now) {
         return standing::clear;
     }
-    return record->m_deaths.size() >= deaths_to_quarantine ? standing::quarantined
-                                                           : standing::suspect;
+    const auto& options = table.m_options;
+    if (counted(*record).size() >= options.m_deaths_to_quarantine) {
+        return standing::quarantined;
+    }
+    const auto open = counted(*record, options.m_doubt_for, now);
+    const bool is_doubted = std::any_of(open.begin(), open.end(),
+                                        [](const death* item) { return item->m_is_doubtful; });
+    if (is_doubted && open.size() >= options.m_deaths_to_hold) {
+        return standing::quarantined;
+    }
+    return open.empty() ? standing::clear : standing::suspect;
+}
+
+std::size_t deaths_of(const suspicion_table& table, fingerprint content, time_point now)
+{
+    const auto* record = find(table, content);
+    return record == nullptr || end_of(table, *record) <= now ? 0 : counted(*record).size();
+}
+
+std::uint32_t next_order(const suspicion_table& table, fingerprint content)
+{
+    std::uint32_t highest = 0;
+    if (const auto* record = find(table, content)) {
+        for (const auto& item : record->m_deaths) {
+            highest = std::max(highest, item.m_order);
+        }
+    }
+    return highest + 1;
+}
+
+std::optional<suspicion> outweigh(suspicion_table& table, fingerprint content)
+{
+    const auto place = table.m_records.find(content);
+    if (place == table.m_records.end()) {
+        return std::nullopt;
+    }
+    const auto deaths = counted(place->second);
+    if (deaths.empty()) {
+        return std::nullopt;
+    }
+    const auto first = *deaths.front();
+    for (auto& item : place->second.m_deaths) {
+        const bool is_beside = first.m_order != 0 && item.m_order == first.m_order;
+        item.m_is_outweighed = item.m_is_outweighed || is_beside || is_same_death(item, first);
+    }
+    return place->second;
+}
+
+std::optional<suspicion> news_of(const suspicion_table& table, const suspicion& record)
+{
+    const auto* known = find(table, record.m_content);
+    if (known == nullptr) {
+        return record;
+    }
+    suspicion result;
+    result.m_content = record.m_content;
+    result.m_cleared_at = record.m_cleared_at;
+    for (const auto& item : record.m_deaths) {
+        const auto same = std::find_if(known->m_deaths.begin(), known->m_deaths.end(),
+                                       [&](const death& d) { return is_same_death(d, item); });
+        if (same == known->m_deaths.end()) {
+            result.m_deaths.push_back(item);
+            continue;
+        }
+        auto merged = *same;
+        merged.m_order = std::max(merged.m_order, item.m_order);
+        merged.m_is_doubtful = merged.m_is_doubtful && item.m_is_doubtful;
+        merged.m_is_outweighed = merged.m_is_outweighed || item.m_is_outweighed;
+        if (merged != *same) {
+            result.m_deaths.push_back(merged);
+        }
+    }
+    const bool is_cleared_later = record.m_cleared_at > known->m_cleared_at;
+    return result.m_deaths.empty() && !is_cleared_later ? std::nullopt : std::optional(result);
 }
 
 time_point ends_at(const suspicion_table& table, fingerprint content, time_point now)
@@ -134,11 +236,23 @@
     if (standing_of(table, content, now) != standing::quarantined) {
         return now;
     }
-    return end_of(table, *find(table, content));
+    const auto& record = *find(table, content);
+    const auto& options = table.m_options;
+    if (counted(record).size() >= options.m_deaths_to_quarantine) {
+        return end_of(table, record);
+    }
+    const auto open = counted(record, options.m_doubt_for, now);
+    const auto newest = std::max_element(
+        open.begin(), open.end(), [](const death* a, const death* b) { return a->m_at < b->m_at; });
+    return (*newest)->m_at + options.m_doubt_for;
 }
 
 void expire(suspicion_table& table, time_point now)
 {
+    if (now < table.m_next_expiry) {
+        return;
+    }
+    table.m_next_expiry = now + expiry_interval;
     std::erase_if(table.m_records,
                   [&](const auto& item) { return end_of(table, item.second) <= now; });
 }
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -12,6 +12,7 @@
 #include "dewbeam/src/registrar/holds.h"
 #include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/revision_news.h"
+#include "dewbeam/src/registrar/suspicion_board.h"
 #include "dewbeam/src/registrar/watchers.h"
 #include "dewbeam/turns"
 
@@ -439,7 +440,13 @@
             put_upstreams(m_registry, watch.known_change(), !knows_life, news);
             subject.m_told_change = m_registry.m_last_change;
             news.set_gateways(m_watchers.m_gateways);
+            if (watch.is_gateway()) {
+                take_suspicions(watch, now);
+                put_suspicions(subject, knows_life ? watch.known_suspicion_change() : 0, now, news);
+                news.set_taken_suspicion_change(watch.suspicion_change());
+            }
             if (watch.wants_loads()) {
+                put_turns(from, watch, now, news);
                 take_limits(from, watch, now);
                 put_loads(m_watchers, subject, news);
                 put_limits(m_issuer, now, news);
@@ -451,6 +458,40 @@
         m_node->reply(from, std::move(answer));
     }
 
+    void take_suspicions(const wire::Watch& watch, time_point now)
+    {
+        for (const auto& item : watch.suspicions()) {
+            const auto heard = from_wire(item, now);
+            if (const auto news = take(m_suspicions, heard)) {
+                log_event(log_level::info, "content_reported",
+                          {{"pool", heard.m_pool},
+                           {"content", heard.m_record.m_content.value()},
+                           {"deaths", news->m_deaths.size()}});
+            }
+        }
+    }
+
+    void put_suspicions(watcher& subject, std::uint64_t known, time_point now,
+                        wire::WatchNews& news)
+    {
+        subject.m_told_suspicion =
+            put_changes(m_suspicions, known, now, *news.mutable_suspicions());
+        news.set_suspicion_change(subject.m_told_suspicion);
+    }
+
+    void put_turns(const link::peer& from, const wire::Watch& watch, time_point now,
+                   wire::WatchNews& news)
+    {
+        std::vector<fingerprint> wanted;
+        for (const auto content : watch.wanted_turns()) {
+            wanted.emplace_back(content);
+        }
+        const permits::holder_id holder(from.m_routing);
+        for (const auto content : set_wanted_turns(m_suspicions, holder, wanted, now)) {
+            news.add_granted_turns(content.value());
+        }
+    }
+
     void put_revision_news(wire::WatchNews& news, const wire::Watch& watch)
     {
         const auto status = m_runner->status();
@@ -556,6 +597,26 @@
         }
     }
 
+    /// Tells every gateway the suspicions that it wasn't told.
+    void push_suspicions(time_point now)
+    {
+        const std::lock_guard lock(m_mutex);
+        expire(m_suspicions, now);
+        for (auto& [peer, subject] : m_watchers.m_watchers) {
+            const auto told = subject.m_told_suspicion;
+            if (!subject.m_is_gateway || told >= m_suspicions.m_last_change) {
+                continue;
+            }
+            wire::Envelope message;
+            auto& news = *message.mutable_watch_news();
+            put_revision_news(news, {});
+            put_suspicions(subject, told, now, news);
+            if (!m_node->reply(peer, std::move(message))) {
+                subject.m_told_suspicion = told;
+            }
+        }
+    }
+
     /// Tells every gateway the number of the newest revision; those that lack it ask for it, one
     /// registry each.
     void push_revision()
@@ -593,6 +654,7 @@
         }
         run(calls);
         push_permits(now);
+        push_suspicions(now);
         const auto status = m_runner->status();
         note_belief(status);
         note_steadiness(status, now);
@@ -691,6 +753,7 @@
     watcher_table m_watchers;                      ///< the same
     hold_table m_holds;                            ///< the same
     permits::issuer m_issuer;                      ///< the same
+    suspicion_board m_suspicions;                  ///< the same
     std::set<upstream_id> m_renewed;               ///< the same; since the last sync
     std::map<std::string, time_point> m_heard_of;  ///< the same; registries by address
     std::vector<std::string> m_named;              ///< the same; registries that gateways are told
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -58,6 +58,7 @@
                              feed_handlers handlers)
     : m_options(options), m_handlers(std::move(handlers)), m_seeds(seeds)
 {
+    m_suspicions.m_table.m_options = options.m_quarantine;
     for (const auto& address : seeds) {
         m_sources.try_emplace(address);
     }
@@ -89,6 +90,7 @@
     watch.set_is_gateway(m_options.m_is_gateway);
     put_own_loads(watch);
     put_limits(watch, now);
+    put_suspicions(watch, target, now);
     for (const auto& [name, pace] : m_paces) {
         auto& item = *watch.add_paces();
         item.set_upstream(name);
@@ -120,6 +122,89 @@
     }
 }
 
+void registry_feed::put_suspicions(wire::Watch& watch, const source& target, time_point now) const
+{
+    if (!m_options.m_is_gateway) {
+        return;
+    }
+    const auto told = target.m_suspicion_life == target.m_life ? target.m_told_suspicion : 0;
+    watch.set_suspicion_change(put_changes(m_suspicions, told, now, *watch.mutable_suspicions()));
+    watch.set_known_suspicion_change(
+        target.m_suspicion_life == target.m_life ? target.m_known_suspicion : 0);
+    if (watch.wants_loads()) {
+        for (const auto content : m_wanted_turns) {
+            watch.add_wanted_turns(content.value());
+        }
+    }
+}
+
+void registry_feed::take_suspicions(source& from, const wire::WatchNews& news, time_point now,
+                                    std::vector<noted_suspicion>& changed)
+{
+    if (from.m_suspicion_life != news.registry_life()) {
+        from.m_suspicion_life = news.registry_life();
+        from.m_known_suspicion = 0;
+        from.m_told_suspicion = 0;
+    }
+    for (const auto& item : news.suspicions()) {
+        const auto heard = from_wire(item, now);
+        if (auto record = registrar::take(m_suspicions, heard)) {
+            changed.push_back({heard.m_pool, *std::move(record)});
+        }
+    }
+    from.m_known_suspicion = std::max(from.m_known_suspicion, news.suspicion_change());
+    from.m_told_suspicion = std::max(from.m_told_suspicion, news.taken_suspicion_change());
+}
+
+/// The next tick sends a watch to every registry.
+void registry_feed::ask_all_at_once()
+{
+    for (auto& [address, target] : m_sources) {
+        target.m_asked_at = {};
+    }
+}
+
+bool registry_feed::report(const noted_suspicion& learned)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!registrar::take(m_suspicions, learned)) {
+        return false;
+    }
+    ask_all_at_once();
+    return true;
+}
+
+std::optional<noted_suspicion> registry_feed::report_good_run(fingerprint content)
+{
+    const std::lock_guard lock(m_mutex);
+    auto record = outweigh(m_suspicions, content);
+    if (record) {
+        ask_all_at_once();
+    }
+    return record;
+}
+
+void registry_feed::set_wanted_turns(std::vector<fingerprint> wanted)
+{
+    const std::lock_guard lock(m_mutex);
+    if (wanted != m_wanted_turns) {
+        m_wanted_turns = std::move(wanted);
+        ask_all_at_once();
+    }
+}
+
+std::uint32_t registry_feed::next_order(fingerprint content) const
+{
+    const std::lock_guard lock(m_mutex);
+    return quarantine::next_order(m_suspicions.m_table, content);
+}
+
+std::size_t registry_feed::deaths_of(fingerprint content, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return quarantine::deaths_of(m_suspicions.m_table, content, now);
+}
+
 void registry_feed::set_limits(std::vector<permits::rate_limit> known,
                                std::vector<permits::demand> wanted)
 {
@@ -152,6 +237,7 @@
     std::vector<std::pair<std::string, wire::Envelope>> due;
     {
         const std::lock_guard lock(m_mutex);
+        expire(m_suspicions, now);
         m_loads = loads;
         m_paces = paces;
         // The loads come from one registry, the first that is heard.
@@ -273,6 +359,7 @@
 {
     const auto& news = message.watch_news();
     std::vector<registry::record> changed;
+    std::vector<noted_suspicion> suspicions;
     {
         const std::lock_guard lock(m_mutex);
         const auto place = m_sources.find(from.m_address);
@@ -289,6 +376,7 @@
         learn_registries(news);
         m_gateways = news.has_loads() ? news.gateways() : m_gateways;
         take_upstreams(subject, news, now, changed);
+        take_suspicions(subject, news, now, suspicions);
     }
     for (const auto& item : changed) {
         m_handlers.m_on_upstream(item);
@@ -298,9 +386,15 @@
     }
     request_document(now);
     if (m_options.m_is_gateway) {
+        for (const auto& item : suspicions) {
+            m_handlers.m_on_suspicion(item);
+        }
         take_limits(news, now);
     }
     if (news.has_loads()) {
+        if (m_options.m_is_gateway) {
+            m_handlers.m_on_turns({news.granted_turns().begin(), news.granted_turns().end()});
+        }
         for (const auto& [upstream, in_flight] : loads_of_others(news)) {
             m_handlers.m_on_load(upstream, in_flight);
         }
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -18,6 +18,7 @@
 #include "dewbeam/revisions"
 #include "dewbeam/src/registrar/document_fetch.h"
 #include "dewbeam/src/registrar/log_choice.h"
+#include "dewbeam/src/registrar/suspicion_board.h"
 
 namespace dewbeam::registrar {
 
@@ -37,6 +38,12 @@
     std::function<void(const permits::rate_limit& told)> m_on_limit;
     /// Gateways only: `count` permits were issued for a limited upstream.
     std::function<void(const upstream_id& upstream, std::uint32_t count)> m_on_permits;
+    /// Gateways only: something new of a content that may end its upstreams.
+    std::function<void(const noted_suspicion& heard)> m_on_suspicion = [](const noted_suspicion&) {
+    };
+    /// Gateways only: the suspected contents that this gateway may run now.
+    std::function<void(const std::vector<fingerprint>& granted)> m_on_turns =
+        [](const std::vector<fingerprint>&) {};
 };
 
 /// Who follows, and how closely.
@@ -48,6 +55,7 @@
     /// Determines the order in which registries are preferred for documents. Different for each
     /// process, so that the requests of all followers are distributed over the registries.
     std::uint64_t m_preference_seed = 0;
+    quarantine::quarantine_options m_quarantine = {};
 };
 
 /// How often the registry that tells the other gateways' loads is asked, never less often than
@@ -75,6 +83,23 @@
     /// could use.
     void set_limits(std::vector<permits::rate_limit> known, std::vector<permits::demand> wanted);
 
+    /// Takes in what this gateway learned of a content, and tells it to all registries at once.
+    /// \returns whether it was news
+    bool report(const noted_suspicion& learned);
+
+    /// A run of a content ended well; gives the record where that speaks against a death, and tells
+    /// all registries.
+    std::optional<noted_suspicion> report_good_run(fingerprint content);
+
+    /// Sets the suspected contents that the next watches ask to run. Asks at once where one is new.
+    void set_wanted_turns(std::vector<fingerprint> wanted);
+
+    /// The order of an upstream's death under a run that begins now; see quarantine::death.
+    [[nodiscard]] std::uint32_t next_order(fingerprint content) const;
+
+    /// Deaths of upstreams that speak against a content.
+    [[nodiscard]] std::size_t deaths_of(fingerprint content, time_point now) const;
+
     /// Watches where it is time to.
     void tick(const load_list& loads, const pace_list& paces, time_point now);
 
@@ -109,6 +134,9 @@
         revisions::revision_number m_newest;
         time_point m_asked_at{};
         time_point m_heard_at{};
+        std::uint64_t m_suspicion_life = 0;  ///< the registry process that the next two are of
+        std::uint64_t m_known_suspicion = 0;
+        std::uint64_t m_told_suspicion = 0;  ///< own changes that it has confirmed
     };
 
     bool is_of_own_log(const std::string& address, log_id told, time_point now);
@@ -119,6 +147,10 @@
     void put_own_loads(wire::Watch& watch) const;
     void put_limits(wire::Watch& watch, time_point now) const;
     void take_limits(const wire::WatchNews& news, time_point now);
+    void put_suspicions(wire::Watch& watch, const source& target, time_point now) const;
+    void take_suspicions(source& from, const wire::WatchNews& news, time_point now,
+                         std::vector<noted_suspicion>& changed);
+    void ask_all_at_once();
     void request_document(time_point now);
     void take_document(const std::string& from, const wire::Revision& received, time_point now);
 
@@ -137,6 +169,8 @@
     std::vector<permits::rate_limit> m_limits;
     std::vector<permits::demand> m_demands;
     permits::limit_table m_told_limits;  ///< as last reported with the loads
+    suspicion_board m_suspicions;
+    std::vector<fingerprint> m_wanted_turns;
 };
 
 }  // namespace dewbeam::registrar
--- /dev/null
+++ b/dewbeam/src/registrar/suspicion_board.cpp
@@ -0,0 +1,148 @@
+#include "dewbeam/src/registrar/suspicion_board.h"
+
+#include <algorithm>
+
+namespace dewbeam::registrar {
+
+namespace {
+
+constexpr std::size_t most_in_message = 128;
+/// Caps received ages so that subtractions can't overflow. Exceeds the retention of records.
+constexpr std::uint64_t longest_age_us = 3'600'000'000;
+/// Some watches of a gateway; one that is gone holds up a content for no longer.
+constexpr time_span turn_lease = std::chrono::milliseconds(1500);
+
+std::uint64_t microseconds(time_span value)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
+time_span from_microseconds(std::uint64_t count)
+{
+    return std::chrono::microseconds(std::min(count, longest_age_us));
+}
+
+void to_wire(const noted_suspicion& source, time_point now, wire::Suspicion& out)
+{
+    out.set_pool(source.m_pool);
+    out.set_fingerprint(source.m_record.m_content.value());
+    for (const auto& item : source.m_record.m_deaths) {
+        auto& death = *out.add_deaths();
+        death.set_upstream(item.m_upstream.value());
+        death.set_incarnation(item.m_incarnation.value());
+        death.set_age_us(microseconds(now - item.m_at));
+        death.set_order(item.m_order);
+        death.set_doubtful(item.m_is_doubtful);
+        death.set_outweighed(item.m_is_outweighed);
+    }
+}
+
+void mark_changed(suspicion_board& board, fingerprint content, const std::string& pool)
+{
+    auto& place = board.m_entries[content];
+    place.m_pool = pool;
+    place.m_change = ++board.m_last_change;
+}
+
+/// Drops what the table keeps no record of any more.
+void drop_forgotten(suspicion_board& board)
+{
+    std::erase_if(board.m_entries,
+                  [&](const auto& item) { return !board.m_table.m_records.contains(item.first); });
+}
+
+}  // namespace
+
+std::optional<quarantine::suspicion> take(suspicion_board& board, const noted_suspicion& heard)
+{
+    auto news = quarantine::news_of(board.m_table, heard.m_record);
+    if (!news || !quarantine::merge(board.m_table, *news)) {
+        return std::nullopt;
+    }
+    mark_changed(board, heard.m_record.m_content, heard.m_pool);
+    if (board.m_entries.size() > board.m_table.m_records.size()) {
+        drop_forgotten(board);
+    }
+    return news;
+}
+
+std::optional<noted_suspicion> outweigh(suspicion_board& board, fingerprint content)
+{
+    auto record = quarantine::outweigh(board.m_table, content);
+    if (!record) {
+        return std::nullopt;
+    }
+    const auto pool = board.m_entries[content].m_pool;
+    mark_changed(board, content, pool);
+    return noted_suspicion{pool, *std::move(record)};
+}
+
+void expire(suspicion_board& board, time_point now)
+{
+    quarantine::expire(board.m_table, now);
+    if (board.m_entries.size() > board.m_table.m_records.size()) {
+        drop_forgotten(board);
+    }
+    std::erase_if(board.m_turns, [&](const auto& item) { return item.second.m_deadline <= now; });
+}
+
+std::uint64_t put_changes(const suspicion_board& board, std::uint64_t change, time_point now,
+                          google::protobuf::RepeatedPtrField<wire::Suspicion>& out)
+{
+    if (change >= board.m_last_change) {
+        return change;
+    }
+    std::vector<std::pair<std::uint64_t, fingerprint>> due;
+    for (const auto& [content, item] : board.m_entries) {
+        if (item.m_change > change) {
+            due.emplace_back(item.m_change, content);
+        }
+    }
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), most_in_message));
+    for (const auto& [number, content] : due) {
+        const auto& pool = board.m_entries.at(content).m_pool;
+        to_wire({pool, board.m_table.m_records.at(content)}, now, *out.Add());
+    }
+    return due.empty() ? change : due.back().first;
+}
+
+noted_suspicion from_wire(const wire::Suspicion& source, time_point now)
+{
+    noted_suspicion result;
+    result.m_pool = source.pool();
+    result.m_record.m_content = fingerprint(source.fingerprint());
+    for (const auto& item : source.deaths()) {
+        quarantine::death how;
+        how.m_upstream = upstream_id(item.upstream());
+        how.m_incarnation = incarnation(item.incarnation());
+        how.m_at = now - from_microseconds(item.age_us());
+        how.m_order = item.order();
+        how.m_is_doubtful = item.doubtful();
+        how.m_is_outweighed = item.outweighed();
+        result.m_record.m_deaths.push_back(how);
+    }
+    return result;
+}
+
+std::vector<fingerprint> set_wanted_turns(suspicion_board& board, const permits::holder_id& holder,
+                                          const std::vector<fingerprint>& wanted, time_point now)
+{
+    std::erase_if(board.m_turns, [&](const auto& item) {
+        const bool is_dropped = item.second.m_holder == holder &&
+                                std::find(wanted.begin(), wanted.end(), item.first) == wanted.end();
+        return is_dropped || item.second.m_deadline <= now;
+    });
+    std::vector<fingerprint> granted;
+    for (const auto content : wanted) {
+        auto& turn = board.m_turns.try_emplace(content, content_turn{holder, now}).first->second;
+        if (turn.m_holder == holder) {
+            turn.m_deadline = now + turn_lease;
+            granted.push_back(content);
+        }
+    }
+    return granted;
+}
+
+}  // namespace dewbeam::registrar
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -20,6 +20,7 @@
     std::uint64_t m_told_change = 0;  ///< sent, perhaps not yet arrived
     std::vector<std::pair<std::string, std::uint32_t>> m_loads;
     bool m_is_gateway = false;
+    std::uint64_t m_told_suspicion = 0;  ///< as `m_told_change`, of suspicions
 };
 
 /// All of them. Sums are kept up to date by what each telling changes, since every gateway asks for
--- /dev/null
+++ b/test/crash_content_test.cpp
@@ -0,0 +1,373 @@
+// A content that ends upstreams, and those that only stood beside it, in virtual time.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <set>
+
+#include "dewbeam/quarantine"
+#include "dewbeam/src/gateway/good_runs.h"
+#include "dewbeam/src/gateway/loss_watch.h"
+#include "dewbeam/src/registrar/suspicion_board.h"
+
+namespace dewbeam {
+namespace {
+
+using quarantine::death;
+using quarantine::standing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr fingerprint content{7};
+constexpr time_point start{};
+
+quarantine::suspicion_table make_table()
+{
+    quarantine::suspicion_table table;
+    table.m_options.m_deaths_to_quarantine = 3;
+    return table;
+}
+
+/// A death under a run that knew of all deaths of lower orders.
+death death_of_run(const std::string& upstream, time_point at, std::uint32_t order)
+{
+    death how{upstream_id(upstream), incarnation{1}, at, false};
+    how.m_order = order;
+    return how;
+}
+
+TEST(crash_content, deaths_of_runs_side_by_side_count_once)
+{
+    auto table = make_table();
+    for (const auto* name : {"u1", "u2", "u3", "u4"}) {
+        note_death(table, content, death_of_run(name, start + seconds(5), 1));
+    }
+    EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::suspect);
+    EXPECT_EQ(deaths_of(table, content, start + seconds(6)), 1U);
+    note_death(table, content, death_of_run("u5", start + seconds(8), next_order(table, content)));
+    note_death(table, content, death_of_run("u6", start + seconds(10), next_order(table, content)));
+    EXPECT_EQ(standing_of(table, content, start + seconds(10)), standing::quarantined);
+}
+
+TEST(crash_content, a_good_run_outweighs_one_death)
+{
+    auto table = make_table();
+    EXPECT_FALSE(outweigh(table, content).has_value());
+    for (int i = 1; i <= 3; ++i) {
+        note_death(table, content,
+                   death_of_run("u" + std::to_string(i), start + seconds(2 * i),
+                                next_order(table, content)));
+    }
+    EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::quarantined);
+    ASSERT_TRUE(outweigh(table, content).has_value());
+    EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::suspect);
+    outweigh(table, content);
+    outweigh(table, content);
+    EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::clear);
+    EXPECT_FALSE(outweigh(table, content).has_value());
+}
+
+TEST(crash_content, doubtful_deaths_hold_a_content_until_the_doubt_is_over)
+{
+    auto table = make_table();
+    auto how = death_of_run("u1", start + seconds(2), 1);
+    how.m_is_doubtful = true;
+    note_death(table, content, how);
+    EXPECT_EQ(standing_of(table, content, start + seconds(2)), standing::suspect);
+    how = death_of_run("u2", start + seconds(4), 2);
+    how.m_is_doubtful = true;
+    note_death(table, content, how);
+    EXPECT_EQ(standing_of(table, content, start + seconds(4)), standing::quarantined);
+    const auto over = ends_at(table, content, start + seconds(4));
+    EXPECT_EQ(over, start + seconds(12));
+    EXPECT_EQ(standing_of(table, content, over), standing::clear);
+    how.m_is_doubtful = false;  // the second upstream did end
+    note_death(table, content, how);
+    EXPECT_EQ(standing_of(table, content, over), standing::suspect);
+}
+
+TEST(crash_content, news_are_what_is_not_known_whatever_the_time_on_the_way)
+{
+    auto table = make_table();
+    quarantine::suspicion record{content, {death_of_run("u1", start + seconds(2), 1)}};
+    ASSERT_TRUE(news_of(table, record).has_value());
+    merge(table, record);
+    record.m_deaths[0].m_at += milliseconds(30);
+    EXPECT_FALSE(news_of(table, record).has_value());
+    record.m_deaths[0].m_is_outweighed = true;
+    const auto news = news_of(table, record);
+    ASSERT_TRUE(news.has_value());
+    EXPECT_EQ(news->m_deaths[0].m_at, start + seconds(2));
+}
+
+TEST(crash_content, losses_are_known_by_the_life_of_the_upstream)
+{
+    gateway::loss_watch watch;
+    const gateway::upstream_life first{upstream_id("u"), incarnation{1}};
+    const gateway::upstream_life second{upstream_id("u"), incarnation{2}};
+    note_loss(watch, first, {content, "p", 1, start + seconds(1)});
+    note_loss(watch, first, {content, "p", 1, start + seconds(2)});
+    note_loss(watch, first, {fingerprint{8}, "p", 1, start + seconds(3)});
+    EXPECT_EQ(earlier_lives(watch, second), std::vector{first});
+    forget_losses(watch, first, start + seconds(2));
+    EXPECT_TRUE(take_losses(watch, second).empty());
+    const auto left = take_losses(watch, first);
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_EQ(left[0].m_content, fingerprint{8});
+    note_loss(watch, second, {content, "p", 1, start + seconds(1)});
+    expire(watch, seconds(10), start + seconds(11));
+    EXPECT_TRUE(watch.m_losses.empty());
+}
+
+TEST(crash_content, good_runs_are_spent_and_bounded)
+{
+    gateway::good_runs runs;
+    EXPECT_FALSE(spend_good_run(runs, content));
+    for (int i = 0; i < 100; ++i) {
+        note_good_run(runs, content);
+    }
+    for (std::uint64_t i = 0; i < 5000; ++i) {
+        note_good_run(runs, fingerprint{1000 + i});
+    }
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_TRUE(spend_good_run(runs, content));
+    }
+    EXPECT_FALSE(spend_good_run(runs, content));
+    for (std::uint64_t i = 0; i < 100'000; ++i) {
+        note_good_run(runs, fingerprint{10'000 + i});
+    }
+    EXPECT_LE(runs.m_young.size() + runs.m_old.size(), 8192U);
+}
+
+TEST(crash_content, one_gateway_at_a_time_has_the_turn)
+{
+    registrar::suspicion_board board;
+    const permits::holder_id a("a");
+    const permits::holder_id b("b");
+    EXPECT_EQ(set_wanted_turns(board, a, {content}, start).size(), 1U);
+    EXPECT_TRUE(set_wanted_turns(board, b, {content}, start).empty());
+    EXPECT_EQ(set_wanted_turns(board, a, {content}, start + seconds(1)).size(), 1U);
+    EXPECT_TRUE(set_wanted_turns(board, b, {content}, start + seconds(2)).empty());
+    EXPECT_EQ(set_wanted_turns(board, b, {content}, start + seconds(3)).size(), 1U)
+        << "the lease of a gateway that is gone ends";
+    set_wanted_turns(board, b, {}, start + seconds(3));
+    EXPECT_EQ(set_wanted_turns(board, a, {content}, start + seconds(3)).size(), 1U);
+}
+
+/// Gateways and registries that exchange their boards, with delays and losses; copies of one
+/// content arrive everywhere, and each run of it ends an upstream.
+class installation {
+public:
+    installation(std::size_t gateways, std::size_t registries, double lost)
+        : m_gateways(gateways), m_registries(registries), m_lost(lost)
+    {
+        for (auto* all : {&m_gateways, &m_registries}) {
+            for (auto& item : *all) {
+                item.m_board.m_table.m_options.m_deaths_to_quarantine = 3;
+                item.m_told.assign(std::max(gateways, registries), 0);
+            }
+        }
+    }
+
+    /// A copy of the content at a gateway; it runs where that gateway may run it.
+    void arrive(std::size_t at)
+    {
+        auto& self = m_gateways[at];
+        const auto where = standing_of(self.m_board.m_table, content, m_now);
+        if (where == standing::quarantined || self.m_runs_until != time_point{}) {
+            return;
+        }
+        self.m_wants_turn = where == standing::suspect;
+        if (where == standing::clear) {
+            begin(self);
+        }
+    }
+
+    void step(time_span span)
+    {
+        for (const auto until = m_now + span; m_now < until; m_now += milliseconds(10)) {
+            for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+                end_run(i);
+                if ((m_now.time_since_epoch() / milliseconds(10) + i) % 10 == 0) {
+                    exchange(i);
+                }
+            }
+            deliver();
+        }
+    }
+
+    void forget_gateway(std::size_t at) { clear(m_gateways[at], m_registries, at); }
+    void forget_registry(std::size_t at) { clear(m_registries[at], m_gateways, at); }
+
+    std::vector<time_point> m_ends;
+    time_point m_now = start + seconds(100);
+
+private:
+    struct process {
+        registrar::suspicion_board m_board;
+        std::vector<std::uint64_t> m_told;  ///< by the other side's number: own changes
+        std::uint32_t m_order = 0;
+        time_point m_runs_until{};
+        bool m_wants_turn = false;
+    };
+
+    struct message {
+        time_point m_at{};
+        std::size_t m_from = 0;
+        std::size_t m_to = 0;
+        bool m_is_to_gateway = false;
+        google::protobuf::RepeatedPtrField<wire::Suspicion> m_suspicions;
+        std::uint64_t m_change = 0;
+    };
+
+    static void clear(process& self, std::vector<process>& others, std::size_t at)
+    {
+        const auto options = self.m_board.m_table.m_options;
+        self.m_board = {};
+        self.m_board.m_table.m_options = options;
+        std::fill(self.m_told.begin(), self.m_told.end(), 0);
+        self.m_runs_until = {};
+        self.m_wants_turn = false;
+        for (auto& other : others) {
+            other.m_told[at] = 0;
+        }
+    }
+
+    void begin(process& self)
+    {
+        self.m_order = next_order(self.m_board.m_table, content);
+        self.m_runs_until = m_now + milliseconds(100);
+    }
+
+    void end_run(std::size_t at)
+    {
+        auto& self = m_gateways[at];
+        if (self.m_runs_until == time_point{} || self.m_runs_until > m_now) {
+            return;
+        }
+        self.m_runs_until = {};
+        self.m_wants_turn = false;
+        m_ends.push_back(m_now);
+        death how{upstream_id("u" + std::to_string(m_ends.size())), incarnation{1}, m_now, false};
+        how.m_order = self.m_order;
+        take(self.m_board, {"p", {content, {how}}});
+        exchange(at);
+    }
+
+    /// A gateway's watches; the first registry grants turns. Its answer carries both the turn and
+    /// what was reported before.
+    void exchange(std::size_t at)
+    {
+        auto& self = m_gateways[at];
+        for (std::size_t i = 0; i < m_registries.size(); ++i) {
+            send(self, at, i, false);
+            send(m_registries[i], i, at, true);
+        }
+        copy(self, m_registries[0]);
+        copy(m_registries[0], self);
+        const bool is_running = self.m_runs_until != time_point{};
+        const std::vector<fingerprint> wanted(self.m_wants_turn || is_running ? 1 : 0, content);
+        const auto granted = set_wanted_turns(
+            m_registries[0].m_board, permits::holder_id(std::to_string(at)), wanted, m_now);
+        const auto where = standing_of(self.m_board.m_table, content, m_now);
+        if (self.m_wants_turn && !is_running && !granted.empty() && where == standing::suspect) {
+            begin(self);
+        }
+    }
+
+    void copy(const process& from, process& to)
+    {
+        google::protobuf::RepeatedPtrField<wire::Suspicion> all;
+        put_changes(from.m_board, 0, m_now, all);
+        for (const auto& one : all) {
+            take(to.m_board, registrar::from_wire(one, m_now));
+        }
+    }
+
+    void send(process& self, std::size_t from, std::size_t to, bool is_to_gateway)
+    {
+        message item{
+            m_now + milliseconds(5 + uniform_below(m_random, 40)), from, to, is_to_gateway, {}, 0};
+        item.m_change = put_changes(self.m_board, self.m_told[to], m_now, item.m_suspicions);
+        if (!item.m_suspicions.empty() && uniform_below(m_random, 1000) >= m_lost * 1000) {
+            m_under_way.push_back(std::move(item));
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<message> later;
+        for (auto& item : m_under_way) {
+            if (item.m_at > m_now) {
+                later.push_back(std::move(item));
+                continue;
+            }
+            auto& target = item.m_is_to_gateway ? m_gateways[item.m_to] : m_registries[item.m_to];
+            auto& source =
+                item.m_is_to_gateway ? m_registries[item.m_from] : m_gateways[item.m_from];
+            for (const auto& one : item.m_suspicions) {
+                take(target.m_board, registrar::from_wire(one, m_now));
+            }
+            auto& told = source.m_told[item.m_to];
+            told = std::max(told, item.m_change);
+        }
+        m_under_way = std::move(later);
+    }
+
+    std::vector<process> m_gateways;
+    std::vector<process> m_registries;
+    double m_lost;
+    std::deque<message> m_under_way;
+    random_engine m_random{11};
+};
+
+/// Copies arrive one after the other, at all gateways in turn.
+void send_copies(installation& site, std::size_t gateways, int copies, time_span pause)
+{
+    for (int i = 0; i < copies; ++i) {
+        site.arrive(static_cast<std::size_t>(i) * 7 % gateways);
+        site.step(pause);
+    }
+}
+
+class crash_content_sizes : public testing::TestWithParam<std::size_t> {};
+
+TEST_P(crash_content_sizes, few_upstreams_end_in_the_whole_installation)
+{
+    for (const double lost : {0.0, 0.3}) {
+        installation site(GetParam(), 5, lost);
+        send_copies(site, GetParam(), 60, milliseconds(400));
+        EXPECT_EQ(site.m_ends.size(), 3U) << lost;
+    }
+}
+
+TEST_P(crash_content_sizes, few_end_where_gateways_and_registries_forget)
+{
+    installation site(GetParam(), 5, 0.1);
+    for (std::size_t i = 0; i < 40; ++i) {
+        site.arrive(i * 7 % GetParam());
+        site.step(milliseconds(200));
+        site.forget_gateway(i % GetParam());
+        if (i % 4 == 0) {
+            site.forget_registry(i / 4 % 5);
+        }
+        site.step(milliseconds(200));
+    }
+    EXPECT_LE(site.m_ends.size(), 6U);
+}
+
+TEST_P(crash_content_sizes, copies_at_all_gateways_at_once_end_one_each_until_they_are_known)
+{
+    installation site(GetParam(), 5, 0.0);
+    for (int wave = 0; wave < 20; ++wave) {
+        for (std::size_t i = 0; i < 8; ++i) {
+            site.arrive((i * 5 + static_cast<std::size_t>(wave)) % GetParam());
+        }
+        site.step(seconds(1));
+    }
+    EXPECT_LE(site.m_ends.size(), 8U + 2U) << "the first wave, and two in turn";
+}
+
+INSTANTIATE_TEST_SUITE_P(gateways, crash_content_sizes, testing::Values(8, 42, 150, 420));
+
+}  // namespace
+}  // namespace dewbeam
