Tell contents beside silent upstreams from those that silence them; a soak kind for it

Cause: two upstreams silent within 8 s hold a content back, and good runs were not set against deaths that are only doubted. Now they are, also once a doubt turns out certain.

An attempt that others have outrun is now looked into also where it has to stay; a doubt needs 0.3 s without any sign of life, and counts against the upstream's health, so that less is sent there. A content's turn is kept for 0.5 s after a run that ended without an answer.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/gateway/crash_blame.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "dewbeam/src/gateway/forwarder.h"
@@ -14,6 +15,10 @@
 constexpr time_span second_look = std::chrono::milliseconds(250);
 /// After an upstream was found silent its neighbours may be found so too, as in a cut.
 constexpr time_span silence_settles = std::chrono::milliseconds(1500);
+/// An upstream that is only slow answers something else meanwhile.
+constexpr time_span silence_span = std::chrono::milliseconds(300);
+/// What became of an upstream is known by then, mostly; its content's turn is kept until then.
+constexpr time_span judgement_span = std::chrono::milliseconds(500);
 /// Longer than registries take to find an upstream silent, and its successor to announce itself.
 constexpr time_span losses_kept_for = std::chrono::seconds(12);
 constexpr time_span judged_kept_for = std::chrono::minutes(10);
@@ -55,9 +60,6 @@
 void weigh(gateway_state& state, const quarantine::suspicion& news, time_point now)
 {
     for (const auto& item : news.m_deaths) {
-        if (item.m_is_doubtful) {
-            continue;
-        }
         {
             const std::lock_guard lock(state.m_crashes.m_mutex);
             if (!spend_good_run(state.m_crashes.m_good_runs, news.m_content)) {
@@ -67,7 +69,7 @@
         if (item.m_is_outweighed) {
             continue;  // by the good runs of another gateway, of which this one is a part
         }
-        if (const auto record = state.m_feed.report_good_run(news.m_content)) {
+        if (const auto record = state.m_feed.report_good_run(news.m_content, now)) {
             merge(state, *record, now);
         }
     }
@@ -199,6 +201,43 @@
     });
 }
 
+/// An upstream that is still silent gets less, and what it was sent is doubted.
+void doubt_if_silent(gateway_state& state, const sent_attempt& sent, const std::string& pool,
+                     const endpoint& address, time_point now)
+{
+    if (state.m_upstreams.heard_at(sent.m_upstream) >= sent.m_sent_at) {
+        return;
+    }
+    if (are_neighbours_heard(state, sent, now)) {
+        report_silence(state, life_of(sent), true, "no_answer", now);
+        state.m_pools.note_result(pool, sent.m_upstream, dispatch::upstream_result::failed, now);
+    }
+    state.m_crashes.m_probe.ask(address, [&state, sent](probe_result result) {
+        if (result == probe_result::refused) {
+            confirm_end(state, life_of(sent), "connection_refused", program::now());
+        }
+    });
+}
+
+/// Suspected contents whose last run here ended a moment ago, so that it isn't known yet how.
+std::vector<fingerprint> contents_under_judgement(gateway_state& state, time_point now)
+{
+    std::set<fingerprint> recent;
+    {
+        const std::lock_guard lock(state.m_crashes.m_mutex);
+        for (const auto& [life, losses] : state.m_crashes.m_losses.m_losses) {
+            for (const auto& loss : losses) {
+                if (now < loss.m_lost_at + judgement_span) {
+                    recent.insert(loss.m_content);
+                }
+            }
+        }
+    }
+    std::erase_if(recent,
+                  [&](fingerprint content) { return state.m_feed.deaths_of(content, now) == 0; });
+    return {recent.begin(), recent.end()};
+}
+
 }  // namespace
 
 void judge_broken_attempt(gateway_state& state, const request_pointer& request,
@@ -240,20 +279,16 @@
         return;
     }
     note_loss(state, request, sent, now);
-    if (are_neighbours_heard(state, sent, now)) {
-        report_silence(state, life_of(sent), true, "no_answer", now);
-    }
-    state.m_crashes.m_probe.ask(target.m_address, [&state, sent](probe_result result) {
-        if (result == probe_result::refused) {
-            confirm_end(state, life_of(sent), "connection_refused", program::now());
-        }
-    });
+    state.m_crashes.m_probe.wait(
+        silence_span, [&state, sent, pool = request->known().m_pool, address = target.m_address] {
+            doubt_if_silent(state, sent, pool, address, program::now());
+        });
 }
 
 void note_good_run(gateway_state& state, const request_pointer& request, time_point now)
 {
     const auto content = request->known().m_content;
-    if (const auto record = state.m_feed.report_good_run(content)) {
+    if (const auto record = state.m_feed.report_good_run(content, now)) {
         log_suspicion(state, "suspicion_outweighed", *record, request->upstream().value(),
                       "ran_to_its_end", now);
         merge(state, *record, now);
@@ -334,7 +369,10 @@
 
 void ask_for_turns(gateway_state& state, time_point now)
 {
-    state.m_feed.set_wanted_turns(state.m_pools.wanted_turns());
+    auto wanted = state.m_pools.wanted_turns();
+    const auto kept = contents_under_judgement(state, now);
+    wanted.insert(wanted.end(), kept.begin(), kept.end());
+    state.m_feed.set_wanted_turns(std::move(wanted));
     const bool is_cut_off = state.m_feed.heard(now) == 0;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
--- a/dewbeam/src/gateway/crash_blame.h
+++ b/dewbeam/src/gateway/crash_blame.h
@@ -24,7 +24,7 @@
 void judge_broken_attempt(gateway_state& state, const request_pointer& request,
                           const sent_attempt& sent, std::function<void()> then, time_point now);
 
-/// An attempt was given up at an upstream that had not begun to answer.
+/// An attempt at an upstream that has not begun to answer is late, or was given up.
 void judge_silent_attempt(gateway_state& state, const request_pointer& request,
                           const sent_attempt& sent, time_point now);
 
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -335,12 +335,12 @@
     }
 }
 
+/// Whether others that were sent later than the running attempt were answered before it.
 bool is_late(gateway_state& state, const gateway_request& request)
 {
     const auto& known = request.known();
     const auto objective = known.m_route->m_latency_objective;
-    if (!routes::is_idempotent(*known.m_route) || objective <= time_span::zero() ||
-        !request.attempt()) {
+    if (objective <= time_span::zero() || !request.attempt()) {
         return false;
     }
     const bool is_stream = known.m_route->m_kind == routes::work_kind::streaming;
@@ -349,6 +349,19 @@
     return state.m_pools.is_outrun(known.m_pool, known.m_ticket, margin);
 }
 
+/// What may not run twice stays where it is.
+void handle_late_attempt(gateway_state& state, const request_pointer& request, time_point now)
+{
+    if (routes::is_idempotent(*request->known().m_route)) {
+        end_late_attempt(state, request, now);
+        return;
+    }
+    const auto unanswered = request->unanswered_attempt();
+    if (unanswered && request->note_lateness()) {
+        judge_silent_attempt(state, request, *unanswered, now);
+    }
+}
+
 }  // namespace
 
 void fail_request(gateway_state& state, const request_pointer& request, const own_error& fault,
@@ -442,7 +455,7 @@
                 {503, "time_limit_reached", "the request's time ran out", time_span::zero()}, now);
     }
     else if (is_late(state, *request)) {
-        end_late_attempt(state, request, now);
+        handle_late_attempt(state, request, now);
     }
 }
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -270,6 +270,12 @@
     return attempt_number(m_attempts);
 }
 
+bool gateway_request::note_lateness()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_late_attempt, m_attempts) != m_attempts;
+}
+
 std::optional<sent_attempt> gateway_request::unanswered_attempt() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -119,6 +119,9 @@
     /// The attempt owned now; nothing where there is none.
     [[nodiscard]] std::optional<attempt_number> attempt() const;
 
+    /// True once for each attempt: its upstream's silence is to be looked into.
+    bool note_lateness();
+
     /// The attempt owned now, where its upstream has not begun to answer.
     [[nodiscard]] std::optional<sent_attempt> unanswered_attempt() const;
 
@@ -159,8 +162,9 @@
     std::uint32_t m_attempts = 0;
     bool m_has_attempt = false;
     upstream_id m_upstream;
-    incarnation m_life;         ///< of that upstream
-    std::uint32_t m_order = 0;  ///< of the attempt
+    incarnation m_life;                ///< of that upstream
+    std::uint32_t m_order = 0;         ///< of the attempt
+    std::uint32_t m_late_attempt = 0;  ///< the last one that was found late
     std::shared_ptr<http::client_exchange> m_exchange;
     answer_head m_head;
     http::fields m_fields;  ///< of the answer, as the caller gets them
--- a/dewbeam/src/quarantine/suspicion.cpp
+++ b/dewbeam/src/quarantine/suspicion.cpp
@@ -185,13 +185,13 @@
     return highest + 1;
 }
 
-std::optional<suspicion> outweigh(suspicion_table& table, fingerprint content)
+std::optional<suspicion> outweigh(suspicion_table& table, fingerprint content, time_point now)
 {
     const auto place = table.m_records.find(content);
     if (place == table.m_records.end()) {
         return std::nullopt;
     }
-    const auto deaths = counted(place->second);
+    const auto deaths = counted(place->second, table.m_options.m_doubt_for, now);
     if (deaths.empty()) {
         return std::nullopt;
     }
--- a/dewbeam/src/quarantine/suspicion.h
+++ b/dewbeam/src/quarantine/suspicion.h
@@ -89,9 +89,9 @@
 /// The order of a death under a run that begins now.
 std::uint32_t next_order(const suspicion_table& table, fingerprint content);
 
-/// A run of `content` ended well: outweighs the first death that counts. Gives the record to send,
-/// or nothing where no death counts.
-std::optional<suspicion> outweigh(suspicion_table& table, fingerprint content);
+/// A run of `content` ended well: outweighs the first death that counts, doubtful ones among them.
+/// Gives the record to send, or nothing where no death counts.
+std::optional<suspicion> outweigh(suspicion_table& table, fingerprint content, time_point now);
 
 /// The part of a record that a table doesn't hold yet; nothing where it holds all. Times of known
 /// deaths are left out, since each process that passes them on tells them a little later.
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -174,10 +174,10 @@
     return true;
 }
 
-std::optional<noted_suspicion> registry_feed::report_good_run(fingerprint content)
+std::optional<noted_suspicion> registry_feed::report_good_run(fingerprint content, time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    auto record = outweigh(m_suspicions, content);
+    auto record = outweigh(m_suspicions, content, now);
     if (record) {
         ask_all_at_once();
     }
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -89,7 +89,7 @@
 
     /// A run of a content ended well; gives the record where that speaks against a death, and tells
     /// all registries.
-    std::optional<noted_suspicion> report_good_run(fingerprint content);
+    std::optional<noted_suspicion> report_good_run(fingerprint content, time_point now);
 
     /// Sets the suspected contents that the next watches ask to run. Asks at once where one is new.
     void set_wanted_turns(std::vector<fingerprint> wanted);
--- a/dewbeam/src/registrar/suspicion_board.cpp
+++ b/dewbeam/src/registrar/suspicion_board.cpp
@@ -67,9 +67,9 @@
     return news;
 }
 
-std::optional<noted_suspicion> outweigh(suspicion_board& board, fingerprint content)
+std::optional<noted_suspicion> outweigh(suspicion_board& board, fingerprint content, time_point now)
 {
-    auto record = quarantine::outweigh(board.m_table, content);
+    auto record = quarantine::outweigh(board.m_table, content, now);
     if (!record) {
         return std::nullopt;
     }
--- a/dewbeam/src/registrar/suspicion_board.h
+++ b/dewbeam/src/registrar/suspicion_board.h
@@ -48,7 +48,8 @@
 std::optional<quarantine::suspicion> take(suspicion_board& board, const noted_suspicion& heard);
 
 /// A run of a content ended well; gives the record where that speaks against a death.
-std::optional<noted_suspicion> outweigh(suspicion_board& board, fingerprint content);
+std::optional<noted_suspicion> outweigh(suspicion_board& board, fingerprint content,
+                                        time_point now);
 
 /// Forgets what has run out.
 void expire(suspicion_board& board, time_point now);
--- a/test/crash_content_session.py
+++ b/test/crash_content_session.py
@@ -225,6 +225,21 @@
         self.check_all_answered(hot.end() + stream.end())
         self.assertGreater(len(self.ends), 10)
 
+    def test_a_hot_content_is_not_held_back_for_upstreams_that_fall_silent(self):
+        draws = random.Random(9)
+        hot = Repeater(self, "/safe/hot", 0.05, "hot")
+        deadline = time.monotonic() + SPAN_S
+        time.sleep(1.0)
+        while time.monotonic() < deadline:
+            alive = [upstream for upstream in self.upstreams if not upstream.has_ended]
+            if len(alive) > 3:
+                threading.Thread(target=draws.choice(alive).end, args=("silent",),
+                                 daemon=True).start()
+            time.sleep(draws.uniform(0.5, 1.5))
+        refused = [body for _, _, _, body in hot.end() if "quarantined" in body]
+        self.assertEqual(refused, [])
+        self.assertGreater(len(self.ends), 4)
+
     def test_nothing_is_blamed_for_resets_and_planned_ends(self):
         draws = random.Random(8)
         warm = [Repeater(self, "/safe/warm-%d" % i, 0.5, "warm-%d" % i) for i in range(4)]
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -51,19 +51,19 @@
 TEST(crash_content, a_good_run_outweighs_one_death)
 {
     auto table = make_table();
-    EXPECT_FALSE(outweigh(table, content).has_value());
+    EXPECT_FALSE(outweigh(table, content, start).has_value());
     for (int i = 1; i <= 3; ++i) {
         note_death(table, content,
                    death_of_run("u" + std::to_string(i), start + seconds(2 * i),
                                 next_order(table, content)));
     }
     EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::quarantined);
-    ASSERT_TRUE(outweigh(table, content).has_value());
+    ASSERT_TRUE(outweigh(table, content, start + seconds(6)).has_value());
     EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::suspect);
-    outweigh(table, content);
-    outweigh(table, content);
+    outweigh(table, content, start + seconds(6));
+    outweigh(table, content, start + seconds(6));
     EXPECT_EQ(standing_of(table, content, start + seconds(6)), standing::clear);
-    EXPECT_FALSE(outweigh(table, content).has_value());
+    EXPECT_FALSE(outweigh(table, content, start + seconds(6)).has_value());
 }
 
 TEST(crash_content, doubtful_deaths_hold_a_content_until_the_doubt_is_over)
@@ -85,6 +85,19 @@
     EXPECT_EQ(standing_of(table, content, over), standing::suspect);
 }
 
+TEST(crash_content, a_good_run_outweighs_a_doubtful_death_also_once_it_is_certain)
+{
+    auto table = make_table();
+    auto how = death_of_run("u1", start + seconds(2), 1);
+    how.m_is_doubtful = true;
+    note_death(table, content, how);
+    ASSERT_TRUE(outweigh(table, content, start + seconds(3)).has_value());
+    EXPECT_EQ(standing_of(table, content, start + seconds(3)), standing::clear);
+    how.m_is_doubtful = false;
+    note_death(table, content, how);
+    EXPECT_EQ(standing_of(table, content, start + seconds(3)), standing::clear);
+}
+
 TEST(crash_content, news_are_what_is_not_known_whatever_the_time_on_the_way)
 {
     auto table = make_table();
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -132,6 +132,7 @@
     def __init__(self, name, service, registries, on_end):
         self.on_end = on_end
         self.has_ended = False
+        self.is_silent = False  # after its end its host still takes connections
         self.connections = set()
         super().__init__(name, service, registries)
 
@@ -167,6 +168,7 @@
         if self.has_ended:
             return
         self.has_ended = True
+        self.is_silent = how == "silent"
         self.is_announcing = False
         if how != "silent":
             self.server.socket.shutdown(socket.SHUT_RDWR)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -7,6 +7,7 @@
 import time
 
 from soak.callers import Caller, Operator
+from soak.deadly import DeadlyContents, mortal_upstream
 from soak.faults import GATEWAYS, REGISTRIES, Faults
 from soak.promises import Promises, now
 from soak.site import SoakSite, UPSTREAMS
@@ -65,9 +66,12 @@
             promises.fail("%s counts attempts of callers that are gone" % name)
 
 
-def run_seed(bin_folder, seed, seconds, work=None):
-    """Runs one seed. Gives what was broken, the faults in order, and the counts of answers."""
-    with tempfile.TemporaryDirectory(dir=work) as folder, SoakSite(bin_folder, folder, seed) as site:
+def run_seed(bin_folder, seed, seconds, work=None, deadly=False):
+    """Runs one seed, with contents that end upstreams if `deadly`. Gives what was broken, the faults
+    in order, and the counts of answers."""
+    make_upstream = mortal_upstream if deadly else None
+    with tempfile.TemporaryDirectory(dir=work) as folder, \
+            SoakSite(bin_folder, folder, seed, make_upstream) as site:
         promises = Promises()
         stop = threading.Event()
         operator = Operator(seed, site, promises, stop)
@@ -76,12 +80,17 @@
         for thread in [operator, *callers]:
             thread.start()
         faults = Faults(seed, site, promises)
+        contents = DeadlyContents(seed, site, promises, seconds) if deadly else None
+        if contents:
+            contents.start()
         pauses = random.Random(seed + 1)
         until = now() + seconds
         while now() < until:
             faults.strike()
             time.sleep(pauses.uniform(0.2, 1.5))
         faults.end()
+        if contents:
+            contents.end()
         check_recovery(site, promises, callers)
         stop.set()
         for thread in [operator, *callers]:
@@ -89,6 +98,8 @@
         time.sleep(0.5)
         check_places(site, promises)
         promises.check_runs(site.upstreams)
+        if contents:
+            contents.check(faults.was_hit)
         for upstream, when in faults.drained:
             promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit,
                                    site.proxies[upstream.name].received_at)
--- a/test/soak/site.py
+++ b/test/soak/site.py
@@ -14,10 +14,17 @@
 DRAIN_S = 8.0  # what a planned stop may take
 
 
+def immortal_upstream(site, seed):
+    upstream = Upstream("i-%d" % len(site.upstreams), "chat", site.registry_ports)
+    return upstream, Proxy(int(upstream.address.rsplit(":", 1)[1]),
+                           seed * 1000 + len(site.upstreams))
+
+
 class SoakSite:
     """Starts everything; names processes r0.., g0.. and upstreams i-0..."""
 
-    def __init__(self, bin_folder, work, seed):
+    def __init__(self, bin_folder, work, seed, make_upstream=None):
+        self.make_upstream = make_upstream or immortal_upstream
         self.work = work
         self.site = Site(bin_folder, work)
         self.links = ["127.0.0.1:%d" % free_port() for _ in range(REGISTRIES)]
@@ -67,8 +74,7 @@
 
     def add_upstream(self, seed):
         """One more upstream, announced at the address of its proxy."""
-        upstream = Upstream("i-%d" % len(self.upstreams), "chat", self.registry_ports)
-        proxy = Proxy(int(upstream.address.rsplit(":", 1)[1]), seed * 1000 + len(self.upstreams))
+        upstream, proxy = self.make_upstream(self, seed)
         upstream.address = proxy.address
         self.proxies[upstream.name] = proxy
         self.upstreams.append(upstream)
--- a/tool/dewbeam_soak.py
+++ b/tool/dewbeam_soak.py
@@ -19,6 +19,8 @@
     parser.add_argument("--first", type=int, help="the first seed; left out, a fresh one is drawn")
     parser.add_argument("--seconds", type=float, default=12.0, help="of faults, for each seed")
     parser.add_argument("--jobs", type=int, default=4, help="seeds side by side")
+    parser.add_argument("--deadly", action="store_true",
+                        help="with contents that end the upstreams that run them")
     parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
     return parser.parse_args()
 
@@ -28,7 +30,8 @@
     first = options.first or random.SystemRandom().randrange(1_000, 1_000_000)
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        runs = {pool.submit(run_seed, options.bin, seed, options.seconds): seed
+        runs = {pool.submit(run_seed, options.bin, seed, options.seconds,
+                            deadly=options.deadly): seed
                 for seed in range(first, first + options.seeds)}
         for run in concurrent.futures.as_completed(runs):
             try:
