Tell suspicions to entries that start, or are there again after a cut

What callers saw: a request that was quarantined at all entries was sent on by each entry that had been restarted since, and ended its upstream (502 retries_exhausted in place of 503 quarantined).

Entries tell a suspicion once, to those that are there at that moment; the full exchange that the quarantine's records were made for (all_records) was called by nobody. A record of a pool whose upstreams the entry hadn't heard of yet was dropped as well.

--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -203,6 +203,7 @@
         if (now >= m_next_peers) {
             m_next_peers = now + peers_interval;
             m_peers = other_entries(m_state);
+            tell_new_entries(m_state, m_known_entries, now);
         }
         if (now >= m_state.m_next_interest.load()) {
             m_state.m_next_interest = now + report_interest_interval;
@@ -225,6 +226,7 @@
     held_up_since m_link_held_up;  ///< as of the last scan
     time_point m_next_peers{};
     std::vector<std::string> m_peers;  ///< other entries; used on the frame's thread alone
+    known_entries m_known_entries;     ///< the same
     time_point m_started_at = program::now();
     entry_state m_state;  ///< last: what uses the members above ends before them
 };
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -189,13 +189,23 @@
     return result;
 }
 
+std::vector<pool_suspicion> pool_table::all_suspicions() const
+{
+    std::vector<pool_suspicion> result;
+    for (const auto& name : names()) {
+        const auto target = find(name);
+        const std::lock_guard lock(target->m_mutex);
+        for (auto& record : quarantine::all_records(target->m_broker.m_suspicions)) {
+            result.push_back({name, std::move(record)});
+        }
+    }
+    return result;
+}
+
 dispatch::actions pool_table::merge_suspicion(const std::string& pool,
                                               const quarantine::suspicion& record, time_point now)
 {
-    const auto target = m_options.m_waits_for_upstreams ? find_or_make(pool) : find(pool);
-    if (!target) {
-        return {};
-    }
+    const auto target = find_or_make(pool);
     const std::lock_guard lock(target->m_mutex);
     return dispatch::merge_suspicion(target->m_broker, record, now, target->m_random);
 }
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -54,6 +54,10 @@
 
     /// Suspicions that are new since the last call.
     std::vector<pool_suspicion> take_suspicions();
+    /// All suspicions, for an entry that knows none.
+    [[nodiscard]] std::vector<pool_suspicion> all_suspicions() const;
+
+    /// Takes a suspicion in, also before the first upstream of its pool is known.
     dispatch::actions merge_suspicion(const std::string& pool, const quarantine::suspicion& record,
                                       time_point now);
     void lift_quarantine(const std::string& pool, fingerprint content, time_point now);
--- a/dewbeam/src/entry/suspicions.cpp
+++ b/dewbeam/src/entry/suspicions.cpp
@@ -5,6 +5,23 @@
 
 namespace dewbeam::entry {
 
+namespace {
+
+known_entries entries_there(const entry_state& state)
+{
+    known_entries result;
+    for (const auto& member : state.m_membership->members()) {
+        const bool is_other =
+            member.m_role == membership::role::entry && member.m_address != state.m_node->address();
+        if (is_other && !member.m_dead) {
+            result.emplace(member.m_address, member.m_incarnation);
+        }
+    }
+    return result;
+}
+
+}  // namespace
+
 void spread_suspicions(entry_state& state, time_point now)
 {
     for (const auto& item : state.m_pools.take_suspicions()) {
@@ -20,4 +37,20 @@
     }
 }
 
+void tell_new_entries(entry_state& state, known_entries& known, time_point now)
+{
+    auto there = entries_there(state);
+    for (const auto& entry : there) {
+        if (known.contains(entry)) {
+            continue;
+        }
+        for (const auto& item : state.m_pools.all_suspicions()) {
+            wire::Envelope message;
+            to_wire(item, now, program::wall_now(), *message.mutable_suspicion());
+            state.m_node->send(entry.first, std::move(message));
+        }
+    }
+    known = std::move(there);
+}
+
 }  // namespace dewbeam::entry
--- a/test/faults_session.py
+++ b/test/faults_session.py
@@ -139,8 +139,8 @@
         time.sleep(1.0)
         self.assertEqual(self.runs(), 1)
 
-    def test_crashing_request_takes_two_upstreams_at_most(self):
-        """Its caller sends it again through every entry while others go on."""
+    def add_mortal_engines(self):
+        """Five upstreams whose engines end when they run the marked prompt; their names."""
         for index in range(2, 5):
             self.site.add_upstream("chat-%d" % index, "d3", ["ad-copy"], "pool=ad-copy")
         engines = ["chat-%d-engine" % index for index in range(5)]
@@ -155,6 +155,27 @@
         for entry in ("e1", "e2", "e3"):
             self.site.wait_for_upstreams(entry, 6)
         time.sleep(1.0)  # each agent sees its engine's new life
+        return engines
+
+    def test_an_entry_that_starts_later_knows_what_the_others_quarantined(self):
+        engines = self.add_mortal_engines()
+        poison = {**CHAT, "messages": [{"role": "user", "content": "BOOM"}]}
+        for number in range(6):
+            self.site.call("e%d" % (number % 3 + 1), "POST", "/v1/chat/completions", poison)
+        for name in ("e1", "e2", "e3"):
+            self.assertEqual(self.site.processes[name].stop(), 0)
+            self.site.processes[name].start()
+            self.site.wait_for_upstreams(name, 4)
+            time.sleep(2.0)
+        for name in ("e1", "e2", "e3"):
+            status, _, body = self.site.call(name, "POST", "/v1/chat/completions", poison)
+            self.assertEqual((status, json.loads(body)["error"]["code"]), (503, "quarantined"))
+        dead = [name for name in engines if not self.site.processes[name].is_running()]
+        self.assertLessEqual(len(dead), 2)
+
+    def test_crashing_request_takes_two_upstreams_at_most(self):
+        """Its caller sends it again through every entry while others go on."""
+        engines = self.add_mortal_engines()
         finished = []
 
         def innocent(number):
