Hold a request for a broken connection's cause for 0.1 s at most; cases of turns

The question whether an upstream's host refuses connections takes a round trip, but 0.4 s where it says nothing, as in a cut that also resets connections; requests that may be sent again waited for it. Now they go on after 0.1 s.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -1,6 +1,8 @@
 #include "dewbeam/src/gateway/crash_blame.h"
 
 #include <algorithm>
+#include <atomic>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -15,6 +17,8 @@
 constexpr time_span second_look = std::chrono::milliseconds(250);
 /// After an upstream was found silent its neighbours may be found so too, as in a cut.
 constexpr time_span silence_settles = std::chrono::milliseconds(1500);
+/// What is sent on waits no longer for what became of the upstream before.
+constexpr time_span longest_hold = std::chrono::milliseconds(100);
 /// An upstream that is only slow answers something else meanwhile.
 constexpr time_span silence_span = std::chrono::milliseconds(300);
 /// What became of an upstream is known by then, mostly; its content's turn is kept until then.
@@ -201,6 +205,26 @@
     });
 }
 
+/// What an upstream's host says after one of its connections broke.
+void judge_answer(gateway_state& state, const sent_attempt& sent, const endpoint& address,
+                  probe_result result, time_point now)
+{
+    const auto where = life_of(sent);
+    switch (result) {
+        case probe_result::refused:
+            confirm_end(state, where, "connection_refused", now);
+            break;
+        case probe_result::accepted:
+            look_again(state, where, address, now);
+            break;
+        case probe_result::no_answer:
+            if (are_neighbours_heard(state, sent, now)) {
+                report_silence(state, where, true, "no_connection", now);
+            }
+            break;
+    }
+}
+
 /// An upstream that is still silent gets less, and what it was sent is doubted.
 void doubt_if_silent(gateway_state& state, const sent_attempt& sent, const std::string& pool,
                      const endpoint& address, time_point now)
@@ -249,25 +273,18 @@
         return;
     }
     note_loss(state, request, sent, now);
-    state.m_crashes.m_probe.ask(target.m_address, [&state, sent, address = target.m_address,
-                                                   then = std::move(then)](probe_result result) {
-        const auto answered_at = program::now();
-        const auto where = life_of(sent);
-        switch (result) {
-            case probe_result::refused:
-                confirm_end(state, where, "connection_refused", answered_at);
-                break;
-            case probe_result::accepted:
-                look_again(state, where, address, answered_at);
-                break;
-            case probe_result::no_answer:
-                if (are_neighbours_heard(state, sent, answered_at)) {
-                    report_silence(state, where, true, "no_connection", answered_at);
-                }
-                break;
+    const auto is_over = std::make_shared<std::atomic<bool>>(false);
+    const std::function<void()> go_on = [is_over, then = std::move(then)] {
+        if (!is_over->exchange(true)) {
+            then();
         }
-        then();
-    });
+    };
+    state.m_crashes.m_probe.wait(longest_hold, go_on);
+    state.m_crashes.m_probe.ask(
+        target.m_address, [&state, sent, address = target.m_address, go_on](probe_result result) {
+            judge_answer(state, sent, address, result, program::now());
+            go_on();
+        });
 }
 
 void judge_silent_attempt(gateway_state& state, const request_pointer& request,
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <set>
 
+#include "dewbeam/dispatch"
 #include "dewbeam/quarantine"
 #include "dewbeam/src/gateway/good_runs.h"
 #include "dewbeam/src/gateway/loss_watch.h"
@@ -166,6 +167,101 @@
     EXPECT_EQ(set_wanted_turns(board, a, {content}, start + seconds(3)).size(), 1U);
 }
 
+/// A broker whose suspects take turns, with two upstreams of many places.
+class crash_content_turns : public testing::Test {
+protected:
+    crash_content_turns()
+    {
+        m_broker.m_options.m_suspects_take_turns = true;
+        m_broker.m_suspicions.m_options.m_deaths_to_quarantine = 3;
+        for (const auto* name : {"u1", "u2"}) {
+            dispatch::upstream_info info;
+            info.m_name = upstream_id(name);
+            info.m_incarnation = incarnation(1);
+            info.m_slots = 8;
+            update_upstream(m_broker, info, m_now, m_random);
+        }
+    }
+
+    dispatch::actions send(std::uint64_t id, fingerprint what)
+    {
+        dispatch::request_info info;
+        info.m_ticket = dispatch::ticket(id);
+        info.m_fingerprint = what;
+        info.m_arrival = m_now;
+        info.m_deadline = m_now + seconds(4);
+        info.m_wait_deadline = m_now + milliseconds(1500);
+        return submit(m_broker, info, m_now, m_random);
+    }
+
+    void note_deaths(std::uint32_t count)
+    {
+        for (std::uint32_t order = 1; order <= count; ++order) {
+            merge_suspicion(m_broker,
+                            {content, {death_of_run("x" + std::to_string(order), m_now, order)}},
+                            m_now, m_random);
+        }
+    }
+
+    dispatch::actions grant(std::vector<fingerprint> what, bool is_cut_off = false)
+    {
+        return set_turns(m_broker, what, is_cut_off, m_now, m_random);
+    }
+
+    dispatch::broker m_broker;
+    time_point m_now = start + seconds(100);
+    random_engine m_random{5};
+};
+
+TEST_F(crash_content_turns, copies_run_one_at_a_time_and_others_are_not_held_up)
+{
+    note_deaths(1);
+    EXPECT_TRUE(send(1, content).empty());
+    EXPECT_TRUE(send(2, content).empty());
+    EXPECT_EQ(send(3, fingerprint{8}).size(), 1U);
+    EXPECT_EQ(wanted_turns(m_broker), std::vector{content});
+    ASSERT_EQ(grant({content}).size(), 1U);
+    EXPECT_TRUE(grant({content}).empty()) << "the first copy still runs";
+    const auto next = attempt_ended(m_broker, dispatch::ticket(1), dispatch::attempt_end::completed,
+                                    m_now, m_random);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].m_ticket, dispatch::ticket(2));
+}
+
+TEST_F(crash_content_turns, what_waits_goes_at_once_where_a_good_run_speaks_for_it)
+{
+    note_deaths(1);
+    EXPECT_TRUE(send(1, content).empty());
+    auto how = death_of_run("x1", m_now, 1);
+    how.m_is_outweighed = true;
+    EXPECT_EQ(merge_suspicion(m_broker, {content, {how}}, m_now, m_random).size(), 1U);
+}
+
+TEST_F(crash_content_turns, what_is_quarantined_is_refused_at_once_until_then)
+{
+    note_deaths(2);
+    EXPECT_TRUE(send(1, content).empty());
+    const auto waiting =
+        merge_suspicion(m_broker, {content, {death_of_run("x3", m_now, 3)}}, m_now, m_random);
+    ASSERT_EQ(waiting.size(), 1U);
+    EXPECT_EQ(waiting[0].m_refusal, dispatch::refusal::quarantined);
+    const auto later = send(2, content);
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later[0].m_refusal, dispatch::refusal::quarantined);
+    EXPECT_EQ(later[0].m_retry_at, m_now + std::chrono::minutes(10));
+}
+
+TEST_F(crash_content_turns, a_gateway_that_is_cut_off_runs_what_one_upstream_died_of_alone)
+{
+    note_deaths(1);
+    grant({}, true);
+    EXPECT_EQ(send(1, content).at(0).m_kind, dispatch::action::kind::dispatch);
+    note_deaths(2);
+    EXPECT_EQ(send(2, content).at(0).m_refusal, dispatch::refusal::quarantined);
+    grant({}, false);
+    EXPECT_TRUE(send(3, content).empty());
+}
+
 /// Gateways and registries that exchange their boards, with delays and losses; copies of one
 /// content arrive everywhere, and each run of it ends an upstream.
 class installation {
