Count no long dead upstreams as neighbours in a cut; keep a turn while its run is judged

An upstream that falls silent is taken for ended where most of its neighbours announce themselves; those that had ended minutes before counted as silent neighbours, so that after some such ends no silence was an end any more. Only what fell silent in the last seconds speaks for a cut now. And between the end of a run without an answer and the doubt of its upstream the gateway's own next copy began by the same turn; the turn is suspended until then.

Cases in crash_content_test.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -459,6 +459,14 @@
     return result;
 }
 
+void suspend_turn(broker& state, fingerprint content)
+{
+    const auto turn = state.m_turns.find(content);
+    if (turn != state.m_turns.end()) {
+        turn->second.m_is_granted = false;
+    }
+}
+
 void lift_quarantine(broker& state, fingerprint content, time_point now)
 {
     clear_suspicion(state, content, now);
--- a/dewbeam/src/dispatch/broker.h
+++ b/dewbeam/src/dispatch/broker.h
@@ -177,6 +177,10 @@
 actions set_turns(broker& state, const std::vector<fingerprint>& granted, bool is_cut_off,
                   time_point now, random_engine& random);
 
+/// Nothing more of a content begins by the turn that this process has now, since it isn't known yet
+/// how the last run ended.
+void suspend_turn(broker& state, fingerprint content);
+
 /// An operator lifts a quarantine; the record goes to the other entries by `take_suspicions`.
 void lift_quarantine(broker& state, fingerprint content, time_point now);
 
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -236,6 +236,14 @@
     return result;
 }
 
+void pool_table::suspend_turn(const std::string& pool, fingerprint content)
+{
+    if (const auto target = find(pool)) {
+        const std::lock_guard lock(target->m_mutex);
+        dispatch::suspend_turn(target->m_broker, content);
+    }
+}
+
 void pool_table::lift_quarantine(const std::string& pool, fingerprint content, time_point now)
 {
     if (const auto target = find(pool)) {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -66,6 +66,7 @@
     [[nodiscard]] std::vector<fingerprint> wanted_turns() const;
     dispatch::actions set_turns(const std::vector<fingerprint>& granted, bool is_cut_off,
                                 time_point now);
+    void suspend_turn(const std::string& pool, fingerprint content);
 
     /// An upstream's fault failed an attempt, or it answered one; true where it is closed for it.
     bool note_result(const std::string& pool, const upstream_id& name,
--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -17,10 +17,12 @@
 constexpr time_span second_look = std::chrono::milliseconds(250);
 /// After an upstream was found silent its neighbours may be found so too, as in a cut.
 constexpr time_span silence_settles = std::chrono::milliseconds(1500);
+/// One that has been silent for longer says nothing of a cut of now.
+constexpr time_span silence_is_new_for = std::chrono::seconds(5);
 /// What is sent on waits no longer for what became of the upstream before.
 constexpr time_span longest_hold = std::chrono::milliseconds(100);
 /// An upstream that is only slow answers something else meanwhile.
-constexpr time_span silence_span = std::chrono::milliseconds(300);
+constexpr time_span silence_span = std::chrono::milliseconds(200);
 /// What became of an upstream is known by then, mostly; its content's turn is kept until then.
 constexpr time_span judgement_span = std::chrono::milliseconds(500);
 /// Longer than registries take to find an upstream silent, and its successor to announce itself.
@@ -258,7 +260,7 @@
         }
     }
     std::erase_if(recent,
-                  [&](fingerprint content) { return state.m_feed.deaths_of(content, now) == 0; });
+                  [&](fingerprint content) { return !state.m_feed.is_suspected(content, now); });
     return {recent.begin(), recent.end()};
 }
 
@@ -296,6 +298,7 @@
         return;
     }
     note_loss(state, request, sent, now);
+    state.m_pools.suspend_turn(request->known().m_pool, request->known().m_content);
     state.m_crashes.m_probe.wait(
         silence_span, [&state, sent, pool = request->known().m_pool, address = target.m_address] {
             doubt_if_silent(state, sent, pool, address, program::now());
@@ -340,12 +343,15 @@
     }
     if (changed.m_is_silent) {
         const std::lock_guard lock(state.m_crashes.m_mutex);
-        state.m_crashes.m_silent.try_emplace(current, now + silence_settles);
+        if (state.m_crashes.m_silent.try_emplace(current, now).second) {
+            state.m_crashes.m_to_judge.insert(current);
+        }
         return;
     }
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
         state.m_crashes.m_silent.erase(current);
+        state.m_crashes.m_to_judge.erase(current);
     }
     if (state.m_upstreams.is_silent(known.m_name)) {
         take_back(state, current, now);
@@ -381,7 +387,11 @@
         }
         state.m_crashes.m_granted = granted.size();
     }
-    perform(state, state.m_pools.set_turns(granted, false, now), now);
+    auto usable = granted;
+    for (const auto content : contents_under_judgement(state, now)) {
+        std::erase(usable, content);
+    }
+    perform(state, state.m_pools.set_turns(usable, false, now), now);
 }
 
 void ask_for_turns(gateway_state& state, time_point now)
@@ -404,20 +414,22 @@
 void judge_silent_upstreams(gateway_state& state, time_point now)
 {
     std::vector<upstream_life> due;
+    std::set<upstream_id> fell_silent;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
         expire(state.m_crashes.m_losses, losses_kept_for, now);
         expire(state.m_crashes.m_judged, judged_kept_for, now);
-        for (const auto& [life, judged_at] : state.m_crashes.m_silent) {
-            if (judged_at <= now) {
+        for (const auto& [life, since] : state.m_crashes.m_silent) {
+            fell_silent.insert(life.m_upstream);
+            if (since + silence_settles <= now && state.m_crashes.m_to_judge.erase(life) > 0) {
                 due.push_back(life);
             }
         }
         std::erase_if(state.m_crashes.m_silent,
-                      [&](const auto& item) { return item.second <= now; });
+                      [&](const auto& item) { return item.second + silence_is_new_for <= now; });
     }
     for (const auto& life : due) {
-        if (state.m_upstreams.do_neighbours_announce(life.m_upstream)) {
+        if (state.m_upstreams.do_neighbours_announce(life.m_upstream, fell_silent)) {
             report_silence(state, life, false, "announcements_stopped", now);
         }
     }
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "dewbeam/program"
 #include "dewbeam/src/entry/pool_table.h"
@@ -99,7 +100,8 @@
     std::mutex m_mutex;
     loss_watch m_losses;                           ///< under m_mutex
     loss_watch m_judged;                           ///< the same; may have to be taken back
-    std::map<upstream_life, time_point> m_silent;  ///< the same; and when to judge them
+    std::map<upstream_life, time_point> m_silent;  ///< the same; since when, for some seconds
+    std::set<upstream_life> m_to_judge;            ///< the same; those of them not yet judged
     good_runs m_good_runs;                         ///< the same
     std::size_t m_granted = 0;                     ///< the same; turns
     bool m_is_cut_off = false;                     ///< the same
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -168,22 +168,25 @@
     });
 }
 
-bool upstream_table::do_neighbours_announce(const upstream_id& name) const
+bool upstream_table::do_neighbours_announce(const upstream_id& name,
+                                            const std::set<upstream_id>& fell_silent) const
 {
     const std::lock_guard lock(m_mutex);
     const auto place = m_items.find(name);
     if (place == m_items.end() || !place->second.m_is_silent) {
         return false;
     }
-    std::size_t neighbours = 0;
+    const auto& domain = place->second.m_known.m_failure_domain;
     std::size_t announcing = 0;
+    std::size_t silent = 0;
     for (const auto& [other, subject] : m_items) {
-        const bool is_neighbour = other != name && subject.m_known.m_failure_domain ==
-                                                       place->second.m_known.m_failure_domain;
-        neighbours += is_neighbour ? 1 : 0;
-        announcing += is_neighbour && !subject.m_is_silent ? 1 : 0;
+        if (other == name || subject.m_known.m_failure_domain != domain) {
+            continue;
+        }
+        announcing += subject.m_is_silent ? 0 : 1;
+        silent += subject.m_is_silent && fell_silent.contains(other) ? 1 : 0;
     }
-    return 2 * announcing > neighbours;
+    return announcing > silent;
 }
 
 bool upstream_table::is_silent(const upstream_id& name) const
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,8 +66,10 @@
     /// Whether another upstream of its service in its failure domain has answered since then.
     [[nodiscard]] bool was_neighbour_heard(const upstream_id& name, time_point since) const;
 
-    /// Whether it is silent, and most other upstreams of its failure domain are not.
-    [[nodiscard]] bool do_neighbours_announce(const upstream_id& name) const;
+    /// Whether it is silent, and of the other upstreams of its failure domain more announce
+    /// themselves than fell silent lately.
+    [[nodiscard]] bool do_neighbours_announce(const upstream_id& name,
+                                              const std::set<upstream_id>& fell_silent) const;
 
     [[nodiscard]] bool is_silent(const upstream_id& name) const;
 
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -199,6 +199,13 @@
     return quarantine::next_order(m_suspicions.m_table, content);
 }
 
+bool registry_feed::is_suspected(fingerprint content, time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return quarantine::standing_of(m_suspicions.m_table, content, now) !=
+           quarantine::standing::clear;
+}
+
 std::size_t registry_feed::deaths_of(fingerprint content, time_point now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -97,6 +97,9 @@
     /// The order of an upstream's death under a run that begins now; see quarantine::death.
     [[nodiscard]] std::uint32_t next_order(fingerprint content) const;
 
+    /// Whether something speaks against a content.
+    [[nodiscard]] bool is_suspected(fingerprint content, time_point now) const;
+
     /// Deaths of upstreams that speak against a content.
     [[nodiscard]] std::size_t deaths_of(fingerprint content, time_point now) const;
 
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -8,6 +8,7 @@
 #include "dewbeam/quarantine"
 #include "dewbeam/src/gateway/good_runs.h"
 #include "dewbeam/src/gateway/loss_watch.h"
+#include "dewbeam/src/gateway/upstream_table.h"
 #include "dewbeam/src/registrar/suspicion_board.h"
 
 namespace dewbeam {
@@ -132,6 +133,23 @@
     EXPECT_TRUE(watch.m_losses.empty());
 }
 
+TEST(crash_content, neighbours_that_ended_long_ago_say_nothing_of_a_cut)
+{
+    boost::asio::io_context context;
+    gateway::upstream_table table(context, {});
+    for (const auto* name : {"u1", "u2", "u3", "u4", "u5"}) {
+        registry::announcement known;
+        known.m_name = upstream_id(name);
+        known.m_service = "chat";
+        known.m_address = {"127.0.0.1", 9};
+        table.put(known, std::string(name) != "u5");
+    }
+    EXPECT_TRUE(table.do_neighbours_announce(upstream_id("u1"), {upstream_id("u1")}));
+    EXPECT_FALSE(
+        table.do_neighbours_announce(upstream_id("u1"), {upstream_id("u2"), upstream_id("u3")}));
+    EXPECT_FALSE(table.do_neighbours_announce(upstream_id("u5"), {}));
+}
+
 TEST(crash_content, good_runs_are_spent_and_bounded)
 {
     gateway::good_runs runs;
@@ -228,6 +246,17 @@
     EXPECT_EQ(next[0].m_ticket, dispatch::ticket(2));
 }
 
+TEST_F(crash_content_turns, no_other_copy_begins_before_it_is_known_how_the_last_one_ended)
+{
+    note_deaths(1);
+    send(1, content);
+    ASSERT_EQ(grant({content}).size(), 1U);
+    EXPECT_TRUE(send(2, content).empty());
+    suspend_turn(m_broker, content);
+    EXPECT_TRUE(cancel(m_broker, dispatch::ticket(1), m_now, m_random).empty());
+    EXPECT_EQ(grant({content}).size(), 1U);
+}
+
 TEST_F(crash_content_turns, what_waits_goes_at_once_where_a_good_run_speaks_for_it)
 {
     note_deaths(1);
