--- a/dewbeam/src/entry/loss_memory.h
+++ b/dewbeam/src/entry/loss_memory.h
@@ -32,9 +32,6 @@
     /// the same time are one.
     bool note(fingerprint content, const upstream_life& where, time_point now);
 
-    /// Notes a loss where nothing tells whether the upstream goes on.
-    bool note(fingerprint content, time_point now) { return note(content, {}, now); }
-
     /// Forgets the losses at an upstream that was found in this life at `seen_at`, up to then.
     void forget(const upstream_life& where, time_point seen_at);
 
