--- a/test/crash_content_session.py
+++ b/test/crash_content_session.py
@@ -17,15 +17,12 @@
 sys.path.insert(0, os.path.dirname(__file__))
 from dewbeam_site import Site, free_port  # noqa: E402
 from platform_standins import MortalUpstream, call, configuration  # noqa: E402
+from soak.deadly import MOST_LATE, SETTLED_S  # noqa: E402
 
 GATEWAYS = 6
 REGISTRIES = 3
 UPSTREAMS = 6
 SPAN_S = 14.0
-# Of one content: later than `SETTLED_S` after the third upstream that it ended, upstreams may get it
-# `MOST_LATE` times more.
-SETTLED_S = 3.0
-MOST_LATE = 3
 MOST_ENDS = 6
 
 
