Log and count how an attempt's answer ended at a gateway

An answer that a gateway took for whole left no line that told what marked its end: attempt_failed and request_ended named neither the frame nor the end of the connection, nor whether a stream stood inside an event.

attempt_failed and request_ended now carry frame (length, chunks, close), connection (complete, closed, broken, given_up, not_made), place (body, between_events, inside_event) and the unfinished bytes; the counter dewbeam_gateway_answers_total has the same three as labels, 3 x 5 x 3 series at most. No decision is changed.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -73,6 +73,10 @@
          {"status", end.m_status},
          {"attempts", end.m_times.m_attempts},
          {"late", to_string(end.m_late)},
+         {"frame", frame_name(end.m_answer)},
+         {"connection", to_string(end.m_answer.m_connection)},
+         {"place", place_name(end.m_answer)},
+         {"unfinished_bytes", end.m_answer.m_unfinished_bytes},
          {"queued_ms", is_sent ? milliseconds(end.m_times.m_first_sent - known.m_arrival) : -1},
          {"longest_pause_ms", milliseconds(longest_pause(end.m_times))},
          {"first_byte_ms",
@@ -130,6 +134,7 @@
 {
     const auto& known = request->known();
     state.m_metrics.attempt_ended(outcome.m_reason);
+    state.m_metrics.answer_ended(outcome.m_answer);
     const bool is_completed = outcome.m_end == dispatch::attempt_end::completed;
     if (is_completed || outcome.m_is_upstream_fault) {
         const bool is_closed =
@@ -145,6 +150,10 @@
                    {"upstream", upstream.value()},
                    {"reason", outcome.m_reason},
                    {"not_run", retry::is_never_begun(outcome.m_end)},
+                   {"frame", frame_name(outcome.m_answer)},
+                   {"connection", to_string(outcome.m_answer.m_connection)},
+                   {"place", place_name(outcome.m_answer)},
+                   {"unfinished_bytes", outcome.m_answer.m_unfinished_bytes},
                    {"content", known.m_content.value()}});
     }
     if (outcome.m_is_group_fault) {
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -33,6 +33,13 @@
             .Name("dewbeam_gateway_attempts_total")
             .Help("Attempts that ended, by reason.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_ended_answers =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_answers_total")
+            .Help(
+                "Answers of attempts, by what marks their end, how their connection ended and "
+                "where they stood then.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Counter>& m_suspected_contents =
         prometheus::BuildCounter()
             .Name("dewbeam_gateway_suspected_contents_total")
@@ -95,6 +102,15 @@
     m_families->m_ended_attempts.Add({{"reason", reason}}).Increment();
 }
 
+void gateway_metrics::answer_ended(const answer_end& end)
+{
+    m_families->m_ended_answers
+        .Add({{"frame", frame_name(end)},
+              {"connection", to_string(end.m_connection)},
+              {"place", place_name(end)}})
+        .Increment();
+}
+
 void gateway_metrics::content_suspected(const std::string& reason)
 {
     m_families->m_suspected_contents.Add({{"reason", reason}}).Increment();
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "dewbeam/base"
+#include "dewbeam/src/gateway/answer_end.h"
 
 namespace dewbeam::gateway {
 
@@ -35,6 +36,9 @@
     /// An attempt ended; `reason` is the field term of the logs.
     void attempt_ended(const std::string& reason);
 
+    /// An attempt's answer ended, by its frame, its connection's end and its place.
+    void answer_ended(const answer_end& end);
+
     /// A content was suspected; `reason` is the field term of the logs.
     void content_suspected(const std::string& reason);
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -106,6 +106,7 @@
         return false;
     }
     m_head = std::move(head);
+    m_frame = http::frame_of(m_head.m_status, fields);
     m_fields = format.m_to_caller(fields);
     if (is_success(m_head.m_status) && !m_head.m_is_event_stream &&
         m_result.m_times.m_first_byte == time_point{}) {
@@ -157,21 +158,30 @@
         return std::nullopt;
     }
     drop_attempt();
-    attempt_outcome outcome;
+    auto& answer = m_result.m_answer;
+    answer.m_has_head = m_head.m_status != 0;
+    answer.m_frame = m_frame;
+    answer.m_connection = connection_end_of(result, how_far, m_frame);
+    answer.m_is_stream = is_success(m_head.m_status) && m_head.m_is_event_stream;
+    answer.m_unfinished_bytes = m_events.m_partial.size();
+    auto outcome = judge_end(result, how_far);
+    outcome.m_answer = answer;
+    m_may_have_run = m_may_have_run || !retry::is_never_begun(outcome.m_end);
+    return outcome;
+}
+
+attempt_outcome gateway_request::judge_end(const absl::Status& result, http::progress how_far)
+{
     if (result.ok()) {
-        outcome = judge();
+        return judge();
     }
-    else if (how_far == http::progress::not_sent) {
-        outcome = {dispatch::attempt_end::not_reached, true, false, "unreachable"};
+    if (how_far == http::progress::not_sent) {
+        return {dispatch::attempt_end::not_reached, true, false, "unreachable"};
     }
-    else if (absl::IsUnavailable(result)) {
-        outcome = {dispatch::attempt_end::upstream_died, true, false, "connection_broke"};
+    if (absl::IsUnavailable(result)) {
+        return {dispatch::attempt_end::upstream_died, true, false, "connection_broke"};
     }
-    else {
-        outcome = {dispatch::attempt_end::unknown, true, false, "no_whole_answer"};
-    }
-    m_may_have_run = m_may_have_run || !retry::is_never_begun(outcome.m_end);
-    return outcome;
+    return {dispatch::attempt_end::unknown, true, false, "no_whole_answer"};
 }
 
 attempt_outcome gateway_request::judge()
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -13,6 +13,7 @@
 #include "dewbeam/http"
 #include "dewbeam/replies"
 #include "dewbeam/routes"
+#include "dewbeam/src/gateway/answer_end.h"
 #include "dewbeam/src/gateway/lateness.h"
 #include "dewbeam/src/gateway/wire_format.h"
 
@@ -28,6 +29,7 @@
     bool m_is_other_upstream = false;  ///< the address belongs to another upstream now
     const char* m_reason = "";         ///< field term for logs
     bool m_is_group_fault = false;     ///< its whole group can't serve, by another rank's fault
+    answer_end m_answer{};
 };
 
 /// An attempt, where it was sent and when.
@@ -53,6 +55,7 @@
     late_reason m_late = late_reason::none;
     bool m_is_caller_gone = false;
     bool m_is_cut = false;  ///< part of the answer was delivered, the rest was not
+    answer_end m_answer;    ///< of the last attempt that ended
 };
 
 /// What bytes of an answer brought to the caller.
@@ -149,6 +152,7 @@
         std::string m_body;
     };
 
+    attempt_outcome judge_end(const absl::Status& result, http::progress how_far);
     attempt_outcome judge();
     attempt_outcome judge_failure();
     void deliver(std::string events, time_point now);
@@ -167,6 +171,7 @@
     std::uint32_t m_late_attempt = 0;  ///< the last one that was found late
     std::shared_ptr<http::client_exchange> m_exchange;
     answer_head m_head;
+    http::body_frame m_frame = http::body_frame::length;  ///< of the answer with that head
     http::fields m_fields;  ///< of the answer, as the caller gets them
     std::string m_body;     ///< of an answer that is not a stream
     replies::event_splitter m_events;
