Reproduce: a broken stream ends as a complete one (fails, listed)

One gateway, three registrars, six stand-ins of upstreams that end their first answer to a request by a length, in chunks, in chunks with a last one behind a part, or with the connection; before the first event, inside an event, behind a line of it or between two; by a close, a reset or silence; streams that may be resumed and that may not, plain calls of both kinds. Whole answers with LF, CRLF and CR, a stray line end or a comment behind the last event must arrive as they are, after one run.

The reader of pieces of an answer moved from the soak's callers to the stand-ins, unchanged, since both use it.

--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -127,7 +127,8 @@
 
 class MortalUpstream(Upstream):
     """An upstream that ends when it runs a path with `deadly-HOW` in it, or when it is told to; it
-    never comes back. HOW: `reset`, `part` (after a part of its answer) or `silent`."""
+    never comes back. HOW: `reset`, `part` (after a part of its answer), `unframed` (closes its answer,
+    which has no length, inside an event, and then ends) or `silent`."""
 
     def __init__(self, name, service, registries, on_end):
         self.on_end = on_end
@@ -141,24 +142,28 @@
         if self.has_ended:
             time.sleep(3600.0)
         how = handler.path.rpartition("/deadly-")[2]
-        if how not in ("reset", "part", "silent"):
+        if how not in ("reset", "part", "unframed", "silent"):
             return super().serve(handler)
         self.arrivals.append((handler.headers["Attempt-Id"], time.monotonic()))
         self.runs.append((handler.headers["Attempt-Id"], dict(handler.headers)))
-        if how == "part":
-            self.begin_answer(handler)
+        if how in ("part", "unframed"):
+            self.begin_answer(handler, how == "part")
+        if how == "unframed":
+            handler.wfile.write(b"id: 2\nda")
+            handler.connection.shutdown(socket.SHUT_WR)
         time.sleep(0.02)
         self.end(how)
         handler.close_connection = True
         return None
 
-    def begin_answer(self, handler):
+    def begin_answer(self, handler, has_length):
         handler.send_response(200)
         handler.send_header("Attempt-Id", handler.headers["Attempt-Id"])
         handler.send_header("Response-Stamp", "stamp-" + self.name)
         is_stream = "/stream/" in handler.path
         handler.send_header("Content-Type", "text/event-stream" if is_stream else "text/plain")
-        handler.send_header("Content-Length", "1000")
+        if has_length:
+            handler.send_header("Content-Length", "1000")
         handler.end_headers()
         handler.wfile.write(b"id: 1\ndata: word-1\n\n")
         handler.wfile.flush()
@@ -194,6 +199,112 @@
             threading.Timer(3.0, self.end, ("reset",)).start()
 
 
+class BreakingUpstream(Upstream):
+    """An upstream that ends the first answers to a request as its path says, and its later ones well:
+    `/KIND/FRAME-PLACE-END-LINES-COUNT/...`.
+
+    FRAME: `length`, `chunks`, `last` (chunks, the last one sent also behind a part) or `close`.
+    PLACE: `head`, `inside` an event, behind a `line` of it, `between` events or `whole`; of a plain
+    body all but `head` and `whole` are its middle.
+    END: `fin`, `reset` or `silence`. LINES: `lf`, `crlf` or `cr`. COUNT: how many answers end so.
+    Behind a whole stream stands what `TAILS` names, where COUNT is one of its names."""
+
+    TAILS = {"none": b"", "line": b"\n", "comment": b": bye\n", "part": b": by", "comments": b": a\n\n: b\n\n"}
+    LINES = {"lf": b"\n", "crlf": b"\r\n", "cr": b"\r"}
+    BREAK_AFTER = 4  # events
+
+    def __init__(self, name, service, registries, begun):
+        self.begun = begun  # answers by request id, shared by all
+        self.is_read = threading.Event()  # the caller has what was sent until now
+        self.is_read.set()
+        super().__init__(name, service, registries)
+
+    def serve(self, handler):
+        parts = handler.path.split("/")
+        plan = parts[2].split("-") if len(parts) > 2 else []
+        request = handler.headers["Attempt-Id"]
+        if len(plan) != 5 or handler.headers["Expect-Instance"] != self.name:
+            return super().serve(handler)
+        self.runs.append((request, dict(handler.headers)))
+        frame, place, end, lines, count = plan
+        number = self.begun[request] = self.begun.get(request, 0) + 1
+        if place != "whole" and number > int(count):
+            place, end = "whole", "fin"
+        is_stream = parts[1] in ("stream", "fixed")
+        pieces = self.events(lines, int(handler.headers.get("Last-Event-Id", 0)), count) \
+            if is_stream else [request.encode(), b" ran at ", self.name.encode()]
+        self.write_head(handler, request, frame, sum(map(len, pieces)), is_stream)
+        for index, piece in enumerate(self.until(place, pieces, self.LINES[lines], is_stream)):
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece)
+                                if frame in ("chunks", "last") else piece)
+            handler.wfile.flush()
+            if index + 1 == self.BREAK_AFTER:
+                self.is_read.wait(2.0)
+        if frame == "last" or (frame == "chunks" and place == "whole"):
+            handler.wfile.write(b"0\r\n\r\n")
+        return self.end(handler, "keep" if place == "whole" and frame != "close" else end)
+
+    @classmethod
+    def events(cls, lines, last, tail):
+        end = cls.LINES[lines]
+        result = [b"id: %d%sdata: word-%d%s%s" % (number, end, number, end, end)
+                  for number in range(last + 1, EVENTS + 1)]
+        if cls.TAILS.get(tail):
+            result.append(cls.TAILS[tail])
+        return result
+
+    @classmethod
+    def until(cls, place, pieces, line_end, is_stream):
+        """The pieces that are sent before the answer ends."""
+        if place == "whole":
+            return pieces
+        if place == "head":
+            return []
+        if not is_stream:
+            return pieces[:1]
+        sent, rest = pieces[:cls.BREAK_AFTER], b"".join(pieces[cls.BREAK_AFTER:])
+        if place == "inside":
+            sent.append(rest[:rest.index(line_end) + len(line_end) + 4])
+        elif place == "line":
+            sent.append(rest[:rest.index(line_end + line_end) + len(line_end)])
+        return sent
+
+    def write_head(self, handler, request, frame, length, is_stream):
+        handler.send_response(200)
+        for name, value in (("Attempt-Id", request), ("Response-Stamp", "stamp-" + self.name),
+                            ("Content-Type", "text/event-stream" if is_stream else "text/plain")):
+            handler.send_header(name, value)
+        if frame == "length":
+            handler.send_header("Content-Length", str(length))
+        elif frame != "close":
+            handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+
+    @staticmethod
+    def end(handler, how):
+        if how == "keep":
+            return
+        if how == "silence":
+            time.sleep(8.0)
+        handler.close_connection = True
+        time.sleep(0.02)  # what was sent is read before a reset discards it
+        handler.wfile.flush()
+        if how == "reset":
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                          struct.pack("ii", 1, 0))
+        else:
+            handler.connection.shutdown(socket.SHUT_WR)
+        handler.connection.close()
+
+
+def read_pieces(answer):
+    """Yields the pieces of an answer's body as they come; raises where it isn't whole."""
+    while piece := answer.read1(65536):
+        yield piece
+    if not answer.isclosed() and answer.length != 0:
+        raise http.client.IncompleteRead(b"")
+
+
 def call(port, method, path, body=None, fields=None, limit_s=5.0):
     """One request; status 0 where there is no whole answer."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=limit_s)
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from platform_standins import call, configuration
+from platform_standins import call, configuration, read_pieces
 from soak.promises import now
 
 PATHS = {"stream": "/stream/x", "once": "/once/x", "safe": "/safe/x"}
@@ -48,10 +48,8 @@
                     "127.0.0.1", self.site.port(self.gateway), timeout=TIME_LIMIT_S + 2.0)
             self.connection.request("POST", PATHS[kind], "{}", head)
             answer = self.connection.getresponse()
-            while piece := answer.read1(65536):
+            for piece in read_pieces(answer):
                 part += piece
-            if not answer.isclosed() and answer.length != 0:
-                raise http.client.IncompleteRead(part)
             answer.close()
             status, body = answer.status, part.decode()
             if answer.will_close:
