End a stream by its events, not by the end of its connection alone

Cause: an end of the transport was taken for the end of the message. An answer with neither a length nor chunks ends with its connection; the HTTP client rightly reports such an end as a whole body, and the gateway passed that on as the last chunk of its own answer, with what it held of the unfinished event. A last chunk behind half an event went the same way.

Change: a stream is whole only where it doesn't end inside an event, whatever its frame; one that ends with its connection before any event is none. Both are ends like those of a broken connection: the rest of the event is dropped, the upstream's end is looked for, and the request goes on behind the last whole event, or is cut visibly. They are no good run and no completed attempt.

What can't be told from its bytes stays as it was: a stream without a frame that ends between two events, and a plain answer without a frame, are passed on as whole, at once, and run once.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -281,16 +281,19 @@
     result.m_on_end = [&state, request, sent, upstream, attempt](const absl::Status& ended,
                                                                  http::progress how_far) {
         const auto now = program::now();
-        state.m_upstreams.end_attempt(upstream, ended.ok(), now);
         const auto outcome = request->take_end(attempt, ended, how_far);
+        const bool is_connection_broken = !ended.ok() && how_far != http::progress::not_sent;
+        const bool is_broken = is_connection_broken ||
+                               (outcome && outcome->m_end == dispatch::attempt_end::upstream_died);
+        state.m_upstreams.end_attempt(upstream, ended.ok() && !is_broken, now);
         if (!outcome) {
             return;
         }
-        if (ended.ok() || how_far == http::progress::not_sent) {
-            end_attempt(state, request, upstream, *outcome, now);
+        if (is_broken) {
+            end_broken_attempt(state, request, sent, *outcome, now);
         }
         else {
-            end_broken_attempt(state, request, sent, *outcome, now);
+            end_attempt(state, request, upstream, *outcome, now);
         }
     };
     return result;
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -128,24 +128,27 @@
         }
         return data_result::nothing;
     }
+    const auto events_before = m_events.m_events;
     auto events = replies::split_events(m_events, bytes);
     if (events.empty()) {
         return data_result::nothing;
     }
-    const bool is_first = !m_has_events_of_it;
-    deliver(std::move(events), now);
+    deliver(std::move(events));
+    if (m_events.m_events == events_before) {
+        return data_result::nothing;  // comments and line ends alone
+    }
+    const bool is_first = !std::exchange(m_has_events_of_it, true);
+    note_event(m_result.m_times, is_first, now);
     return is_first ? data_result::first_event : data_result::next_event;
 }
 
-void gateway_request::deliver(std::string events, time_point now)
+void gateway_request::deliver(std::string events)
 {
     if (!m_is_streaming) {
         m_is_streaming = true;
         m_result.m_status = m_head.m_status;
         m_answer->start(m_head.m_status, m_fields);
     }
-    note_event(m_result.m_times, !m_has_events_of_it, now);
-    m_has_events_of_it = true;
     m_answer->write(std::move(events));
 }
 
@@ -200,6 +203,9 @@
         return judge_failure();
     }
     if (m_head.m_is_event_stream) {
+        if (const auto* reason = break_of_stream()) {
+            return {attempt_end::upstream_died, true, false, reason};
+        }
         finish_stream();
     }
     else if (m_is_streaming) {
@@ -230,6 +236,16 @@
     return {attempt_end::unknown, true, false, "upstream_error"};
 }
 
+const char* gateway_request::break_of_stream() const
+{
+    if (replies::is_inside_event(m_events)) {
+        return "cut_inside_event";
+    }
+    // A whole stream without any event has a frame that says so.
+    const bool is_empty = m_frame == http::body_frame::close && !m_has_events_of_it;
+    return is_empty ? "closed_before_event" : nullptr;
+}
+
 void gateway_request::finish_stream()
 {
     if (!m_is_streaming) {
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -155,7 +155,9 @@
     attempt_outcome judge_end(const absl::Status& result, http::progress how_far);
     attempt_outcome judge();
     attempt_outcome judge_failure();
-    void deliver(std::string events, time_point now);
+    void deliver(std::string events);
+    /// Why a stream whose connection ended well is broken all the same; null where it is whole.
+    [[nodiscard]] const char* break_of_stream() const;
     void finish_stream();
     void respond_whole();
     void drop_attempt();
