Resume a stream at an entry whose engine ended it as whole too early

What callers saw: a stream that its engine ended well, by its frame or by its connection, but inside an event or without its last one, was cut with an error, although another engine could have gone on; the request's stream counted as closed. Streams with CRLF or CR reached their callers at no time before their end, and then as broken; a line end behind the last event broke a whole stream. A caller without a stream of its own got an event stream cut inside an event as a whole answer.

The agent's word that the answer had come to its end closed the stream; the entry had a splitter of its own, for LF alone, and found the end marker as the last bytes of what it wrote.

Change: entries use the splitter that gateways use. An answer that ended as whole and isn't reopens its stream, and ends its attempt like an upstream that died; whole bodies of event streams are judged as well.

The answers of engines that are no event streams and have no frame can't be told from whole ones and stay as they were.

--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::string_view event_end = "\n\n";
-constexpr std::string_view stream_end = "data: [DONE]\n\n";
 constexpr std::string_view resume_field = "X-Resume-Offset";
 constexpr std::chrono::milliseconds acknowledgement_limit{1000};
 constexpr std::chrono::milliseconds tombstone_limit{1000};
@@ -82,7 +80,7 @@
     }
     m_attempt = std::move(attempt);
     m_attempt.m_ack_deadline = now + acknowledgement_limit;
-    m_partial_event.clear();
+    replies::drop_partial(m_events);
     if (!m_is_streaming) {
         // The caller has nothing yet: the answer is put together anew.
         m_stream = {};
@@ -111,8 +109,8 @@
         }
     }
     fields.push_back({"X-Request-Id", m_facts.m_request_id});
-    if (m_delivered_events > 0) {
-        fields.push_back({std::string(resume_field), std::to_string(m_delivered_events)});
+    if (m_events.m_events > 0) {
+        fields.push_back({std::string(resume_field), std::to_string(m_events.m_events)});
     }
     link::to_wire(fields, *message.mutable_headers());
     message.set_body(m_facts.m_request.m_body);
@@ -184,15 +182,19 @@
 bool entry_request::resumes_here(const wire::ReplyChunk& chunk) const
 {
     // An engine that does not say where it resumes would repeat what the caller has already.
-    return m_delivered_events == 0 || chunk.status() == 0 ||
+    return m_events.m_events == 0 || chunk.status() == 0 ||
            http::find_field(link::from_wire(chunk.headers()), resume_field) ==
-               std::to_string(m_delivered_events);
+               std::to_string(m_events.m_events);
 }
 
 bool entry_request::streams() const
 {
-    const auto type = http::find_field(m_head, "Content-Type");
-    return m_facts.m_call.m_is_stream && m_status == 200 && type.starts_with("text/event-stream");
+    return m_facts.m_call.m_is_stream && m_status == 200 && has_event_stream();
+}
+
+bool entry_request::has_event_stream() const
+{
+    return http::find_field(m_head, "Content-Type").starts_with("text/event-stream");
 }
 
 void entry_request::begin_answer()
@@ -205,22 +207,13 @@
     m_answer->start(m_status, answer_fields());
 }
 
-void entry_request::deliver_events(const std::string& bytes)
+void entry_request::deliver_events(std::string_view bytes)
 {
     // Whole events only, so that another upstream can go on behind the last one.
-    m_partial_event += bytes;
-    const auto last = m_partial_event.rfind(event_end);
-    if (last == std::string::npos) {
-        return;
+    auto events = replies::split_events(m_events, bytes);
+    if (!events.empty()) {
+        m_answer->write(std::move(events));
     }
-    auto events = m_partial_event.substr(0, last + event_end.size());
-    m_partial_event.erase(0, events.size());
-    for (auto place = events.find(event_end); place != std::string::npos;
-         place = events.find(event_end, place + event_end.size())) {
-        ++m_delivered_events;
-    }
-    m_has_stream_end = events.ends_with(stream_end);
-    m_answer->write(std::move(events));
 }
 
 http::fields entry_request::answer_fields() const
@@ -236,23 +229,42 @@
 
 chunk_effect entry_request::take_end(const replies::delivery& out, const std::string& reason)
 {
-    const bool is_whole_stream = m_is_streaming && m_has_stream_end;
+    const bool is_whole_stream = m_is_streaming && m_events.m_has_ended;
     if (!out.m_finished && !is_whole_stream) {
         return to_effect(out.m_outcome, reason);
     }
-    const bool is_cut = m_status == 0 || (m_is_streaming && !m_has_stream_end);
-    if (is_cut) {
+    if (m_status == 0) {
         return chunk_effect::unknown;
     }
+    if (is_cut()) {
+        replies::reopen(m_stream);
+        return chunk_effect::cut;
+    }
     finish();
     return chunk_effect::completed;
 }
 
+bool entry_request::is_cut() const
+{
+    if (m_is_streaming) {
+        return !m_events.m_has_ended;
+    }
+    if (!has_event_stream()) {
+        return false;
+    }
+    replies::event_splitter events;
+    replies::split_events(events, m_body);
+    return replies::is_inside_event(events);
+}
+
 void entry_request::finish()
 {
     m_is_over = true;
     m_result.m_outcome = ledger::outcome::completed;
     if (m_is_streaming) {
+        if (!m_events.m_partial.empty() && !replies::is_inside_event(m_events)) {
+            m_answer->write(std::exchange(m_events.m_partial, {}));
+        }
         m_answer->finish();
         return;
     }
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -30,6 +30,7 @@
     busy,       ///< the same, since the upstream had no room
     stale,      ///< the same, since the entry's configuration was old
     unknown,    ///< the attempt's end is unknown
+    cut,        ///< the answer ended as a whole one and isn't: its upstream broke off
     broken,     ///< a chunk is missing: the attempt must be cancelled, its end is unknown
 };
 
@@ -159,8 +160,10 @@
     chunk_effect take_delivery(replies::delivery&& out, time_point now);
     chunk_effect take_end(const replies::delivery& out, const std::string& reason);
     void begin_answer();
-    void deliver_events(const std::string& bytes);
+    void deliver_events(std::string_view bytes);
     void finish();
+    [[nodiscard]] bool is_cut() const;
+    [[nodiscard]] bool has_event_stream() const;
     void keep_answer();
     void note_outcome(ledger::outcome known);
     [[nodiscard]] bool streams() const;
@@ -174,14 +177,12 @@
     replies::reply_stream m_stream;
     int m_status = 0;  ///< of the answer's head; 0: none yet
     http::fields m_head;
-    std::string m_body;           ///< of a whole answer, until it is complete
-    std::string m_partial_event;  ///< of a stream: bytes after the last whole event
-    std::uint64_t m_delivered_events = 0;
+    std::string m_body;  ///< of a whole answer, until it is complete
+    replies::event_splitter m_events;
     std::atomic<bool> m_is_claim_granted = false;
     bool m_is_over = false;
-    bool m_may_have_run = false;    ///< some attempt may have begun
-    bool m_is_streaming = false;    ///< the caller has the head of a stream
-    bool m_has_stream_end = false;  ///< the caller has the last event of a stream
+    bool m_may_have_run = false;  ///< some attempt may have begun
+    bool m_is_streaming = false;  ///< the caller has the head of a stream
     request_result m_result;
 };
 
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -22,6 +22,8 @@
         case chunk_effect::busy:
         case chunk_effect::stale:
             return dispatch::attempt_end::refused_busy;
+        case chunk_effect::cut:
+            return dispatch::attempt_end::upstream_died;
         case chunk_effect::none:
         case chunk_effect::first:
         case chunk_effect::unknown:
@@ -55,6 +57,7 @@
         case chunk_effect::not_run:
         case chunk_effect::busy:
         case chunk_effect::unknown:
+        case chunk_effect::cut:
             break;
     }
     auto end = to_end(effect);
@@ -64,7 +67,8 @@
     else if (end == dispatch::attempt_end::unknown && chunk.reason() == ledger::entry_lost) {
         end = dispatch::attempt_end::lost;
     }
-    end_attempt(state, request, id, end, chunk.reason(), now);
+    const std::string_view reason = effect == chunk_effect::cut ? "stream_cut" : chunk.reason();
+    end_attempt(state, request, id, end, reason, now);
 }
 
 void on_silence(entry_state& state, const wire::Silence& message, time_point now)
--- a/dewbeam/src/replies/reply_stream.cpp
+++ b/dewbeam/src/replies/reply_stream.cpp
@@ -216,6 +216,13 @@
     state.m_held_bytes = {};
 }
 
+void reopen(reply_stream& state)
+{
+    require(state.m_closed, "only an answer that ended is reopened");
+    state.m_closed = false;
+    drop_attempt(state);
+}
+
 delivery accept(reply_stream& state, reply_chunk chunk)
 {
     delivery out;
--- a/dewbeam/src/replies/reply_stream.h
+++ b/dewbeam/src/replies/reply_stream.h
@@ -109,6 +109,9 @@
 /// The attempt's end is unknown, or nothing more is wanted of it: its chunks are dropped.
 void drop_attempt(reply_stream& state);
 
+/// The answer that finished isn't whole: another attempt may go on behind what was delivered.
+void reopen(reply_stream& state);
+
 /// Takes a chunk as it arrived.
 delivery accept(reply_stream& state, reply_chunk chunk);
 
--- a/test/recording_exchange.h
+++ b/test/recording_exchange.h
@@ -10,13 +10,18 @@
 
 namespace dewbeam::test {
 
-/// Records the status of the answer. Its caller may have left before the request was read.
+/// Records the answer. Its caller may have left before the request was read.
 class recording_exchange : public http::exchange {
 public:
-    void respond(http::response whole) override { m_status = whole.m_status; }
+    void respond(http::response whole) override
+    {
+        m_status = whole.m_status;
+        m_body = std::move(whole.m_body);
+        m_is_finished = true;
+    }
     void start(int status, http::fields) override { m_status = status; }
-    void write(std::string) override {}
-    void finish() override {}
+    void write(std::string bytes) override { m_body += bytes; }
+    void finish() override { m_is_finished = true; }
     void abort() override {}
 
     void on_gone(std::function<void()> action) override
@@ -27,6 +32,8 @@
     }
 
     int m_status = 0;  ///< 0: not answered
+    std::string m_body;
+    bool m_is_finished = false;
     bool m_is_gone = false;
 };
 
