Name the reason of an attempt's end without a view of a temporary

The choice between a literal and the agent's reason made a string of both, so that the reason in attempt_ended was read from freed memory. Both are views now.

--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -67,7 +67,8 @@
     else if (end == dispatch::attempt_end::unknown && chunk.reason() == ledger::entry_lost) {
         end = dispatch::attempt_end::lost;
     }
-    const std::string_view reason = effect == chunk_effect::cut ? "stream_cut" : chunk.reason();
+    const std::string_view stated = chunk.reason();
+    const auto reason = effect == chunk_effect::cut ? std::string_view("stream_cut") : stated;
     end_attempt(state, request, id, end, reason, now);
 }
 
