Send streams to callers of HTTP/1.0 without chunks, and reset what is aborted

What callers saw: a caller of HTTP/1.0 got the frames of chunks as text in the body, and an answer that broke off ended like a whole one for it: in HTTP/1.0 a body without a length ends with its connection.

Cause: the writer of answers framed each stream in chunks, whatever the caller's version, and closed the connection of an aborted one as if it had ended.

Change: without chunks, a stream goes out as it is and ends with its connection; an aborted one is reset, as is one whose caller reads too slowly.

Evidence: two new cases of http_test failed before (the first got frames and hung for 60 s, the second read a plain end) and pass.

--- a/dewbeam/src/http/answer_writer.h
+++ b/dewbeam/src/http/answer_writer.h
@@ -32,15 +32,16 @@
 template <class Stream>
 class answer_writer {
 public:
-    /// `is_winding_down` is read as the head goes out: a stop that began while the request ran
-    /// still tells the caller to move on.
+    /// `takes_chunks`: the caller speaks HTTP/1.1. `is_winding_down` is read as the head goes out:
+    /// a stop that began while the request ran still tells the caller to move on.
     answer_writer(Stream& stream, strand executor, time_span limit, bool keep_alive, bool is_head,
-                  const std::atomic<bool>& is_winding_down)
+                  bool takes_chunks, const std::atomic<bool>& is_winding_down)
         : m_stream(stream),
           m_executor(std::move(executor)),
           m_limit(limit),
           m_keep_alive(keep_alive),
           m_is_head(is_head),
+          m_takes_chunks(takes_chunks),
           m_is_winding_down(is_winding_down)
     {
     }
@@ -51,6 +52,9 @@
         for (;;) {
             auto item = co_await answer.next();
             if (!item || item->m_kind == piece::kind::cut) {
+                if (!m_takes_chunks) {
+                    close();
+                }
                 answer.set_over();
                 co_return false;
             }
@@ -70,11 +74,18 @@
     }
 
 private:
-    /// Nothing can be sent behind a part of a message.
+    /// Nothing can be sent behind a part of a message. Without chunks the end of the connection
+    /// ends the message, so that only a reset tells a part from the whole.
     void close()
     {
         error_code ignored;
-        lowest(m_stream).socket().close(ignored);
+        auto& socket = lowest(m_stream).socket();
+        if (m_takes_chunks) {
+            socket.close(ignored);
+        }
+        else {
+            reset_connection(socket);
+        }
     }
 
     asio::awaitable<error_code> write(piece item)
@@ -100,20 +111,20 @@
                 for (const auto& one : item.m_response.m_fields) {
                     head.insert(one.m_name, one.m_value);
                 }
+                m_keep_alive = m_keep_alive && m_takes_chunks;
                 head.keep_alive(m_keep_alive);
-                head.chunked(true);
+                head.chunked(m_takes_chunks);
                 bhttp::response_serializer<bhttp::empty_body> serializer(head);
                 co_await bhttp::async_write_header(m_stream, serializer, to_value(error));
                 break;
             }
             case piece::kind::data:
-                if (!item.m_data.empty()) {
-                    co_await asio::async_write(
-                        m_stream, bhttp::make_chunk(asio::buffer(item.m_data)), to_value(error));
-                }
+                co_await write_data(item.m_data, error);
                 break;
             case piece::kind::end:
-                co_await asio::async_write(m_stream, bhttp::make_chunk_last(), to_value(error));
+                if (m_takes_chunks) {
+                    co_await asio::async_write(m_stream, bhttp::make_chunk_last(), to_value(error));
+                }
                 break;
             case piece::kind::cut:
                 break;
@@ -121,11 +132,26 @@
         co_return error;
     }
 
+    asio::awaitable<void> write_data(const std::string& data, error_code& error)
+    {
+        if (data.empty()) {
+            co_return;  // an empty chunk would be the last one
+        }
+        const auto bytes = asio::buffer(data);
+        if (m_takes_chunks) {
+            co_await asio::async_write(m_stream, bhttp::make_chunk(bytes), to_value(error));
+        }
+        else {
+            co_await asio::async_write(m_stream, bytes, to_value(error));
+        }
+    }
+
     Stream& m_stream;
     strand m_executor;
     time_span m_limit;
     bool m_keep_alive;
     bool m_is_head;
+    bool m_takes_chunks;
     const std::atomic<bool>& m_is_winding_down;
 };
 
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -24,6 +24,7 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 using internal::error_code;
+using internal::reset_connection;
 using internal::strand;
 using internal::tcp;
 using internal::to_value;
@@ -83,15 +84,6 @@
     }
 }
 
-/// Closes a connection with a TCP reset. Unlike a normal close, this discards data in the kernel's
-/// send buffer instead of delivering it.
-void reset_connection(tcp::socket& socket)
-{
-    error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
-}
-
 /// The time for which a server says that it keeps an idle connection, less a margin; none where it
 /// doesn't say.
 std::optional<time_span> stated_idle_limit(const bhttp::response_header<>& head)
--- a/dewbeam/src/http/coroutines.h
+++ b/dewbeam/src/http/coroutines.h
@@ -41,4 +41,13 @@
     return stream.next_layer();
 }
 
+/// Closes a connection with a TCP reset. Unlike a normal close, this discards data in the kernel's
+/// send buffer instead of delivering it.
+inline void reset_connection(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 }  // namespace dewbeam::http::internal
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -19,6 +19,8 @@
 
 using namespace internal;
 
+constexpr unsigned first_version_with_chunks = 11;  ///< HTTP/1.1
+
 request to_request(bhttp::request<bhttp::string_body>&& source)
 {
     request result;
@@ -227,6 +229,7 @@
         }
         keep_alive = parser.keep_alive() && !state->m_is_winding_down;
         const bool is_head = parser.get().method() == bhttp::verb::head;
+        const bool takes_chunks = parser.get().version() >= first_version_with_chunks;
         auto answer = std::make_shared<queued_exchange>(executor, limits.m_most_unsent_bytes);
         lowest(stream).expires_never();
         caller_watch<Stream> watch(stream, buffer, executor,
@@ -235,7 +238,7 @@
         ++state->m_unanswered;
         state->m_handler(to_request(parser.release()), answer);
         answer_writer<Stream> writer(stream, executor, limits.m_write_limit, keep_alive, is_head,
-                                     state->m_is_winding_down);
+                                     takes_chunks, state->m_is_winding_down);
         keep_alive = co_await writer.run(*answer);
         --state->m_unanswered;
         co_await watch.stop();
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -172,6 +172,37 @@
     EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << answer;
 }
 
+TEST_F(http_server, caller_of_http_1_0_gets_the_bytes_of_a_stream_alone)
+{
+    start({}, [](request&&, const std::shared_ptr<exchange>& answer) {
+        answer->start(200, {});
+        answer->write("one ");
+        answer->write("two");
+        answer->finish();
+    });
+    const auto answer =
+        exchange_bytes("GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+    EXPECT_TRUE(answer.ends_with("\r\n\r\none two")) << answer;
+    EXPECT_FALSE(has(answer, "chunked")) << answer;
+}
+
+TEST_F(http_server, aborted_stream_without_a_frame_is_reset)
+{
+    start({}, [](request&&, const std::shared_ptr<exchange>& answer) {
+        answer->start(200, {});
+        answer->write("part");
+        answer->abort();
+    });
+    auto socket = connect();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.0\r\nHost: a\r\n\r\n")));
+    std::array<char, 4096> bytes{};
+    boost::system::error_code error;
+    while (!error) {
+        socket.read_some(asio::buffer(bytes), error);
+    }
+    EXPECT_EQ(error, asio::error::connection_reset) << error.message();
+}
+
 TEST_F(http_server, address_stays_when_it_stops_accepting)
 {
     start({}, always_ok());
