--- a/test/crash_content_session.py
+++ b/test/crash_content_session.py
@@ -174,6 +174,9 @@
     def test_a_stream_without_a_frame_that_ends_its_upstreams_ends_few(self):
         self.check_all_answered(self.check_few_ends("stream", "unframed"))
 
+    def test_a_stream_that_ends_its_upstreams_behind_its_end_ends_few(self):
+        self.check_all_answered(self.check_few_ends("stream", "after"))
+
     def test_a_content_that_may_not_run_twice_ends_few(self):
         self.check_all_answered(self.check_few_ends("once", "reset"))
 
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -128,7 +128,8 @@
 class MortalUpstream(Upstream):
     """An upstream that ends when it runs a path with `deadly-HOW` in it, or when it is told to; it
     never comes back. HOW: `reset`, `part` (after a part of its answer), `unframed` (closes its answer,
-    which has no length, inside an event, and then ends) or `silent`."""
+    which has no length, inside an event, and then ends), `after` (ends behind a whole answer) or
+    `silent`."""
 
     def __init__(self, name, service, registries, on_end):
         self.on_end = on_end
@@ -142,6 +143,10 @@
         if self.has_ended:
             time.sleep(3600.0)
         how = handler.path.rpartition("/deadly-")[2]
+        if how == "after":
+            super().serve(handler)
+            threading.Timer(0.02, self.end, ("reset",)).start()
+            return None
         if how not in ("reset", "part", "unframed", "silent"):
             return super().serve(handler)
         self.arrivals.append((handler.headers["Attempt-Id"], time.monotonic()))
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from soak.broken import BrokenAnswers, breaking_upstream
 from soak.callers import Caller, Operator
 from soak.deadly import DeadlyContents, mortal_upstream
 from soak.faults import GATEWAYS, REGISTRIES, Faults
@@ -66,10 +67,10 @@
             promises.fail("%s counts attempts of callers that are gone" % name)
 
 
-def run_seed(bin_folder, seed, seconds, work=None, deadly=False):
-    """Runs one seed, with contents that end upstreams if `deadly`. Gives what was broken, the faults
-    in order, and the counts of answers."""
-    make_upstream = mortal_upstream if deadly else None
+def run_seed(bin_folder, seed, seconds, work=None, deadly=False, broken=False):
+    """Runs one seed, with contents that end upstreams if `deadly`, or with answers that end in any
+    way if `broken`. Gives what was broken, the faults in order, and the counts of answers."""
+    make_upstream = mortal_upstream if deadly else breaking_upstream if broken else None
     with tempfile.TemporaryDirectory(dir=work) as folder, \
             SoakSite(bin_folder, folder, seed, make_upstream) as site:
         promises = Promises()
@@ -81,8 +82,11 @@
             thread.start()
         faults = Faults(seed, site, promises)
         contents = DeadlyContents(seed, site, promises, seconds) if deadly else None
+        answers = BrokenAnswers(seed, site, promises, seconds) if broken else None
         if contents:
             contents.start()
+        if answers:
+            answers.start()
         pauses = random.Random(seed + 1)
         until = now() + seconds
         while now() < until:
@@ -91,6 +95,8 @@
         faults.end()
         if contents:
             contents.end()
+        if answers:
+            answers.end()
         check_recovery(site, promises, callers)
         stop.set()
         for thread in [operator, *callers]:
--- a/test/soak_session.py
+++ b/test/soak_session.py
@@ -159,6 +159,11 @@
         print(summary(result))
         self.assertEqual(result["broken"], [], "\n".join(result["faults"]))
 
+    def test_answers_that_end_in_any_way_break_no_promise(self):
+        result = run_seed(OPTIONS.bin, STANDARD_SEED, SECONDS, broken=True)
+        print(summary(result))
+        self.assertEqual(result["broken"], [], "\n".join(result["faults"]))
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/tool/dewbeam_soak.py
+++ b/tool/dewbeam_soak.py
@@ -19,8 +19,11 @@
     parser.add_argument("--first", type=int, help="the first seed; left out, a fresh one is drawn")
     parser.add_argument("--seconds", type=float, default=12.0, help="of faults, for each seed")
     parser.add_argument("--jobs", type=int, default=4, help="seeds side by side")
-    parser.add_argument("--deadly", action="store_true",
-                        help="with contents that end the upstreams that run them")
+    kind = parser.add_mutually_exclusive_group()
+    kind.add_argument("--deadly", action="store_true",
+                      help="with contents that end the upstreams that run them")
+    kind.add_argument("--broken", action="store_true",
+                      help="with answers that end in any frame, at any place and in any way")
     parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
     return parser.parse_args()
 
@@ -31,7 +34,7 @@
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         runs = {pool.submit(run_seed, options.bin, seed, options.seconds,
-                            deadly=options.deadly): seed
+                            deadly=options.deadly, broken=options.broken): seed
                 for seed in range(first, first + options.seeds)}
         for run in concurrent.futures.as_completed(runs):
             try:
