--- a/test/soak/broken.py
+++ b/test/soak/broken.py
@@ -45,6 +45,7 @@
                                         for all_of_it in (FRAMES, PLACES, ENDS, LINES))
             last = draws.choice(list(BreakingUpstream.TAILS)) if place == "whole" \
                 else str(draws.randint(1, 2))
+            end = "fin" if place == "whole" else end  # without a frame, what is reset isn't whole
             gateway = draws.choice(GATEWAYS)
             request = "broken-answer-%s-%d" % (gateway, next(self.numbers))
             plan = (frame, place, end, lines, last)
