--- a/test/broken_answer_session.py
+++ b/test/broken_answer_session.py
@@ -161,12 +161,13 @@
         self.check_cut("stream", "close-head-fin-lf-2", 2)
 
     def test_a_silent_stream_is_never_passed_on_as_whole(self):
-        def ask(plan):
-            answers.append((plan, self.ask("stream", plan, plan)))
+        def ask(kind, plan):
+            answers.append((kind + " " + plan, self.ask(kind, plan, kind + plan)))
         answers = []
         plans = ["-".join((frame, place, "silence", "lf", "2"))
                  for frame, place in itertools.product(("length", "chunks", "close"), PLACES)]
-        threads = [threading.Thread(target=ask, args=(plan,)) for plan in plans]
+        threads = [threading.Thread(target=ask, args=case)
+                   for case in itertools.product(("stream", "fixed"), plans)]
         for thread in threads:
             thread.start()
         for thread in threads:
