Log each order to a rank's engine with the epoch and round that it serves

A step under two expert maps needs two orders for one rank that follow from different decisions. The logs held refused orders alone, by their numbers, so that neither the executor (the agent, or the coordinator in its place) nor the decision of an accepted order could be told afterwards.

engine_order now carries rank, substitute, kind, map, step, fencing number, epoch, its coordinator and the round. Orders that only read are left out, so that a change of the map adds about four lines a rank.

--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -40,6 +40,25 @@
                {"committing_ms", to_milliseconds(times.m_ended - times.m_armed)}});
 }
 
+/// Logs an order that changes an engine's state, with the decision that it carries out.
+void log_order(const group_map::participant& executor, const group_map::engine_order& order,
+               bool is_substitute)
+{
+    if (order.m_kind == group_map::order_kind::read) {
+        return;
+    }
+    log_event(log_level::info, "engine_order",
+              {{"rank", executor.m_options.m_rank.value()},
+               {"substitute", is_substitute},
+               {"kind", group_map::to_string(order.m_kind)},
+               {"map", order.m_target.m_map.m_number},
+               {"step", order.m_target.m_step.value()},
+               {"fencing", order.m_number.value()},
+               {"epoch", executor.m_promised.m_number},
+               {"coordinator", executor.m_promised.m_rank.value()},
+               {"round", executor.m_round.value()}});
+}
+
 }  // namespace
 
 group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
@@ -310,7 +329,12 @@
 {
     if (effects.m_close_connection || effects.m_order) {
         const auto place = m_substitutes.find(rank);
-        auto port = place == m_substitutes.end() ? m_order_port : place->second.m_port;
+        const bool is_substitute = place != m_substitutes.end();
+        auto port = is_substitute ? place->second.m_port : m_order_port;
+        if (effects.m_order) {
+            log_order(is_substitute ? place->second.m_participant : m_participant, *effects.m_order,
+                      is_substitute);
+        }
         todo.m_engines.push_back(
             {std::move(port), rank, effects.m_close_connection, effects.m_order});
     }
--- a/dewbeam/src/group_map/messages.cpp
+++ b/dewbeam/src/group_map/messages.cpp
@@ -26,4 +26,21 @@
     return "release";
 }
 
+const char* to_string(order_kind value)
+{
+    switch (value) {
+        case order_kind::read:
+            return "read";
+        case order_kind::stage:
+            return "stage";
+        case order_kind::hold:
+            return "hold";
+        case order_kind::switch_map:
+            return "switch_map";
+        case order_kind::release:
+            break;
+    }
+    return "release";
+}
+
 }  // namespace dewbeam::group_map
--- a/dewbeam/src/group_map/messages.h
+++ b/dewbeam/src/group_map/messages.h
@@ -88,6 +88,9 @@
     release,     ///< forget the armed switch, if it is this one
 };
 
+/// Term of an order for logs.
+const char* to_string(order_kind value);
+
 /// An order to the engine beside the agent.
 struct engine_order {
     order_kind m_kind = order_kind::read;
