Number orders by the epoch that they serve, and fence before reading

What callers saw: answers of a group in which two ranks used different expert maps in one step.

Cause: fencing numbers were taken from the start of each process and counted on, so that they ordered processes and not decisions. A rank has two executors while a coordinator substitutes for its agent, and whichever had the higher number was obeyed. An executor that was refused raised its number by 10 s and went on with its old goal, and a coordinator decided on states that orders of an earlier epoch could still change, because a read raised no number.

Now the number of an order is the number of its epoch and a count inside it; candidates use different epoch numbers, which begin at the wall clock. An executor raises its engine's number before it reads what it reports to a new epoch, so that no order of an earlier epoch changes what was read, whoever sends it and however late. One that is refused drops its goal and asks its coordinator for a higher epoch. Promises outlive a restart of the engines, so that numbers never fall. Messages are as before: the wish for a higher epoch is a promise of one, which earlier coordinators follow as well.

--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -75,6 +75,7 @@
     participant.m_silence_limit *= rank.value() + 1;  // ranks take over one after the other
     options.m_coordinator.m_rank = rank;
     options.m_coordinator.m_incarnation = own;
+    options.m_coordinator.m_first_epoch = group_map::min_epoch_above(fencing_number(own.value()));
     options.m_coordinator.m_ranks = static_cast<std::uint32_t>(options.m_members.size());
     return options;
 }
@@ -284,8 +285,8 @@
         }
         auto options = m_options.m_participant;
         options.m_rank = rank;
-        // The substitute has a later incarnation and higher fencing numbers than the agent, which
-        // started earlier.
+        // The substitute is a later incarnation than the agent, so that the coordinator starts a
+        // new epoch for it.
         const auto& known = m_coordinator.m_ranks[rank.value()].m_life;
         const auto min_incarnation = known ? known->m_agent.value() + 1 : 0;
         options.m_incarnation =
--- a/dewbeam/src/group/group_runner.h
+++ b/dewbeam/src/group/group_runner.h
@@ -35,8 +35,8 @@
     time_span m_late_answer_timeout = std::chrono::milliseconds(300);
 };
 
-/// Options of one rank. Incarnations and first fencing numbers are the process's start time, so
-/// that later incarnations have larger ones.
+/// Options of one rank. Incarnations, first epochs and first fencing numbers follow from the
+/// process's start time, so that later incarnations have larger ones.
 group_options make_group_options(std::string group, std::vector<std::string> members, rank_id rank,
                                  incarnation own, bool checks_fencing);
 
--- a/dewbeam/src/group_map/coordinator.cpp
+++ b/dewbeam/src/group_map/coordinator.cpp
@@ -63,10 +63,22 @@
     state.m_content.reset();
 }
 
+/// The lowest number above all epochs met that belongs to this candidate. Engines know epochs by
+/// their numbers alone.
+std::uint64_t next_epoch_number(const coordinator& state)
+{
+    const auto& options = state.m_options;
+    const std::uint64_t candidates = std::max(options.m_candidates, 1U);
+    const auto lowest =
+        std::max({state.m_highest_epoch, state.m_epoch.m_number, options.m_first_epoch}) + 1;
+    const auto own = options.m_rank.value() % candidates;
+    return lowest + (own + candidates - lowest % candidates) % candidates;
+}
+
 void start_epoch(coordinator& state, coordinator_effects& effects, time_point now)
 {
     end_change(state, change_result::lost, effects, now);
-    state.m_highest_epoch = std::max(state.m_highest_epoch, state.m_epoch.m_number) + 1;
+    state.m_highest_epoch = next_epoch_number(state);
     state.m_epoch = {state.m_highest_epoch, state.m_options.m_rank, state.m_options.m_incarnation};
     state.m_round = round_number();
     state.m_ranks.assign(state.m_options.m_ranks, rank_view());
--- a/dewbeam/src/group_map/coordinator.h
+++ b/dewbeam/src/group_map/coordinator.h
@@ -36,6 +36,8 @@
 struct coordinator_options {
     rank_id m_rank;
     incarnation m_incarnation;
+    /// Above the epochs of earlier processes, if clocks agree. Otherwise ranks ask for higher ones.
+    std::uint64_t m_first_epoch = 0;
     std::uint32_t m_ranks = 1;
     /// Ranks that step in where they hear of no coordinator: the first ones.
     std::uint32_t m_candidates = 3;
--- a/dewbeam/src/group_map/messages.cpp
+++ b/dewbeam/src/group_map/messages.cpp
@@ -2,6 +2,16 @@
 
 namespace dewbeam::group_map {
 
+fencing_number fencing_base(std::uint64_t epoch_number)
+{
+    return fencing_number(epoch_number * orders_per_epoch);
+}
+
+std::uint64_t min_epoch_above(fencing_number highest)
+{
+    return highest.value() / orders_per_epoch + 1;
+}
+
 map_id settled_map(const engine_state& engine)
 {
     return engine.m_armed && engine.m_switching ? engine.m_armed->m_map : engine.m_current;
--- a/dewbeam/src/group_map/messages.h
+++ b/dewbeam/src/group_map/messages.h
@@ -44,7 +44,7 @@
 };
 
 /// One reign of one coordinator. No two coordinators have the same: a rank and its incarnation
-/// count their own numbers up.
+/// count their own numbers up, and candidates use different numbers.
 struct epoch {
     std::uint64_t m_number = 0;
     rank_id m_rank;
@@ -53,6 +53,17 @@
     friend auto operator<=>(const epoch&, const epoch&) = default;
 };
 
+/// How many fencing numbers an epoch has for the orders to each rank. Epochs count seconds and
+/// fencing numbers microseconds of the wall clock, so that both exceed those of earlier processes.
+inline constexpr std::uint64_t orders_per_epoch = 1'000'000;
+
+/// The fencing number below those of an epoch's orders. An engine that has carried out an order of
+/// an epoch refuses all orders of lower epochs.
+fencing_number fencing_base(std::uint64_t epoch_number);
+
+/// The lowest epoch number whose orders exceed a fencing number.
+std::uint64_t min_epoch_above(fencing_number highest);
+
 /// The life in which a participant gave its word; its word ends with it. Later lives of a rank
 /// compare greater.
 struct participant_life {
@@ -81,7 +92,7 @@
 
 /// What an engine can be told. Each answer brings the engine's state.
 enum class order_kind {
-    read,        ///< only answer; raises the highest fencing number seen
+    read,        ///< only answer
     stage,       ///< fetch the weights that the map needs and the engine lacks
     hold,        ///< begin no step from the switch step on; refused once that step has begun
     switch_map,  ///< use the armed map from the switch step on; without hold: use it now
@@ -96,7 +107,8 @@
     order_kind m_kind = order_kind::read;
     fencing_number m_number;
     switch_point m_target;
-    map_content m_content;  ///< of `stage`
+    map_content m_content;          ///< of `stage`
+    bool m_raises_fencing = false;  ///< of `read`: lower numbers are refused from then on
 };
 
 /// The engine's answer.
@@ -137,7 +149,7 @@
 struct report {
     rank_id m_from;
     rank_id m_to;
-    epoch m_promised;  ///< the epoch that the rank obeys
+    epoch m_promised;  ///< the epoch that the rank obeys, or the lowest that it would obey
     round_number m_round;
     participant_life m_life;
     bool m_refused = false;
--- a/dewbeam/src/group_map/participant.cpp
+++ b/dewbeam/src/group_map/participant.cpp
@@ -23,6 +23,10 @@
     result.m_from = state.m_options.m_rank;
     result.m_to = to;
     result.m_promised = state.m_promised;
+    if (state.m_min_epoch > state.m_promised.m_number) {
+        // A coordinator goes above its own earlier epochs.
+        result.m_promised = {state.m_min_epoch, to, incarnation()};
+    }
     result.m_round = state.m_round;
     result.m_life = life_of(state);
     result.m_refused = refused;
@@ -42,9 +46,11 @@
         order.m_target = state.m_goal->m_target;
         order.m_content = state.m_goal->m_content;
     }
+    order.m_raises_fencing = kind == order_kind::read && state.m_must_fence && state.m_engine;
     state.m_last_order = order.m_number;
     state.m_order = order;
     state.m_order_serves_goal = kind != order_kind::read;
+    state.m_order_serves_epoch = state.m_promised.m_number != 0;
     state.m_must_read = false;
     state.m_answer_deadline = now + state.m_options.m_answer_limit;
     return order;
@@ -134,6 +140,37 @@
     return *state.m_done;
 }
 
+void drop_goal(participant& state)
+{
+    state.m_goal.reset();
+    state.m_order_serves_goal = false;
+    state.m_done.reset();
+    state.m_round = round_number();
+    state.m_poll_at = no_deadline;
+}
+
+/// Obeys no epoch below `min_epoch` any more, and tells the coordinator of this one.
+participant_effects decline_epoch(participant& state, std::uint64_t min_epoch)
+{
+    drop_goal(state);
+    state.m_must_fence = false;
+    state.m_min_epoch = std::max(state.m_min_epoch, min_epoch);
+    participant_effects effects;
+    effects.m_report = make_report(state, state.m_promised.m_rank, true);
+    effects.m_report->m_round = round_number();
+    return effects;
+}
+
+bool is_declined(const participant& state)
+{
+    return state.m_promised.m_number < state.m_min_epoch;
+}
+
+bool has_numbers_left(const participant& state)
+{
+    return state.m_last_order.value() + 1 < fencing_base(state.m_promised.m_number + 1).value();
+}
+
 /// Takes the next step towards the goal, if nothing is in the way.
 participant_effects advance(participant& state, time_point now)
 {
@@ -141,7 +178,10 @@
     if (state.m_order || now < state.m_quiet_at) {
         return effects;
     }
-    if (state.m_must_read) {
+    if (!has_numbers_left(state)) {
+        return is_declined(state) ? effects : decline_epoch(state, state.m_promised.m_number + 1);
+    }
+    if (state.m_must_read || state.m_must_fence) {
         effects.m_order = issue(state, order_kind::read, now);
         return effects;
     }
@@ -196,23 +236,24 @@
 
 bool obeys(const participant& state, const command& message)
 {
+    if (message.m_epoch.m_number < state.m_min_epoch) {
+        return false;
+    }
     if (message.m_kind == command_kind::collect) {
-        return message.m_epoch >= state.m_promised;
+        return message.m_epoch == state.m_promised ||
+               message.m_epoch.m_number > state.m_promised.m_number;
     }
     return message.m_epoch == state.m_promised && state.m_engine &&
            message.m_life == life_of(state);
 }
 
-/// All engines of the group restarted: nothing that was said before counts.
-void forget_promises(participant& state)
+/// From now on the orders are numbered by this epoch.
+void obey_epoch(participant& state, const epoch& newer)
 {
-    state.m_promised = epoch();
-    state.m_round = round_number();
-    state.m_goal.reset();
-    state.m_order_serves_goal = false;
-    state.m_done.reset();
-    state.m_poll_at = no_deadline;
-    state.m_open = false;
+    state.m_promised = newer;
+    state.m_last_order = fencing_base(newer.m_number);
+    state.m_order_serves_epoch = false;
+    state.m_must_fence = state.m_options.m_checks_fencing;
 }
 
 bool is_stage_under_way(const participant& state, const engine_order& order)
@@ -224,7 +265,9 @@
 {
     const bool restarted = state.m_engine && state.m_engine->m_group != answer.m_state.m_group;
     if (restarted) {
-        forget_promises(state);
+        drop_goal(state);  // all engines of the group restarted
+        state.m_must_fence = state.m_options.m_checks_fencing && state.m_promised.m_number != 0;
+        state.m_open = false;
     }
     if (!state.m_engine && !answer.m_state.m_can_hold) {
         // Requests of an earlier life may still be on their way to the engine.
@@ -240,7 +283,6 @@
 {
     participant state;
     state.m_options = options;
-    state.m_last_order = options.m_first_order;
     state.m_quiet_at = options.m_checks_fencing ? now : now + options.m_order_lifetime;
     state.m_requests_landed_at = now + options.m_order_lifetime;
     state.m_silent_at = now + options.m_silence_limit;
@@ -249,12 +291,17 @@
 
 participant_effects receive(participant& state, const command& message, time_point now)
 {
+    const bool shares_number =
+        message.m_epoch.m_number == state.m_promised.m_number && message.m_epoch > state.m_promised;
+    if (shares_number) {  // their orders couldn't be told apart
+        state.m_min_epoch = std::max(state.m_min_epoch, state.m_promised.m_number + 1);
+    }
     if (!obeys(state, message)) {
         return refuse(state, message);
     }
     state.m_silent_at = now + state.m_options.m_silence_limit;
     if (message.m_epoch > state.m_promised) {
-        state.m_promised = message.m_epoch;
+        obey_epoch(state, message.m_epoch);
         accept_goal(state, message);
     }
     else if (message.m_round > state.m_round) {
@@ -278,10 +325,16 @@
     state.m_answer_deadline = no_deadline;
     take_state(state, answer);
     const bool serves_goal = std::exchange(state.m_order_serves_goal, false);
-    if (answer.m_highest > state.m_last_order) {
-        state.m_last_order = answer.m_highest;  // a number of an earlier life; go above it
-        state.m_must_read = true;
-        return advance(state, now);
+    const bool serves_epoch = std::exchange(state.m_order_serves_epoch, false);
+    if (serves_epoch && answer.m_highest > order.m_number) {
+        // Orders of a newer epoch, or of processes whose clocks are ahead.
+        const auto highest = std::max(answer.m_highest, state.m_options.m_first_order);
+        return decline_epoch(state, min_epoch_above(highest));
+    }
+    if (order.m_raises_fencing && serves_epoch) {
+        state.m_must_fence = !answer.m_accepted;
+        state.m_quiet_at =
+            answer.m_accepted ? state.m_quiet_at : now + state.m_options.m_poll_interval;
     }
     if (serves_goal && !answer.m_accepted) {
         participant_effects effects;
--- a/dewbeam/src/group_map/participant.h
+++ b/dewbeam/src/group_map/participant.h
@@ -3,9 +3,14 @@
 ///
 /// It obeys the highest epoch it has met in this life, carries out one command at a time, and has
 /// at most one order with its engine. An agent that restarts knows nothing: it first learns from
-/// the engine what holds there, and before that makes sure that no order of its earlier life can
-/// still land. Engines that check fencing numbers refuse those; with one that ignores them the
-/// participant waits until they have run out.
+/// the engine what holds there.
+///
+/// A rank may have several executors: its agent, and substitutes at coordinators. The fencing
+/// numbers of orders follow from the epoch that they serve, and a participant raises its engine's
+/// number before it reports the state that a new epoch decides on. From then on no order of an
+/// earlier epoch changes that state, whoever sends it. A participant whose engine has seen a higher
+/// number gives no further order in its epoch; it asks for a higher one. With an engine that
+/// ignores numbers, it waits until earlier orders have run out.
 #pragma once
 
 #include "dewbeam/src/group_map/messages.h"
@@ -16,7 +21,8 @@
 struct participant_options {
     rank_id m_rank;
     incarnation m_incarnation;
-    fencing_number m_first_order;  ///< above every number of this rank's earlier lives
+    /// Above the numbers of earlier processes, if clocks agree: the wall clock time of the start.
+    fencing_number m_first_order;
     bool m_checks_fencing = true;  ///< whether the engine refuses old fencing numbers
     time_span m_answer_limit = std::chrono::milliseconds(500);  ///< then an answer counts as lost
     time_span m_order_lifetime = std::chrono::seconds(3);  ///< an order can't land later than this
@@ -28,13 +34,16 @@
 struct participant {
     participant_options m_options;
     epoch m_promised;
+    std::uint64_t m_min_epoch = 0;  ///< lower epochs have numbers that the engine refuses
     round_number m_round;
     std::optional<command> m_goal;         ///< the latest command obeyed
     std::optional<report> m_done;          ///< its report, once it is carried out
     std::optional<engine_state> m_engine;  ///< as last read
     bool m_must_read = true;               ///< the engine may have changed since
+    bool m_must_fence = false;             ///< orders of earlier epochs may still land
     std::optional<engine_order> m_order;   ///< that waits for its answer
     bool m_order_serves_goal = false;      ///< it was made for `m_goal`, not only to read
+    bool m_order_serves_epoch = false;     ///< it was made in the epoch that is obeyed
     fencing_number m_last_order;
     time_point m_answer_deadline = no_deadline;
     time_point m_quiet_at{};               ///< from then on no lost order can land
--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -9,10 +9,8 @@
 
 using group_map::order_kind;
 
-/// A refusal says that a higher fencing number was seen, but not which. Fencing numbers start at
-/// the wall clock time of the process start in microseconds. This increment (10 s) passes over
-/// incarnations whose start time came from a clock that was ahead.
-constexpr std::uint64_t fencing_jump = 10'000'000;
+/// A refusal says that a higher fencing number was seen, but not which.
+constexpr std::uint64_t fencing_jump = 10 * group_map::orders_per_epoch;
 
 /// An engine next to its agent answers within about 10 ms.
 constexpr std::chrono::milliseconds copy_interval{25};
@@ -58,7 +56,8 @@
     switch (order.m_kind) {
         case order_kind::read:
             // A `go` for a step that started long ago only raises the highest number seen.
-            return must_raise ? std::vector{make(kind::go)} : std::vector<rank_order>();
+            return must_raise || order.m_raises_fencing ? std::vector{make(kind::go)}
+                                                        : std::vector<rank_order>();
         case order_kind::stage:
             return {make(kind::prepare)};
         case order_kind::hold:
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -27,8 +27,8 @@
 /// Converts an engine's report to the protocol's engine state.
 group_map::engine_state to_state(const rank_report& report);
 
-/// The orders to an engine for one order of the protocol, in sequence. With `must_raise`, a read is
-/// done by an order that raises the engine's fencing number.
+/// The orders to an engine for one order of the protocol, in sequence. With `must_raise`, or if the
+/// order says so, a read is done by an order that raises the engine's fencing number.
 std::vector<rank_order> to_rank_orders(const group_map::engine_order& order,
                                        std::uint64_t formation, const placement* content,
                                        bool must_raise);
@@ -70,9 +70,9 @@
     fencing_number m_newest;
     bool m_is_newest_order_harmless = false;         ///< the order may safely be carried out late
     std::shared_ptr<pending_order> m_pending_order;  ///< the newest order
-    /// An order whose result isn't known, of this process or of an earlier one, may still be
-    /// carried out. The next order must therefore raise the fencing number, even if it only reads.
-    bool m_must_raise = true;
+    /// An order whose result isn't known may still be carried out. The next order must therefore
+    /// raise the fencing number, even if it only reads.
+    bool m_must_raise = false;
 };
 
 }  // namespace dewbeam::ranks
--- a/test/group_map_test.cpp
+++ b/test/group_map_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <queue>
+#include <set>
 #include <variant>
 
 #include "dewbeam/fake_engine"
@@ -126,6 +127,7 @@
         coordinator_options own;
         own.m_rank = rank_id(rank);
         own.m_incarnation = agent.m_incarnation;
+        own.m_first_epoch = min_epoch_above(options.m_first_order);
         own.m_ranks = static_cast<std::uint32_t>(m_agents.size());
         own.m_heartbeat_interval = milliseconds(200);
         agent.m_coordinator = make_coordinator(own);
@@ -659,5 +661,49 @@
     EXPECT_TRUE(receive(state, message, time_point()).m_order);
 }
 
+TEST(group_map, executor_that_is_refused_gives_no_order_before_a_higher_epoch)
+{
+    participant_options options;
+    options.m_first_order = fencing_number(5'000 * orders_per_epoch);
+    auto state = start_participant(options, time_point());
+    const auto first_read = tick(state, time_point()).m_order;
+    answered(state, {first_read->m_number, true, {}, {}}, time_point());
+    command message;
+    message.m_epoch = {7, rank_id(1), incarnation(1)};
+    message.m_round = round_number(1);
+    const auto order = receive(state, message, time_point()).m_order;
+    ASSERT_TRUE(order && order->m_raises_fencing);
+    EXPECT_EQ(order->m_number, fencing_number(7 * orders_per_epoch + 1));
+    const fencing_number higher(9 * orders_per_epoch);
+    const auto refused = answered(state, {order->m_number, false, higher, {}}, time_point());
+    EXPECT_FALSE(refused.m_order);
+    ASSERT_TRUE(refused.m_report);
+    EXPECT_GT(refused.m_report->m_promised, message.m_epoch);
+    EXPECT_EQ(refused.m_report->m_promised.m_rank, rank_id(1));
+    message.m_round = round_number(2);
+    EXPECT_FALSE(receive(state, message, time_point()).m_order);
+    EXPECT_FALSE(tick(state, time_point(std::chrono::minutes(1))).m_order);
+    message.m_epoch.m_number = refused.m_report->m_promised.m_number;
+    const auto next = receive(state, message, time_point()).m_order;
+    ASSERT_TRUE(next && next->m_raises_fencing);
+    EXPECT_GT(next->m_number, higher);
+}
+
+TEST(group_map, candidates_use_different_epoch_numbers)
+{
+    std::set<std::uint64_t> numbers;
+    for (std::uint32_t rank = 0; rank < 3; ++rank) {
+        coordinator_options options;
+        options.m_ranks = 3;
+        options.m_rank = rank_id(rank);
+        auto state = make_coordinator(options);
+        for (int i = 0; i < 5; ++i) {
+            EXPECT_TRUE(
+                numbers.insert(activate(state, 4, time_point()).m_commands.at(0).m_epoch.m_number)
+                    .second);
+        }
+    }
+}
+
 }  // namespace
 }  // namespace dewbeam::group_map
