Send no order for a read that follows a lost read

A substitute whose first read had no answer in time sent a go to its engine with the next read, numbered 2 or 3, before it obeyed any epoch.

A read changes nothing at the engine, so that a lost one leaves nothing to fence off. Reads that raise the number for a new epoch are repeated until the engine has taken one.

--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -117,7 +117,8 @@
     {
         const std::lock_guard lock(m_mutex);
         m_newest = std::max(m_newest, order.m_number);
-        m_is_newest_order_harmless = order.m_kind == order_kind::stage;
+        m_is_newest_order_harmless = order.m_kind == order_kind::stage ||
+                                     (order.m_kind == order_kind::read && !order.m_raises_fencing);
         m_pending_order = pending;
         pending->m_orders = to_rank_orders(order, *m_formation, &pending->m_content, m_must_raise);
     }
@@ -284,6 +285,7 @@
     {
         const std::lock_guard lock(m_mutex);
         // A `prepare` that arrives late changes no map; at worst it is refused for its old number.
+        // A read sends no order.
         m_must_raise |= !m_is_newest_order_harmless;
         if (m_pending_order) {
             copies = m_pending_order->m_copies;
