Order for the formation that was decided on, not for the newest known

What callers saw: nothing shown yet. An order that was decided for one formation of a group could pass as one of the next, in which steps begin anew: a hold then stops the group until somebody gives its go, and an old executor's disarm or go frees a rank.

A participant also took a fence for set that engines had forgotten in a restart between the go and the report behind it.

Now the order names the formation of the state that it follows from, and a fence counts only if the engine's state is still of that formation.

--- a/dewbeam/src/group_map/messages.h
+++ b/dewbeam/src/group_map/messages.h
@@ -106,6 +106,7 @@
 struct engine_order {
     order_kind m_kind = order_kind::read;
     fencing_number m_number;
+    incarnation m_group;  ///< of the engines for which it was decided; 0: of any
     switch_point m_target;
     map_content m_content;          ///< of `stage`
     bool m_raises_fencing = false;  ///< of `read`: lower numbers are refused from then on
--- a/dewbeam/src/group_map/participant.cpp
+++ b/dewbeam/src/group_map/participant.cpp
@@ -39,6 +39,7 @@
     engine_order order;
     order.m_kind = kind;
     order.m_number = fencing_number(state.m_last_order.value() + 1);
+    order.m_group = state.m_engine ? state.m_engine->m_group : incarnation();
     if (kind == order_kind::release) {
         order.m_target = *state.m_engine->m_armed;
     }
@@ -332,9 +333,12 @@
         return decline_epoch(state, min_epoch_above(highest));
     }
     if (order.m_raises_fencing && serves_epoch) {
-        state.m_must_fence = !answer.m_accepted;
-        state.m_quiet_at =
-            answer.m_accepted ? state.m_quiet_at : now + state.m_options.m_poll_interval;
+        // Engines that have restarted since have forgotten the number.
+        const bool is_fenced = answer.m_accepted && order.m_group == answer.m_state.m_group;
+        state.m_must_fence = !is_fenced;
+        if (!is_fenced) {
+            state.m_quiet_at = now + state.m_options.m_poll_interval;
+        }
     }
     if (serves_goal && !answer.m_accepted) {
         participant_effects effects;
--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -16,12 +16,23 @@
 constexpr std::chrono::milliseconds copy_interval{25};
 constexpr int max_copies = 6;
 
+/// Group 0 means that none is known.
+incarnation to_group(std::uint64_t formation)
+{
+    return incarnation(formation + 1);
+}
+
+std::uint64_t to_formation(incarnation group)
+{
+    return group.value() == 0 ? 0 : group.value() - 1;
+}
+
 }  // namespace
 
 group_map::engine_state to_state(const rank_report& report)
 {
     group_map::engine_state result;
-    result.m_group = incarnation(report.m_formation + 1);  // 0 means no group
+    result.m_group = to_group(report.m_formation);
     result.m_step = group_map::step_number(report.m_step.value() + 1);
     result.m_current = group_map::map_of_number(report.m_map);
     if (report.m_prepared) {
@@ -91,12 +102,8 @@
 };
 
 rank_engine::rank_engine(boost::asio::io_context& context, const endpoint& address,
-                         const http::client_options& options, const rank_format& format,
-                         std::shared_ptr<const std::atomic<std::uint64_t>> formation)
-    : m_context(context),
-      m_client(context, address, options),
-      m_format(format),
-      m_formation(std::move(formation))
+                         const http::client_options& options, const rank_format& format)
+    : m_context(context), m_client(context, address, options), m_format(format)
 {
 }
 
@@ -120,7 +127,8 @@
         m_is_newest_order_harmless = order.m_kind == order_kind::stage ||
                                      (order.m_kind == order_kind::read && !order.m_raises_fencing);
         m_pending_order = pending;
-        pending->m_orders = to_rank_orders(order, *m_formation, &pending->m_content, m_must_raise);
+        pending->m_orders =
+            to_rank_orders(order, to_formation(order.m_group), &pending->m_content, m_must_raise);
     }
     send_next(pending);
 }
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -13,7 +13,6 @@
 /// `disarm` whose result isn't known. After each order the engine's state is read.
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -36,11 +35,9 @@
 /// One engine. Must be owned by a `shared_ptr`, which its calls in flight hold.
 class rank_engine : public group::engine_port, public std::enable_shared_from_this<rank_engine> {
 public:
-    /// `address` is the engine's. Orders are sent for the formation of the group that `formation`
-    /// holds at that time.
+    /// `address` is the engine's.
     rank_engine(boost::asio::io_context& context, const endpoint& address,
-                const http::client_options& options, const rank_format& format,
-                std::shared_ptr<const std::atomic<std::uint64_t>> formation);
+                const http::client_options& options, const rank_format& format);
 
     void send(const group_map::engine_order& order, group::order_done done) override;
     void cancel() override;
@@ -66,7 +63,6 @@
     http::client m_client;
     const rank_format& m_format;
     std::mutex m_mutex;
-    std::shared_ptr<const std::atomic<std::uint64_t>> m_formation;
     fencing_number m_newest;
     bool m_is_newest_order_harmless = false;         ///< the order may safely be carried out late
     std::shared_ptr<pending_order> m_pending_order;  ///< the newest order
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -207,7 +207,7 @@
     std::shared_ptr<rank_engine> make_engine(const endpoint& address)
     {
         return std::make_shared<rank_engine>(m_frame.context(), address, engine_client_options(),
-                                             m_format, m_formation);
+                                             m_format);
     }
 
     // Reports and counts of the engine.
@@ -225,9 +225,6 @@
                                                   : absl::StatusOr<rank_report>(got.status());
                        const std::lock_guard lock(m_mutex);
                        m_report = read.ok() ? std::optional(*read) : std::nullopt;
-                       if (m_report) {
-                           *m_formation = m_report->m_formation;
-                       }
                    });
     }
 
@@ -535,9 +532,6 @@
     incarnation m_incarnation;
     endpoint m_address;
     http::client m_reports;
-    /// Formation of the group, as last reported by this rank's engine.
-    std::shared_ptr<std::atomic<std::uint64_t>> m_formation =
-        std::make_shared<std::atomic<std::uint64_t>>(0);
     std::shared_ptr<rank_engine> m_engine;
     registrar::registry_feed m_feed;
     std::atomic<bool> m_is_started = false;  ///< the link node exists
--- a/test/group_map_test.cpp
+++ b/test/group_map_test.cpp
@@ -689,6 +689,28 @@
     EXPECT_GT(next->m_number, higher);
 }
 
+TEST(group_map, engine_that_restarts_behind_its_fence_is_fenced_again)
+{
+    participant_options options;
+    auto state = start_participant(options, time_point());
+    const auto first_read = tick(state, time_point()).m_order;
+    engine_answer answer{first_read->m_number, true, {}, {}};
+    answer.m_state.m_group = incarnation(1);
+    answered(state, answer, time_point());
+    command message;
+    message.m_epoch = {7, rank_id(1), incarnation(1)};
+    message.m_round = round_number(1);
+    const auto order = receive(state, message, time_point()).m_order;
+    ASSERT_TRUE(order && order->m_raises_fencing);
+    EXPECT_EQ(order->m_group, incarnation(1));
+    answer.m_number = answer.m_highest = order->m_number;
+    answer.m_state.m_group = incarnation(2);
+    EXPECT_FALSE(answered(state, answer, time_point()).m_report);
+    const auto again = tick(state, time_point(std::chrono::minutes(1))).m_order;
+    ASSERT_TRUE(again && again->m_raises_fencing);
+    EXPECT_EQ(again->m_group, incarnation(2));
+}
+
 TEST(group_map, candidates_use_different_epoch_numbers)
 {
     std::set<std::uint64_t> numbers;
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -126,9 +126,8 @@
                                                  std::chrono::milliseconds cancel_after)
 {
     const auto format = small_format();
-    const auto formation = std::make_shared<std::atomic<std::uint64_t>>(3);
     const auto port = std::make_shared<rank_engine>(engine.m_context, engine.m_server->address(),
-                                                    http::client_options(), format, formation);
+                                                    http::client_options(), format);
     engine_order order;
     order.m_kind = order_kind::hold;
     order.m_number = fencing_number(9);
@@ -144,6 +143,30 @@
     return result.get();
 }
 
+std::atomic<std::uint64_t> ordered_formation = 0;
+
+TEST(rank_engine, an_order_is_for_the_formation_that_it_was_decided_for)
+{
+    unresponsive_engine engine(1);
+    auto format = small_format();
+    format.m_order_call = [](const rank_order& order) {
+        ordered_formation = order.m_formation;
+        return http::request{"POST", "/order", {}, {}};
+    };
+    rank_report known;
+    known.m_formation = 3;
+    const auto port = std::make_shared<rank_engine>(engine.m_context, engine.m_server->address(),
+                                                    http::client_options(), format);
+    engine_order order;
+    order.m_kind = order_kind::hold;
+    order.m_number = fencing_number(9);
+    order.m_group = to_state(known).m_group;
+    std::promise<void> ended;
+    port->send(order, [&](const absl::StatusOr<group_map::engine_answer>&) { ended.set_value(); });
+    ended.get_future().wait();
+    EXPECT_EQ(ordered_formation, 3U);
+}
+
 TEST(rank_engine, an_unanswered_order_is_sent_again_until_a_copy_is_answered)
 {
     unresponsive_engine engine(4);
