Substitute for late agents only where engines check fencing numbers

Where engines ignore fencing numbers, nothing keeps the late orders of a substitute, or of the agent that it stands for, from being carried out beside those of a newer epoch; only a starting participant waits until earlier orders have run out.

Evidence: by reading (rank_server set the port whatever /engine/checks_fencing said), by a reviewer who had not seen the work. A group whose agent stands still then holds until the agent goes on, as the entry's groups do.

--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -414,6 +414,10 @@
             at.m_group, at.m_members, at.m_rank, incarnation(m_incarnation.value() + m_runners),
             setting_value<bool>(m_settings, "/engine/checks_fencing"));
         set_timing(options);
+        if (!options.m_participant.m_checks_fencing) {
+            return options;  // engines couldn't tell a substitute's orders from an agent's late
+                             // ones
+        }
         options.m_make_port =
             [this, engines = at.m_engines](rank_id rank) -> std::shared_ptr<group::engine_port> {
             const std::lock_guard lock(m_mutex);
