Repeat the unanswered orders of a new participant at an old port

What callers saw: a group that holds for 150 ms longer than needed where one answer was lost. A rank whose group has changed its layout gets a new participant with the port of the old one, which kept the highest fencing number of both as the newest: orders with lower numbers were neither repeated nor cancelled, and the number that must be raised was never taken as raised.

Evidence: rank_engine.an_unanswered_order_of_a_new_participant_is_sent_again failed before (no answer in 30 s), and passes. The port now knows its newest order itself instead of by its number.

--- a/dewbeam/src/ranks/rank_engine.cpp
+++ b/dewbeam/src/ranks/rank_engine.cpp
@@ -123,7 +123,6 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        m_newest = std::max(m_newest, order.m_number);
         m_is_newest_order_harmless = order.m_kind == order_kind::stage ||
                                      (order.m_kind == order_kind::read && !order.m_raises_fencing);
         m_pending_order = pending;
@@ -137,7 +136,7 @@
                              std::shared_ptr<http::client_exchange> exchange)
 {
     const std::lock_guard lock(m_mutex);
-    if (pending.m_answered > index || pending.m_order.m_number != m_newest) {
+    if (pending.m_answered > index || m_pending_order.get() != &pending) {
         return false;
     }
     pending.m_copies.push_back(std::move(exchange));
@@ -220,7 +219,7 @@
 bool rank_engine::is_waiting(const pending_order& pending, std::size_t index)
 {
     const std::lock_guard lock(m_mutex);
-    return pending.m_answered == index && pending.m_order.m_number == m_newest;
+    return pending.m_answered == index && m_pending_order.get() == &pending;
 }
 
 void rank_engine::after_order(const std::shared_ptr<pending_order>& pending, order_result result)
@@ -282,7 +281,7 @@
 void rank_engine::note_fencing_raised(const pending_order& pending)
 {
     const std::lock_guard lock(m_mutex);
-    if (pending.m_order.m_number == m_newest) {
+    if (m_pending_order.get() == &pending) {
         m_must_raise = false;
     }
 }
--- a/dewbeam/src/ranks/rank_engine.h
+++ b/dewbeam/src/ranks/rank_engine.h
@@ -63,7 +63,6 @@
     http::client m_client;
     const rank_format& m_format;
     std::mutex m_mutex;
-    fencing_number m_newest;
     bool m_is_newest_order_harmless = false;         ///< the order may safely be carried out late
     std::shared_ptr<pending_order> m_pending_order;  ///< the newest order
     /// An order whose result isn't known may still be carried out. The next order must therefore
--- a/test/ranks_test.cpp
+++ b/test/ranks_test.cpp
@@ -118,19 +118,16 @@
     std::vector<std::shared_ptr<http::exchange>> m_unanswered;
     std::thread m_thread;
     std::atomic<int> m_orders = 0;
-    int m_first_answered_order;
+    std::atomic<int> m_first_answered_order;
 };
 
-/// Sends one `hold` order to an engine and returns its result.
-absl::StatusOr<group_map::engine_answer> hold_at(unresponsive_engine& engine,
-                                                 std::chrono::milliseconds cancel_after)
+/// Sends one `hold` order through a port and returns its result.
+absl::StatusOr<group_map::engine_answer> hold_through(rank_engine* port, fencing_number number,
+                                                      std::chrono::milliseconds cancel_after)
 {
-    const auto format = small_format();
-    const auto port = std::make_shared<rank_engine>(engine.m_context, engine.m_server->address(),
-                                                    http::client_options(), format);
     engine_order order;
     order.m_kind = order_kind::hold;
-    order.m_number = fencing_number(9);
+    order.m_number = number;
     order.m_target = {group_map::map_of_number(7), group_map::step_number(40)};
     std::promise<absl::StatusOr<group_map::engine_answer>> ended;
     auto result = ended.get_future();
@@ -143,6 +140,16 @@
     return result.get();
 }
 
+/// The same through a new port to an engine.
+absl::StatusOr<group_map::engine_answer> hold_at(unresponsive_engine& engine,
+                                                 std::chrono::milliseconds cancel_after)
+{
+    const auto format = small_format();
+    const auto port = std::make_shared<rank_engine>(engine.m_context, engine.m_server->address(),
+                                                    http::client_options(), format);
+    return hold_through(port.get(), fencing_number(9), cancel_after);
+}
+
 std::atomic<std::uint64_t> ordered_formation = 0;
 
 TEST(rank_engine, an_order_is_for_the_formation_that_it_was_decided_for)
@@ -176,6 +183,18 @@
     EXPECT_EQ(engine.m_orders, 4);
 }
 
+TEST(rank_engine, an_unanswered_order_of_a_new_participant_is_sent_again)
+{
+    unresponsive_engine engine(1);
+    const auto format = small_format();
+    const auto port = std::make_shared<rank_engine>(engine.m_context, engine.m_server->address(),
+                                                    http::client_options(), format);
+    const auto limit = std::chrono::milliseconds(500);
+    ASSERT_TRUE(hold_through(port.get(), fencing_number(9), limit).ok());
+    engine.m_first_answered_order = 4;
+    EXPECT_TRUE(hold_through(port.get(), fencing_number(1), limit).ok());
+}
+
 TEST(rank_engine, copies_of_an_order_end_with_its_cancellation)
 {
     unresponsive_engine engine(1000);
