Begin one epoch for all substitutes of a moment

What callers saw: streams of a whole group that pause while it holds. A coordinator that substitutes for several late ranks began a new epoch for the first report of each, up to nine in a row, and each asks all ranks twice. Until then a substitute obeyed the epoch that the agent obeys as well.

Now the epoch begins as soon as the substitutes are there.

--- a/dewbeam/src/group/group_runner.cpp
+++ b/dewbeam/src/group/group_runner.cpp
@@ -275,6 +275,7 @@
     if (late.size() > std::max<std::size_t>(1, m_options.m_members.size() / max_late_divisor)) {
         return;  // this host is unreachable or has just started
     }
+    const auto substitutes_before = m_substitutes.size();
     for (const auto rank : late) {
         if (rank == m_options.m_participant.m_rank || m_substitutes.contains(rank)) {
             continue;
@@ -285,8 +286,7 @@
         }
         auto options = m_options.m_participant;
         options.m_rank = rank;
-        // The substitute is a later incarnation than the agent, so that the coordinator starts a
-        // new epoch for it.
+        // The substitute is a later incarnation than the agent.
         const auto& known = m_coordinator.m_ranks[rank.value()].m_life;
         const auto min_incarnation = known ? known->m_agent.value() + 1 : 0;
         options.m_incarnation =
@@ -301,6 +301,11 @@
                   {{"group", m_options.m_group}, {"rank", rank.value()}});
         collect(group_map::tick(added.m_participant, now), rank, todo);
     }
+    if (m_substitutes.size() > substitutes_before) {
+        // One new epoch for all of them, instead of one for the first report of each.
+        collect(group_map::activate(m_coordinator, m_participant.m_promised.m_number, now), todo,
+                now);
+    }
 }
 
 /// Returns ranks to their own agents, in a new epoch.
