Keep relays while links to them are made

What callers saw: on a large site all streams paused for about two seconds after the coordinating rank's host had been killed and was back.

Cause: a round that most ranks have not answered when it is repeated, after 150 ms, moved all blocks to their next relay. A coordinator that is new has links to none of them, and the relay has none to its block. The next relay needed all of these anew, so that its answer was late as well, the next repeat moved on again, and no relay was used twice. Slow staging, which holds up nobody, moved the relays too, just before the hold.

Now relays are replaced only if they have had 600 ms since the round began or since the last replacement, which is time for a link that has to be made twice, and only in blocks whose relay or most of whose ranks are silent. A round that few ranks have not answered marks their relays as lost as before.

Price: if the relays of three blocks or more freeze at once, their blocks wait for a substitution or for the 600 ms instead of 150 ms.

--- a/dewbeam/src/group/group_router.cpp
+++ b/dewbeam/src/group/group_router.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint32_t max_ranks_without_relays = 32;
 /// Each retry of a lost relay delays its block until the commands are repeated.
 constexpr time_span lost_relay_retry_delay = std::chrono::seconds(5);
+/// The first link to a relay may have to be replaced before it answers, and the relay needs links
+/// to its block, too. A relay that is replaced earlier is followed by one that needs them all anew.
+constexpr time_span relay_answer_timeout = std::chrono::milliseconds(600);
 
 struct block {
     std::uint32_t m_first = 0;
@@ -26,9 +29,15 @@
     return {first, std::min(ranks, first + size)};
 }
 
-/// Marks a relay as lost if its own answer or those of most of its block are missing.
-void mark_lost_relays(group_router& state, const std::vector<outgoing_command>& commands,
-                      routing_result& out, time_point now)
+std::uint32_t block_index(const group_router& state, rank_id rank)
+{
+    return rank.value() / block_size(state.m_ranks);
+}
+
+/// Relays whose own answer is missing, or those of most of their blocks.
+std::vector<rank_id> find_silent_relays(const group_router& state,
+                                        const std::vector<outgoing_command>& commands,
+                                        time_point now)
 {
     std::map<std::uint32_t, std::uint32_t> missing;  // by relay
     std::set<std::uint32_t> unresponsive;
@@ -41,13 +50,36 @@
             unresponsive.insert(rank.value());
         }
     }
+    std::vector<rank_id> result;
     for (const auto& [relay, count] : missing) {
         const auto own_block = block_of(state.m_ranks, rank_id(relay));
         if (unresponsive.contains(relay) || 2 * count > own_block.m_end - own_block.m_first) {
-            state.m_relay_unused_until[relay] = now + lost_relay_retry_delay;
-            out.m_lost_relays.emplace_back(relay);
+            result.emplace_back(relay);
         }
     }
+    return result;
+}
+
+void mark_lost_relays(group_router& state, const std::vector<outgoing_command>& commands,
+                      routing_result& out, time_point now)
+{
+    out.m_lost_relays = find_silent_relays(state, commands, now);
+    for (const auto relay : out.m_lost_relays) {
+        state.m_relay_unused_until[relay.value()] = now + lost_relay_retry_delay;
+    }
+}
+
+/// Prefers other ranks as relays for blocks that didn't answer in time.
+void replace_silent_relays(group_router& state, const std::vector<outgoing_command>& commands,
+                           time_point now)
+{
+    if (now < state.m_relays_due) {
+        return;
+    }
+    state.m_relays_due = now + relay_answer_timeout;
+    for (const auto relay : find_silent_relays(state, commands, now)) {
+        ++state.m_relay_offsets[block_index(state, relay)];
+    }
 }
 
 void add(wire::GroupBundle& bundle, wire::GroupMessage message)
@@ -118,6 +150,7 @@
     result.m_self = self;
     result.m_ranks = ranks;
     result.m_relay_unused_until.resize(ranks);
+    result.m_relay_offsets.resize(reporter_count(ranks));
     return result;
 }
 
@@ -153,8 +186,9 @@
     }
     const auto own_block = block_of(state.m_ranks, rank);
     const auto size = own_block.m_end - own_block.m_first;
+    const auto offset = state.m_relay_offsets[block_index(state, rank)];
     for (std::uint32_t i = 0; i < size; ++i) {
-        const auto candidate = own_block.m_first + (state.m_relay_offset + i) % size;
+        const auto candidate = own_block.m_first + (offset + i) % size;
         // The coordinator doesn't relay for its own block, since it has the highest load already.
         if (rank_id(candidate) != state.m_self && state.m_relay_unused_until[candidate] <= now) {
             return rank_id(candidate);
@@ -169,13 +203,17 @@
     routing_result result;
     // If most ranks are missing, their agents are still starting, their engines are stalled or this
     // host can't reach them. This doesn't show that any one relay is lost, and repeated messages to
-    // each rank directly would only load this host. Other ranks are tried as relays instead.
+    // each rank directly would only load this host. Other ranks are tried as relays instead, once
+    // the present ones have had the time to answer.
     const bool are_few = commands.size() <= std::size_t{2} * block_size(state.m_ranks);
     if (are_few) {
         mark_lost_relays(state, commands, result, now);
     }
     else if (commands.back().m_is_repeat) {
-        ++state.m_relay_offset;
+        replace_silent_relays(state, commands, now);
+    }
+    else {
+        state.m_relays_due = now + relay_answer_timeout;  // a new round
     }
     std::map<rank_id, wire::GroupBundle> bundles;
     for (auto& item : commands) {
--- a/dewbeam/src/group/group_router.h
+++ b/dewbeam/src/group/group_router.h
@@ -5,7 +5,8 @@
 /// coordinator sends the commands for a block as one bundle to the block's relay, which forwards
 /// them and gathers the reports. The coordinator's link and processor thus handle one message per
 /// block instead of one per rank. A relay may be lost with all that it holds: unanswered commands
-/// are repeated, and repeats go directly to their ranks, unless most ranks are missing.
+/// are repeated, and repeats go directly to their ranks, unless most ranks are missing. Relays are
+/// then used for long enough to make new links before others are tried.
 ///
 /// \code
 /// for (const auto& item : group::send_commands(router, std::move(commands), now).m_outgoing) {
@@ -52,7 +53,8 @@
     std::uint32_t m_ranks = 0;
     /// At the coordinator, by rank: a lost relay isn't used before this time.
     std::vector<time_point> m_relay_unused_until;
-    std::uint32_t m_relay_offset = 0;  ///< at the coordinator: preferred relay in each block
+    std::vector<std::uint32_t> m_relay_offsets;  ///< at the coordinator: preferred relay by block
+    time_point m_relays_due{};  ///< at the coordinator: silent relays are replaced from then on
     /// Receiver of reports: the relay that forwarded the last command; none: the coordinator.
     std::optional<rank_id> m_report_relay;
     std::set<std::uint32_t> m_awaited;     ///< at a relay: ranks whose reports are missing
