Share the site of sessions about upstreams that end

crash_content_session holds a site of gateways and registrars over upstreams that end and come back, and a sender of requests. A session about parts of prompts needs both, so they move to mortal_site.

--- a/test/crash_content_session.py
+++ b/test/crash_content_session.py
@@ -2,141 +2,24 @@
 else may be blamed. Real gateways and registrars, stand-ins of upstreams that come back."""
 
 import argparse
-import json
 import os
 import random
 import shutil
 import signal
 import sys
-import tempfile
 import threading
 import time
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
 sys.path.insert(0, os.path.dirname(__file__))
-from dewbeam_site import Site, free_port  # noqa: E402
-from platform_standins import MortalUpstream, call, configuration  # noqa: E402
+from mortal_site import SPAN_S, MortalSite, Repeater  # noqa: E402
 from soak.deadly import MOST_LATE, SETTLED_S  # noqa: E402
 
-GATEWAYS = 6
-REGISTRIES = 3
-UPSTREAMS = 6
-SPAN_S = 14.0
 MOST_ENDS = 6
 
 
-class Repeater(threading.Thread):
-    """Sends copies of a request to the gateways in turn."""
-
-    def __init__(self, session, path, pause_s, name):
-        super().__init__(daemon=True)
-        self.session, self.path, self.pause_s, self.name = session, path, pause_s, name
-        self.stop = threading.Event()
-        self.answers = []  # (sent at, took, status, body)
-        self.calls = []
-        self.start()
-
-    def run(self):
-        index = 0
-        while not self.stop.wait(self.pause_s):
-            self.calls.append(threading.Thread(target=self.send, args=(index,)))
-            self.calls[-1].start()
-            index += 1
-
-    def send(self, index):
-        path = self.path.replace("*", str(index))
-        begun = time.monotonic()
-        status, body = self.session.ask(path, index % GATEWAYS, "%s-%d" % (self.name, index))
-        took = time.monotonic() - self.session.seen_from(begun, index % GATEWAYS)
-        self.answers.append((begun, took, status, body))
-
-    def end(self):
-        self.stop.set()
-        self.join()
-        for one in self.calls:
-            one.join()
-        return self.answers
-
-
-class CrashContentSession(unittest.TestCase):
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.work = folder.name
-        self.site = Site(OPTIONS.bin, folder.name)
-        self.addCleanup(self.site.kill_all)
-        self.links = ["127.0.0.1:%d" % free_port() for _ in range(REGISTRIES)]
-        for index in range(REGISTRIES):
-            self.site.add("r%d" % index, "dewbeam-registrar", {
-                **self.common("r%d" % index), "link": {"listen": self.links[index]},
-                "data_folder": self.data_folder(index), "found": True,
-                "stop": {"notice_ms": 0, "drain_ms": 2000}})
-        for index in range(GATEWAYS):
-            self.site.add("g%d" % index, "dewbeam-gateway", {
-                **self.common("g%d" % index),
-                "readiness_listen": "127.0.0.1:%d" % free_port(),
-                "link": {"listen": "127.0.0.1:%d" % free_port()},
-                "stop": {"notice_ms": 300, "drain_ms": 4000}})
-        for process in self.site.processes.values():
-            process.start()
-        self.ports = [self.site.processes["r%d" % i].http_port() for i in range(REGISTRIES)]
-        self.gateways = [self.site.processes["g%d" % i].http_port() for i in range(GATEWAYS)]
-        self.upstreams = []
-        self.ends = []  # of upstreams: (time, name)
-        self.pauses = []  # of gateways: (name, from, to)
-        self.closing = threading.Event()
-        self.addCleanup(self.close)
-        for _ in range(UPSTREAMS):
-            self.add_upstream()
-        self.site.wait_for(lambda: self.put(configuration(1)), "a configuration")
-        self.site.wait_for(lambda: all(self.knows_all(i) for i in range(GATEWAYS)), "the gateways")
-
-    def common(self, name):
-        return {"deployment": self.site.deployment, "host": name, "failure_domain": "z1",
-                "threads": 1, "http": {"listen": "127.0.0.1:%d" % free_port()},
-                "registries": {"seeds": self.links}}
-
-    def data_folder(self, index):
-        return os.path.join(self.work, "data-r%d" % index)
-
-    def put(self, document):
-        return call(self.ports[0], "PUT", "/-/config", json.dumps(document))[0] == 200
-
-    def knows_all(self, index):
-        listen = self.site.processes["g%d" % index].settings["readiness_listen"]
-        status, body = call(int(listen.rsplit(":", 1)[1]), "GET", "/v1/status")
-        page = json.loads(body) if status == 200 else {"revision": 0, "upstreams": []}
-        return page["revision"] > 0 and len(page["upstreams"]) >= UPSTREAMS
-
-    def add_upstream(self):
-        name = "i-%d" % len(self.upstreams)
-        self.upstreams.append(MortalUpstream(name, "chat", self.ports, self.on_end))
-
-    def on_end(self, upstream):
-        """Another one takes the place of an upstream that ended, after a while."""
-        self.ends.append((time.monotonic(), upstream.name))
-        if not self.closing.wait(2.5):
-            self.add_upstream()
-
-    def close(self):
-        self.closing.set()
-        for upstream in self.upstreams:
-            upstream.stop()
-
-    def ask(self, path, gateway, request):
-        head = {"Host": "api.example", "Attempt-Id": request, "Deadline-Ms": "4000",
-                "Authorization": "Bearer key-1"}
-        return call(self.gateways[gateway], "POST", path, "{}", head)
-
-    def logs(self):
-        return "".join(self.site.processes["g%d" % i].log() for i in range(GATEWAYS))
-
-    def seen_from(self, sent_at, gateway):
-        """When a gateway could see a call: one that stands still can't."""
-        return max([sent_at] + [until for name, since, until in self.pauses
-                                if name == "g%d" % gateway and since <= sent_at <= until])
-
+class CrashContentSession(MortalSite):
     def check_few_ends(self, kind, how, pause_s=0.4, disturb=None):
         deadly = Repeater(self, "/%s/deadly-%s" % (kind, how), pause_s, "deadly")
         calm = Repeater(self, "/safe/calm-*", 0.1, "calm")
@@ -158,10 +41,6 @@
             self.assertLess(took, 1.0, "a refusal that could come at once")
         return calm_answers
 
-    def check_all_answered(self, answers):
-        failed = [(status, body) for _, _, status, body in answers if status != 200]
-        self.assertEqual(failed, [], "%d of %d" % (len(failed), len(answers)))
-
     def test_a_content_that_resets_its_upstreams_ends_few(self):
         self.check_all_answered(self.check_few_ends("safe", "reset"))
 
@@ -271,4 +150,5 @@
     PARSER = argparse.ArgumentParser()
     PARSER.add_argument("--bin", required=True)
     OPTIONS, REST = PARSER.parse_known_args()
+    MortalSite.bin = OPTIONS.bin
     unittest.main(argv=[sys.argv[0], *REST], verbosity=2)
