Quarantine parts of prompts that crash the upstreams that begin to answer

What callers saw: requests with one part in their prompts, else never alike, ended upstream after upstream for as long as they came; of the others none was served in time, and 502 answered many.

Cause: evidence was kept by whole content (method, target, body, workspace, service). Each of these requests had a record of its own with one death, and none reached the limit of three. The class: a limit that is kept for a key which the cause doesn't share.

Now gateways also report the parts of a prompt, but for the last one, of each attempt whose answer had begun less than 0.5 s before its upstream ended; requests that had not begun are no evidence. The reports travel and merge like those of contents. A run that goes on for longer than 0.5 s, or ends well, speaks for its parts, also one from before, so that a part that all share is not blamed. At three deaths, of runs that knew of each other, requests with the part are refused at once, those that wait for a place or for the begin of an answer too, as not run and with the end of the quarantine. The next attempt of such a request waits until it is known whether its upstream ended.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -8,6 +8,7 @@
 
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
+#include "dewbeam/src/gateway/part_blame.h"
 
 namespace dewbeam::gateway {
 
@@ -47,7 +48,7 @@
 lost_attempt loss_of(const request_pointer& request, const sent_attempt& sent, time_point now)
 {
     const auto& known = request->known();
-    return {known.m_content, known.m_pool, sent.m_order, now};
+    return {known.m_content, known.m_pool, sent.m_order, now, {}};
 }
 
 void log_suspicion(const gateway_state& state, const char* event,
@@ -119,6 +120,9 @@
         auto crash = crash_report_of(where, loss);
         crash.m_is_doubtful = is_doubtful;
         report(state, where, loss, crash, reason, now);
+        if (!is_doubtful) {
+            report_parts(state, loss, crash, reason, now);
+        }
     }
 }
 
@@ -148,6 +152,7 @@
     for (const auto& loss : judged) {
         auto crash = crash_report_of(where, loss);
         crash.m_is_outweighed = true;
+        report_parts(state, loss, crash, "upstream_goes_on", now);
         registrar::pooled_suspicion subject{loss.m_pool, {}};
         subject.m_record.m_content = loss.m_content;
         subject.m_record.m_crash_reports.push_back(crash);
@@ -194,10 +199,14 @@
 }
 
 void note_loss(gateway_state& state, const request_pointer& request, const sent_attempt& sent,
-               time_point now)
+               bool has_part_evidence, time_point now)
 {
+    auto loss = loss_of(request, sent, now);
+    if (has_part_evidence && sent.m_parts) {
+        loss.m_parts = *sent.m_parts;
+    }
     const std::lock_guard lock(state.m_crashes.m_mutex);
-    note_loss(state.m_crashes.m_losses, incarnation_of(sent), loss_of(request, sent, now));
+    note_loss(state.m_crashes.m_losses, incarnation_of(sent), loss);
 }
 
 /// Probes again an upstream that accepted a connection after one of its connections broke.
@@ -287,14 +296,15 @@
 }  // namespace
 
 void handle_broken_attempt(gateway_state& state, const request_pointer& request,
-                           const sent_attempt& sent, std::function<void()> then, time_point now)
+                           const sent_attempt& sent, bool has_part_evidence,
+                           std::function<void()> then, time_point now)
 {
     const auto target = state.m_upstreams.find(sent.m_upstream);
     if (!target.m_client || target.m_is_leaving) {
         then();
         return;
     }
-    note_loss(state, request, sent, now);
+    note_loss(state, request, sent, has_part_evidence, now);
     const auto is_over = std::make_shared<std::atomic<bool>>(false);
     const std::function<void()> go_on = [is_over, then = std::move(then)] {
         if (!is_over->exchange(true)) {
@@ -303,7 +313,8 @@
     };
     // A suspect that is retried immediately could crash the next upstream before the last crash is
     // known.
-    const bool is_suspect = state.m_feed.is_suspected(request->known().m_content, now);
+    const bool is_suspect =
+        has_part_evidence || state.m_feed.is_suspected(request->known().m_content, now);
     state.m_crashes.m_probe.wait(is_suspect ? crash_decision_time : max_hold, go_on);
     state.m_crashes.m_probe.ask(target.m_address, [&state, sent, address = target.m_address,
                                                    is_suspect, go_on](probe_result result) {
@@ -319,7 +330,7 @@
         state.m_upstreams.heard_at(sent.m_upstream) >= sent.m_sent_at) {
         return;
     }
-    note_loss(state, request, sent, now);
+    note_loss(state, request, sent, false, now);
     state.m_pools.suspend_exclusive_grant(request->known().m_pool, request->known().m_content);
     state.m_crashes.m_probe.wait(
         unanswered_check_delay,
@@ -397,6 +408,10 @@
 void apply_suspicion(gateway_state& state, const registrar::pooled_suspicion& received,
                      time_point now)
 {
+    if (is_about_part(received)) {
+        apply_part_suspicion(state, received, now);
+        return;
+    }
     log_suspicion(state, "suspicion_heard", received, "", "registry", now);
     merge(state, received, now);
     offset_crash_reports(state, received.m_record, now);
--- a/dewbeam/src/gateway/crash_blame.h
+++ b/dewbeam/src/gateway/crash_blame.h
@@ -21,9 +21,11 @@
 
 /// Handles an attempt whose connection ended before the answer was complete. `then` is called once
 /// it is known whether the upstream crashed, or after a short time if that can't be determined. A
-/// retry sent earlier could crash another upstream.
+/// retry sent earlier could crash another upstream. `has_part_evidence` says that a crash may be
+/// due to a part of the prompt.
 void handle_broken_attempt(gateway_state& state, const request_pointer& request,
-                           const sent_attempt& sent, std::function<void()> then, time_point now);
+                           const sent_attempt& sent, bool has_part_evidence,
+                           std::function<void()> then, time_point now);
 
 /// Handles an attempt that is late or was given up while its upstream has not started to answer.
 void check_unanswered_attempt(gateway_state& state, const request_pointer& request,
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dewbeam/src/gateway/crash_blame.h"
+#include "dewbeam/src/gateway/part_blame.h"
 
 namespace dewbeam::gateway {
 
@@ -172,6 +173,10 @@
     }
     if (is_completed && !outcome.m_is_upstream_fault) {
         note_good_run(state, request, now);
+        if (const auto attempt = attempt_number(request->result().m_times.m_attempts);
+            request->note_good_run(attempt)) {
+            note_good_part_run(state, request, now);
+        }
     }
     if (is_completed) {
         finish(state, request, now);
@@ -234,7 +239,18 @@
     const auto end = [&state, request, sent, outcome] {
         end_attempt(state, request, sent.m_upstream, outcome, program::now());
     };
-    handle_broken_attempt(state, request, sent, end, now);
+    const bool has_evidence = is_part_evidence(outcome.m_writing_since, now);
+    handle_broken_attempt(state, request, sent, has_evidence, end, now);
+}
+
+/// An answer that goes on shows that the parts of its prompt crash no upstream.
+void note_parts_that_run_on(gateway_state& state, const request_pointer& request,
+                            attempt_number attempt, time_point now)
+{
+    const auto since = request->writing_since(attempt);
+    if (since && has_outlived_crash(*since, now) && request->note_good_run(attempt)) {
+        note_good_part_run(state, request, now);
+    }
 }
 
 http::client_handlers handlers_of(gateway_state& state, const request_pointer& request,
@@ -268,6 +284,7 @@
     };
     result.m_on_data = [&state, request, upstream, attempt](std::string bytes) {
         const auto now = program::now();
+        note_parts_that_run_on(state, request, attempt, now);
         switch (request->receive_data(attempt, std::move(bytes), now)) {
             case data_result::nothing:
                 break;
@@ -312,7 +329,15 @@
                 now);
         return;
     }
+    if (const auto refusal = quarantined_part_refusal(state, known, now)) {
+        give_up(state, request, *refusal, now);
+        return;
+    }
     const auto order = state.m_feed.next_order(known.m_content);
+    const auto parts =
+        known.m_parts.empty()
+            ? nullptr
+            : std::make_shared<const std::vector<part_evidence>>(begin_part_run(state, known));
     const auto begun = request->begin(action.m_upstream, target.m_incarnation, order, now);
     if (!begun) {
         perform(state, state.m_pools.cancel(known.m_pool, known.m_ticket, now), now);
@@ -330,7 +355,7 @@
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
         handlers_of(state, request,
-                    {action.m_upstream, target.m_incarnation, begun->m_number, now, order}));
+                    {action.m_upstream, target.m_incarnation, begun->m_number, now, order, parts}));
     request->attach(begun->m_number, std::move(exchange));
 }
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -70,6 +70,7 @@
     }
     m_exchange.reset();
     m_head = {};
+    m_writing_since.reset();
     m_fields.clear();
     m_body.clear();
     replies::drop_partial(m_events);
@@ -110,6 +111,9 @@
     m_head = std::move(head);
     m_frame = http::frame_of(m_head.m_status, fields);
     m_fields = format.m_to_caller(fields);
+    if (is_success(m_head.m_status)) {
+        m_writing_since = now;
+    }
     if (is_success(m_head.m_status) && !m_head.m_is_event_stream &&
         m_result.m_times.m_first_byte == time_point{}) {
         m_result.m_times.m_first_byte = now;
@@ -171,6 +175,7 @@
     answer.m_unfinished_bytes = m_events.m_partial.size();
     auto outcome = judge_end(result, how_far);
     outcome.m_answer = answer;
+    outcome.m_writing_since = m_writing_since;
     m_may_have_run = m_may_have_run || !retry::is_never_begun(outcome.m_end);
     return outcome;
 }
@@ -278,6 +283,19 @@
     m_exchange.reset();
 }
 
+std::optional<time_point> gateway_request::writing_since(attempt_number attempt) const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool is_current = m_has_attempt && m_attempts == attempt.value();
+    return is_current ? m_writing_since : std::nullopt;
+}
+
+bool gateway_request::note_good_run(attempt_number attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_good_attempt, attempt.value()) != attempt.value();
+}
+
 bool gateway_request::abandon(attempt_number attempt)
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -15,6 +15,7 @@
 #include "dewbeam/routes"
 #include "dewbeam/src/gateway/answer_end.h"
 #include "dewbeam/src/gateway/lateness.h"
+#include "dewbeam/src/gateway/lost_attempt_tracker.h"
 #include "dewbeam/src/gateway/wire_format.h"
 
 namespace dewbeam::gateway {
@@ -30,6 +31,7 @@
     const char* m_reason = "";         ///< name in logs and metrics
     bool m_is_group_fault = false;     ///< the whole group can't serve because another rank failed
     answer_end m_answer{};
+    std::optional<time_point> m_writing_since{};  ///< when the answer began; empty: it had not
 };
 
 /// An attempt, with the upstream it was sent to and when.
@@ -39,6 +41,7 @@
     attempt_number m_number;
     time_point m_sent_at{};
     std::uint32_t m_order = 0;  ///< of a crash report; see `quarantine::crash_report`
+    std::shared_ptr<const std::vector<part_evidence>> m_parts{};  ///< null: the prompt has none
 };
 
 /// An attempt that starts.
@@ -86,7 +89,8 @@
         const routes::route* m_route = nullptr;
         workspace_id m_workspace;
         std::uint32_t m_priority = 0;
-        fingerprint m_content;  ///< identical for all copies of the request
+        fingerprint m_content;             ///< identical for all copies of the request
+        std::vector<fingerprint> m_parts;  ///< keys of the prompt's parts, the last one left out
         caller_call m_call;
         http::request m_request;
         time_point m_arrival{};
@@ -116,6 +120,13 @@
     std::optional<attempt_outcome> receive_end(attempt_number attempt, const absl::Status& result,
                                                http::progress how_far);
 
+    /// When the current attempt's answer began; empty if it has not, or if this isn't the attempt.
+    [[nodiscard]] std::optional<time_point> writing_since(attempt_number attempt) const;
+
+    /// Records that the run of the current attempt counts as good. Returns true only the first time
+    /// for each attempt.
+    bool note_good_run(attempt_number attempt);
+
     /// Gives the attempt up: nothing more of it is delivered, and its exchange is cancelled.
     /// Returns false if the attempt is not the current one.
     bool abandon(attempt_number attempt);
@@ -184,8 +195,10 @@
     std::optional<stored_failure> m_failure;
     bool m_is_over = false;
     bool m_may_have_run = false;
-    time_point m_last_sent{};           ///< when the last attempt was sent
-    bool m_attempt_has_events = false;  ///< the last attempt has delivered events
+    time_point m_last_sent{};                   ///< when the last attempt was sent
+    bool m_attempt_has_events = false;          ///< the last attempt has delivered events
+    std::optional<time_point> m_writing_since;  ///< when the answer of the last attempt began
+    std::uint32_t m_good_attempt = 0;           ///< the last attempt whose run counts as good
     request_end m_result;
 };
 
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dewbeam/src/gateway/forwarder.h"
+#include "dewbeam/src/gateway/part_blame.h"
 
 namespace dewbeam::gateway {
 
@@ -202,6 +203,11 @@
     const auto& service = pick_service(state, *known.m_route);
     known.m_pool = pool_name(service);
     known.m_content = content_of(known);
+    known.m_parts = part_keys_of(known.m_call, known.m_pool);
+    if (const auto refusal = quarantined_part_refusal(state, known, now)) {
+        refuse(*subject.m_answer, known.m_request_id, *refusal);
+        return;
+    }
     auto info = to_info(known, service);
     const auto answer = std::move(subject.m_answer);
     const request_pointer request(new gateway_request(std::move(known), answer));
--- a/dewbeam/src/gateway/lost_attempt_tracker.h
+++ b/dewbeam/src/gateway/lost_attempt_tracker.h
@@ -20,12 +20,19 @@
     friend auto operator<=>(const upstream_incarnation&, const upstream_incarnation&) = default;
 };
 
+/// A prompt part of an attempt, and the order of a crash report for it.
+struct part_evidence {
+    fingerprint m_part;
+    std::uint32_t m_order = 0;
+};
+
 /// An attempt that ended without a complete answer.
 struct lost_attempt {
     fingerprint m_content;
     std::string m_pool;
     std::uint32_t m_order = 0;  ///< of a crash report; see `quarantine::crash_report`
     time_point m_lost_at{};
+    std::vector<part_evidence> m_parts{};  ///< if the attempt had just begun to write its answer
 };
 
 struct lost_attempt_tracker {
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -219,6 +219,16 @@
     return quarantine::deaths_of(m_suspicions.m_table, content, now);
 }
 
+std::optional<time_point> registry_feed::quarantined_until(fingerprint subject,
+                                                           time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& table = m_suspicions.m_table;
+    const bool is_quarantined =
+        quarantine::standing_of(table, subject, now) == quarantine::standing::quarantined;
+    return is_quarantined ? std::optional(quarantine::ends_at(table, subject, now)) : std::nullopt;
+}
+
 void registry_feed::set_limits(std::vector<permits::rate_limit> known,
                                std::vector<permits::demand> wanted)
 {
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -106,6 +106,10 @@
     /// The number of upstream crashes that count against a content.
     [[nodiscard]] std::size_t deaths_of(fingerprint content, time_point now) const;
 
+    /// When the quarantine of a content or prompt part ends; empty if it isn't quarantined.
+    [[nodiscard]] std::optional<time_point> quarantined_until(fingerprint subject,
+                                                              time_point now) const;
+
     /// Sends the watches that are due.
     void tick(const load_list& loads, const slowdown_list& paces, time_point now);
 
--- /dev/null
+++ b/test/part_blame_test.cpp
@@ -0,0 +1,45 @@
+// Prompt parts that crash upstreams: which parts a request has, and what counts as evidence.
+#include "dewbeam/src/gateway/part_blame.h"
+
+#include <gtest/gtest.h>
+
+#include "dewbeam/quarantine"
+
+namespace dewbeam::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::seconds(5)};
+
+std::vector<fingerprint> keys_of(std::vector<std::uint64_t> parts, const std::string& pool = "a")
+{
+    caller_call call;
+    call.m_prompt_parts = std::move(parts);
+    return part_keys_of(call, pool);
+}
+
+TEST(part_blame, the_last_part_of_a_prompt_belongs_to_its_request_alone)
+{
+    EXPECT_TRUE(keys_of({}).empty());
+    EXPECT_TRUE(keys_of({1}).empty());
+    EXPECT_EQ(keys_of({1, 2, 3}), keys_of({1, 2, 4}));
+    EXPECT_EQ(keys_of({1, 1, 3}).size(), 1U);
+}
+
+TEST(part_blame, a_part_is_known_wherever_it_stands_and_apart_in_each_pool)
+{
+    EXPECT_EQ(keys_of({1, 2, 3}).front(), keys_of({5, 1, 3}).back());
+    EXPECT_NE(keys_of({1, 2}), keys_of({1, 2}, "b"));
+}
+
+TEST(part_blame, only_an_answer_that_has_just_begun_is_evidence)
+{
+    EXPECT_FALSE(is_part_evidence(std::nullopt, start));
+    EXPECT_TRUE(is_part_evidence(start, start + milliseconds(100)));
+    EXPECT_FALSE(is_part_evidence(start, start + std::chrono::seconds(1)));
+    EXPECT_TRUE(has_outlived_crash(start, start + std::chrono::seconds(1)));
+}
+
+}  // namespace
+}  // namespace dewbeam::gateway
