Charge a slow upstream no more than its measured excess

Cause: the score adds 0.1 s for each multiple by which an upstream's first tokens exceed the pool's mean, whatever that mean is. Where first tokens take 2 ms, one that takes 20 ms costs 0.9 s, which outweighs all else; the upstream then gets no requests that could show that it has recovered. The class: a ratio of small times taken for a time.

The cost is now at most the measured excess in seconds. Reported skew of groups costs as before, and so does an upstream whose excess is above 0.1 s for each multiple. The broker's test fails without the change: 3 of 32, 8 wanted.

--- a/dewbeam/src/dispatch/choose.cpp
+++ b/dewbeam/src/dispatch/choose.cpp
@@ -75,9 +75,10 @@
                                                    freshness(context, upstream, running_lifetime)) /
                                      slots
                                : 0.0;
-    facts.m_slowness =
-        std::max(upstream.m_info.m_report.m_skew,
-                 slowness_of(upstream.m_slowness, context.m_pool_speed, context.m_now));
+    facts.m_skew = upstream.m_info.m_report.m_skew;
+    facts.m_slowness = slowness_of(upstream.m_slowness, context.m_pool_speed, context.m_now);
+    facts.m_excess_seconds =
+        excess_seconds(upstream.m_slowness, context.m_pool_speed, context.m_now);
     facts.m_missing_kv = missing_kv(upstream, info);
     facts.m_recent_tokens = recent_work(upstream, context.m_now);
     return {index, facts.m_missing_tokens, routing::expected_wait(facts, context.m_speed)};
--- a/dewbeam/src/dispatch/health.cpp
+++ b/dewbeam/src/dispatch/health.cpp
@@ -14,6 +14,25 @@
 constexpr double ratio_lifetime = 2.0;
 constexpr double largest_ratio = 10.0;
 
+/// Ratio of an upstream's time to the pool's, and the weight that it still has.
+struct measured_ratio {
+    double m_value = 1.0;
+    double m_weight = 0.0;
+};
+
+measured_ratio ratio_of(const slowness& state, const slowness& pool, time_point now)
+{
+    if (state.m_seconds <= 0.0 || pool.m_seconds <= 0.0) {
+        return {};
+    }
+    const double ratio = state.m_seconds / pool.m_seconds;
+    if (ratio < min_ratio) {
+        return {};
+    }
+    const double age = std::max(0.0, to_seconds(now - state.m_noted_at));
+    return {ratio, std::exp(-age / ratio_lifetime)};
+}
+
 void decay(health& state, const health_options& options, time_point now)
 {
     const double passed = to_seconds(now - state.m_counted_at) / to_seconds(options.m_half_life);
@@ -66,16 +85,13 @@
 
 double slowness_of(const slowness& state, const slowness& pool, time_point now)
 {
-    if (state.m_seconds <= 0.0 || pool.m_seconds <= 0.0) {
-        return 1.0;
-    }
-    const double ratio = std::min(state.m_seconds / pool.m_seconds, largest_ratio);
-    if (ratio < min_ratio) {
-        return 1.0;
-    }
-    const double fading =
-        std::exp(-std::max(0.0, to_seconds(now - state.m_noted_at)) / ratio_lifetime);
-    return 1.0 + (ratio - 1.0) * fading;
+    const auto ratio = ratio_of(state, pool, now);
+    return 1.0 + (std::min(ratio.m_value, largest_ratio) - 1.0) * ratio.m_weight;
+}
+
+double excess_seconds(const slowness& state, const slowness& pool, time_point now)
+{
+    return (state.m_seconds - pool.m_seconds) * ratio_of(state, pool, now).m_weight;
 }
 
 }  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/health.h
+++ b/dewbeam/src/dispatch/health.h
@@ -64,4 +64,8 @@
 /// towards 1 without new measurements, so that an upstream that was avoided is tried again.
 double slowness_of(const slowness& state, const slowness& pool, time_point now);
 
+/// Seconds by which the upstream's first tokens come later than the pool's; 0 where `slowness_of`
+/// is 1. Decays like it.
+double excess_seconds(const slowness& state, const slowness& pool, time_point now);
+
 }  // namespace dewbeam::dispatch
--- a/dewbeam/src/routing/score.h
+++ b/dewbeam/src/routing/score.h
@@ -12,7 +12,9 @@
     double m_missing_tokens = 0.0;  ///< prompt tokens of the request that its cache lacks
     double m_occupancy = 0.0;       ///< share of its slots that is taken
     double m_urgent_share = 0.0;    ///< for urgent work: share of its slots that urgent work has
-    double m_slowness = 1.0;        ///< its step time over that of the pool, with group skew
+    double m_skew = 1.0;            ///< step time of its group's slowest rank over the mean
+    double m_slowness = 1.0;        ///< its time to the first token over that of the pool
+    double m_excess_seconds = 0.0;  ///< by which its first tokens come later than the pool's
     double m_missing_kv = 0.0;      ///< tokens of memory that must become free first
     double m_recent_tokens = 0.0;   ///< own work sent there lately, decayed
 };
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -103,6 +103,26 @@
     }
 }
 
+TEST(broker, an_upstream_that_was_some_milliseconds_late_keeps_its_share)
+{
+    fixture f;
+    f.put(make_upstream("late", 16));
+    f.put(make_upstream("sound", 16));
+    int sent_to_late = 0;
+    for (std::uint64_t id = 1; id <= 64; ++id) {
+        auto request = make_request(id);
+        request.m_prompt_tokens = {0};
+        const bool goes_late = f.add(request).at(0).m_upstream == upstream_id("late");
+        sent_to_late += id > 32 && goes_late ? 1 : 0;
+        const auto answer_time = milliseconds(goes_late && id > 24 && id <= 32 ? 15 : 2);
+        f.pass(answer_time);
+        first_token(f.m_broker, ticket{id}, f.m_now);
+        f.end(id, attempt_end::completed);
+        f.pass(milliseconds(125) - answer_time);
+    }
+    EXPECT_GE(sent_to_late, 8) << "a quarter of 32";
+}
+
 TEST(broker, urgent_work_may_be_sent_on_only_while_that_can_end_well)
 {
     fixture f;
