Resume broken streams without prompt parts at once

Callers of a stream that broke within its first 0.5 s waited until the gateway had judged the upstream, although the request had no prompt parts that the crash could be evidence against: is_part_evidence looked at the time alone.

Evidence needs an attempt whose prompt has parts.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -202,7 +202,7 @@
                bool has_part_evidence, time_point now)
 {
     auto loss = loss_of(request, sent, now);
-    if (has_part_evidence && sent.m_parts) {
+    if (has_part_evidence) {
         loss.m_parts = *sent.m_parts;
     }
     const std::lock_guard lock(state.m_crashes.m_mutex);
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -239,7 +239,7 @@
     const auto end = [&state, request, sent, outcome] {
         end_attempt(state, request, sent.m_upstream, outcome, program::now());
     };
-    const bool has_evidence = is_part_evidence(outcome.m_writing_since, now);
+    const bool has_evidence = is_part_evidence(sent, outcome.m_writing_since, now);
     handle_broken_attempt(state, request, sent, has_evidence, end, now);
 }
 
--- a/dewbeam/src/gateway/part_blame.cpp
+++ b/dewbeam/src/gateway/part_blame.cpp
@@ -103,9 +103,10 @@
     return result;
 }
 
-bool is_part_evidence(const std::optional<time_point>& since, time_point now)
+bool is_part_evidence(const sent_attempt& sent, const std::optional<time_point>& since,
+                      time_point now)
 {
-    return since && !has_outlived_crash(*since, now);
+    return sent.m_parts && since && !has_outlived_crash(*since, now);
 }
 
 bool has_outlived_crash(time_point since, time_point now)
--- a/dewbeam/src/gateway/part_blame.h
+++ b/dewbeam/src/gateway/part_blame.h
@@ -26,9 +26,10 @@
 std::vector<part_evidence> begin_part_run(const gateway_state& state,
                                           const gateway_request::facts& known);
 
-/// Whether a crash of the upstream now may be due to an attempt that began to write at `since`;
-/// empty: it had not begun.
-bool is_part_evidence(const std::optional<time_point>& since, time_point now);
+/// Whether a crash of the upstream now may be due to a prompt part of an attempt whose answer began
+/// at `since`; empty: it had not begun.
+bool is_part_evidence(const sent_attempt& sent, const std::optional<time_point>& since,
+                      time_point now);
 
 /// Whether a run that began to write at `since` speaks for its parts.
 bool has_outlived_crash(time_point since, time_point now);
--- a/test/part_blame_test.cpp
+++ b/test/part_blame_test.cpp
@@ -35,9 +35,11 @@
 
 TEST(part_blame, only_an_answer_that_has_just_begun_is_evidence)
 {
-    EXPECT_FALSE(is_part_evidence(std::nullopt, start));
-    EXPECT_TRUE(is_part_evidence(start, start + milliseconds(100)));
-    EXPECT_FALSE(is_part_evidence(start, start + std::chrono::seconds(1)));
+    sent_attempt sent;
+    sent.m_parts = std::make_shared<const std::vector<part_evidence>>(1);
+    EXPECT_FALSE(is_part_evidence(sent, std::nullopt, start));
+    EXPECT_TRUE(is_part_evidence(sent, start, start + milliseconds(100)));
+    EXPECT_FALSE(is_part_evidence(sent, start, start + std::chrono::seconds(1)));
     EXPECT_TRUE(has_outlived_crash(start, start + std::chrono::seconds(1)));
 }
 
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -172,6 +172,16 @@
         self.assertEqual(status, 503)
         self.assertNotIn("req-%d" % self.last_request, [run[0] for run in self.runs()])
 
+    def test_a_broken_stream_without_prompt_parts_is_resumed_before_its_upstream_is_judged(self):
+        self.begin()
+        took = []
+        for _ in range(3):
+            self.upstreams[0].cuts = self.upstreams[1].cuts = [5]
+            begun = time.monotonic()
+            self.assertEqual(self.ask("/stream/x")[0], 200)
+            took.append(time.monotonic() - begun)
+        self.assertLess(min(took), 0.2, took)
+
     def test_configurations_are_kept_checked_and_never_go_back(self):
         self.begin()
         sent = configuration(30, tenants=[{"name": "t1", "api-keys": ["key-2"]}])
