Give each stand-in of an upstream a name of its own

Sessions and the soak name a new upstream by how many there are. Two that replace upstreams which ended within milliseconds of each other could get the same name: two servers then announced one name at two addresses, and the end of one was no end of that name. Names are now drawn under a lock, and what a session sets on a new upstream is set before others see it. No check has changed.

--- a/test/crash_part_session.py
+++ b/test/crash_part_session.py
@@ -39,10 +39,11 @@
 
 
 class CrashPartSession(MortalSite):
-    def add_upstream(self):
-        super().add_upstream()
-        self.upstreams[-1].pause_s = EVENT_PAUSE_S
-        self.upstreams[-1].breaks_answers = True
+    def make_upstream(self, name):
+        upstream = super().make_upstream(name)
+        upstream.pause_s = EVENT_PAUSE_S
+        upstream.breaks_answers = True
+        return upstream
 
     @staticmethod
     def arrivals_of(name, upstreams):
--- a/test/mortal_site.py
+++ b/test/mortal_site.py
@@ -79,6 +79,7 @@
         self.ports = [self.site.processes["r%d" % i].http_port() for i in range(REGISTRIES)]
         self.gateways = [self.site.processes["g%d" % i].http_port() for i in range(GATEWAYS)]
         self.upstreams = []
+        self.adding = threading.Lock()
         self.ends = []  # of upstreams: (time, name)
         self.pauses = []  # of gateways: (name, from, to)
         self.closing = threading.Event()
@@ -106,8 +107,11 @@
         return page["revision"] > 0 and len(page["upstreams"]) >= UPSTREAMS
 
     def add_upstream(self):
-        name = "i-%d" % len(self.upstreams)
-        self.upstreams.append(MortalUpstream(name, "chat", self.ports, self.on_end))
+        with self.adding:
+            self.upstreams.append(self.make_upstream("i-%d" % len(self.upstreams)))
+
+    def make_upstream(self, name):
+        return MortalUpstream(name, "chat", self.ports, self.on_end)
 
     def on_end(self, upstream):
         """Another one takes the place of an upstream that ended, after a while."""
--- a/test/soak/site.py
+++ b/test/soak/site.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import threading
 
 from dewbeam_site import Site, free_port
 from platform_standins import Upstream, call
@@ -40,6 +41,7 @@
         self.registry_ports = [self.port("r%d" % i) for i in range(REGISTRIES)]
         self.upstreams = []
         self.proxies = {}
+        self.adding = threading.Lock()
         for index in range(UPSTREAMS):
             self.add_upstream(seed)
 
@@ -74,11 +76,12 @@
 
     def add_upstream(self, seed):
         """One more upstream, announced at the address of its proxy."""
-        upstream, proxy = self.make_upstream(self, seed)
-        upstream.address = proxy.address
-        self.proxies[upstream.name] = proxy
-        self.upstreams.append(upstream)
-        return upstream
+        with self.adding:  # its name is their number
+            upstream, proxy = self.make_upstream(self, seed)
+            upstream.address = proxy.address
+            self.proxies[upstream.name] = proxy
+            self.upstreams.append(upstream)
+            return upstream
 
     def process(self, name):
         return self.site.processes[name]
