Blame silent upstreams although others crashed beside them

An upstream that falls silent is blamed on its contents only if more of its neighbours announce themselves than fell silent in the last 5 s, since many silent ones look like a network partition. Upstreams whose processes had crashed counted as silent, too, although their hosts refuse connections: of the seven others that had fallen silent at the verdict on i-6, six had crashed. A verdict is not repeated, so both ends under the content stayed in doubt, and the doubt ended after 8 s.

A gateway now probes an upstream when the registries find it silent.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -274,6 +274,24 @@
     });
 }
 
+/// Probes an upstream that the registries found unresponsive. If its host refuses connections, its
+/// process has ended, and its silence is no evidence of a network partition.
+void probe_unresponsive(gateway_state& state, const upstream_incarnation& where,
+                        const endpoint& address)
+{
+    state.m_crashes.m_probe.ask(address, [&state, where](probe_result result) {
+        if (result != probe_result::refused) {
+            return;
+        }
+        {
+            const std::lock_guard lock(state.m_crashes.m_mutex);
+            state.m_crashes.m_unresponsive_since.erase(where);
+            state.m_crashes.m_unreported_incarnations.erase(where);
+        }
+        confirm_crash(state, where, "connection_refused", program::now());
+    });
+}
+
 /// Suspected contents whose last run here was lost so recently that its outcome is not known yet.
 std::vector<fingerprint> contents_awaiting_outcome(gateway_state& state, time_point now)
 {
@@ -376,10 +394,14 @@
         return;
     }
     if (changed.m_is_unresponsive) {
-        const std::lock_guard lock(state.m_crashes.m_mutex);
-        if (state.m_crashes.m_unresponsive_since.try_emplace(current, now).second) {
+        {
+            const std::lock_guard lock(state.m_crashes.m_mutex);
+            if (!state.m_crashes.m_unresponsive_since.try_emplace(current, now).second) {
+                return;
+            }
             state.m_crashes.m_unreported_incarnations.insert(current);
         }
+        probe_unresponsive(state, current, known.m_address);
         return;
     }
     {
--- a/dewbeam/src/gateway/crash_blame.h
+++ b/dewbeam/src/gateway/crash_blame.h
@@ -5,7 +5,8 @@
 /// An attempt that ends without an answer is not attributed to its content by itself, since
 /// connections break for many reasons. Only the end of the upstream's process is: its host refuses
 /// connections, another process has its name or address, or its announcements stop while those of
-/// its neighbours continue. An upstream that left as planned causes no suspicion.
+/// its neighbours continue. Neighbours that are known to have ended don't count. An upstream that
+/// left as planned causes no suspicion.
 #pragma once
 
 #include <functional>
--- a/test/intake_test.cpp
+++ b/test/intake_test.cpp
@@ -10,63 +10,28 @@
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "platform/formats.h"
+#include "test/gateway_site.h"
 #include "test/recording_exchange.h"
 
 namespace dewbeam::gateway {
 namespace {
 
-using json = nlohmann::json;
 using test::recording_exchange;
 
-json settings()
-{
-    return {{"threads", 1},
-            {"host", "g1"},
-            {"failure_domain", "z1"},
-            {"gateways", 1},
-            {"retries", {{"share", 0.1}, {"burst", 40.0}}},
-            {"registries", {{"seeds", {"127.0.0.1:7000"}}, {"link_port", 0}}}};
-}
-
-json configuration(std::uint64_t revision, const std::vector<std::string>& prefixes)
-{
-    json routes = json::array();
-    for (const auto& prefix : prefixes) {
-        routes.push_back({{"name", prefix},
-                          {"host", "api.example"},
-                          {"path-prefix", prefix},
-                          {"kind", "safe"},
-                          {"timeout-ms", 4000},
-                          {"priority", 1},
-                          {"max-attempts", 2},
-                          {"service", "chat"}});
-    }
-    return {
-        {"version", revision},
-        {"routes", routes},
-        {"services", {{{"name", "chat"}, {"health-path", "/healthz"}, {"max-connections", 10}}}},
-        {"tenants", {{{"name", "t1"}, {"api-keys", {"key-1"}}}}}};
-}
-
 class intake : public testing::Test {
 protected:
     intake()
-        : m_frame(settings()), m_state(m_frame, settings(), platform::wire_format(), handlers())
+        : m_frame(test::gateway_settings()),
+          m_state(m_frame, test::gateway_settings(), platform::wire_format(),
+                  test::silent_feed_handlers())
     {
         adopt(1, {"/old/"});
     }
 
-    static registrar::feed_handlers handlers()
-    {
-        registrar::feed_handlers result;
-        result.m_send = [](const std::string&, wire::Envelope&&) {};
-        result.m_follow_log = [](log_id) {};
-        return result;
-    }
-
     void adopt(std::uint64_t revision, const std::vector<std::string>& prefixes)
     {
-        auto read = m_state.m_format.m_read_book(configuration(revision, prefixes).dump());
+        auto read =
+            m_state.m_format.m_read_book(test::gateway_configuration(revision, prefixes).dump());
         auto fresh = std::make_shared<routes::book>(std::move(read).value());
         routes::index(*fresh);
         m_state.m_book.adopt(std::move(fresh));
