Compare an upstream's first tokens to its pool's once for each choice

slowness_of and excess_seconds worked out the same ratio and its decay, each for every upstream that a choice considers. One call gives both; the values are the same.

--- a/dewbeam/src/dispatch/health.cpp
+++ b/dewbeam/src/dispatch/health.cpp
@@ -14,25 +14,6 @@
 constexpr double ratio_lifetime = 2.0;
 constexpr double largest_ratio = 10.0;
 
-/// Ratio of an upstream's time to the pool's, and the weight that it still has.
-struct measured_ratio {
-    double m_value = 1.0;
-    double m_weight = 0.0;
-};
-
-measured_ratio ratio_of(const slowness& state, const slowness& pool, time_point now)
-{
-    if (state.m_seconds <= 0.0 || pool.m_seconds <= 0.0) {
-        return {};
-    }
-    const double ratio = state.m_seconds / pool.m_seconds;
-    if (ratio < min_ratio) {
-        return {};
-    }
-    const double age = std::max(0.0, to_seconds(now - state.m_noted_at));
-    return {ratio, std::exp(-age / ratio_lifetime)};
-}
-
 void decay(health& state, const health_options& options, time_point now)
 {
     const double passed = to_seconds(now - state.m_counted_at) / to_seconds(options.m_half_life);
@@ -83,15 +64,19 @@
     mean = mean == 0.0 ? value : mean + time_gain * (value - mean);
 }
 
-double slowness_of(const slowness& state, const slowness& pool, time_point now)
+relative_slowness compare(const slowness& state, const slowness& pool, time_point now)
 {
-    const auto ratio = ratio_of(state, pool, now);
-    return 1.0 + (std::min(ratio.m_value, largest_ratio) - 1.0) * ratio.m_weight;
-}
-
-double excess_seconds(const slowness& state, const slowness& pool, time_point now)
-{
-    return (state.m_seconds - pool.m_seconds) * ratio_of(state, pool, now).m_weight;
+    if (state.m_seconds <= 0.0 || pool.m_seconds <= 0.0) {
+        return {};
+    }
+    const double ratio = state.m_seconds / pool.m_seconds;
+    if (ratio < min_ratio) {
+        return {};
+    }
+    const double age = std::max(0.0, to_seconds(now - state.m_noted_at));
+    const double weight = std::exp(-age / ratio_lifetime);
+    return {1.0 + (std::min(ratio, largest_ratio) - 1.0) * weight,
+            (state.m_seconds - pool.m_seconds) * weight};
 }
 
 }  // namespace dewbeam::dispatch
--- a/dewbeam/src/dispatch/health.h
+++ b/dewbeam/src/dispatch/health.h
@@ -60,12 +60,14 @@
 /// Records the time to one first token.
 void note_first_token_time(slowness& state, double seconds, time_point now);
 
-/// Ratio of the upstream's time to the pool's; 1 if it is unknown or not significant. Decays
-/// towards 1 without new measurements, so that an upstream that was avoided is tried again.
-double slowness_of(const slowness& state, const slowness& pool, time_point now);
+/// How an upstream's time to the first token compares to its pool's.
+struct relative_slowness {
+    double m_ratio = 1.0;           ///< 1 if it is unknown or not significant
+    double m_excess_seconds = 0.0;  ///< of its first tokens; 0 where the ratio is 1
+};
 
-/// Seconds by which the upstream's first tokens come later than the pool's; 0 where `slowness_of`
-/// is 1. Decays like it.
-double excess_seconds(const slowness& state, const slowness& pool, time_point now);
+/// Compares an upstream to its pool. Both values decay without new measurements, so that an
+/// upstream that was avoided is tried again.
+relative_slowness compare(const slowness& state, const slowness& pool, time_point now);
 
 }  // namespace dewbeam::dispatch
