Offset crash reports of contents and of prompt parts by one function

Both files had a copy of the same loop. No behaviour changes: what a content's record becomes is merged after the loop instead of within it.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -69,22 +69,13 @@
     perform(state, state.m_pools.merge_suspicion(subject.m_pool, subject.m_record, now), now);
 }
 
-/// Offsets each new crash report with a successful run of the same content that is known here.
-void offset_crash_reports(gateway_state& state, const quarantine::suspicion& update, time_point now)
+/// Offsets the crash reports of a content, and has the broker follow.
+void offset_content_reports(gateway_state& state, const quarantine::suspicion& update,
+                            time_point now)
 {
-    for (const auto& item : update.m_crash_reports) {
-        {
-            const std::lock_guard lock(state.m_crashes.m_mutex);
-            if (!spend_good_run(state.m_crashes.m_good_runs, update.m_content)) {
-                return;
-            }
-        }
-        if (item.m_is_outweighed) {
-            continue;  // another gateway offset it, with good runs that include this one
-        }
-        if (const auto record = state.m_feed.report_successful_run(update.m_content, now)) {
-            merge(state, *record, now);
-        }
+    for (const auto& record :
+         offset_crash_reports(state, state.m_crashes.m_good_runs, update, now)) {
+        merge(state, record, now);
     }
 }
 
@@ -101,7 +92,7 @@
     log_suspicion(state, "content_suspected", subject, where.m_upstream.value(), reason, now);
     state.m_metrics.content_suspected(reason);
     merge(state, subject, now);
-    offset_crash_reports(state, subject.m_record, now);
+    offset_content_reports(state, subject.m_record, now);
 }
 
 quarantine::crash_report crash_report_of(const upstream_incarnation& where,
@@ -313,6 +304,28 @@
 
 }  // namespace
 
+std::vector<registrar::pooled_suspicion> offset_crash_reports(gateway_state& state, good_runs& runs,
+                                                              const quarantine::suspicion& update,
+                                                              time_point now)
+{
+    std::vector<registrar::pooled_suspicion> changed;
+    for (const auto& item : update.m_crash_reports) {
+        {
+            const std::lock_guard lock(state.m_crashes.m_mutex);
+            if (!spend_good_run(runs, update.m_content)) {
+                break;
+            }
+        }
+        if (item.m_is_outweighed) {
+            continue;  // another gateway offset it, with good runs that include this one
+        }
+        if (auto record = state.m_feed.report_successful_run(update.m_content, now)) {
+            changed.push_back(*std::move(record));
+        }
+    }
+    return changed;
+}
+
 void handle_broken_attempt(gateway_state& state, const request_pointer& request,
                            const sent_attempt& sent, bool has_part_evidence,
                            std::function<void()> then, time_point now)
@@ -436,7 +449,7 @@
     }
     log_suspicion(state, "suspicion_heard", received, "", "registry", now);
     merge(state, received, now);
-    offset_crash_reports(state, received.m_record, now);
+    offset_content_reports(state, received.m_record, now);
 }
 
 void apply_exclusive_grants(gateway_state& state, const std::vector<fingerprint>& granted,
--- a/dewbeam/src/gateway/part_blame.cpp
+++ b/dewbeam/src/gateway/part_blame.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "dewbeam/src/gateway/crash_blame.h"
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 
@@ -35,22 +36,6 @@
                {"deaths", state.m_feed.deaths_of(part, now)}});
 }
 
-/// Offsets each new crash report with a good run of the same part that is known here.
-void offset_part_reports(gateway_state& state, const quarantine::suspicion& update, time_point now)
-{
-    for (const auto& item : update.m_crash_reports) {
-        {
-            const std::lock_guard lock(state.m_crashes.m_mutex);
-            if (!spend_good_run(state.m_crashes.m_good_part_runs, update.m_content)) {
-                return;
-            }
-        }
-        if (!item.m_is_outweighed) {
-            state.m_feed.report_successful_run(update.m_content, now);
-        }
-    }
-}
-
 bool has_part(const gateway_request& request, fingerprint part)
 {
     const auto& parts = request.known().m_parts;
@@ -140,7 +125,7 @@
             continue;
         }
         log_part(state, "part_suspected", subject, crash.m_upstream.value(), reason, now);
-        offset_part_reports(state, subject.m_record, now);
+        offset_crash_reports(state, state.m_crashes.m_good_part_runs, subject.m_record, now);
         refuse_waiting_requests(state, item.m_part, now);
     }
 }
@@ -154,7 +139,7 @@
                           time_point now)
 {
     log_part(state, "part_suspicion_heard", received, "", "registry", now);
-    offset_part_reports(state, received.m_record, now);
+    offset_crash_reports(state, state.m_crashes.m_good_part_runs, received.m_record, now);
     refuse_waiting_requests(state, received.m_record.m_content, now);
 }
 
