Watch answers only for requests whose prompts have parts

Each piece of an answer took the request's lock once more, to see whether its run already speaks for the parts of its prompt, also where it has none.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -282,9 +282,12 @@
             note_first_token(state, request, upstream, now);
         }
     };
-    result.m_on_data = [&state, request, upstream, attempt](std::string bytes) {
+    const bool has_parts = sent.m_parts != nullptr;
+    result.m_on_data = [&state, request, upstream, attempt, has_parts](std::string bytes) {
         const auto now = program::now();
-        note_parts_that_run_on(state, request, attempt, now);
+        if (has_parts) {
+            note_parts_that_run_on(state, request, attempt, now);
+        }
         switch (request->receive_data(attempt, std::move(bytes), now)) {
             case data_result::nothing:
                 break;
