Reset connections that reach a stand-in of an upstream as it ends

The stand-in of an upstream that ends reset the connections that it had begun to serve, but one whose request it read after its end stayed open for an hour. Upstreams that fall silent still keep their connections open. No check has changed.

--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -143,7 +143,7 @@
 
     def serve(self, handler):
         self.connections.add(handler.connection)
-        if self.has_ended and self.breaks_answers and not self.is_silent:
+        if self.has_ended and not self.is_silent:
             return self.reset_connections()
         if self.has_ended:
             time.sleep(3600.0)
@@ -187,8 +187,8 @@
     def end(self, how):
         if self.has_ended:
             return
-        self.has_ended = True
         self.is_silent = how == "silent"
+        self.has_ended = True
         self.is_announcing = False
         if how != "silent":
             self.server.socket.shutdown(socket.SHUT_RDWR)
