Open and close a lock-step group by what its members announce

Cause: gateways knew of the broken group and of the new one within 50 ms, from all ranks, but used an announcement for its own rank only. The ranks of the cut domain, whose announcements no longer came, looked sound, so that each probe of the closed group went to one of them and waited 0.5 s for a connection. Requests that arrived or expired while a probe was due were refused as overloaded, with a Retry-After from a drain rate that had been measured while nothing could drain.

Change: a group is broken when a member announces so in the highest epoch that any announces; it gets no requests and no probes until a member announces a later epoch, and is open then. A queue whose groups are all closed is not measured.

--- a/dewbeam/src/dispatch/group_gate.h
+++ b/dewbeam/src/dispatch/group_gate.h
@@ -1,6 +1,6 @@
 /// \file
-/// Closes lock-step groups that refuse as a whole; single probe requests find out when they serve
-/// again.
+/// Closes lock-step groups that refuse as a whole. Their members' announcements tell when they
+/// serve again, or single probe requests find out.
 ///
 /// All ranks of a group stall when one of them exits. A request sent to any of them is refused
 /// after a delay, which costs it an attempt and the shared retry budget a retry. Requests that wait
@@ -19,6 +19,11 @@
 bool close_group(route_table& table, const route_options& options, const std::string& group,
                  time_point now);
 
+/// Updates what is known of a group after an announcement of a member. A broken group gets nothing,
+/// not even probe requests, until a member announces that it has formed again; then it is open.
+void update_formation(route_table& table, const route_options& options, const std::string& group,
+                      time_point now);
+
 /// Records a dispatch to an upstream. If its group is closed, the next request to the group waits.
 void note_group_start(route_table& table, const route_options& options, upstream_index index,
                       time_point now);
--- a/dewbeam/src/dispatch/request.h
+++ b/dewbeam/src/dispatch/request.h
@@ -34,8 +34,10 @@
     failure_domain_id m_failure_domain;
     configuration::label_set m_labels;  ///< effective labels
     incarnation m_incarnation;
-    std::string m_group;        ///< lock-step group that it belongs to; empty: none
-    std::uint32_t m_slots = 1;  ///< requests that it runs concurrently
+    std::string m_group;              ///< lock-step group that it belongs to; empty: none
+    std::uint64_t m_group_epoch = 0;  ///< as announced; incremented each time the group forms
+    bool m_is_group_broken = false;   ///< as announced: a rank is missing, nothing runs
+    std::uint32_t m_slots = 1;        ///< requests that it runs concurrently
     bool m_leaving = false;
     bool m_is_stalled = false;         ///< its group is stalled: nothing starts there now
     bool m_is_out_of_contact = false;  ///< out of contact: it may be late, or removed
@@ -64,6 +66,8 @@
     /// A request that has not been dispatched by then is refused: its caller would not wait longer,
     /// or the answer would be worth less than the slot it takes.
     time_point m_wait_deadline = no_deadline;
+    /// When the caller disconnects if it has had no event of the answer.
+    time_point m_first_event_deadline = no_deadline;
     /// If dispatched later than this, its first token will probably miss its latency objective. It
     /// then waits behind all requests of its class that can still meet theirs.
     time_point m_prompt_deadline = no_deadline;
--- a/dewbeam/src/dispatch/route_table.cpp
+++ b/dewbeam/src/dispatch/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "dewbeam/src/dispatch/group_gate.h"
 #include "dewbeam/src/dispatch/permits.h"
 
 namespace dewbeam::dispatch {
@@ -149,8 +150,8 @@
 
 bool is_group_closed(const route_table& table, const upstream_state& upstream, time_point now)
 {
-    if (table.m_closed_groups.empty()) {
-        return false;
+    if (table.m_broken_groups.contains(upstream.m_info.m_group)) {
+        return true;
     }
     const auto place = table.m_closed_groups.find(upstream.m_info.m_group);
     return place != table.m_closed_groups.end() && place->second > now;
@@ -238,6 +239,9 @@
     if (info.m_is_out_of_contact && !upstream.m_info.m_is_out_of_contact) {
         upstream.m_out_of_contact_until = now + options.m_max_doubt;
     }
+    const bool is_formation_changed = is_new || upstream.m_info.m_group != info.m_group ||
+                                      upstream.m_info.m_group_epoch != info.m_group_epoch ||
+                                      upstream.m_info.m_is_group_broken != info.m_is_group_broken;
     upstream.m_info = info;
     upstream.m_is_known = true;
     if (is_reported) {
@@ -247,6 +251,9 @@
     if (is_moved) {
         rebuild_all(table, options, now);
     }
+    if (is_formation_changed) {
+        update_formation(table, options, info.m_group, now);
+    }
     return index;
 }
 
@@ -259,12 +266,14 @@
     }
     const auto index = place->second;
     auto& upstream = *table.m_upstreams[index];
+    const auto group = upstream.m_info.m_group;
     leave_routes(upstream, index);
     upstream.m_is_known = false;
     upstream.m_held_for = ticket{};
     table.m_names.erase(place);
     free_if_unused(table, index);
     rebuild_all(table, options, now);
+    update_formation(table, options, group, now);
 }
 
 void refresh(route_table& table, const route_options& options, upstream_index index, time_point now)
--- a/dewbeam/src/dispatch/route_table.h
+++ b/dewbeam/src/dispatch/route_table.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "dewbeam/admission"
@@ -122,6 +124,7 @@
     fairness::item_list m_suspects;
     fairness::item_list m_unanswered;  ///< running requests at unresponsive upstreams
     std::size_t m_users = 0;           ///< requests that refer to it
+    time_point m_formed_at{};          ///< when a group of its upstreams last formed again
 };
 
 /// Options of a route table, from the broker's options.
@@ -134,6 +137,15 @@
     fairness::class_options m_classes;
 };
 
+/// What the members of a lock-step group announce of it. Members that are cut off from the others
+/// still announce an earlier epoch, or nothing.
+struct group_formation {
+    std::uint64_t m_epoch = 0;  ///< the highest announced
+    bool m_is_broken = false;   ///< a member announces so in that epoch
+
+    friend bool operator==(const group_formation&, const group_formation&) = default;
+};
+
 /// Upstreams and routes of a broker.
 struct route_table {
     std::map<upstream_id, upstream_index> m_names;
@@ -142,7 +154,9 @@
     std::vector<std::unique_ptr<route>> m_routes;
     /// Closed groups, each with the time from which the next probe request may be sent to it.
     std::map<std::string, time_point> m_closed_groups;
-    time_point m_reserved_until{};  ///< until then slots are reserved for urgent work
+    std::map<std::string, group_formation> m_formations;
+    std::set<std::string> m_broken_groups;  ///< those of `m_formations` that are broken
+    time_point m_reserved_until{};          ///< until then slots are reserved for urgent work
 };
 
 /// Index of a class in the arrays.
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -208,9 +208,13 @@
 
 void measure_drain(broker& state, time_point now)
 {
+    const bool is_any_closed =
+        !state.m_table.m_closed_groups.empty() || !state.m_table.m_broken_groups.empty();
     for (const auto& subject : state.m_table.m_routes) {
+        // A queue whose groups are all closed drains nothing, which says nothing of its rate.
+        const bool is_served = !is_any_closed || has_serving_member(state.m_table, *subject, now);
         for (auto& item : subject->m_lanes) {
-            admission::advance(item.m_drain, is_waiting(item), now);
+            admission::advance(item.m_drain, is_served && is_waiting(item), now);
         }
     }
 }
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -334,6 +334,8 @@
                    {"service", known.m_service},
                    {"state", registry::to_string(known.m_state)},
                    {"silent", changed.m_is_unresponsive},
+                   {"group_epoch", known.m_group ? known.m_group->m_epoch : 0},
+                   {"group_broken", known.m_group && known.m_group->m_is_broken},
                    {"incarnation", known.m_incarnation.value()},
                    {"number", known.m_number.value()}});
         handle_upstream_change(m_state, changed, now);
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -88,10 +88,11 @@
     result.m_slots = subject.m_known.m_slots;
     if (subject.m_known.m_group) {
         result.m_group = subject.m_known.m_group->m_group;
+        result.m_group_epoch = subject.m_known.m_group->m_epoch;
+        result.m_is_group_broken = subject.m_known.m_group->m_is_broken;
     }
     result.m_leaving = subject.m_known.m_state != registry::upstream_state::ready;
-    const bool is_broken = subject.m_known.m_group && subject.m_known.m_group->m_is_broken;
-    result.m_is_stalled = is_broken || subject.m_is_avoided;
+    result.m_is_stalled = result.m_is_group_broken || subject.m_is_avoided;
     result.m_report.m_skew = subject.m_pace;
     if (subject.m_is_unresponsive) {
         result.m_lease_deadline = subject.m_answered_at + lease_after_answer;
