Refuse requests that a group which has just formed can't read in time

Requests that had waited for a group were all sent when it had formed again, and of those that had waited longest half had no first token before their callers left (2 s without an event): they were lost, and kept the others waiting.

--- a/dewbeam/src/dispatch/request_lifecycle.cpp
+++ b/dewbeam/src/dispatch/request_lifecycle.cpp
@@ -27,6 +27,8 @@
 constexpr time_span unresponsive_settle_time = std::chrono::milliseconds(1200);
 /// Twice the interval at which an unresponsive upstream is reported.
 constexpr time_span unresponsive_expiry = std::chrono::seconds(1);
+/// What a group that has just formed takes for a first token of those that waited for it.
+constexpr time_span first_token_of_formed_group = std::chrono::milliseconds(900);
 /// Stale entries that the heap of deadlines may hold before it is worth compacting.
 constexpr std::size_t max_lapsed_deadlines = 1024;
 
@@ -101,6 +103,15 @@
            !has_untried(state.m_table, request);
 }
 
+/// Whether a request that waited for a group is too late now that it has formed: all that waited
+/// are dispatched at once, to ranks with the expert map of a new group, and its caller would
+/// disconnect before they read its prompt. Refused now, it can return.
+bool is_too_late_for_formed_group(const pending_request& request, time_point now)
+{
+    return request.m_info.m_arrival < request.m_route->m_formed_at && !request.m_was_answered &&
+           request.m_info.m_first_event_deadline < now + first_token_of_formed_group;
+}
+
 /// Marks the exclusive grant of a suspect's content as used by the request.
 void use_exclusive_grant(broker& state, const pending_request& request, time_point now)
 {
@@ -320,7 +331,7 @@
     if (standing_of(state, info, now) == quarantine::standing::quarantined) {
         return refusal::quarantined;
     }
-    if (is_unservable(state, *request.m_route, now)) {
+    if (is_unservable(state, *request.m_route, now) || is_too_late_for_formed_group(request, now)) {
         return refusal::no_able_upstream;
     }
     const auto min_run = to_span(to_seconds(expected_run(state, request, now)) * min_run_share);
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -15,6 +15,8 @@
 /// anyway.
 constexpr time_span longest_wait = std::chrono::milliseconds(1500);
 constexpr double wait_share = 0.4;
+/// Callers of streams disconnect after this time without an event.
+constexpr time_span caller_patience = std::chrono::seconds(2);
 /// Retry-After while this gateway is stopping; another gateway takes the retry.
 constexpr time_span retry_after_when_stopping = std::chrono::milliseconds(100);
 /// Retry-After for a caller that was refused because no configuration is known.
@@ -102,6 +104,9 @@
         std::chrono::duration_cast<time_span>((known.m_deadline - known.m_arrival) * wait_share);
     info.m_prompt_deadline = prompt_deadline(known);
     info.m_wait_deadline = known.m_arrival + std::min(longest_wait, share);
+    if (known.m_route->m_kind == routes::work_kind::streaming) {
+        info.m_first_event_deadline = known.m_arrival + caller_patience;
+    }
     info.m_max_pause_time = known.m_route->m_gap_objective;
     info.m_most_attempts = known.m_route->m_most_attempts;
     return info;
--- a/test/group_outage_test.cpp
+++ b/test/group_outage_test.cpp
@@ -219,6 +219,18 @@
     EXPECT_EQ(subject.m_refused[refusal::no_able_upstream], 26) << "all who waited their time";
 }
 
+// All that waited are sent at once: those whose callers would leave before they are read only keep
+// the others waiting, and are refused while they can still return.
+TEST_P(group_outage, nothing_is_sent_whose_caller_leaves_before_it_is_read)
+{
+    outage subject(GetParam());
+    subject.m_arrival_interval = milliseconds(60);
+    subject.m_reading_time = milliseconds(45);
+    subject.run(seconds(6), seconds(12));
+    EXPECT_LE(subject.m_left, 1);
+    EXPECT_GE(subject.m_served, 110) << "a hundred arrive from the opening on";
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, group_outage, testing::Range<std::uint64_t>(1, 9));
 
 }  // namespace
