--- a/test/gateway_site.h
+++ b/test/gateway_site.h
@@ -17,6 +17,11 @@
             {"failure_domain", "z1"},
             {"gateways", 1},
             {"retries", {{"share", 0.1}, {"burst", 40.0}}},
+            {"answers",
+             {{"most_bytes", 16'777'216},
+              {"most_event_bytes", 262'144},
+              {"most_buffered_bytes", 33'554'432},
+              {"silence_ms", 30'000}}},
             {"registries", {{"seeds", {"127.0.0.1:7000"}}, {"link_port", 0}}}};
 }
 
