--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -10,13 +10,14 @@
 
 namespace {
 
-/// Maximum time in the queue, absolute and as a share of the caller's time limit. Callers of
-/// streams disconnect after two seconds without an event, so a request that is sent later is lost
-/// anyway.
-constexpr time_span longest_wait = std::chrono::milliseconds(1500);
-constexpr double wait_share = 0.4;
 /// Callers of streams disconnect after this time without an event.
 constexpr time_span caller_patience = std::chrono::seconds(2);
+/// Time for a first token once a request is sent.
+constexpr time_span first_token_time = std::chrono::milliseconds(500);
+/// Maximum time in the queue, absolute and as a share of the caller's time limit. A request that is
+/// sent later is lost anyway.
+constexpr time_span longest_wait = caller_patience - first_token_time;
+constexpr double wait_share = 0.4;
 /// Retry-After while this gateway is stopping; another gateway takes the retry.
 constexpr time_span retry_after_when_stopping = std::chrono::milliseconds(100);
 /// Retry-After for a caller that was refused because no configuration is known.
