Log and count what upstreams say of themselves in their answers

Cause to look for: an upstream that had refused a gateway with 503 and `Retry-After: 3` got four requests from it in that time. No log line and no metric names what an answer asks for, so the gateways' logs can't tell whether nothing reads it, whether some ways to an upstream pass it by, or whether it ends too early.

Change: the head's `Retry-After` (of a 503) and `Server-Leaving` are read, logged as `upstream_notice` with the request, the attempt, the upstream and its incarnation, and counted by kind. Nothing acts on them.

Together with `attempt_begun`, whose lines name the request and the upstream, the log now shows each attempt that goes to an upstream within its backoff and whether it is a first one.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -232,6 +232,30 @@
     }
 }
 
+/// Logs and counts what an answer's head says of its upstream.
+void report_notice(gateway_state& state, const gateway_request::facts& known,
+                   const sent_attempt& sent, const answer_head& answer)
+{
+    if (!answer.m_backoff && !answer.m_is_leaving) {
+        return;
+    }
+    const bool is_readable = answer.m_backoff && answer.m_backoff->m_span;
+    log_event(log_level::info, "upstream_notice",
+              {{"request", known.m_request_id},
+               {"attempt", sent.m_number.value()},
+               {"upstream", sent.m_upstream.value()},
+               {"incarnation", sent.m_incarnation.value()},
+               {"status", answer.m_status},
+               {"backoff_ms", is_readable ? milliseconds(*answer.m_backoff->m_span) : -1},
+               {"leaving", answer.m_is_leaving}});
+    if (answer.m_backoff) {
+        state.m_metrics.upstream_notice(is_readable ? "backoff" : "unreadable_backoff");
+    }
+    if (answer.m_is_leaving) {
+        state.m_metrics.upstream_notice("leaving");
+    }
+}
+
 /// Ends the attempt, and with it the exclusive grant of its content, as soon as it is known whether
 /// the upstream crashed. Then the request may be retried.
 void end_broken_attempt(gateway_state& state, const request_pointer& request,
@@ -279,6 +303,9 @@
         const bool is_from_upstream =
             (answer.m_is_proven || answer.m_is_not_run) && !answer.m_is_other_upstream;
         const bool is_plain_success = status / 100 == 2 && !answer.m_is_event_stream;
+        if (!answer.m_is_other_upstream) {
+            report_notice(state, request->known(), sent, answer);
+        }
         if (!request->receive_head(attempt, state.m_format, std::move(answer), head, now)) {
             end_faulty_attempt(state, request, upstream, attempt, "foreign_answer", now);
             return;
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -41,6 +41,11 @@
                 "Answers of attempts, by what marks their end, how their connection ended and "
                 "where they stood then.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_notices =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_upstream_notices_total")
+            .Help("Answers that asked for a backoff or said that their upstream leaves, by kind.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Counter>& m_suspected_contents =
         prometheus::BuildCounter()
             .Name("dewbeam_gateway_suspected_contents_total")
@@ -116,6 +121,11 @@
         .Increment();
 }
 
+void gateway_metrics::upstream_notice(const std::string& kind)
+{
+    m_families->m_notices.Add({{"kind", kind}}).Increment();
+}
+
 void gateway_metrics::content_suspected(const std::string& reason)
 {
     m_families->m_suspected_contents.Add({{"reason", reason}}).Increment();
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -41,6 +41,9 @@
     /// position at which it ended.
     void answer_ended(const answer_end& end);
 
+    /// Counts what an answer said of its upstream: "backoff", "unreadable_backoff" or "leaving".
+    void upstream_notice(const std::string& kind);
+
     /// Counts a suspected content; `reason` is the name used in the logs.
     void content_suspected(const std::string& reason);
 
--- a/dewbeam/src/gateway/wire_format.h
+++ b/dewbeam/src/gateway/wire_format.h
@@ -53,6 +53,9 @@
     /// Requests per second that the upstream accepts from all gateways together. Empty if the
     /// answer names no limit, NaN if the limit can't be parsed.
     std::optional<double> m_rate_limit;
+    /// How long the upstream, which refused the request with 503, wants no others from this host.
+    std::optional<http::retry_after> m_backoff;
+    bool m_is_leaving = false;  ///< the upstream states that it is about to exit
 };
 
 /// The translation. All functions are pure and thread-safe.
