--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -33,6 +33,10 @@
         self.arrivals = []  # of each run: request id and time
         self.cuts = []  # events after which the next streams break; shared between upstreams
         self.refuses = False
+        self.refused = []  # request id and time
+        self.retry_after = None  # in its refusals
+        self.says_leaving = False  # in its answers
+        self.born = None  # of its process, ms; it announces none if empty
         self.limit = None  # requests a second that it takes from all gateways together
         self.pause_s = 0.005
         self.hold_s = 0.0  # before each answer
@@ -70,19 +74,20 @@
         if handler.headers["Expect-Instance"] != self.name:
             return self.answer(handler, 421, request, b"")
         if self.refuses:
-            return self.answer(handler, 503, request, b"", [("Not-Executed", "1")])
+            self.refused.append((request, time.monotonic()))
+            return self.answer(handler, 503, request, b"", [("Not-Executed", "1"), *self.refusal_fields()])
         self.arrivals.append((request, time.monotonic()))
         self.runs.append((request, dict(handler.headers)))
         time.sleep(self.hold_s)
         if "/stream/" not in handler.path:
             return self.answer(handler, 200, request, ("%s ran at %s" % (request, self.name)).encode(),
-                               self.limit_fields())
+                               self.own_fields())
         first = int(handler.headers.get("Last-Event-Id", 0))
         cut_after = self.cuts.pop(0) if self.cuts else None
         handler.send_response(200)
         for name, value in (("Attempt-Id", request), ("Response-Stamp", "stamp-" + self.name),
                             ("Content-Type", "text/event-stream"),
-                            ("Transfer-Encoding", "chunked"), *self.limit_fields()):
+                            ("Transfer-Encoding", "chunked"), *self.own_fields()):
             handler.send_header(name, value)
         handler.end_headers()
         for event in range(first + 1, EVENTS + 1):
@@ -100,8 +105,14 @@
         handler.wfile.write(b"0\r\n\r\n")
         return None
 
-    def limit_fields(self):
-        return [] if self.limit is None else [("Server-Limit", "%g" % self.limit)]
+    def own_fields(self):
+        """What it says of itself in each answer."""
+        limit = [] if self.limit is None else [("Server-Limit", "%g" % self.limit)]
+        return limit + ([("Server-Leaving", "1")] if self.says_leaving else [])
+
+    def refusal_fields(self):
+        backoff = [] if self.retry_after is None else [("Retry-After", self.retry_after)]
+        return backoff + self.own_fields()
 
     @staticmethod
     def answer(handler, status, request, body, fields=()):
@@ -118,6 +129,8 @@
         beat = {"service": self.service, "address": self.address, "zone": self.domain,
                 "version": "v1", "slots": 8, "state": state, "sequence": self.sequence,
                 "cold-remaining-ms": cold_ms}
+        if self.born is not None:
+            beat["born"] = self.born
         for port in self.registries:
             status, _ = call(port, "PUT", "/-/instances/" + self.name, json.dumps(beat))
             if status == 200:
