Let agents heed the backoff that their engine asks for

Change: `Retry-After` in a 503 of the engine makes the agent refuse offers as `backing_off` (not run) until the end; a new life of the engine clears it. Entries close the upstream until the time that the refusal names and go elsewhere without a retry taken. Older entries treat the new reason as any refusal.

Measured: `ledger.nothing_begins_while_the_engine_backs_off` (new, fails to compile before: nothing like it existed).

--- a/dewbeam/src/agent/gate.cpp
+++ b/dewbeam/src/agent/gate.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "dewbeam/notices"
 #include "dewbeam/src/engine/identity.h"
 #include "dewbeam/src/program/program.h"
 
@@ -14,6 +15,7 @@
 /// Entries are told of a silent upstream so often: one that has no room elsewhere may have some
 /// now.
 constexpr time_span silence_interval = std::chrono::milliseconds(500);
+constexpr int unavailable = 503;
 
 ledger::offered_attempt to_offer(const wire::Envelope& message, time_point now)
 {
@@ -170,6 +172,7 @@
             running->m_is_other_engine = true;
             return;
         }
+        self->note_backoff(*running, status, head);
         wire::ReplyChunk chunk;
         chunk.set_status(static_cast<std::uint32_t>(status));
         link::to_wire(end_to_end(head), *chunk.mutable_headers());
@@ -195,6 +198,23 @@
     }
 }
 
+/// Heeds `Retry-After` in a refusal of the engine: it wants no attempts for so long.
+void gate::note_backoff(const attempt& running, int status, const http::fields& head)
+{
+    const auto asked = status == unavailable ? http::read_retry_after(head) : std::nullopt;
+    if (!asked) {
+        return;
+    }
+    const auto span = asked->m_span.value_or(notices::default_backoff);
+    log_event(
+        log_level::info, "engine_backoff",
+        {{"attempt", running.m_id.m_sequence},
+         {"readable", asked->m_span.has_value()},
+         {"backoff_ms", std::chrono::duration_cast<std::chrono::milliseconds>(span).count()}});
+    const std::lock_guard lock(m_mutex);
+    ledger::back_off(m_ledger, program::now() + span);
+}
+
 void gate::send_chunk(attempt& running, wire::ReplyChunk chunk)
 {
     running.m_heard_at = program::now();
--- a/dewbeam/src/agent/gate.h
+++ b/dewbeam/src/agent/gate.h
@@ -82,6 +82,7 @@
     void refuse(const link::peer& from, const attempt_id& id, const ledger::decision& why,
                 time_point now);
     void begin(const attempt_pointer& running, const wire::Dispatch& message);
+    void note_backoff(const attempt& running, int status, const http::fields& head);
     void send_chunk(attempt& running, wire::ReplyChunk chunk);
     void end(const attempt_pointer& running, const absl::Status& result, http::progress how_far);
     [[nodiscard]] std::vector<attempt_pointer> unanswered_since(time_point heard_at) const;
--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -41,6 +41,7 @@
     }
     const bool is_busy = reason == ledger::to_string(ledger::refusal::full) ||
                          reason == ledger::to_string(ledger::refusal::runs_alone) ||
+                         reason == ledger::to_string(ledger::refusal::backing_off) ||
                          reason == ledger::to_string(ledger::refusal::thawing);
     return is_busy ? chunk_effect::busy : chunk_effect::not_run;
 }
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/entry/messages.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dewbeam/src/entry/attempts.h"
@@ -33,6 +34,20 @@
     return dispatch::attempt_end::unknown;
 }
 
+/// Passes the backoff for which an agent refused an attempt to the broker.
+void note_backoff(entry_state& state, const request_pointer& request, const wire::ReplyChunk& chunk,
+                  time_point now)
+{
+    if (chunk.reason() == ledger::to_string(ledger::refusal::backing_off)) {
+        constexpr std::uint64_t max_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(http::max_retry_after).count();
+        const auto until =
+            now + std::chrono::milliseconds(std::min(chunk.retry_after_ms(), max_ms));
+        const auto& known = request->known();
+        state.m_pools.note_backoff(known.m_pool, known.m_ticket, until, now);
+    }
+}
+
 void on_chunk(entry_state& state, const wire::ReplyChunk& chunk, time_point now)
 {
     const auto id = link::from_wire(chunk.attempt());
@@ -53,9 +68,11 @@
         case chunk_effect::broken:
             cancel_attempt(state, request);
             break;
+        case chunk_effect::busy:
+            note_backoff(state, request, chunk, now);
+            break;
         case chunk_effect::completed:
         case chunk_effect::not_run:
-        case chunk_effect::busy:
         case chunk_effect::unknown:
         case chunk_effect::truncated:
             break;
--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -130,6 +130,15 @@
     return dispatch::note_unresponsive_upstream(target->m_broker, request, now, target->m_random);
 }
 
+void pool_table::note_backoff(const std::string& pool, dispatch::ticket request, time_point until,
+                              time_point now)
+{
+    if (const auto target = find(pool)) {
+        const std::lock_guard lock(target->m_mutex);
+        dispatch::note_backoff(target->m_broker, request, until, now, target->m_random);
+    }
+}
+
 dispatch::actions pool_table::cancel(const std::string& pool, dispatch::ticket request,
                                      time_point now)
 {
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -54,6 +54,9 @@
                                     dispatch::attempt_end end, time_point now);
     dispatch::actions note_unresponsive_upstream(const std::string& pool, dispatch::ticket request,
                                                  time_point now);
+    /// Records that the upstream of a running request asked for a backoff.
+    void note_backoff(const std::string& pool, dispatch::ticket request, time_point until,
+                      time_point now);
     dispatch::actions cancel(const std::string& pool, dispatch::ticket request, time_point now);
     dispatch::actions update_upstream(const std::string& pool, const dispatch::upstream_info& info,
                                       time_point now);
--- a/dewbeam/src/ledger/ledger.cpp
+++ b/dewbeam/src/ledger/ledger.cpp
@@ -91,6 +91,9 @@
     if (now < state.m_thawed_at) {
         return refusal::thawing;
     }
+    if (now < state.m_backoff_until) {
+        return refusal::backing_off;
+    }
     if (attempt.m_configuration < state.m_configuration) {
         return refusal::stale_configuration;
     }
@@ -152,6 +155,9 @@
     if (reason == refusal::thawing) {
         return state.m_thawed_at;
     }
+    if (reason == refusal::backing_off) {
+        return state.m_backoff_until;
+    }
     const bool wants_room =
         reason == refusal::full || reason == refusal::runs_alone || reason == refusal::paused;
     return wants_room ? now + state.m_mean_run / std::max<std::int64_t>(1, state.m_running) : now;
@@ -193,6 +199,8 @@
             return "forgotten";
         case refusal::thawing:
             return "thawing";
+        case refusal::backing_off:
+            return "backing_off";
         case refusal::paused:
             break;
     }
@@ -268,6 +276,11 @@
     remember(state, entry, now);
 }
 
+void back_off(attempt_ledger& state, time_point until)
+{
+    state.m_backoff_until = std::max(state.m_backoff_until, until);
+}
+
 void start_leaving(attempt_ledger& state)
 {
     state.m_leaving = true;
@@ -308,6 +321,7 @@
         forget_oldest(state);
     }
     state.m_marks.clear();
+    state.m_backoff_until = {};
     state.m_options.m_incarnation = next;
 }
 
--- a/dewbeam/src/ledger/ledger.h
+++ b/dewbeam/src/ledger/ledger.h
@@ -44,10 +44,11 @@
     duplicate,  ///< already offered: the first offer stands
     deadline_passed,
     full,
-    runs_alone,  ///< it, or one that runs, must be alone
-    forgotten,   ///< so old that the ledger can't tell whether it was offered before
-    thawing,     ///< this process slept; the offer may have waited as long
-    paused,      ///< the group changes its expert map, and its engine can't hold at a step
+    runs_alone,   ///< it, or one that runs, must be alone
+    forgotten,    ///< so old that the ledger can't tell whether it was offered before
+    thawing,      ///< this process slept; the offer may have waited as long
+    backing_off,  ///< its engine asked for a backoff
+    paused,       ///< the group changes its expert map, and its engine can't hold at a step
 };
 
 /// Reason of an attempt that its agent cancelled since it could not hear the entry any more.
@@ -108,6 +109,7 @@
     configuration_version m_configuration;
     bool m_leaving = false;
     bool m_paused = false;
+    time_point m_backoff_until{};  ///< the engine wants no attempts until then
     std::uint32_t m_running = 0;
     std::uint32_t m_running_urgent = 0;
     std::uint32_t m_running_alone = 0;
@@ -141,6 +143,10 @@
 /// A running attempt ended.
 void finish(attempt_ledger& state, const attempt_id& id, outcome result, time_point now);
 
+/// The engine asked for a backoff: offers are refused until its end. It is never shortened, and
+/// ends with the engine's life (`renew`).
+void back_off(attempt_ledger& state, time_point until);
+
 /// From now on every offer is refused.
 void start_leaving(attempt_ledger& state);
 
--- a/test/ledger_test.cpp
+++ b/test/ledger_test.cpp
@@ -90,6 +90,23 @@
     EXPECT_EQ(offer(state, make_offer(3), later).m_refusal, refusal::none);
 }
 
+TEST(ledger, nothing_begins_while_the_engine_backs_off)
+{
+    auto state = make_ledger(4);
+    back_off(state, start + seconds(3));
+    back_off(state, start + seconds(1));  // an answer to an earlier attempt
+    const auto refused = offer(state, make_offer(1), start + seconds(2));
+    EXPECT_EQ(refused.m_refusal, refusal::backing_off);
+    EXPECT_EQ(refused.m_outcome, outcome::not_run);
+    EXPECT_EQ(refused.m_retry_at, start + seconds(3));
+    EXPECT_EQ(offer(state, make_offer(2), start + seconds(3)).m_refusal, refusal::none);
+    back_off(state, start + seconds(9));
+    renew(state, incarnation(2));
+    auto next = make_offer(3);
+    next.m_agent = incarnation(2);
+    EXPECT_EQ(offer(state, next, start + seconds(4)).m_refusal, refusal::none) << "a new engine";
+}
+
 TEST(ledger, leaving_refuses_everything_and_drains)
 {
     auto state = make_ledger(4);
