Soak: upstreams that ask for backoffs or say that they leave

Gateways that were stopped or held, and upstreams whose own way was under a fault, are exempt; lost registries are not.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -22,6 +22,8 @@
         self.promises = promises
         self.log = []
         self.hits = {name: [] for name in GATEWAYS}  # spans in which a gateway was under a fault
+        self.stood = {name: [] for name in GATEWAYS}  # of them: its process was stopped, held or signalled
+        self.held = []  # (upstream's name, span) in which its proxy was under a fault
         self.busy = set()
         self.lock = threading.Lock()
         self.threads = []
@@ -46,6 +48,12 @@
         gateway = request.split("-")[2]
         return any(begun - 1.0 <= when <= ended + 4.0 for begun, ended in self.hits[gateway])
 
+    def was_interrupted(self, gateway, upstream, begun, ended):
+        """Whether a gateway stood still or started, or its way to an upstream was under a fault, at any
+        time in a span."""
+        spans = self.stood[gateway] + [span for name, span in self.held if name == upstream]
+        return any(span[0] <= ended and begun <= span[1] for span in spans)
+
     def note(self, kind, target):
         with self.lock:
             self.log.append("%.2f %s %s" % (now(), kind, target))
@@ -79,6 +87,7 @@
         begun = now()
         span = [begun, begun + 3600.0]
         self.hits[name].append(span)
+        self.stood[name].append(span)
         self.note(kind, name)
         action(name)
         span[1] = now()
@@ -172,9 +181,12 @@
             return
         mode = self.random.choice(MODES)
         self.note(mode, name)
+        span = [now(), now() + 3600.0]
+        self.held.append((name, span))
         self.site.proxies[name].mode = mode
         time.sleep(self.random.uniform(0.5, 4.0))
         self.site.proxies[name].mode = "pass"
+        span[1] = now()
         self.free(name)
 
     def proxy_registry(self):
@@ -193,6 +205,7 @@
 
     def reset_upstreams(self):
         self.note("reset", "all upstreams")
+        self.held.extend((name, [now(), now()]) for name in list(self.site.proxies))
         for proxy in list(self.site.proxies.values()):
             proxy.reset_all()
 
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -10,6 +10,7 @@
 from soak.callers import Caller, Operator
 from soak.deadly import DeadlyContents, mortal_upstream
 from soak.faults import GATEWAYS, REGISTRIES, Faults
+from soak.notices import Notices
 from soak.promises import Promises, now
 from soak.site import SoakSite, UPSTREAMS
 
@@ -67,9 +68,9 @@
             promises.fail("%s counts attempts of callers that are gone" % name)
 
 
-def run_seed(bin_folder, seed, seconds, work=None, deadly=False, broken=False):
-    """Runs one seed, with contents that end upstreams if `deadly`, or with answers that end in any
-    way if `broken`. Gives what was broken, the faults in order, and the counts of answers."""
+def run_seed(bin_folder, seed, seconds, work=None, deadly=False, broken=False, notices=False):
+    """Runs one seed, with contents that end upstreams if `deadly`, with answers that end in any
+    way if `broken`, or with upstreams that ask for backoffs or say that they leave if `notices`. Gives what was broken, the faults in order, and the counts of answers."""
     make_upstream = mortal_upstream if deadly else breaking_upstream if broken else None
     with tempfile.TemporaryDirectory(dir=work) as folder, \
             SoakSite(bin_folder, folder, seed, make_upstream) as site:
@@ -83,20 +84,18 @@
         faults = Faults(seed, site, promises)
         contents = DeadlyContents(seed, site, promises, seconds) if deadly else None
         answers = BrokenAnswers(seed, site, promises, seconds) if broken else None
-        if contents:
-            contents.start()
-        if answers:
-            answers.start()
+        given = Notices(seed, site, promises, seconds) if notices else None
+        extras = [extra for extra in (contents, answers, given) if extra]
+        for extra in extras:
+            extra.start()
         pauses = random.Random(seed + 1)
         until = now() + seconds
         while now() < until:
             faults.strike()
             time.sleep(pauses.uniform(0.2, 1.5))
         faults.end()
-        if contents:
-            contents.end()
-        if answers:
-            answers.end()
+        for extra in extras:
+            extra.end()
         check_recovery(site, promises, callers)
         stop.set()
         for thread in [operator, *callers]:
@@ -106,6 +105,8 @@
         promises.check_runs(site.upstreams)
         if contents:
             contents.check(faults.was_hit)
+        if given:
+            given.check(faults.was_interrupted)
         for upstream, when in faults.drained:
             promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit,
                                    site.proxies[upstream.name].received_at)
--- a/tool/dewbeam_soak.py
+++ b/tool/dewbeam_soak.py
@@ -24,6 +24,8 @@
                       help="with contents that end the upstreams that run them")
     kind.add_argument("--broken", action="store_true",
                       help="with answers that end in any frame, at any place and in any way")
+    kind.add_argument("--notices", action="store_true",
+                      help="with upstreams that ask for backoffs or say that they leave")
     parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
     return parser.parse_args()
 
@@ -34,7 +36,7 @@
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         runs = {pool.submit(run_seed, options.bin, seed, options.seconds,
-                            deadly=options.deadly, broken=options.broken): seed
+                            deadly=options.deadly, broken=options.broken, notices=options.notices): seed
                 for seed in range(first, first + options.seeds)}
         for run in concurrent.futures.as_completed(runs):
             try:
