Tell callers the true end of a backoff that outlasts the return line

The line of refused callers is bounded to a minute, so that one refused by upstreams that back off for half an hour was told to return after a minute, into the same refusal. The return time is now never before the end of the first backoff. A 502 keeps its own message: the request may have run, which "all upstreams asked for a pause" hid.

Tests: the return time behind a backoff of 30 minutes; suspects are tried with each of four upstreams as the only open one, for both ways in which they run (the case before passed with the checks of isolated runs taken out; now it fails without them). With the checks of permits, of retries and of waiting requests taken out one by one, their cases fail.

--- a/dewbeam/src/dispatch/request_lifecycle.cpp
+++ b/dewbeam/src/dispatch/request_lifecycle.cpp
@@ -74,8 +74,10 @@
     }
     else if (reason == refusal::backing_off) {
         const auto end = end_of_backoffs(state.m_table, *request.m_route, now).value_or(now);
-        result.m_retry_at = admission::next_return(subject.m_returns, limits, subject.m_drain,
-                                                   cost_of(request.m_info), end - now, now, random);
+        const auto in_line =
+            admission::next_return(subject.m_returns, limits, subject.m_drain,
+                                   cost_of(request.m_info), end - now, now, random);
+        result.m_retry_at = std::max(in_line, end);  // the line is bounded, a backoff may be longer
     }
     else if (reason == refusal::overloaded || reason == refusal::deadline_passed) {
         const bool is_controlled = state.m_options.m_overload.m_is_active;
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -123,7 +123,9 @@
         return fault;
     }
     if (refusal.m_refusal == dispatch::refusal::backing_off) {
-        fault.m_message = "all upstreams asked for a pause";
+        if (!request.may_have_run()) {
+            fault.m_message = "all upstreams asked for a pause";
+        }
         fault.m_retry_after = refusal.m_retry_at - now;
         return fault;
     }
--- a/test/upstream_notice_test.cpp
+++ b/test/upstream_notice_test.cpp
@@ -286,21 +286,29 @@
 
 TEST_F(backoff_fixture, suspects_do_not_run_at_an_upstream_that_backs_off)
 {
+    std::uint64_t id = 0;
     for (const bool runs_exclusively : {false, true}) {
         m_broker.m_options.m_suspects_run_exclusively = runs_exclusively;
-        put("u0", m_now + seconds(3));
-        auto suspect = request(runs_exclusively ? 2 : 1);
-        suspect.m_fingerprint = fingerprint(77);
-        quarantine::note_crash(m_broker.m_suspicions, suspect.m_fingerprint,
-                               {upstream_id("u9"), incarnation(1), m_now, false});
-        auto steps = dispatch::submit(m_broker, suspect, m_now, m_random);
-        const auto granted = dispatch::set_exclusive_grants(m_broker, {suspect.m_fingerprint},
-                                                            false, m_now, m_random);
-        steps.insert(steps.end(), granted.begin(), granted.end());
-        const auto later = pass(milliseconds(400));
-        steps.insert(steps.end(), later.begin(), later.end());
-        ASSERT_EQ(steps.size(), 1U);
-        expect_elsewhere(steps, runs_exclusively ? "exclusive run" : "isolated run");
+        for (int open = 0; open < 4; ++open) {
+            m_now += seconds(20);  // earlier backoffs and suspicions are over
+            for (int i = 0; i < 4; ++i) {
+                put("u" + std::to_string(i), m_now + seconds(i == open ? 0 : 3));
+            }
+            auto suspect = request(++id);
+            suspect.m_fingerprint = fingerprint(70 + id);
+            quarantine::note_crash(m_broker.m_suspicions, suspect.m_fingerprint,
+                                   {upstream_id("u9"), incarnation(1), m_now, false});
+            auto steps = dispatch::submit(m_broker, suspect, m_now, m_random);
+            const auto granted = dispatch::set_exclusive_grants(m_broker, {suspect.m_fingerprint},
+                                                                false, m_now, m_random);
+            steps.insert(steps.end(), granted.begin(), granted.end());
+            const auto later = pass(milliseconds(400));
+            steps.insert(steps.end(), later.begin(), later.end());
+            ASSERT_EQ(steps.size(), 1U);
+            EXPECT_EQ(steps[0].m_upstream, upstream_id("u" + std::to_string(open)))
+                << (runs_exclusively ? "exclusive run" : "isolated run");
+            end(id, dispatch::attempt_end::completed);
+        }
     }
 }
 
@@ -349,6 +357,10 @@
     EXPECT_GE(steps[0].m_retry_at, m_now + seconds(4)) << "the first upstream takes requests then";
     EXPECT_LE(steps[0].m_retry_at, m_now + milliseconds(5500));
     EXPECT_EQ(m_broker.m_retry_budget.m_tokens, tokens);
+    for (int i = 0; i < 4; ++i) {
+        put("u" + std::to_string(i), m_now + std::chrono::minutes(30));
+    }
+    EXPECT_GE(add(2).at(0).m_retry_at, m_now + std::chrono::minutes(30));
 }
 
 TEST_F(backoff_fixture, waiting_requests_are_refused_when_the_last_upstream_backs_off)
