Test refusals of agents that back off; one constant for unreadable values

The default of `/backoffs/unreadable_ms` is the constant that agents use. New case: an agent's refusal as `backing_off` closes its upstream until the time that it names and costs no retry.

--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -146,6 +146,8 @@
     constexpr std::int64_t mebibyte = 1024L * 1024;
     constexpr std::int64_t max_backoff_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(http::max_retry_after).count();
+    constexpr std::int64_t default_backoff_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(notices::default_backoff).count();
     constexpr std::int64_t max_answer_bytes = 1024 * mebibyte;
     const std::vector<setting> own{
         {"/readiness_listen", setting_kind::address, "127.0.0.1:0",
@@ -168,7 +170,7 @@
         {"/backoffs/longest_ms", setting_kind::integer, max_backoff_ms,
          "Longest backoff that an upstream may ask for by Retry-After; longer ones are cut (ms).",
          1, max_backoff_ms},
-        {"/backoffs/unreadable_ms", setting_kind::integer, 1000,
+        {"/backoffs/unreadable_ms", setting_kind::integer, default_backoff_ms,
          "Backoff for an upstream whose Retry-After can't be read (ms).", 0, max_backoff_ms},
         {"/drains/wait_at_start", setting_kind::boolean, false,
          "Send nothing after a start until a registry with a quorum has told which failure domains "
--- a/test/upstream_notice_test.cpp
+++ b/test/upstream_notice_test.cpp
@@ -407,6 +407,20 @@
     EXPECT_EQ(m_broker.m_retry_budget.m_tokens, tokens);
 }
 
+TEST_F(backoff_fixture, a_refusal_of_an_agent_whose_engine_backs_off_costs_no_retry)
+{
+    const auto target = add(1).at(0).m_upstream;
+    const auto retries = m_broker.m_retry_budget.m_retries;
+    dispatch::note_backoff(m_broker, dispatch::ticket(1), m_now + seconds(3), m_now, m_random);
+    const auto steps = end(1, dispatch::attempt_end::refused_busy);
+    ASSERT_EQ(steps.size(), 1U);
+    EXPECT_NE(steps[0].m_upstream, target);
+    EXPECT_EQ(m_broker.m_retry_budget.m_retries, retries);
+    for (std::uint64_t id = 2; id < 12; ++id) {
+        EXPECT_NE(add(id).at(0).m_upstream, target);
+    }
+}
+
 TEST_F(backoff_fixture, a_new_incarnation_is_not_bound_by_the_backoff_of_the_old_one)
 {
     for (int i = 1; i < 4; ++i) {
