--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include "dewbeam/src/gateway/crash_blame.h"
 #include "dewbeam/src/gateway/part_blame.h"
+#include "dewbeam/src/gateway/upstream_notices.h"
 
 namespace dewbeam::gateway {
 
@@ -47,25 +48,6 @@
     return std::max(times.m_longest_pause, times.m_max_break);
 }
 
-/// The upstreams of a request's pool that notices close, for the log: `NAME:leaving` or
-/// `NAME:MILLISECONDS`, bounded in number.
-std::string closed_upstreams(const gateway_state& state, const std::string& pool, time_point now)
-{
-    constexpr std::size_t most_named = 8;
-    std::string result;
-    std::size_t count = 0;
-    for (const auto& closed : state.m_upstreams.closed_by_notices(now)) {
-        if (closed.m_pool != pool || ++count > most_named) {
-            continue;
-        }
-        result += result.empty() ? "" : ",";
-        result += closed.m_name.value() + ":";
-        result += closed.m_is_leaving ? "leaving"
-                                      : std::to_string(milliseconds(closed.m_backoff_until - now));
-    }
-    return count > most_named ? result + ",..." : result;
-}
-
 /// Removes a finished request from the requests in flight and records its outcome.
 void finish(gateway_state& state, const request_pointer& request, time_point now)
 {
@@ -98,7 +80,7 @@
          {"connection", to_string(end.m_answer.m_connection)},
          {"place", place_name(end.m_answer)},
          {"unfinished_bytes", end.m_answer.m_unfinished_bytes},
-         {"closed", closed_upstreams(state, known.m_pool, now)},
+         {"closed_by_notices", name_closed_by_notices(state, known.m_pool, now)},
          {"queued_ms", is_sent ? milliseconds(end.m_times.m_first_sent - known.m_arrival) : -1},
          {"longest_pause_ms", milliseconds(longest_pause(end.m_times))},
          {"first_byte_ms",
@@ -259,53 +241,6 @@
     }
 }
 
-void count_notice(gateway_metrics& metrics, const answer_head& answer)
-{
-    if (answer.m_backoff) {
-        metrics.upstream_notice(answer.m_backoff->m_span ? "backoff" : "unreadable_backoff");
-    }
-    if (answer.m_is_leaving) {
-        metrics.upstream_notice("leaving");
-    }
-}
-
-notices::notice to_notice(const backoff_limits& limits, const sent_attempt& sent,
-                          const answer_head& answer, time_point now)
-{
-    notices::notice result{sent.m_upstream, sent.m_incarnation, {}, answer.m_is_leaving};
-    if (answer.m_backoff) {
-        const auto asked = answer.m_backoff->m_span.value_or(limits.m_unreadable);
-        result.m_backoff_until = now + std::min(asked, limits.m_longest);
-    }
-    return result;
-}
-
-/// Acts on what an answer's head says of its upstream, whatever became of the request meanwhile.
-void apply_notice(gateway_state& state, const gateway_request::facts& known,
-                  const sent_attempt& sent, const answer_head& answer, time_point now)
-{
-    if (!answer.m_backoff && !answer.m_is_leaving) {
-        return;
-    }
-    count_notice(state.m_metrics, answer);
-    const auto heard = to_notice(state.m_backoff_limits, sent, answer, now);
-    if (!state.m_upstreams.note_notice(heard, now)) {
-        return;
-    }
-    const bool is_readable = answer.m_backoff && answer.m_backoff->m_span;
-    log_event(answer.m_backoff && !is_readable ? log_level::warning : log_level::info,
-              "upstream_notice",
-              {{"request", known.m_request_id},
-               {"attempt", sent.m_number.value()},
-               {"upstream", sent.m_upstream.value()},
-               {"incarnation", sent.m_incarnation.value()},
-               {"status", answer.m_status},
-               {"backoff_ms", answer.m_backoff ? milliseconds(heard.m_backoff_until - now) : 0},
-               {"readable", !answer.m_backoff || is_readable},
-               {"leaving", answer.m_is_leaving}});
-    update_broker(state, sent.m_upstream, now);
-}
-
 /// Ends the attempt, and with it the exclusive grant of its content, as soon as it is known whether
 /// the upstream crashed. Then the request may be retried.
 void end_broken_attempt(gateway_state& state, const request_pointer& request,
@@ -447,7 +382,7 @@
                {"upstream", action.m_upstream.value()},
                {"waited_ms", milliseconds(now - known.m_arrival)},
                {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)},
-               {"closed", closed_upstreams(state, known.m_pool, now)},
+               {"closed_by_notices", name_closed_by_notices(state, known.m_pool, now)},
                {"content", known.m_content.value()}});
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -79,7 +79,7 @@
     prometheus::Gauge& m_upstreams = m_state.Add({{"name", "upstreams"}});
     prometheus::Gauge& m_drained_domains = m_state.Add({{"name", "drained_domains"}});
     prometheus::Gauge& m_cold_upstreams = m_state.Add({{"name", "cold_upstreams"}});
-    prometheus::Gauge& m_closed_upstreams = m_state.Add({{"name", "closed_upstreams"}});
+    prometheus::Gauge& m_closed_by_notices = m_state.Add({{"name", "closed_by_notices"}});
     prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
     prometheus::Gauge& m_paced_groups = m_state.Add({{"name", "paced_groups"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
@@ -164,9 +164,9 @@
     m_families->m_paced_groups.Set(static_cast<double>(count));
 }
 
-void gateway_metrics::set_closed_upstreams(std::size_t count)
+void gateway_metrics::set_closed_by_notices(std::size_t count)
 {
-    m_families->m_closed_upstreams.Set(static_cast<double>(count));
+    m_families->m_closed_by_notices.Set(static_cast<double>(count));
 }
 
 void gateway_metrics::set_registries(std::size_t count)
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -52,7 +52,7 @@
     void set_upstreams(std::size_t count);
     void set_drained_domains(std::size_t count);
     void set_cold_upstreams(std::size_t count);
-    void set_closed_upstreams(std::size_t count);
+    void set_closed_by_notices(std::size_t count);
     void set_registries(std::size_t count);
     void set_paced_groups(std::size_t count);
     void set_revision(std::uint64_t number);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -637,7 +637,7 @@
         }
         report_group_limits(now);
         m_state.m_upstreams.forget_old_notices(now);
-        m_state.m_metrics.set_closed_upstreams(m_state.m_upstreams.closed_by_notices(now).size());
+        m_state.m_metrics.set_closed_by_notices(m_state.m_upstreams.closed_by_notices(now).size());
         m_state.m_metrics.set_in_flight(m_state.m_requests.size());
         m_state.m_metrics.set_attempts(m_state.m_pools.in_flight());
         m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
--- a/test/upstream_notice_test.cpp
+++ b/test/upstream_notice_test.cpp
@@ -334,14 +334,14 @@
     const auto target = add(2).at(0).m_upstream;
     put(target.value(), m_now + seconds(3));
     end(2, dispatch::attempt_end::not_run);
-    for (int i = 0; i < 100; ++i) {
+    for (std::uint64_t id = 100; id < 200; ++id) {
         for (const auto& step : pass(milliseconds(20))) {
             EXPECT_NE(step.m_upstream, target);
         }
-        for (const auto& step : add(static_cast<std::uint64_t>(100 + i))) {
+        for (const auto& step : add(id)) {
             EXPECT_NE(step.m_upstream, target);
         }
-        end(static_cast<std::uint64_t>(100 + i), dispatch::attempt_end::completed);
+        end(id, dispatch::attempt_end::completed);
     }
 }
 
