Test that a withdrawn request sends nothing

The check before the first byte, by which gateways take a request back that waits for a connection, had no test of its own. No product code changed.

--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -417,6 +417,42 @@
     EXPECT_EQ(find_field(answer->m_fields, "x-target"), "/a?b");
 }
 
+TEST_F(http_server, client_sends_nothing_of_a_request_that_may_not_be_sent_any_more)
+{
+    std::atomic<int> received = 0;
+    start({}, [&](request&&, const std::shared_ptr<exchange>& answer) {
+        ++received;
+        answer->respond(json_response(200, "{}"));
+    });
+    asio::io_context context;
+    client caller(context, m_server->address(), {});
+    for (const bool is_connection_kept : {false, true}) {
+        if (is_connection_kept) {
+            client_handlers first;
+            first.m_on_head = [](int, const fields&) {};
+            first.m_on_data = [](std::string) {};
+            first.m_on_end = [](const absl::Status&, progress) {};
+            caller.start({"GET", "/", {}, ""}, std::move(first));
+            context.restart();
+            context.run();
+        }
+        absl::Status result;
+        auto how_far = progress::sent;
+        client_handlers handlers;
+        handlers.m_may_send = [] { return false; };
+        handlers.m_on_end = [&](const absl::Status& status, progress reached) {
+            result = status;
+            how_far = reached;
+        };
+        caller.start({"GET", "/", {}, ""}, std::move(handlers));
+        context.restart();
+        context.run();
+        EXPECT_TRUE(absl::IsFailedPrecondition(result)) << result;
+        EXPECT_EQ(how_far, progress::not_sent);
+        EXPECT_EQ(received, is_connection_kept ? 1 : 0);
+    }
+}
+
 TEST_F(http_server, client_sees_a_cut_answer_as_an_error)
 {
     start({}, [](request&&, const std::shared_ptr<exchange>& answer) {
