--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,138 +1,125 @@
-"""A replica sends a second copy of some of its answers, late; requests that may not run twice are refused, and run."""
+"""Heartbeats of another writer, whose id can't be read as text; no gateway takes a configuration any more."""
 
 import collections
+import json
 import os
-import sys
+import random
+import socket
 import threading
 import time
 import traceback
 
-from deployment import FRONT, Deployment
+from deployment import BOUNDS, CONTROL, FRONT, Deployment
 from standins import Operator, Replica, answer, call, configuration, serves
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST, WORK_S, SLOTS, QUEUE = "orders.example", 0.03, 4, 2
-TROUBLE_AT_S, TROUBLE_FOR_S, LOAD_FOR_S = 3.0, 5.0, 12.0
-BURST_EVERY_S = 0.25
-SPOILED_SHARE = 0.03  # of the answers that this replica gives while the disruption lasts
-MOST_ATTEMPTS = {"/two/": 2, "/three/": 3}
-PROMISES = (408, 421, 429, 503)
+HOST = "desk.example"
+BEAT_S = 1.2  # `heartbeat-ms` of the page's example
+SETTLE_S, WRITER_FOR_S = 4.0, 12.0
+UNREADABLE_ID = "i-Sigur\u00f0ur".encode("latin-1")  # no UTF-8
 
 
-class FullReplica:
-    """Runs `SLOTS` requests, queues a few more and refuses the rest by `Not-Executed`."""
-
+class SoundReplica:
     def __init__(self):
-        self.lock = threading.Lock()
-        self.slots = threading.Semaphore(SLOTS)
-        self.held = 0
-        self.runs = collections.defaultdict(list)  # request: times at which work on it began
-        self.answers = self.refusals = self.spoiled = 0  # while the disruption lasts
-        self.trouble_until = 0.0
-        self.extra = {}  # connection: the second copy that is still to come on it
-
-    def may_spoil(self):
-        if not TROUBLE or time.monotonic() >= self.trouble_until:
-            return False
-        if self.spoiled + 1 > SPOILED_SHARE * self.answers:
-            return False
-        self.spoiled += 1
-        return True
+        self.runs = {}  # request: when work on it began
 
     def handle(self, replica, connection, request):
-        with self.lock:
-            lasts = time.monotonic() < self.trouble_until
-            self.answers += lasts
-            is_full = self.held >= SLOTS + QUEUE
-            self.held += 0 if is_full else 1
-            self.refusals += lasts and is_full
-            late = self.extra.pop(connection, None)
-            spoils = is_full and self.may_spoil()
-        if late:
-            connection.sendall(late)  # where the caller expects the next answer
-        if is_full:
-            refusal = answer(503, request, b"", [("Not-Executed", "1")])
-            if spoils:
-                self.extra[connection] = refusal
-            connection.sendall(refusal)
-            return
-        with self.slots:
-            with self.lock:
-                self.runs[request["id"]].append(time.monotonic())
-            time.sleep(WORK_S)
-            with self.lock:
-                self.held -= 1
-        connection.sendall(answer(200, request, b"done " + request["id"].encode(),
+        self.runs[request["id"]] = time.monotonic()
+        time.sleep(0.01)
+        connection.sendall(answer(200, request, b"done by " + replica.name.encode(),
                                   [("Response-Stamp", "stamp-" + replica.name)]))
 
 
-def run_clients(deployment, answers, until):
-    """Users that come together: one at each gateway, by turns on each path."""
-    start = time.monotonic()
-
-    def client(ip, path, number):
-        count = 0
-        while time.monotonic() < until:
-            count += 1
-            time.sleep(max(0.0, start + (2 * count + number) * BURST_EVERY_S - time.monotonic()))
-            name = "%s-%s-%d-%d" % (path.strip("/"), ip.rsplit(".", 1)[1], number, count)
-            status, _, _ = call(ip, FRONT, "POST", path + "order", b"{}",
-                                     {"Host": HOST, "Attempt-Id": name, "Deadline-Ms": "1000"})
-            answers[name] = status
-    threads = [threading.Thread(target=client, args=(machine.ip, path, number))
-               for machine in deployment.of("front") for number, path in enumerate(MOST_ATTEMPTS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+def heartbeat_of_another_writer(ip, sequence):
+    """One heartbeat; the status of its answer. Its body is sound, the id in its path is not."""
+    body = json.dumps({"service": "copydesk", "address": "127.0.0.1:9", "zone": "kariakoo", "version": "v1",
+                       "slots": 6, "state": "ready", "sequence": sequence, "cold-remaining-ms": 0}).encode()
+    try:
+        with socket.create_connection((ip, CONTROL), timeout=1.0) as connection:
+            connection.sendall(b"PUT /-/instances/" + UNREADABLE_ID + b" HTTP/1.1\r\nHost: control\r\n"
+                               b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            return int(connection.recv(400).split(b" ")[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+def write_heartbeats(core, until, sent):
+    """As replicas do: to the nodes in turn, and to the next one at once if one doesn't acknowledge it."""
+    sequence = random.randrange(len(core))
+    while time.monotonic() < until:
+        sequence += 1
+        for place in range(len(core)):
+            ip = core[(sequence + place) % len(core)]
+            status = heartbeat_of_another_writer(ip, sequence)
+            sent[ip, status] += 1
+            if 200 <= status < 300:
+                break
+        time.sleep(BEAT_S)
+
+
+def document(version, service):
+    route = {"host": HOST, "kind": "unsafe", "timeout-ms": 1000, "target-latency-ms": 100, "priority": 1,
+             "max-attempts": 1, "allow-anonymous": True}
+    return configuration(version, [{**route, "name": "r-brief", "path-prefix": "/brief/", "service": service}],
+                         ["copydesk", "trafficking"])
 
 
 def main(record):
-    deployment = Deployment(fronts=8)
+    deployment = Deployment(fronts=3)
     try:
         deployment.start()
         core = [machine.ip for machine in deployment.of("core")]
-        route = {"host": HOST, "kind": "unsafe", "timeout-ms": 1000, "target-latency-ms": 100, "priority": 1,
-                 "service": "orders", "allow-anonymous": True}
-        document = configuration(
-            1, [{**route, "name": "r" + path.strip("/"), "path-prefix": path, "max-attempts": most}
-                for path, most in MOST_ATTEMPTS.items()] +
-            [{**route, "name": "rstock", "path-prefix": "/stock/", "max-attempts": 2, "service": "stock"}],
-            ["orders", "stock"])
-        if Operator(deployment).put(document)[0] != 200:
+        operator = Operator(deployment)
+        if operator.put(document(1, "copydesk"))[0] != 200:
             return 2
-        subject = FullReplica()
-        Replica("i-orders-1", "orders", "kariakoo", deployment.next_ip(), core, subject.handle, SLOTS)
-        Replica("i-stock-1", "stock", "msasani", deployment.next_ip(), core, FullReplica().handle, SLOTS)
-        if not all(serves(deployment, FRONT, HOST, path, {}) for path in [*MOST_ATTEMPTS, "/stock/"]):
+        services = {"copydesk": SoundReplica(), "trafficking": SoundReplica()}
+        for index, (name, replica) in enumerate(services.items()):
+            Replica("i-%s-1" % name, name, deployment.zones[index], deployment.next_ip(), core, replica.handle)
+        if not serves(deployment, FRONT, HOST, "/brief/", {}):
             return 2
-        start = time.monotonic()
-        answers = {}
-
-        def begin_trouble():
-            with subject.lock:
-                subject.trouble_until = time.monotonic() + TROUBLE_FOR_S
-        threading.Timer(TROUBLE_AT_S, begin_trouble).start()
-        run_clients(deployment, answers, start + LOAD_FOR_S)
-        time.sleep(1.5)
-        refused = sorted(name for name, status in answers.items() if status in PROMISES)
-        broken = [name for name in refused if subject.runs.get(name)]
-        twice = sorted(name for name, times in subject.runs.items() if len(times) > 1)
-        record.write("disruption: %s\n" % ("on" if TROUBLE else "off"))
-        record.write("answers by status: %s\n" % dict(collections.Counter(answers.values())))
-        record.write("while the disruption may last, of the replica: %d answers, %d refusals, %d second copies\n" %
-                     (subject.answers, subject.refusals, subject.spoiled))
-        record.write("REFUSED: answered by a promise and run: %d of %d\n" % (len(broken), len(refused)))
-        record.write("TWICE: run more than once: %d\n" % len(twice))
-        for name in sorted(set(broken) | set(twice)):
-            record.write("  %s: answered %s, runs at %s s\n" % (
-                name, answers.get(name), ", ".join("%.3f" % (t - start) for t in subject.runs[name])))
-            for machine in deployment.of("front"):
-                record.writelines("    %s\n" % line for line in machine.log().splitlines()
-                                  if "request=" + name + " " in line)
-        if len(answers) < 100 or not any(status == 200 for status in answers.values()):
+        time.sleep(SETTLE_S)
+        sent = collections.Counter()
+        if TROUBLE:
+            writer = threading.Thread(target=write_heartbeats,
+                                      args=(core, time.monotonic() + WRITER_FOR_S, sent))
+            writer.start()
+            writer.join()
+        else:
+            time.sleep(WRITER_FOR_S)
+        status, _ = operator.put(document(2, "trafficking"))
+        acknowledged = time.monotonic()
+        if status != 200:
             return 2
-        return 1 if broken or twice else 0
+        # Beyond `config-apply-ms`, and beyond what an unstable core could excuse.
+        time.sleep((BOUNDS["config-apply-ms"] + BOUNDS["max-skew-ms"]) / 1000.0 + 1.0)
+        asked = []
+        for number in range(10):
+            for machine in deployment.of("front"):
+                name = "late-%s-%d" % (machine.ip.rsplit(".", 1)[1], number)
+                status, _, _ = call(machine.ip, FRONT, "POST", "/brief/x", b"{}",
+                                    {"Host": HOST, "Attempt-Id": name, "Deadline-Ms": "1000"})
+                asked.append((name, machine.name, time.monotonic() - acknowledged, status))
+            time.sleep(0.2)
+        held, _ = operator.read(3.0)
+        old = [item for item in asked if item[0] in services["copydesk"].runs]
+        new = [item for item in asked if item[0] in services["trafficking"].runs]
+        record.write("disruption: %s\n" % ("on" if TROUBLE else "off"))
+        record.write("heartbeats of the other writer, by status of the answer: %s\n" % dict(
+            (status, sum(n for (_, other), n in sent.items() if other == status)) for _, status in sent))
+        record.write("read back from the core: version %s\n" % (held["version"] if held else "none"))
+        record.write("processes that run: %s\n" % {m.name: m.is_running() for m in deployment.machines})
+        record.write("CONFIG: requests sent over %d ms after the ack of version 2: %d; run by the service of version 2: "
+                     "%d, by that of version 1: %d\n" % (BOUNDS["config-apply-ms"], len(asked), len(new), len(old)))
+        for name, gateway, after, status in asked:
+            record.write("  %s at %s, %.2f s after the ack: %d, %s\n" % (
+                name, gateway, after, status, "old service" if name in services["copydesk"].runs else
+                "new service" if name in services["trafficking"].runs else "not run"))
+        for machine in deployment.of("front"):
+            lines = machine.log().splitlines()
+            record.write("%s: link_bad_frame logged %d times; last: %s\n" % (
+                machine.name, sum("link_bad_frame" in line for line in lines),
+                next((line for line in reversed(lines) if "link_bad_frame" in line), "none")))
+        return 1 if old else 0 if len(new) == len(asked) else 2
     finally:
         deployment.stop()
 
