--- a/review/3/case.py
+++ b/review/3/case.py
@@ -58,6 +58,13 @@
         raise TimeoutError("no node acknowledged the order")
 
 
+def leader_of(site):
+    """The address of the registrar that leads, by the last that a log says of it; the freeze hits another one."""
+    beliefs = [line for machine in site.of("core") for line in machine.log().splitlines()
+               if "event=log_belief" in line and "leader=tcp://" in line]
+    return max(beliefs).split("leader=tcp://")[1].split(":")[0] if beliefs else None
+
+
 def ask(site, results, until, name):
     number = 0
     while time.monotonic() < until:
@@ -90,7 +97,8 @@
         operator = PatientOperator(record, start)
         record.write("disruption: %s\n" % ("on" if TROUBLE else "off"))
         operator.order("POST", core)
-        frozen = site.of("core")[-1]
+        leader = leader_of(site)
+        frozen = [machine for machine in site.of("core") if machine.ip != leader][-1]
         if TROUBLE:
             frozen.child.send_signal(signal.SIGSTOP)
             threading.Timer(FREEZE_S, frozen.child.send_signal, (signal.SIGCONT,)).start()
