Bound the nesting of JSON from outside, and of values shown in errors

Cause: json_reader::refuse writes the whole refused value by recursion (value->dump()) and cuts it to 60 bytes afterwards. Evidence: 47,641 frames of nlohmann's serializer under json_reader::number in a debugger. Ruled out: the parser and the destructor (neither recurses), memory. The cut could also end inside a character, so that the message can't be written as JSON.

Change: parse_json is the one reader of JSON from outside; it refuses text that nests deeper than 32 levels before a value is built. excerpt writes no more than it shows and ends between characters; write_json replaces bytes that aren't UTF-8. Both are used wherever a value or text from outside is shown: platform, configuration, settings, experiments, pages, engines' reports, operators' tools.

Why it works: no value that is copied, compared or written is deeper than the limit, and no message is longer than the excerpt.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -252,7 +252,7 @@
                 caller::bad_request("bad_map", "the expert map must be a JSON document"), "");
         }
         const bool taken = m_group && m_group->propose(request.m_body, program::now());
-        return http::json_response(taken ? 202 : 409, json{{"taken", taken}}.dump());
+        return http::json_response(taken ? 202 : 409, write_json({{"taken", taken}}));
     }
 
     [[nodiscard]] json group_status() const
@@ -285,7 +285,7 @@
         if (path == "/readyz") {
             const bool is_ready = m_frame.phase() == lifecycle::phase::serving;
             return http::json_response(is_ready ? 200 : 503,
-                                       json{{"phase", to_string(m_frame.phase())}}.dump());
+                                       write_json({{"phase", to_string(m_frame.phase())}}));
         }
         if (path == "/v1/status") {
             return status_response();
@@ -315,7 +315,7 @@
         page["draining"] = is_draining();
         page["running"] = m_gate->running();
         page["group"] = group_status();
-        return http::json_response(200, page.dump());
+        return http::json_response(200, write_json(page));
     }
 
     void on_message(const link::peer& from, const wire::Envelope& message)
--- a/dewbeam/src/base/settings.cpp
+++ b/dewbeam/src/base/settings.cpp
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <set>
 
+#include "dewbeam/src/base/json_text.h"
+
 namespace dewbeam {
 
 namespace {
@@ -157,10 +159,11 @@
             continue;
         }
         if (!is_group(schema, child)) {
-            found.push_back({child, value.dump(), "only the settings that --print-defaults lists"});
+            found.push_back(
+                {child, excerpt(value), "only the settings that --print-defaults lists"});
         }
         else if (!value.is_object()) {
-            found.push_back({child, value.dump(), "an object"});
+            found.push_back({child, excerpt(value), "an object"});
         }
         else {
             find_unknown(schema, value, child, found);
@@ -179,7 +182,7 @@
     }
     const auto& value = document.at(path);
     if (!is_allowed(row, value)) {
-        found.push_back({std::string(row.m_path), value.dump(), allowed_text(row)});
+        found.push_back({std::string(row.m_path), excerpt(value), allowed_text(row)});
     }
 }
 
@@ -188,7 +191,7 @@
 mistakes check_settings(settings_schema schema, const json& document)
 {
     if (!document.is_object()) {
-        return {{"/", document.dump(), "a JSON object"}};
+        return {{"/", excerpt(document), "a JSON object"}};
     }
     mistakes found;
     find_unknown(schema, document, "", found);
--- a/dewbeam/src/caller/call.cpp
+++ b/dewbeam/src/caller/call.cpp
@@ -22,21 +22,6 @@
 constexpr std::array<const char*, 4> reserved_labels{"workspace", "model", "service", "stream"};
 constexpr std::int64_t default_output_tokens = 512;
 
-/// Parses JSON and refuses nesting deeper than the limit, before it is built.
-json parse_bounded(const std::string& text, std::size_t most_depth, bool& is_too_deep)
-{
-    const auto check = [&](int depth, json::parse_event_t event, json& /*value*/) {
-        const bool is_start =
-            event == json::parse_event_t::object_start || event == json::parse_event_t::array_start;
-        if (is_start && depth >= static_cast<int>(most_depth)) {
-            is_too_deep = true;
-            return false;
-        }
-        return true;
-    };
-    return json::parse(text, check, false);
-}
-
 std::optional<error> append_content(const json& content, std::string& prompt)
 {
     if (content.is_string()) {
@@ -127,16 +112,16 @@
         fault.m_status = 405;
         return fault;
     }
-    bool is_too_deep = false;
-    const auto body = parse_bounded(source.m_body, limits.m_most_json_depth, is_too_deep);
-    if (is_too_deep) {
+    const auto parsed = parse_json(source.m_body, limits.m_most_json_depth);
+    if (absl::IsOutOfRange(parsed.status())) {
         return bad_request(
             "json_too_deep",
             "the body nests deeper than " + std::to_string(limits.m_most_json_depth) + " levels");
     }
-    if (body.is_discarded() || !body.is_object()) {
+    if (!parsed.ok() || !parsed->is_object()) {
         return bad_request("invalid_json", "the body must be a JSON object");
     }
+    const auto& body = *parsed;
     if (auto fault = read_options(body, limits, result)) {
         return fault;
     }
--- a/dewbeam/src/configuration/document.cpp
+++ b/dewbeam/src/configuration/document.cpp
@@ -117,7 +117,7 @@
                                   label_value.is_string() &&
                                   is_label_part(label_value.get_ref<const std::string&>());
             if (!is_right) {
-                m_found.push_back({m_path + "/" + key + "/" + label_key, label_value.dump(),
+                m_found.push_back({m_path + "/" + key + "/" + label_key, excerpt(label_value),
                                    "a label of letters, digits, '.', '_', '-' and '/', at most 63 "
                                    "bytes"});
                 continue;
@@ -192,7 +192,7 @@
         if (*key != '\0') {
             path += std::string("/") + key;
         }
-        m_found.push_back({std::move(path), value.dump(), std::move(allowed)});
+        m_found.push_back({std::move(path), excerpt(value), std::move(allowed)});
     }
 
     [[nodiscard]] std::string known_keys() const
@@ -309,7 +309,7 @@
     }
     const std::string path = std::string("/") + key;
     if (!items->is_object()) {
-        found.push_back({path, items->dump(), "an object keyed by name"});
+        found.push_back({path, excerpt(*items), "an object keyed by name"});
         return;
     }
     for (const auto& [name, value] : items->items()) {
--- a/dewbeam/src/configuration/store.cpp
+++ b/dewbeam/src/configuration/store.cpp
@@ -47,19 +47,14 @@
     }
 }
 
-/// Deeper input is refused: the patch is merged and written by recursion.
-constexpr int most_depth = 32;
+/// A change and a stored state hold the document one level deep.
+constexpr std::size_t max_depth = max_json_depth + 1;
 
 /// The parsed text; discarded where it is no JSON or nests too deeply.
 json parse_bounded(std::string_view text)
 {
-    bool is_deep = false;
-    const auto watch = [&is_deep](int depth, json::parse_event_t, json&) {
-        is_deep = is_deep || depth > most_depth;
-        return !is_deep;
-    };
-    auto parsed = json::parse(text, watch, false);
-    return is_deep ? json(json::value_t::discarded) : parsed;
+    auto parsed = parse_json(text, max_depth);
+    return parsed.ok() ? *std::move(parsed) : json(json::value_t::discarded);
 }
 
 }  // namespace
--- a/dewbeam/src/control/change_page.cpp
+++ b/dewbeam/src/control/change_page.cpp
@@ -37,17 +37,16 @@
     switch (result.m_status) {
         case configuration::change_status::accepted:
             return http::json_response(
-                200, json{{"status", "accepted"}, {"number", result.m_number}}.dump());
+                200, write_json({{"status", "accepted"}, {"number", result.m_number}}));
         case configuration::change_status::conflict:
-            return http::json_response(409, json{{"status", "conflict"},
-                                                 {"number", result.m_number},
-                                                 {"winner", result.m_winner}}
-                                                .dump());
+            return http::json_response(409, write_json({{"status", "conflict"},
+                                                        {"number", result.m_number},
+                                                        {"winner", result.m_winner}}));
         case configuration::change_status::invalid:
             break;
     }
     return http::json_response(
-        422, json{{"status", "invalid"}, {"mistakes", to_json(result.m_mistakes)}}.dump());
+        422, write_json({{"status", "invalid"}, {"mistakes", to_json(result.m_mistakes)}}));
 }
 
 }  // namespace
--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -159,7 +159,7 @@
         else if (path == "/readyz") {
             const bool is_ready = m_frame.phase() == lifecycle::phase::serving;
             answer->respond(http::json_response(
-                is_ready ? 200 : 503, json{{"phase", to_string(m_frame.phase())}}.dump()));
+                is_ready ? 200 : 503, write_json({{"phase", to_string(m_frame.phase())}})));
         }
         else if (path == "/v1/configuration" && request.m_method == "GET") {
             give_configuration(answer);
@@ -182,13 +182,13 @@
     {
         m_runner->read_index([this, answer](bool is_confirmed) {
             const auto current = m_runner->configuration();
-            answer->respond(http::json_response(200, json{{"number", current.m_number},
-                                                          {"version",
-                                                           {{"term", current.m_version.m_term},
-                                                            {"index", current.m_version.m_index}}},
-                                                          {"confirmed", is_confirmed},
-                                                          {"document", current.m_source}}
-                                                         .dump()));
+            answer->respond(
+                http::json_response(200, write_json({{"number", current.m_number},
+                                                     {"version",
+                                                      {{"term", current.m_version.m_term},
+                                                       {"index", current.m_version.m_index}}},
+                                                     {"confirmed", is_confirmed},
+                                                     {"document", current.m_source}})));
         });
     }
 
@@ -239,7 +239,7 @@
             page["replicas"].push_back(
                 {{"replica", member.m_identity.m_id.value()}, {"votes", member.m_votes}});
         }
-        return http::json_response(200, page.dump());
+        return http::json_response(200, write_json(page));
     }
 
     // Messages.
--- a/dewbeam/src/engine/json_object.h
+++ b/dewbeam/src/engine/json_object.h
@@ -7,18 +7,23 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "dewbeam/base"
+
 namespace dewbeam::engine::internal {
 
 /// Calls `read` on the object in `body`; what JSON throws becomes a value.
 template <class Reader>
 auto read_object(const std::string& body, Reader read) -> decltype(read(nlohmann::json()))
 {
-    const auto source = nlohmann::json::parse(body, nullptr, false);
-    if (!source.is_object()) {
+    const auto source = parse_json(body);
+    if (!source.ok()) {
+        return source.status();
+    }
+    if (!source->is_object()) {
         return absl::InvalidArgumentError("the body must be a JSON object");
     }
     try {
-        return read(source);
+        return read(*source);
     }
     catch (const nlohmann::json::exception& error) {
         return absl::InvalidArgumentError(error.what());
--- a/dewbeam/src/engine/load_poller.cpp
+++ b/dewbeam/src/engine/load_poller.cpp
@@ -78,10 +78,14 @@
 
 absl::StatusOr<load> parse_load(const std::string& body)
 {
-    const auto source = nlohmann::json::parse(body, nullptr, false);
-    if (!source.is_object()) {
+    const auto parsed = parse_json(body);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    if (!parsed->is_object()) {
         return absl::InvalidArgumentError("a load report must be a JSON object");
     }
+    const auto& source = *parsed;
     try {
         load result;
         result.m_name = source.value("name", "");
--- a/dewbeam/src/entry/pages.cpp
+++ b/dewbeam/src/entry/pages.cpp
@@ -12,14 +12,13 @@
 {
     const bool is_ready = state.m_frame.phase() == lifecycle::phase::serving;
     return http::json_response(is_ready ? 200 : 503,
-                               json{{"phase", to_string(state.m_frame.phase())}}.dump());
+                               write_json({{"phase", to_string(state.m_frame.phase())}}));
 }
 
 std::string burn_text(const entry_state& state)
 {
-    return json{{"host", setting_value<std::string>(state.m_settings, "/host")},
-                {"burn", state.m_burn.to_json()}}
-        .dump();
+    return write_json({{"host", setting_value<std::string>(state.m_settings, "/host")},
+                       {"burn", state.m_burn.to_json()}});
 }
 
 std::string status_text(const entry_state& state)
@@ -35,13 +34,13 @@
     auto page = status_page(facts, *state.m_membership, program::now());
     page["in_flight"] = state.m_requests.size();
     page["loads"] = loads_to_json(state.m_members.all());
-    return page.dump();
+    return write_json(page);
 }
 
 /// Lifts the quarantine of a content on every entry. Body: `{"pool": "model:NAME", "content": N}`.
 http::response lift_quarantine(entry_state& state, const http::request& request)
 {
-    const auto body = json::parse(request.m_body, nullptr, false);
+    const auto body = parse_json(request.m_body).value_or(json());
     const bool is_right = body.is_object() && body.contains("pool") && body["pool"].is_string() &&
                           body.contains("content") && body["content"].is_number_unsigned();
     if (!is_right) {
@@ -66,7 +65,7 @@
                 {{"id", name.substr(prefix.size())}, {"object", "model"}, {"owned_by", "dewbeam"}});
         }
     }
-    return json{{"object", "list"}, {"data", data}}.dump();
+    return write_json({{"object", "list"}, {"data", data}});
 }
 
 }  // namespace
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -30,7 +30,7 @@
 {
     auto result = http::json_response(
         fault.m_status,
-        nlohmann::json{{"error", {{"code", fault.m_code}, {"message", fault.m_message}}}}.dump());
+        write_json({{"error", {{"code", fault.m_code}, {"message", fault.m_message}}}}));
     if (fault.m_retry_after > time_span::zero()) {
         const double seconds = std::chrono::duration<double>(fault.m_retry_after).count();
         result.m_fields.push_back({"Retry-After", absl::StrFormat("%.3f", seconds)});
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -284,7 +284,7 @@
     {
         const auto phase = m_state.m_frame.phase();
         return http::json_response(phase == lifecycle::phase::serving ? 200 : 503,
-                                   json{{"phase", lifecycle::to_string(phase)}}.dump());
+                                   write_json({{"phase", lifecycle::to_string(phase)}}));
     }
 
     http::response page(const http::request& request) const
@@ -329,7 +329,7 @@
                                                  {"backoff_s", to_seconds(left)},
                                                  {"leaving", closed.m_is_leaving}});
         }
-        return http::json_response(200, page.dump());
+        return http::json_response(200, write_json(page));
     }
 
     registrar::feed_handlers feed_handlers_of()
--- a/dewbeam/src/load/answers.cpp
+++ b/dewbeam/src/load/answers.cpp
@@ -111,7 +111,7 @@
 
 verdict judge_whole(const work& kind, const planned_request& planned, std::string_view body)
 {
-    const auto source = json::parse(body, nullptr, false);
+    const auto source = parse_json(body).value_or(json());
     if (is_plain(kind)) {
         return judge_plain(kind, planned, source);
     }
@@ -142,7 +142,7 @@
             has_end = true;
             continue;
         }
-        const auto source = json::parse(event, nullptr, false);
+        const auto source = parse_json(event).value_or(json());
         if (source.is_object() && source.contains("error")) {
             return expected_text(kind, planned).starts_with(text) ? verdict::ended_with_error
                                                                   : verdict::foreign;
--- a/dewbeam/src/load/experiment.cpp
+++ b/dewbeam/src/load/experiment.cpp
@@ -28,7 +28,7 @@
         : m_source(source), m_path(std::move(path)), m_found(found)
     {
         if (!source.is_object()) {
-            m_found.push_back({m_path, source.dump(), "an object"});
+            m_found.push_back({m_path, excerpt(source), "an object"});
         }
     }
 
@@ -111,7 +111,7 @@
 
     void add(const char* key, const json& value, std::string allowed)
     {
-        m_found.push_back({m_path + "/" + key, value.dump(), std::move(allowed)});
+        m_found.push_back({m_path + "/" + key, excerpt(value), std::move(allowed)});
     }
 
     void finish()
--- a/dewbeam/src/operators/site_client.cpp
+++ b/dewbeam/src/operators/site_client.cpp
@@ -13,6 +13,9 @@
 using json = nlohmann::json;
 using std::chrono::steady_clock;
 
+/// The answers of controls hold the document one level deep.
+constexpr std::size_t max_answer_depth = max_json_depth + 2;
+
 constexpr int http_ok = 200;
 constexpr int http_conflict = 409;
 constexpr int http_unprocessable = 422;
@@ -45,7 +48,7 @@
         return absl::UnavailableError(to_string(server) + " answered " +
                                       std::to_string(reply->m_status) + ": " + reply->m_body);
     }
-    auto body = json::parse(reply->m_body, nullptr, false);
+    auto body = parse_json(reply->m_body, max_answer_depth).value_or(json());
     if (!body.is_object()) {
         return absl::DataLossError(to_string(server) + " answered no JSON object");
     }
@@ -91,7 +94,7 @@
 
 submission read_submission(const endpoint& server, const http::response& reply)
 {
-    const auto body = json::parse(reply.m_body, nullptr, false);
+    const auto body = parse_json(reply.m_body, max_answer_depth).value_or(json());
     submission result;
     result.m_number = field<std::uint64_t>(body, "number", 0);
     switch (reply.m_status) {
--- a/dewbeam/src/ranks/rank_format.cpp
+++ b/dewbeam/src/ranks/rank_format.cpp
@@ -28,7 +28,11 @@
 
 absl::StatusOr<placement> placement_from_json(const std::string& text)
 {
-    const auto source = nlohmann::json::parse(text, nullptr, false);
+    const auto parsed = parse_json(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const auto& source = *parsed;
     const auto is_list_of = [](const nlohmann::json& list, auto&& is_item) {
         return list.is_array() && std::all_of(list.begin(), list.end(), is_item);
     };
--- a/dewbeam/src/registrar/drain_calls.cpp
+++ b/dewbeam/src/registrar/drain_calls.cpp
@@ -36,7 +36,7 @@
               {{"domain", subject.m_domain.value()},
                {"drained", subject.m_is_drained},
                {"result", result}});
-    subject.m_answer->respond(http::json_response(200, json{{"result", result}}.dump()));
+    subject.m_answer->respond(http::json_response(200, write_json({{"result", result}})));
 }
 
 void refuse(const pending_order& subject, const char* code, const std::string& message)
@@ -85,7 +85,7 @@
     if (!known.contains(domain)) {
         answer->respond(error_response(
             422, "unknown_failure_domain",
-            "failure domain \"" + domain.value() + "\" is unknown; known are " + list_of(known)));
+            "failure domain " + excerpt_text(domain.value()) + " is unknown; known are " + list_of(known)));
         return;
     }
     const auto subject = std::make_shared<pending_order>();
@@ -126,7 +126,7 @@
             page["failure_domains"].push_back(
                 {{"name", domain.value()}, {"drained", drains::is_drained(state, domain)}});
         }
-        answer->respond(http::json_response(200, page.dump()));
+        answer->respond(http::json_response(200, write_json(page)));
     });
 }
 
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -417,7 +417,7 @@
         const char* text = result == revisions::revision_result::adopted ? "adopted" : "overtaken";
         log_event(log_level::info, "revision_acknowledged",
                   {{"revision", number.value()}, {"result", text}});
-        answer->respond(http::json_response(200, json{{"result", text}}.dump()));
+        answer->respond(http::json_response(200, write_json({{"result", text}})));
     }
 
     void read_revision(const std::shared_ptr<http::exchange>& answer)
@@ -460,7 +460,7 @@
                                          {"state", registry::to_string(item.m_announced.m_state)},
                                          {"silent", item.m_is_unresponsive}});
         }
-        return http::json_response(200, page.dump());
+        return http::json_response(200, write_json(page));
     }
 
     // Messages.
