Bound the sizes by which rank agents allocate

Read, not seen by callers: a report of an engine whose group has 4,294,967,295 ranks makes its rank agent allocate that many names (find_layout) and end; numbers of layers and experts of a configuration, and of tokens in a caller's header, were taken as they came and overflow.

--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -280,6 +280,42 @@
     return text;
 }
 
+// Guards against one report of an engine that makes its rank agent allocate without bound.
+TEST(adapter, sizes_by_which_ranks_allocate_are_bounded)
+{
+    const auto report = [](const std::string& size) {
+        return read_report(R"({"size":)" + size +
+                           R"(,"group":{"name":"g","epoch":1,"rank":0,"state":"open"}})");
+    };
+    EXPECT_EQ(report("65536")->m_ranks, 65'536U);
+    for (const auto* size : {"65537", "4294967295", "4294967296", "9223372036854775807"}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(report(size).status())) << size;
+    }
+    const auto facts = [](const std::string& name, const std::string& value) {
+        return read_engine_facts(R"({"services":[{"name":"s1","engine":{"sets":1,")" + name +
+                                     "\":" + value + "}}]}",
+                                 "s1")
+            .status();
+    };
+    for (const auto* name : {"sets", "experts", "places", "spare", "stride"}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(facts(name, "4294967295"))) << name;
+    }
+    EXPECT_TRUE(facts("expert-mb", "1e300").ok()) << "capped";
+}
+
+TEST(adapter, estimates_of_tokens_are_capped)
+{
+    auto request = call();
+    for (auto& item : request.m_fields) {
+        if (item.m_name == "Token-Count") {
+            item.m_value = "9223372036854775807,9223372036854775807";
+        }
+    }
+    const auto read = read_call(request);
+    ASSERT_TRUE(read.ok());
+    EXPECT_LE(read->m_prompt_tokens.m_count, 1'000'000'000);
+}
+
 RC_GTEST_PROP(adapter, any_bytes_are_read_or_refused, (std::uint64_t seed, std::string noise))
 {
     random_engine random(seed);
