Escape bytes in logs that aren't UTF-8

A reader of a registrar's log that expects text failed on a line with an id in Latin-1 (UnicodeDecodeError in our own tool). Values that aren't UTF-8 are quoted and their bytes beyond ASCII escaped. The property of quoted log values now asks for UTF-8, which it did not hold before.

--- a/dewbeam/src/base/log.cpp
+++ b/dewbeam/src/base/log.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <string>
 
+#include "dewbeam/src/base/text.h"
+
 namespace dewbeam {
 
 namespace {
@@ -32,7 +34,8 @@
     return byte > 0x20 && byte != 0x7F && c != '"' && c != '=' && c != '\\';
 }
 
-void append_escaped(std::string& out, char c)
+/// `is_text`: bytes beyond ASCII are part of UTF-8.
+void append_escaped(std::string& out, char c, bool is_text)
 {
     constexpr std::string_view digits = "0123456789abcdef";
     const auto byte = static_cast<unsigned char>(c);
@@ -40,7 +43,7 @@
         out += '\\';
         out += c;
     }
-    else if (byte < 0x20 || byte == 0x7F) {
+    else if (byte < 0x20 || byte == 0x7F || (byte > 0x7F && !is_text)) {
         out += "\\x";
         out += digits[byte >> 4U];
         out += digits[byte & 0xFU];
@@ -62,12 +65,13 @@
 
 std::string quote_log_value(std::string_view value)
 {
-    if (!value.empty() && std::all_of(value.begin(), value.end(), is_plain)) {
+    const bool is_text = is_utf8(value);
+    if (!value.empty() && is_text && std::all_of(value.begin(), value.end(), is_plain)) {
         return std::string(value);
     }
     std::string out = "\"";
     for (const char c : value) {
-        append_escaped(out, c);
+        append_escaped(out, c, is_text);
     }
     out += '"';
     return out;
--- a/dewbeam/src/base/log.h
+++ b/dewbeam/src/base/log.h
@@ -36,8 +36,8 @@
 
 /// Writes one line: time, level, program, host, event, then the fields in order.
 ///
-/// Values that hold spaces, quotes, `=` or control bytes are quoted and escaped, so that a line
-/// can't be forged from outside.
+/// Values with spaces, quotes, `=`, control bytes or bytes that aren't UTF-8 are quoted and
+/// escaped: a line is text, and can't be forged from outside.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
--- a/test/base_test.cpp
+++ b/test/base_test.cpp
@@ -63,6 +63,7 @@
     const auto quoted = internal::quote_log_value(value);
     RC_ASSERT(quoted.find('\n') == std::string::npos);
     RC_ASSERT(quoted.front() == '"' || quoted.find(' ') == std::string::npos);
+    RC_ASSERT(is_utf8(quoted));
 }
 
 RC_GTEST_PROP(random, uniform_below_stays_below, (std::uint64_t seed))
