End one exchange alone where its handler throws

Callers saw: after one heartbeat whose `slots` are 40 letters of two bytes a planned stop of the registrar ends with 3, after 4,096 it answers every call by 503 too_many_connections until it is restarted.

Cause: the server raised and lowered its counts by hand, and an exception dropped the connection's coroutine (asio::detached) between the two. The same holds for any exception in any handler. By reading: an exchange of the HTTP client whose handler throws never ended, so that its attempt held its place; a throwing handler of a link's message, or of the event loop, ended the process; a throwing action for a caller's end left its watch running.

Change: contain() calls handlers and logs handler_failed. The request is answered by 500 internal_error, or cut if its answer has begun, and what it holds is released as for a caller that went away; a client's exchange ends by Internal; a message is lost alone; the event loop goes on. Counts are held by objects.

--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -197,6 +197,21 @@
 
 private:
     asio::awaitable<void> run()
+    {
+        error_code error;
+        try {
+            error = co_await exchange_on_any_connection();
+        }
+        catch (const std::exception& thrown) {
+            log_event(log_level::error, "handler_failed",
+                      {{"where", "http_client"}, {"reason", thrown.what()}});
+            m_has_failed = true;
+            error = make_error_code(asio::error::fault);
+        }
+        end(error);
+    }
+
+    asio::awaitable<error_code> exchange_on_any_connection()
     {
         auto error = co_await exchange_once();
         const bool was_stale = error && !m_is_cancelled && !m_is_withdrawn &&
@@ -206,7 +221,7 @@
             m_connection = std::make_unique<client_connection>(*m_executor);
             error = co_await exchange_once();
         }
-        end(error);
+        co_return error;
     }
 
     asio::awaitable<error_code> exchange_once()
@@ -344,8 +359,8 @@
         }
         m_connection.reset();
         const auto how_far = m_may_have_sent ? progress::sent : progress::not_sent;
-        m_handlers.m_on_end(to_status(error), how_far);
-        m_handlers = {};
+        const auto handlers = std::exchange(m_handlers, {});
+        contain("http_client", [&] { handlers.m_on_end(to_status(error), how_far); });
     }
 
     absl::Status to_status(error_code error) const
@@ -356,6 +371,9 @@
         if (m_is_cancelled) {
             return absl::CancelledError("the exchange was cancelled");
         }
+        if (m_has_failed) {
+            return absl::InternalError("a handler of the answer failed");
+        }
         if (m_is_withdrawn) {
             return absl::FailedPreconditionError("the request may not be sent any more");
         }
@@ -382,6 +400,7 @@
     std::chrono::steady_clock::time_point m_answer_deadline{};
     bool m_may_have_sent = false;
     bool m_is_withdrawn = false;  ///< it may not be sent any more
+    bool m_has_failed = false;    ///< a handler threw
     bool m_has_head = false;
     bool m_keep_alive = false;
     time_span m_idle_limit{};  ///< of this connection
--- a/dewbeam/src/http/client.h
+++ b/dewbeam/src/http/client.h
@@ -21,7 +21,8 @@
     sent,      ///< some or all of the request was; the other side may have begun
 };
 
-/// Calls from one of the context's threads, in this order: may send, head, data..., end.
+/// Calls from one of the context's threads, in this order: may send, head, data..., end. If one of
+/// them throws, the exchange ends by `Internal` and its connection is closed.
 struct client_handlers {
     /// Asked once a connection is there, before a byte of the request goes out; may be empty. If
     /// false, nothing is sent and the exchange ends by `FailedPrecondition`.
--- a/dewbeam/src/http/queued_exchange.h
+++ b/dewbeam/src/http/queued_exchange.h
@@ -87,11 +87,34 @@
             m_on_gone = nullptr;
         }
         if (action) {
-            action();
+            contain("caller_gone", action);
         }
         wake();
     }
 
+    /// The handler threw: `whole` is the answer unless one has begun, which is cut instead. What
+    /// the handler holds for this caller is released as for one that went away.
+    void fail(response whole)
+    {
+        std::function<void()> action;
+        bool has_begun = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            action = std::move(m_on_gone);
+            m_on_gone = nullptr;
+            has_begun = m_has_begun;
+        }
+        if (has_begun) {
+            abort();
+        }
+        else {
+            respond(std::move(whole));
+        }
+        if (action) {
+            contain("caller_gone", action);
+        }
+    }
+
     /// The whole answer was written.
     void set_over()
     {
@@ -145,6 +168,7 @@
             }
             must_wake = std::exchange(m_is_waiting, false);
             m_is_closed = is_last;
+            m_has_begun = true;
             m_unsent += item.m_data.size();
             is_too_slow = m_unsent > m_most_unsent;
             m_pieces.push_back(std::move(item));
@@ -170,6 +194,7 @@
     mutable std::mutex m_mutex;
     std::deque<piece> m_pieces;
     std::size_t m_unsent = 0;
+    bool m_has_begun = false;  ///< the first piece is queued
     bool m_is_closed = false;  ///< the last piece is queued
     bool m_is_gone = false;
     bool m_is_over = false;
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/intrusive/list.hpp>
 #include <mutex>
@@ -142,6 +141,28 @@
     std::shared_ptr<connection_slot> m_slot;
 };
 
+/// Counts something for as long as it lasts, also where an exception ends it.
+class counted {
+public:
+    /// Takes over a count that the caller has raised.
+    struct already_raised {};
+
+    explicit counted(std::atomic<std::size_t>& count) : m_count(count) { ++m_count; }
+    counted(std::atomic<std::size_t>& count, already_raised /*tag*/) : m_count(count) {}
+    ~counted() { --m_count; }
+    counted(const counted&) = delete;
+    counted& operator=(const counted&) = delete;
+    counted(counted&&) = delete;
+    counted& operator=(counted&&) = delete;
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
+constexpr auto log_end_of_connection = [](const std::exception_ptr& thrown) {
+    log_coroutine_end("http_connection", thrown);
+};
+
 template <class Shared, class Stream>
 asio::awaitable<void> refuse_request(Shared& state, Stream& stream, const read_fault& fault)
 {
@@ -204,6 +225,34 @@
     co_return deadline.finish(error);
 }
 
+/// Hands a request to the handler. The exchange ends where the handler throws.
+template <class Shared>
+void handle_request(const Shared& state, request&& wanted,
+                    const std::shared_ptr<queued_exchange>& answer)
+{
+    const bool is_handled =
+        contain("http_request", [&] { state.m_handler(std::move(wanted), answer); });
+    if (!is_handled) {
+        answer->fail(state.error_response(
+            {500, "internal_error", "the server failed while it handled this request"}));
+    }
+}
+
+/// Writes the answer. \returns whether the connection may go on
+template <class Stream>
+asio::awaitable<bool> write_answer(answer_writer<Stream>& writer, queued_exchange& answer)
+{
+    try {
+        co_return co_await writer.run(answer);
+    }
+    catch (const std::exception& error) {
+        log_event(log_level::error, "handler_failed",
+                  {{"where", "http_answer"}, {"reason", error.what()}});
+    }
+    answer.set_gone();
+    co_return false;
+}
+
 /// Serves the requests of one connection, one after the other.
 template <class Shared, class Stream>
 asio::awaitable<void> serve(std::shared_ptr<Shared> state, Stream& stream, strand executor)
@@ -235,12 +284,13 @@
         caller_watch<Stream> watch(stream, buffer, executor,
                                    limits.m_most_header_bytes + limits.m_most_body_bytes);
         watch.start(executor, answer);
-        ++state->m_unanswered;
-        state->m_handler(to_request(parser.release()), answer);
-        answer_writer<Stream> writer(stream, executor, limits.m_write_limit, keep_alive, is_head,
-                                     takes_chunks, state->m_is_winding_down);
-        keep_alive = co_await writer.run(*answer);
-        --state->m_unanswered;
+        {
+            const counted unanswered(state->m_unanswered);
+            handle_request(*state, to_request(parser.release()), answer);
+            answer_writer<Stream> writer(stream, executor, limits.m_write_limit, keep_alive,
+                                         is_head, takes_chunks, state->m_is_winding_down);
+            keep_alive = co_await write_answer(writer, *answer);
+        }
         co_await watch.stop();
     }
 }
@@ -251,6 +301,7 @@
 asio::awaitable<void> serve_connection(std::shared_ptr<Shared> state, tcp::socket socket,
                                        strand executor)
 {
+    const counted open(state->m_connections, counted::already_raised{});
     error_code error;
     socket.set_option(tcp::no_delay(true), error);
     if (state->m_tls) {
@@ -271,16 +322,15 @@
         co_await serve(state, stream, executor);
         stream.socket().shutdown(tcp::socket::shutdown_both, error);
     }
-    --state->m_connections;
 }
 
 template <class Shared>
 asio::awaitable<void> refuse_connection(std::shared_ptr<Shared> state, tcp::socket socket)
 {
+    const counted open(state->m_connections, counted::already_raised{});
     beast::tcp_stream stream(std::move(socket));
     co_await refuse_request(*state, stream,
                             {503, "too_many_connections", "this server has no connection left"});
-    --state->m_connections;
 }
 // NOLINTEND(bugprone-use-after-move)
 
@@ -304,14 +354,15 @@
         }
         const bool is_full = ++state->m_connections > limits.m_most_connections;
         if (is_full && !state->m_tls) {
-            asio::co_spawn(executor, refuse_connection(state, std::move(socket)), asio::detached);
+            asio::co_spawn(executor, refuse_connection(state, std::move(socket)),
+                           log_end_of_connection);
         }
         else if (is_full) {
             --state->m_connections;
         }
         else {
             asio::co_spawn(executor, serve_connection(state, std::move(socket), executor),
-                           asio::detached);
+                           log_end_of_connection);
         }
     }
 }
@@ -376,7 +427,7 @@
         return to_status("can't listen on " + to_string(listen), error);
     }
     state->m_address = address_of(acceptor);
-    asio::co_spawn(acceptor.get_executor(), accept_all(state), asio::detached);
+    asio::co_spawn(acceptor.get_executor(), accept_all(state), log_end_of_connection);
     return std::unique_ptr<server>(new server(std::move(state)));
 }
 
--- a/dewbeam/src/http/server.h
+++ b/dewbeam/src/http/server.h
@@ -63,7 +63,8 @@
     virtual void on_gone(std::function<void()> action) = 0;
 };
 
-/// Called for each request on one of the server's threads; must not block.
+/// Called for each request on one of the server's threads; must not block. If it throws, the
+/// request is answered by 500 `internal_error` and its `on_gone` action is called.
 using request_handler = std::function<void(request&&, const std::shared_ptr<exchange>&)>;
 
 /// Makes the body of an error that the server itself finds: status, code and sentence.
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -324,7 +324,7 @@
             return;
         }
         if (!message.has_ping() && !message.has_pong()) {
-            m_handlers.m_on_message(from, std::move(message));
+            contain("link_message", [&] { m_handlers.m_on_message(from, std::move(message)); });
         }
     }
 
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -227,7 +227,9 @@
     for (int i = 0; i < count; ++i) {
         m_threads.emplace_back([this] {
             const auto keep_running = boost::asio::make_work_guard(m_context);
-            m_context.run();
+            // A handler that throws leaves `run`; the others go on.
+            while (!contain("event_loop", [this] { m_context.run(); })) {
+            }
         });
     }
 }
--- a/test/foreign_input_session.py
+++ b/test/foreign_input_session.py
@@ -102,6 +102,23 @@
         self.assertEqual(call(self.ports[0], "PUT", "/-/config", nested)[0], 400)
         self.check_all_run()
 
+    def test_refused_heartbeats_keep_no_connection_and_delay_no_stop(self):
+        """Guards against an exception in an exchange that keeps the place of its connection."""
+        for port in self.ports:
+            for _ in range(2 * MOST_CONNECTIONS):
+                status, body = self.announce(port, self.heartbeat('"' + 40 * "\u00e9" + '"'))
+                self.assertEqual(status, 400, body)
+                self.assertIn("/slots", json.loads(body)["error"]["message"])
+            status, body = exchange(port, b"POST /-/evacuations/\xff HTTP/1.1\r\nHost: r\r\n")
+            self.assertIn(status, (400, 422), body)
+            json.loads(body)
+        head = b"GET /safe/x HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: f\r\nDeadline-Ms: \xe9\r\n"
+        status, body = exchange(self.gateway.http_port(), head)
+        self.assertEqual((status, json.loads(body)["error"]["code"]), (400, "bad_request"))
+        self.check_all_run()
+        for process in self.site.processes.values():
+            self.assertEqual(process.stop(), 0, process.name)
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -139,6 +139,91 @@
     EXPECT_TRUE(has(answer, " 503 ") && has(answer, "too_many_connections")) << answer;
 }
 
+// Guards against a handler's exception that keeps the place of its connection for good.
+TEST_F(http_server, handler_that_throws_frees_its_connection)
+{
+    server_limits limits;
+    limits.m_most_connections = 2;
+    std::atomic<int> released = 0;
+    start(limits, [&](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        if (wanted.m_target == "/throws") {
+            answer->on_gone([&] { ++released; });
+            throw std::runtime_error("no such thing");
+        }
+        answer->respond(json_response(200, "{}"));
+    });
+    constexpr int rounds = 10;
+    for (int i = 0; i < rounds; ++i) {
+        const auto answer =
+            exchange_bytes("GET /throws HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        EXPECT_TRUE(has(answer, " 500 ") && has(answer, "internal_error")) << answer;
+    }
+    EXPECT_EQ(released, rounds);
+    const auto sound = exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(has(sound, " 200 ")) << sound;
+    EXPECT_EQ(m_server->unanswered(), 0U);
+}
+
+// Guards against an exception behind the begin of an answer that leaves its caller waiting.
+TEST_F(http_server, handler_that_throws_cuts_the_answer_it_began)
+{
+    start({}, [](request&&, const std::shared_ptr<exchange>& answer) {
+        answer->start(200, {});
+        answer->write("begun");
+        throw std::runtime_error("no such thing");
+    });
+    const auto answer = exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(has(answer, "begun")) << answer;
+    EXPECT_FALSE(has(answer, "\r\n0\r\n\r\n")) << answer;
+    EXPECT_EQ(m_server->unanswered(), 0U);
+}
+
+// Guards against a caller's end that throws and keeps the connection's place.
+TEST_F(http_server, caller_end_that_throws_frees_its_connection)
+{
+    std::promise<void> is_called;
+    start({}, [&](request&&, const std::shared_ptr<exchange>& answer) {
+        answer->on_gone([&] {
+            is_called.set_value();
+            throw std::runtime_error("no such thing");
+        });
+    });
+    {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        std::this_thread::sleep_for(50ms);
+    }
+    ASSERT_EQ(is_called.get_future().wait_for(5s), std::future_status::ready);
+    const auto deadline = std::chrono::steady_clock::now() + 5s;
+    while (m_server->connections() > 0 && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_EQ(m_server->connections(), 0U);
+    EXPECT_EQ(m_server->unanswered(), 0U);
+}
+
+// Guards against a handler's exception behind which an exchange never ends.
+TEST_F(http_server, client_handler_that_throws_ends_its_exchange)
+{
+    start({}, always_ok());
+    for (const bool fails_at_head : {true, false}) {
+        client one(m_client_context, m_server->address(), {});
+        absl::Status ended;
+        client_handlers handlers;
+        handlers.m_on_head = [&](int, const fields&) {
+            if (fails_at_head) {
+                throw std::runtime_error("no such thing");
+            }
+        };
+        handlers.m_on_data = [](std::string) { throw std::runtime_error("no such thing"); };
+        handlers.m_on_end = [&](const absl::Status& result, progress) { ended = result; };
+        one.start({"GET", "/", {}, {}}, std::move(handlers));
+        m_client_context.run();
+        m_client_context.restart();
+        EXPECT_TRUE(absl::IsInternal(ended)) << ended;
+    }
+}
+
 TEST_F(http_server, slow_reader_is_cut_and_reported_gone)
 {
     server_limits limits;
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -141,6 +141,28 @@
     EXPECT_TRUE(client_side.m_lost.empty());
 }
 
+// Guards against one message whose handler throws and that ends the process.
+TEST(link, a_handler_that_throws_loses_its_message_alone)
+{
+    collector server_side;
+    auto handlers = server_side.handlers();
+    handlers.m_on_message = [inner = std::move(handlers.m_on_message)](const peer& from,
+                                                                       wire::Envelope&& message) {
+        if (message.cancel().attempt().sequence() == 1) {
+            throw std::runtime_error("no such attempt");
+        }
+        inner(from, std::move(message));
+    };
+    collector client_side;
+    const auto server = node::start(options("server"), std::move(handlers)).value();
+    const auto client = node::start(options("client"), client_side.handlers()).value();
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        ASSERT_TRUE(client->send(server->address(), cancel_message(i)));
+    }
+    ASSERT_TRUE(server_side.wait_for_messages(2));
+    EXPECT_EQ(server_side.m_messages[1].second.cancel().attempt().sequence(), 2U);
+}
+
 // An address is handed on to another deployment: both ends refuse each other at once, and the end
 // that opened the connection hears that it is lost. The same where one of them has no name.
 TEST(link, refuses_processes_of_another_deployment)
