--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -69,7 +69,7 @@
                 "upstreams "
                 "closed by what they said in answers, drained failure domains, registries heard, "
                 "groups whose prompts are paced, "
-                "revision in force.")
+                "revision in force, messages of registries dropped as unreadable.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
     prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
@@ -83,6 +83,7 @@
     prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
     prometheus::Gauge& m_paced_groups = m_state.Add({{"name", "paced_groups"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
+    prometheus::Gauge& m_unreadable_messages = m_state.Add({{"name", "unreadable_messages"}});
 };
 
 gateway_metrics::gateway_metrics() : m_families(std::make_unique<families>()) {}
@@ -179,6 +180,11 @@
     m_families->m_revision.Set(static_cast<double>(number));
 }
 
+void gateway_metrics::set_unreadable_messages(std::uint64_t count)
+{
+    m_families->m_unreadable_messages.Set(static_cast<double>(count));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_families->m_registry.Collect());
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -56,6 +56,7 @@
     void set_registries(std::size_t count);
     void set_paced_groups(std::size_t count);
     void set_revision(std::uint64_t number);
+    void set_unreadable_messages(std::uint64_t count);
 
     /// The metrics in the Prometheus text format.
     [[nodiscard]] std::string text() const;
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -643,6 +643,7 @@
         m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
         m_state.m_metrics.set_registries(m_state.m_feed.heard(now));
         m_state.m_metrics.set_revision(m_state.m_feed.revision().value());
+        m_state.m_metrics.set_unreadable_messages(m_node->unreadable_messages());
     }
 
     /// Logs a group's limits when its concurrency limit has moved by a tenth of the slots, or when
--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -175,6 +175,8 @@
 
     [[nodiscard]] time_span held_up() const { return m_held_up.until(clock_now()); }
 
+    [[nodiscard]] std::uint64_t unreadable_messages() const { return m_unreadable_messages; }
+
     void follow_log(log_id log)
     {
         std::uint64_t none = 0;
@@ -309,6 +311,7 @@
     {
         wire::Envelope message;
         if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+            ++m_unreadable_messages;
             log_event(log_level::warning, "link_bad_frame", {{"bytes", body.size()}});
             return;
         }
@@ -517,6 +520,7 @@
     std::unordered_map<std::string, std::uint32_t> m_silent_tries;
     std::unordered_map<std::string, time_point> m_inbound;  ///< routing id -> silence deadline
     std::atomic<std::uint64_t> m_log = 0;                   ///< 0: none is followed yet
+    std::atomic<std::uint64_t> m_unreadable_messages = 0;
     std::string m_address;
     int m_wake;
     std::mutex m_mutex;
@@ -592,6 +596,11 @@
     return m_implementation->held_up();
 }
 
+std::uint64_t node::unreadable_messages() const
+{
+    return m_implementation->unreadable_messages();
+}
+
 void node::stop()
 {
     m_implementation->stop();
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -94,6 +94,9 @@
     /// meanwhile was read later, and whoever judges their silence must not count that time.
     [[nodiscard]] time_span held_up() const;
 
+    /// Messages that were dropped because they couldn't be parsed.
+    [[nodiscard]] std::uint64_t unreadable_messages() const;
+
     /// Ends the node's thread: no handler runs after this, and nothing more is sent. Sending and
     /// replying stay allowed and give false.
     void stop();
--- a/dewbeam/src/registrar/announcement_wire.cpp
+++ b/dewbeam/src/registrar/announcement_wire.cpp
@@ -72,7 +72,8 @@
     result.m_state = from_wire(from.state());
     result.m_number = registry::announcement_number(from.sequence());
     if (result.m_state == registry::upstream_state::gone) {
-        return result;
+        const auto status = check_name("/name", from.name());
+        return status.ok() ? absl::StatusOr<registry::announcement>(result) : status;
     }
     auto address = parse_endpoint(from.address());
     if (!address.ok()) {
@@ -90,6 +91,9 @@
         result.m_group = registry::group_place{from.group(), from.group_epoch(),
                                                rank_id(from.rank()), from.group_broken()};
     }
+    if (auto status = registry::check_names(result); !status.ok()) {
+        return status;
+    }
     return result;
 }
 
--- a/dewbeam/src/registrar/control_format.h
+++ b/dewbeam/src/registrar/control_format.h
@@ -4,6 +4,7 @@
 /// A control format only parses requests; the registry decides about them.
 #pragma once
 
+#include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
 #include <string_view>
@@ -28,8 +29,9 @@
 /// A request, classified by method and path.
 struct control_call {
     call_kind m_kind = call_kind::unknown;
-    upstream_id m_upstream;           ///< set for `announce` and `withdraw`
+    upstream_id m_upstream = {};      ///< set for `announce` and `withdraw`
     failure_domain_id m_domain = {};  ///< set for `drain` and `end_drain`
+    absl::Status m_fault = {};        ///< why the path's name is invalid; OK if it is valid
 };
 
 /// The parsing functions. All are pure and thread-safe.
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -192,6 +192,9 @@
     void handle(const http::request& request, const std::shared_ptr<http::exchange>& answer)
     {
         const auto call = m_format.m_classify(request);
+        if (!call.m_fault.ok()) {
+            return refuse_name(call.m_fault, answer);
+        }
         switch (call.m_kind) {
             case call_kind::announce:
                 return announce(call.m_upstream, request, answer);
@@ -226,6 +229,15 @@
         }
     }
 
+    /// Answers a call whose path names something that can't be kept or passed on.
+    static void refuse_name(const absl::Status& fault,
+                            const std::shared_ptr<http::exchange>& answer)
+    {
+        const std::string reason(fault.message());
+        log_event(log_level::warning, "call_refused", {{"reason", reason}});
+        answer->respond(error_response(400, "invalid_name", reason));
+    }
+
     /// The failure domain in `/v1/failure-domains/NAME/drain`.
     static std::optional<failure_domain_id> drain_target(std::string_view path)
     {
@@ -446,6 +458,7 @@
                   {"term", status.m_term},
                   {"disk_full", status.m_is_disk_full},
                   {"failed", status.m_has_failed},
+                  {"unreadable_messages", m_node->unreadable_messages()},
                   {"registries", json::array()},
                   {"upstreams", json::array()}};
         for (const auto& member : status.m_members) {
--- a/dewbeam/src/registry/announcement.h
+++ b/dewbeam/src/registry/announcement.h
@@ -2,6 +2,8 @@
 /// The announcements in which upstreams describe themselves.
 #pragma once
 
+#include <absl/status/status.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,4 +55,8 @@
     friend bool operator==(const announcement&, const announcement&) = default;
 };
 
+/// Checks every name in an announcement by `check_name`; the error tells the field. A record with
+/// other bytes must not be kept: it would be passed on to all processes that follow the registry.
+absl::Status check_names(const announcement& item);
+
 }  // namespace dewbeam::registry
--- a/test/foreign_input_session.py
+++ b/test/foreign_input_session.py
@@ -119,6 +119,24 @@
         for process in self.site.processes.values():
             self.assertEqual(process.stop(), 0, process.name)
 
+    def test_a_heartbeat_with_an_unreadable_id_keeps_no_gateway_from_configurations(self):
+        """Guards against one record that no receiver of the registry's messages can parse."""
+        for sequence in range(1, 4):
+            for port in self.ports:
+                for name in (b"i-caf\xe9", b"i-\xff\xfe", b"i" * 300):
+                    status, body = self.announce(port, self.heartbeat(sequence=sequence), name)
+                    self.assertEqual(status, 400, body)
+                    self.assertEqual(json.loads(body)["error"]["code"], "invalid_name")
+        self.assertEqual(self.configure(2, "other"), 200)
+        self.site.wait_for(lambda: self.ask() == 200 and len(self.other.runs) > 0, "the new configuration", 5.0)
+        self.gateway.kill()
+        self.gateway.start()
+        self.site.wait_for(lambda: self.ask() == 200, "a gateway that starts anew")
+        for port in self.ports:
+            page = json.loads(call(port, "GET", "/v1/status")[1])
+            self.assertEqual({item["name"] for item in page["upstreams"]}, {"i-chat", "i-other"})
+            self.assertEqual(page["unreadable_messages"], 0)
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -163,6 +163,27 @@
     EXPECT_EQ(server_side.m_messages[1].second.cancel().attempt().sequence(), 2U);
 }
 
+// Guards against text that isn't UTF-8 and that makes a whole message unreadable.
+TEST(link, text_that_is_no_utf8_reaches_the_receiver)
+{
+    const std::string no_text = "caf\xE9";
+    collector server_side;
+    collector client_side;
+    const auto server = node::start(options("server"), server_side.handlers()).value();
+    const auto client = node::start(options("client"), client_side.handlers()).value();
+    wire::Envelope message;
+    auto& header = *message.mutable_dispatch()->add_headers();
+    header.set_name("X-Note");
+    header.set_value(no_text);
+    message.mutable_dispatch()->set_target("/" + no_text);
+    ASSERT_TRUE(client->send(server->address(), message));
+    ASSERT_TRUE(server_side.wait_for_messages(1));
+    const auto& received = server_side.m_messages[0].second.dispatch();
+    EXPECT_EQ(received.headers(0).value(), no_text);
+    EXPECT_EQ(received.target(), "/" + no_text);
+    EXPECT_EQ(server->unreadable_messages(), 0U);
+}
+
 // An address is handed on to another deployment: both ends refuse each other at once, and the end
 // that opened the connection hears that it is lost. The same where one of them has no name.
 TEST(link, refuses_processes_of_another_deployment)
--- a/test/path_session.py
+++ b/test/path_session.py
@@ -62,6 +62,19 @@
             codes = site.stop_all()
             self.assertEqual(set(codes.values()), {0}, codes)
 
+    def test_fields_that_are_no_utf8_reach_the_service(self):
+        """Guards against a caller's field that makes the message to the agent unreadable."""
+        with tempfile.TemporaryDirectory() as work, Site(OPTIONS.bin, work) as site:
+            site.start_all()
+            for entry in ("e1", "e2", "e3"):
+                site.wait_for_upstreams(entry, site.upstream_count())
+            site.apply(STANDARD_CONFIGURATION, "first")
+            site.wait_for_number(1)
+            for note in ("caf\u00e9", "\u00ff\u00fe"):  # sent as Latin-1
+                status, _, body = site.call("e3", "POST", "/services/bay/unlock", {"bay": 7},
+                                            {"X-Note": note, "Idempotency-Key": note}, limit_s=5.0)
+                self.assertEqual(status, 200, body)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -214,6 +214,42 @@
     EXPECT_EQ(registrar::merge(second, message, {}), merge_result::nothing);
 }
 
+// Guards against one record of an older registry that keeps receivers from all that comes with it.
+TEST(registry, a_record_with_unreadable_text_is_passed_over_and_the_others_are_taken)
+{
+    const std::string no_text = "caf\xE9";
+    wire::Envelope message;
+    auto& news = *message.mutable_watch_news();
+    const auto add = [&](const std::string& name) -> wire::AnnouncedUpstream& {
+        auto& item = *news.add_upstreams();
+        item.set_name(name);
+        item.set_service("chat");
+        item.set_address("10.0.0.1:80");
+        item.set_sequence(1);
+        return item;
+    };
+    add("u1");
+    add(no_text);
+    add(no_text + "2").set_state(wire::AnnouncedUpstream::STATE_GONE);
+    add("u2").set_service(no_text);
+    add("u3").set_failure_domain(no_text);
+    add("u4").set_software(no_text);
+    add("u5").set_group(no_text);
+    add("u6").set_service(std::string(max_name_bytes + 1, 'x'));
+    add("u7\r\nX: y");
+    add("u8").set_address(no_text);
+    add("u9");
+    wire::Envelope received;
+    ASSERT_TRUE(received.ParseFromString(message.SerializeAsString()));
+    table known;
+    for (const auto& item : received.watch_news().upstreams()) {
+        registrar::merge(known, item, {});
+    }
+    EXPECT_EQ(known.m_records.size(), 2U);
+    EXPECT_TRUE(known.m_records.contains(upstream_id("u1")));
+    EXPECT_TRUE(known.m_records.contains(upstream_id("u9")));
+}
+
 TEST(revision_store, the_highest_number_holds_and_the_rest_changes_nothing)
 {
     revisions::revision_store store;
