Give each attempt of a request a connection of its own

Cause: an answer names its request, not which sending of it. The second attempt got the connection on which the first one had been refused, and a copy that comes ahead of its answer names the right request. Evidence: in late_copy_session both attempts of each broken request are on one connection; the copy is sent after the second attempt was read, so that nothing can be seen before sending. Ruled out: answers of other requests (found foreign), bytes left over (seen before sending).

Change: a request keeps the numbers of the connections that its attempts used, and the client gives it another one. Weighed: closing a connection behind each refusal, which costs a new connection for each refusal and not only for a second attempt at the same upstream.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -387,7 +387,8 @@
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
         handlers_of(state, request,
-                    {action.m_upstream, target.m_incarnation, begun->m_number, now, order, parts}));
+                    {action.m_upstream, target.m_incarnation, begun->m_number, now, order, parts}),
+        request->connections());
     request->attach(begun->m_number, std::move(exchange));
 }
 
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -113,6 +113,13 @@
 
     [[nodiscard]] const facts& known() const { return m_facts; }
 
+    /// Connections on which attempts were sent. Answers to two of them can't be told apart: both
+    /// name the request.
+    [[nodiscard]] const std::shared_ptr<http::connection_history>& connections() const
+    {
+        return m_connections;
+    }
+
     /// Starts an attempt at an upstream; empty if the request has ended.
     std::optional<attempt_start> begin(const upstream_id& upstream, incarnation target_incarnation,
                                        std::uint32_t order, time_point now);
@@ -196,6 +203,8 @@
     void drop_attempt();
 
     facts m_facts;
+    const std::shared_ptr<http::connection_history> m_connections =
+        std::make_shared<http::connection_history>();
     std::shared_ptr<http::exchange> m_answer;
     answer_limits& m_limits;
     mutable std::mutex m_mutex;
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -40,10 +40,15 @@
 
 /// A connection and what was read beyond the last answer.
 struct client_connection {
-    explicit client_connection(const strand& executor) : m_executor(executor), m_plain(executor) {}
+    explicit client_connection(const strand& executor) : m_executor(executor), m_plain(executor)
+    {
+        static std::atomic<connection_number> last_number = 0;
+        m_number = ++last_number;
+    }
 
     beast::tcp_stream& lowest() { return m_tls ? m_tls->next_layer() : m_plain; }
 
+    connection_number m_number = 0;
     strand m_executor;
     beast::tcp_stream m_plain;
     std::optional<beast::ssl_stream<beast::tcp_stream>> m_tls;
@@ -128,18 +133,22 @@
     {
     }
 
-    connection_pointer take_idle()
+    /// The connection that was kept last and isn't in `history`; null if there is none.
+    connection_pointer take_idle(const connection_history* history)
     {
         const std::lock_guard lock(m_mutex);
         const auto now = std::chrono::steady_clock::now();
-        while (!m_idle.empty()) {
-            auto last = std::move(m_idle.back());
-            m_idle.pop_back();
-            if (last->m_idle_deadline > now) {
-                return last;
-            }
+        std::erase_if(m_idle, [&](const auto& kept) { return kept->m_idle_deadline <= now; });
+        const auto place =
+            std::find_if(m_idle.rbegin(), m_idle.rend(), [&](const connection_pointer& kept) {
+                return history == nullptr || !history->contains(kept->m_number);
+            });
+        if (place == m_idle.rend()) {
+            return nullptr;
         }
-        return nullptr;
+        auto result = std::move(*place);
+        m_idle.erase(std::next(place).base());
+        return result;
     }
 
     void keep(connection_pointer connection)
@@ -165,11 +174,13 @@
 class running_exchange : public client_exchange,
                          public std::enable_shared_from_this<running_exchange<Shared>> {
 public:
-    running_exchange(std::shared_ptr<Shared> state, request wanted, client_handlers handlers)
+    running_exchange(std::shared_ptr<Shared> state, request wanted, client_handlers handlers,
+                     std::shared_ptr<connection_history> history)
         : m_state(std::move(state)),
           m_request(to_beast(wanted, to_string(m_state->m_server))),
           m_handlers(std::move(handlers)),
-          m_connection(m_state->take_idle())
+          m_history(std::move(history)),
+          m_connection(m_state->take_idle(m_history.get()))
     {
         if (!m_connection) {
             m_connection =
@@ -241,6 +252,9 @@
             co_return make_error_code(asio::error::operation_aborted);
         }
         m_may_have_sent = true;
+        if (m_history) {
+            m_history->add(m_connection->m_number);
+        }
         if (m_connection->m_tls) {
             co_return co_await talk(*m_connection->m_tls);
         }
@@ -394,6 +408,7 @@
     std::shared_ptr<Shared> m_state;
     bhttp::request<bhttp::string_body> m_request;
     client_handlers m_handlers;
+    std::shared_ptr<connection_history> m_history;  ///< may be null
     connection_pointer m_connection;
     std::optional<strand> m_executor;
     std::atomic<bool> m_is_cancelled = false;
@@ -430,10 +445,11 @@
     m_shared->m_idle.clear();
 }
 
-std::shared_ptr<client_exchange> client::start(request wanted, client_handlers handlers)
+std::shared_ptr<client_exchange> client::start(request wanted, client_handlers handlers,
+                                               std::shared_ptr<connection_history> history)
 {
-    auto running = std::make_shared<running_exchange<shared>>(m_shared, std::move(wanted),
-                                                              std::move(handlers));
+    auto running = std::make_shared<running_exchange<shared>>(
+        m_shared, std::move(wanted), std::move(handlers), std::move(history));
     running->begin();
     return running;
 }
--- a/dewbeam/src/http/client.h
+++ b/dewbeam/src/http/client.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "dewbeam/base"
+#include "dewbeam/src/http/connection_history.h"
 #include "dewbeam/src/http/message.h"
 
 namespace dewbeam::http {
@@ -82,8 +83,10 @@
     client(client&&) = delete;
     client& operator=(client&&) = delete;
 
-    /// Sends a request; the handlers say what came back.
-    std::shared_ptr<client_exchange> start(request wanted, client_handlers handlers);
+    /// Sends a request; the handlers say what came back. A request that may be sent again comes
+    /// with its `history`: no two of its exchanges use the same connection.
+    std::shared_ptr<client_exchange> start(request wanted, client_handlers handlers,
+                                           std::shared_ptr<connection_history> history = nullptr);
 
 private:
     struct shared;
