Keep no connection to an engine whose answers name no request

Callers saw, in a test: where a plain service behind an agent sends an answer twice, the second time ahead of the next one, the next caller gets the answer to the earlier request (late_copy_session on: call-0 for call-1).

Cause: an engine's answer names no request, so that on a kept connection a late copy can't be told from the next answer.

Change: an agent opens a connection for each attempt. The setting /upstream/kept_connections (default 0) keeps some where the engine can be trusted.

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -38,6 +38,7 @@
         std::chrono::milliseconds(setting_value<std::int64_t>(settings, "/upstream/silence_ms"));
     options.m_most_answer_bytes =
         setting_value<std::uint64_t>(settings, "/upstream/most_answer_bytes");
+    options.m_most_idle = setting_value<std::size_t>(settings, "/upstream/kept_connections");
     return options;
 }
 
@@ -79,6 +80,10 @@
          "How long the upstream may be silent within one answer (ms).", 10, 3'600'000},
         {"/upstream/most_answer_bytes", setting_kind::integer, 16L * 1024 * 1024,
          "Largest answer of the upstream, plain or streamed (bytes).", 1024, 1024L * 1024 * 1024},
+        {"/upstream/kept_connections", setting_kind::integer, 0,
+         "Connections that are kept for later attempts. An engine's answers name no request: where "
+         "it may send one twice, a kept connection brings the copy to the next caller.",
+         0, 10'000},
         {"/upstream/checks_fencing", setting_kind::boolean, true,
          "Whether the engine refuses an order with an old fencing number."},
         {"/group/name", setting_kind::text, "",
--- a/test/late_copy_session.py
+++ b/test/late_copy_session.py
@@ -1,9 +1,11 @@
-"""Second copies of answers that come late, ahead of the next answer on their connection, against a real gateway: none is taken for the answer to a later attempt or request."""
+"""Second copies of answers that come late, ahead of the next answer on their connection, against a real gateway
+and a real agent: none is taken for the answer to a later attempt or request."""
 
 import argparse
 import collections
 import json
 import os
+import socket
 import sys
 import tempfile
 import threading
@@ -106,6 +108,70 @@
         self.assertGreater(self.upstream.copies, 0)
 
 
+class RepeatingEngine:
+    """A plain service that sends each of its answers twice, the second time ahead of the next answer."""
+
+    def __init__(self, address):
+        self.server = socket.socket()
+        self.server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.server.bind(("127.0.0.1", int(address.rsplit(":", 1)[1])))
+        self.server.listen(64)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    @staticmethod
+    def serve(connection):
+        last = b""
+        with connection, connection.makefile("rwb") as stream:
+            try:
+                while (line := stream.readline().split()):
+                    length = 0
+                    while (field := stream.readline().strip().lower()):
+                        if field.startswith(b"content-length:"):
+                            length = int(field.split(b":")[1])
+                    stream.read(length)
+                    body = b'{"name": "", "slots": 8}' if line[1] == b"/load" else line[1]
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                    stream.write(last + answer)
+                    stream.flush()
+                    last = b"" if line[1] == b"/load" else answer
+            except OSError:
+                pass  # the agent has closed
+
+    def close(self):
+        self.server.shutdown(socket.SHUT_RDWR)
+        self.server.close()
+
+
+class LateCopyAtAgentSession(unittest.TestCase):
+    def test_a_late_copy_of_an_answer_reaches_no_other_caller(self):
+        """Guards against callers that get the answer to an earlier request."""
+        with tempfile.TemporaryDirectory() as work, Site(OPTIONS.bin, work) as site:
+            for index in range(3):
+                site.add_control(index)
+            site.add_entry(0)
+            agent = site.add_upstream("bay-0", "d1", [], "service=bay")
+            agent.settings["upstream"]["engine"] = ""
+            del site.processes["bay-0-engine"]
+            engine = RepeatingEngine(agent.settings["upstream"]["address"])
+            self.addCleanup(engine.close)
+            site.start_all()
+            patch = {"selectors": {"bay": {"when": "service=bay", "upstreams": "service=bay"}}}
+            site.wait_for(lambda: site.apply(patch, "first")[0] == 200, "the selector")
+            site.wait_for_number(1)
+            site.wait_for_upstreams("e1", 1)
+            for number in range(REQUESTS):
+                status, _, body = site.call("e1", "POST", "/services/bay/call-%d" % number, {})
+                self.assertEqual((status, body.rsplit("/", 1)[-1]), (200, "call-%d" % number))
+
+
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
     PARSER.add_argument("--bin", required=True)
