Carry out no order that waited while its registry stood still

Cause: orders carry no number; order_drain reads the domain's last change when it handles the call. Evidence: the waiting call is answered 200 `applied`, so that the proposal named the newest change. Ruled out: a proposal by what was known before the freeze (it would be `outdated`).

Change: the HTTP server dates requests: the earliest time at which one may have been sent, which is before it was read if the loop was held up (turns/reader_watch), if it was sent ahead of an earlier answer, or if it is the first on its connection and came long after the opening. An order is proposed within a second after that, as long as callers wait before they move on, and answered by 503 order_too_old later. The deadline is checked directly before the proposal, so that a freeze in between counts too. The same rule for withdrawals of announcements that name no incarnation.

--- a/dewbeam/src/http/message.h
+++ b/dewbeam/src/http/message.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "dewbeam/base"
+
 namespace dewbeam::http {
 
 /// One header field.
@@ -29,6 +31,10 @@
     std::string m_target;  ///< path and query
     fields m_fields;
     std::string m_body;
+    /// The earliest time at which the request may have been sent, as far as the server can tell:
+    /// before it was read, if the server was held up, if it was sent ahead of an earlier answer, or
+    /// if its connection was opened long before. Set with `server_options::m_dates_requests`.
+    time_point m_sent_after{};
 };
 
 /// A whole response.
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -11,6 +11,7 @@
 
 #include "dewbeam/src/http/answer_writer.h"
 #include "dewbeam/src/http/caller_watch.h"
+#include "dewbeam/turns"
 
 namespace dewbeam::http {
 
@@ -84,7 +85,8 @@
           m_options(std::move(options)),
           m_handler(std::move(handler)),
           m_make_error_body(std::move(make_error_body)),
-          m_acceptor(asio::make_strand(context))
+          m_acceptor(asio::make_strand(context)),
+          m_turn_timer(m_acceptor.get_executor())
     {
     }
 
@@ -106,7 +108,9 @@
     std::atomic<bool> m_is_stopping = false;
     std::atomic<bool> m_is_winding_down = false;
     std::mutex m_mutex;
-    connection_list m_open;  ///< under m_mutex
+    connection_list m_open;           ///< under m_mutex
+    reader_watch m_reader;            ///< the same; of the server's loop
+    asio::steady_timer m_turn_timer;  ///< used on the acceptor's strand
 };
 
 namespace {
@@ -225,6 +229,43 @@
     co_return deadline.finish(error);
 }
 
+/// Turns with the loop that reads requests, so that it shows when that loop is held up.
+template <class Shared>
+asio::awaitable<void> watch_reader(std::shared_ptr<Shared> state)
+{
+    while (!state->m_is_stopping) {
+        {
+            const std::lock_guard lock(state->m_mutex);
+            begin_turn(state->m_reader, state->m_options.m_now());
+        }
+        constexpr std::chrono::milliseconds turn{100};
+        error_code error;
+        state->m_turn_timer.expires_after(turn);
+        co_await state->m_turn_timer.async_wait(to_value(error));
+    }
+}
+
+/// The present, where requests are dated.
+template <class Shared>
+time_point clock_of(Shared& state)
+{
+    return state.m_options.m_dates_requests ? state.m_options.m_now() : time_point{};
+}
+
+/// The earliest time at which a request that was just read may have been sent. `not_before` is when
+/// its connection was opened, or when it could first be sent ahead of an answer; empty for other
+/// requests on kept connections, of which only the server's own delay is known.
+template <class Shared>
+time_point sent_after(Shared& state, std::optional<time_point> not_before)
+{
+    if (!state.m_options.m_dates_requests) {
+        return {};
+    }
+    const auto now = state.m_options.m_now();
+    const std::lock_guard lock(state.m_mutex);
+    return std::min(unread_since(state.m_reader, now), not_before.value_or(now));
+}
+
 /// Hands a request to the handler. The exchange ends where the handler throws.
 template <class Shared>
 void handle_request(const Shared& state, request&& wanted,
@@ -261,6 +302,7 @@
     open_connection<Shared> open(*state, lowest(stream).socket(), executor);
     beast::flat_buffer buffer;
     bool keep_alive = true;
+    std::optional<time_point> not_before(clock_of(*state));  ///< of the next request
     while (keep_alive && !state->m_is_stopping) {
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.m_most_header_bytes));
@@ -280,18 +322,24 @@
         const bool is_head = parser.get().method() == bhttp::verb::head;
         const bool takes_chunks = parser.get().version() >= first_version_with_chunks;
         auto answer = std::make_shared<queued_exchange>(executor, limits.m_most_unsent_bytes);
+        const auto read_at = clock_of(*state);
         lowest(stream).expires_never();
         caller_watch<Stream> watch(stream, buffer, executor,
                                    limits.m_most_header_bytes + limits.m_most_body_bytes);
         watch.start(executor, answer);
         {
             const counted unanswered(state->m_unanswered);
-            handle_request(*state, to_request(parser.release()), answer);
+            auto wanted = to_request(parser.release());
+            wanted.m_sent_after = sent_after(*state, std::exchange(not_before, std::nullopt));
+            handle_request(*state, std::move(wanted), answer);
             answer_writer<Stream> writer(stream, executor, limits.m_write_limit, keep_alive,
                                          is_head, takes_chunks, state->m_is_winding_down);
             keep_alive = co_await write_answer(writer, *answer);
         }
         co_await watch.stop();
+        if (buffer.size() > 0) {
+            not_before = read_at;
+        }
     }
 }
 
@@ -428,6 +476,10 @@
     }
     state->m_address = address_of(acceptor);
     asio::co_spawn(acceptor.get_executor(), accept_all(state), log_end_of_connection);
+    if (state->m_options.m_dates_requests) {
+        require(state->m_options.m_now != nullptr, "a server that dates requests needs a clock");
+        asio::co_spawn(acceptor.get_executor(), watch_reader(state), log_end_of_connection);
+    }
     return std::unique_ptr<server>(new server(std::move(state)));
 }
 
@@ -459,6 +511,7 @@
     asio::post(m_shared->m_acceptor.get_executor(), [state = m_shared] {
         error_code ignored;
         state->m_acceptor.close(ignored);
+        state->m_turn_timer.cancel();
     });
 }
 
--- a/dewbeam/src/http/server.h
+++ b/dewbeam/src/http/server.h
@@ -32,6 +32,8 @@
     server_limits m_limits;
     std::string m_certificate_file;  ///< PEM; empty: no TLS
     std::string m_key_file;          ///< PEM
+    bool m_dates_requests = false;   ///< sets `request::m_sent_after`, by `m_now`
+    time_point (*m_now)() = nullptr;
 };
 
 /// The answering side of one request. Thread-safe; holds the connection until it is over.
--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "dewbeam/caller"
+#include "dewbeam/src/program/program.h"
 
 namespace dewbeam::program {
 
@@ -28,6 +29,16 @@
     return limits;
 }
 
+http::server_options http_options(const json& settings, std::string_view address_path)
+{
+    http::server_options options;
+    options.m_listen = parse_endpoint(setting_value<std::string>(settings, address_path)).value();
+    options.m_limits = read_limits(settings);
+    options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
+    options.m_key_file = setting_value<std::string>(settings, "/http/certificate_key_file");
+    return options;
+}
+
 std::string api_error(int status, std::string_view code, std::string_view message)
 {
     auto fault = caller::bad_request(std::string(code), std::string(message));
@@ -108,17 +119,23 @@
     return start_http_at(context, settings, "/http/listen", std::move(handler));
 }
 
+absl::StatusOr<std::unique_ptr<http::server>> start_dated_http(boost::asio::io_context& context,
+                                                               const json& settings,
+                                                               http::request_handler handler)
+{
+    auto options = http_options(settings, "/http/listen");
+    options.m_dates_requests = true;
+    options.m_now = &now;
+    return http::server::start(context, std::move(options), std::move(handler), api_error);
+}
+
 absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
                                                             const json& settings,
                                                             std::string_view address_path,
                                                             http::request_handler handler)
 {
-    http::server_options options;
-    options.m_listen = parse_endpoint(setting_value<std::string>(settings, address_path)).value();
-    options.m_limits = read_limits(settings);
-    options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
-    options.m_key_file = setting_value<std::string>(settings, "/http/certificate_key_file");
-    return http::server::start(context, std::move(options), std::move(handler), api_error);
+    return http::server::start(context, http_options(settings, address_path), std::move(handler),
+                               api_error);
 }
 
 std::vector<std::string> link_addresses(const json& settings, std::string_view path)
--- a/dewbeam/src/program/listeners.h
+++ b/dewbeam/src/program/listeners.h
@@ -26,6 +26,12 @@
                                                          const nlohmann::json& settings,
                                                          http::request_handler handler);
 
+/// The same for a server whose requests may come late and must then not be carried out: it sets
+/// `http::request::m_sent_after`.
+absl::StatusOr<std::unique_ptr<http::server>> start_dated_http(boost::asio::io_context& context,
+                                                               const nlohmann::json& settings,
+                                                               http::request_handler handler);
+
 /// Opens one more HTTP listener, under the limits of the first, at the address of a setting.
 absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
                                                             const nlohmann::json& settings,
--- a/dewbeam/src/registrar/drain_calls.cpp
+++ b/dewbeam/src/registrar/drain_calls.cpp
@@ -22,8 +22,7 @@
 
 /// An order in progress.
 struct pending_order {
-    failure_domain_id m_domain;
-    bool m_is_drained = false;
+    drain_order m_wanted;
     std::shared_ptr<http::exchange> m_answer;
     std::atomic<bool> m_is_abandoned = false;  ///< the caller has disconnected
 };
@@ -33,17 +32,18 @@
 void acknowledge(const pending_order& subject, const char* result)
 {
     log_event(log_level::info, "drain_acknowledged",
-              {{"domain", subject.m_domain.value()},
-               {"drained", subject.m_is_drained},
+              {{"domain", subject.m_wanted.m_domain.value()},
+               {"drained", subject.m_wanted.m_is_drained},
                {"result", result}});
     subject.m_answer->respond(http::json_response(200, write_json({{"result", result}})));
 }
 
 void refuse(const pending_order& subject, const char* code, const std::string& message)
 {
-    log_event(
-        log_level::warning, "drain_undecided",
-        {{"domain", subject.m_domain.value()}, {"drained", subject.m_is_drained}, {"code", code}});
+    log_event(log_level::warning, "drain_undecided",
+              {{"domain", subject.m_wanted.m_domain.value()},
+               {"drained", subject.m_wanted.m_is_drained},
+               {"code", code}});
     subject.m_answer->respond(error_response(503, code, message));
 }
 
@@ -68,41 +68,47 @@
 {
     const auto state = runner.drains();
     runner.propose_drain(
-        {subject->m_domain, subject->m_is_drained, drains::last_change(state, subject->m_domain)},
+        {subject->m_wanted.m_domain, subject->m_wanted.m_is_drained,
+         drains::last_change(state, subject->m_wanted.m_domain)},
         [subject](const control::drain_answer& ended) { finish(*subject, ended); });
 }
 
 }  // namespace
 
-void order_drain(control::replica_runner& runner, const failure_domain_id& domain, bool is_drained,
-                 const std::set<failure_domain_id>& known,
+void order_drain(control::replica_runner& runner, const drain_order& wanted,
+                 const std::set<failure_domain_id>& known, time_point (*now)(),
                  const std::shared_ptr<http::exchange>& answer)
 {
     if (known.empty()) {
         answer->respond(error_response(503, "not_sure", "no upstream has announced itself yet"));
         return;
     }
-    if (!known.contains(domain)) {
-        answer->respond(error_response(
-            422, "unknown_failure_domain",
-            "failure domain " + excerpt_text(domain.value()) + " is unknown; known are " + list_of(known)));
+    if (!known.contains(wanted.m_domain)) {
+        answer->respond(error_response(422, "unknown_failure_domain",
+                                       "failure domain " + excerpt_text(wanted.m_domain.value()) +
+                                           " is unknown; known are " + list_of(known)));
         return;
     }
     const auto subject = std::make_shared<pending_order>();
-    subject->m_domain = domain;
-    subject->m_is_drained = is_drained;
+    subject->m_wanted = wanted;
     subject->m_answer = answer;
     answer->on_gone([subject] { subject->m_is_abandoned = true; });
-    runner.read_index([&runner, subject](bool is_confirmed) {
+    runner.read_index([&runner, subject, now](bool is_confirmed) {
         if (subject->m_is_abandoned) {
             log_event(log_level::info, "drain_abandoned",
-                      {{"domain", subject->m_domain.value()}, {"drained", subject->m_is_drained}});
+                      {{"domain", subject->m_wanted.m_domain.value()},
+                       {"drained", subject->m_wanted.m_is_drained}});
             return;
         }
         if (!is_confirmed) {
             refuse(*subject, "no_quorum", "this registry reaches no majority");
             return;
         }
+        if (is_outdated(subject->m_wanted.m_deadline, now())) {
+            refuse(*subject, "order_too_old",
+                   "the order waited here for so long that later ones may have been acknowledged");
+            return;
+        }
         propose(runner, subject);
     });
 }
--- a/dewbeam/src/registrar/drain_calls.h
+++ b/dewbeam/src/registrar/drain_calls.h
@@ -10,15 +10,24 @@
 #include "dewbeam/control"
 #include "dewbeam/drains"
 #include "dewbeam/http"
+#include "dewbeam/src/registrar/order_age.h"
 
 namespace dewbeam::registrar {
 
+/// An order, and until when it may be carried out; see `order_age.h`.
+struct drain_order {
+    failure_domain_id m_domain;
+    bool m_is_drained = false;
+    time_point m_deadline{};
+};
+
 /// Answers an order once a majority of registries has synced it. Answers 422 for a domain that is
-/// not in `known`, and 503 if there is no majority or a later order came in between. Does nothing
-/// if the caller has disconnected by the time this registry is sure that it holds all acknowledged
-/// orders: a request that a host held up for seconds must not undo a later order.
-void order_drain(control::replica_runner& runner, const failure_domain_id& domain, bool is_drained,
-                 const std::set<failure_domain_id>& known,
+/// not in `known`, and 503 if there is no majority or a later order came in between. An order that
+/// waited must not undo a later one: it isn't carried out, and answered by 503 `order_too_old`, if
+/// its `deadline` has passed by the time this registry is sure that it holds all acknowledged
+/// orders, or if the caller has disconnected by then. `now` gives the present.
+void order_drain(control::replica_runner& runner, const drain_order& wanted,
+                 const std::set<failure_domain_id>& known, time_point (*now)(),
                  const std::shared_ptr<http::exchange>& answer);
 
 /// Answers with the known failure domains and which of them are drained.
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -108,7 +108,7 @@
             return runner.status();
         }
         m_runner = *std::move(runner);
-        auto server = program::start_http(
+        auto server = program::start_dated_http(
             m_frame.context(), m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 handle(request, answer);
@@ -205,15 +205,15 @@
             case call_kind::read_revision:
                 return read_revision(answer);
             case call_kind::drain:
-                return order_drain(*m_runner, call.m_domain, true, known_domains(), answer);
+                return order(call.m_domain, true, request, answer);
             case call_kind::end_drain:
-                return order_drain(*m_runner, call.m_domain, false, known_domains(), answer);
+                return order(call.m_domain, false, request, answer);
             case call_kind::unknown:
                 break;
         }
         const auto path = http::path_of(request.m_target);
         if (const auto domain = drain_target(path)) {
-            return handle_drain(request.m_method, *domain, answer);
+            return handle_drain(request, *domain, answer);
         }
         if (path == "/healthz") {
             answer->respond(http::json_response(200, R"({"status":"ok"})"));
@@ -252,14 +252,22 @@
         return failure_domain_id(std::string(path));
     }
 
-    void handle_drain(const std::string& method, const failure_domain_id& domain,
+    void handle_drain(const http::request& request, const failure_domain_id& domain,
                       const std::shared_ptr<http::exchange>& answer)
     {
+        const auto& method = request.m_method;
         if (method != "POST" && method != "DELETE") {
             answer->respond(error_response(405, "unknown_method", "POST drains, DELETE ends it"));
             return;
         }
-        order_drain(*m_runner, domain, method == "POST", known_domains(), answer);
+        order(domain, method == "POST", request, answer);
+    }
+
+    void order(const failure_domain_id& domain, bool is_drained, const http::request& request,
+               const std::shared_ptr<http::exchange>& answer)
+    {
+        order_drain(*m_runner, {domain, is_drained, order_deadline(request.m_sent_after)},
+                    known_domains(), &program::now, answer);
     }
 
     std::set<failure_domain_id> known_domains()
@@ -325,6 +333,12 @@
             return;
         }
         const auto now = program::now();
+        if (*ended == incarnation{} && is_outdated(order_deadline(request.m_sent_after), now)) {
+            // The upstream may have started again under its name since.
+            answer->respond(error_response(
+                503, "order_too_old", "the withdrawal names no incarnation and waited too long"));
+            return;
+        }
         {
             const std::lock_guard lock(m_mutex);
             const auto result = registry::end_upstream(m_registry, name, *ended, now);
--- a/test/drain_session.py
+++ b/test/drain_session.py
@@ -156,6 +156,32 @@
             page = json.loads(call(port, "GET", "/v1/failure-domains")[1])
             self.assertEqual([item["drained"] for item in page["failure_domains"]], [False, False])
 
+    def test_an_order_that_waited_at_a_frozen_registry_does_not_undo_a_later_one(self):
+        """Guards against a withdrawal that is carried out seconds late, after a later order was
+        acknowledged elsewhere. The operator leaves the unanswered call open."""
+        for index in range(3):
+            others = [other for other in range(3) if other != index]
+            self.ordered("POST", "z1")
+            frozen = self.site.processes["r%d" % index]
+            frozen.send(signal.SIGSTOP)
+            try:
+                held = socket.create_connection(("127.0.0.1", self.ports[index]), 2)
+                self.addCleanup(held.close)
+                held.sendall(b"DELETE /-/evacuations/z1 HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n")
+                time.sleep(1.0)  # then an operator moves on
+                self.site.wait_for(lambda o=others: self.order("DELETE", "z1", o) == 200, "the withdrawal")
+                self.site.wait_for(lambda o=others: self.order("POST", "z1", o) == 200, "the order")
+                time.sleep(2.0)
+            finally:
+                frozen.send(signal.SIGCONT)
+            held.settimeout(10.0)
+            self.assertIn(b" 503 ", held.recv(4096), "r%d" % index)
+            for port in self.ports:
+                self.site.wait_for(lambda p=port: call(p, "GET", "/v1/failure-domains")[0] == 200, "r0")
+                page = json.loads(call(port, "GET", "/v1/failure-domains")[1])
+                self.assertEqual([item["drained"] for item in page["failure_domains"]], [True, False])
+            self.wait_until_unused(0)
+
     def test_a_cold_upstream_gets_few_requests_from_all_gateways_together(self):
         time.sleep(3.5)  # for 3 s after its start a gateway assumes that there are many others
         cold = self.upstreams[0]
