--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -10,6 +10,7 @@
 from soak.callers import Caller, Operator
 from soak.deadly import DeadlyContents, mortal_upstream
 from soak.faults import GATEWAYS, REGISTRIES, Faults
+from soak.foreign import ForeignWriters
 from soak.notices import Notices
 from soak.promises import Promises, now
 from soak.site import SoakSite, UPSTREAMS
@@ -68,9 +69,11 @@
             promises.fail("%s counts attempts of callers that are gone" % name)
 
 
-def run_seed(bin_folder, seed, seconds, work=None, deadly=False, broken=False, notices=False):
+def run_seed(bin_folder, seed, seconds, work=None, deadly=False, broken=False, notices=False,
+             foreign=False):
     """Runs one seed, with contents that end upstreams if `deadly`, with answers that end in any
-    way if `broken`, or with upstreams that ask for backoffs or say that they leave if `notices`. Gives what was broken, the faults in order, and the counts of answers."""
+    way if `broken`, with upstreams that ask for backoffs or say that they leave if `notices`, or with
+    bytes of other writers if `foreign`. Gives what was broken, the faults in order, and the counts of answers."""
     make_upstream = mortal_upstream if deadly else breaking_upstream if broken else None
     with tempfile.TemporaryDirectory(dir=work) as folder, \
             SoakSite(bin_folder, folder, seed, make_upstream) as site:
@@ -85,7 +88,8 @@
         contents = DeadlyContents(seed, site, promises, seconds) if deadly else None
         answers = BrokenAnswers(seed, site, promises, seconds) if broken else None
         given = Notices(seed, site, promises, seconds) if notices else None
-        extras = [extra for extra in (contents, answers, given) if extra]
+        writers = ForeignWriters(seed, site, promises, seconds) if foreign else None
+        extras = [extra for extra in (contents, answers, given, writers) if extra]
         for extra in extras:
             extra.start()
         pauses = random.Random(seed + 1)
@@ -107,6 +111,8 @@
             contents.check(faults.was_hit)
         if given:
             given.check(faults.was_interrupted)
+        if writers:
+            writers.check()
         for upstream, when in faults.drained:
             promises.check_drained(upstream, when, DRAIN_GRACE_S, faults.was_hit,
                                    site.proxies[upstream.name].received_at)
--- a/test/soak_session.py
+++ b/test/soak_session.py
@@ -169,6 +169,11 @@
         print(summary(result))
         self.assertEqual(result["broken"], [], "\n".join(result["faults"]))
 
+    def test_bytes_of_other_writers_break_no_promise(self):
+        result = run_seed(OPTIONS.bin, STANDARD_SEED, SECONDS, foreign=True)
+        print(summary(result))
+        self.assertEqual(result["broken"], [], "\n".join(result["faults"]))
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/tool/dewbeam_soak.py
+++ b/tool/dewbeam_soak.py
@@ -26,6 +26,7 @@
                       help="with answers that end in any frame, at any place and in any way")
     kind.add_argument("--notices", action="store_true",
                       help="with upstreams that ask for backoffs or say that they leave")
+    kind.add_argument("--foreign", action="store_true", help="with bytes of other writers")
     parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
     return parser.parse_args()
 
@@ -36,7 +37,8 @@
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         runs = {pool.submit(run_seed, options.bin, seed, options.seconds,
-                            deadly=options.deadly, broken=options.broken, notices=options.notices): seed
+                            deadly=options.deadly, broken=options.broken, notices=options.notices,
+                            foreign=options.foreign): seed
                 for seed in range(first, first + options.seeds)}
         for run in concurrent.futures.as_completed(runs):
             try:
