Judge up to 64 parts of a prompt for the upstreams that they end

Cause: part_keys_of kept the first eight parts, so that a later one had no record. Change: 64 parts. A bound stays, as each part takes a place among the good runs that are remembered.

The unit test fails with the old bound (eight keys for 65 parts).

--- a/dewbeam/src/gateway/part_blame.cpp
+++ b/dewbeam/src/gateway/part_blame.cpp
@@ -12,7 +12,9 @@
 
 /// A part that crashes upstreams does so with the first tokens of an answer.
 constexpr time_span crash_window = std::chrono::milliseconds(500);
-constexpr std::size_t max_parts = 8;
+/// Parts of one prompt that are judged. Each takes a place among the good runs that are remembered
+/// (`good_runs`), so that longer prompts would push out what is known of others.
+constexpr std::size_t max_parts = 64;
 /// Keeps the records of parts apart from those of contents in the pool of that name.
 constexpr std::string_view part_pool_suffix = "#prompt-part";
 
--- a/test/part_blame_test.cpp
+++ b/test/part_blame_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 #include "dewbeam/quarantine"
 
 namespace dewbeam::gateway {
@@ -27,6 +29,17 @@
     EXPECT_EQ(keys_of({1, 1, 3}).size(), 1U);
 }
 
+// Guards against a deadly part that is never learned because of its place in a long prompt.
+TEST(part_blame, parts_far_behind_in_a_prompt_are_judged)
+{
+    std::vector<std::uint64_t> parts(64);
+    std::iota(parts.begin(), parts.end(), 100);
+    parts.push_back(1);
+    const auto keys = keys_of(parts);
+    ASSERT_EQ(keys.size(), 64U);
+    EXPECT_EQ(keys.back(), keys_of({163, 1}).front());
+}
+
 TEST(part_blame, a_part_is_known_wherever_it_stands_and_apart_in_each_pool)
 {
     EXPECT_EQ(keys_of({1, 2, 3}).front(), keys_of({5, 1, 3}).back());
