--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -18,6 +18,12 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
+time_point present()
+{
+    return time_point(
+        std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 /// A server on its own thread whose handler is set by each test.
 class fixture : public testing::Test {
 protected:
@@ -36,6 +42,15 @@
         });
     }
 
+    /// A server that tells its handler when requests may have been sent.
+    void start_dated(request_handler handler)
+    {
+        server_options options;
+        options.m_dates_requests = true;
+        options.m_now = present;
+        start({}, std::move(handler), options);
+    }
+
     void TearDown() override
     {
         m_context.stop();
@@ -224,26 +239,14 @@
     }
 }
 
-time_point present()
-{
-    return time_point(
-        std::chrono::duration_cast<time_span>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 // Guards against a request that waited while the server stood still and passes for a new one.
 TEST_F(http_server, requests_that_waited_for_the_server_are_dated_before_the_wait)
 {
-    server_options options;
-    options.m_dates_requests = true;
-    options.m_now = present;
     std::promise<time_point> sent_after;
-    start(
-        {},
-        [&](request&& wanted, const std::shared_ptr<exchange>& answer) {
-            sent_after.set_value(wanted.m_sent_after);
-            answer->respond(json_response(200, "{}"));
-        },
-        options);
+    start_dated([&](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        sent_after.set_value(wanted.m_sent_after);
+        answer->respond(json_response(200, "{}"));
+    });
     auto socket = connect();
     std::this_thread::sleep_for(300ms);
     const auto held_up_from = present();
@@ -255,17 +258,11 @@
 // Guards against a first request that a broken link held back and that passes for a new one.
 TEST_F(http_server, first_requests_are_dated_from_the_opening_of_their_connection)
 {
-    server_options options;
-    options.m_dates_requests = true;
-    options.m_now = present;
     std::vector<time_span> ages;
-    start(
-        {},
-        [&](request&& wanted, const std::shared_ptr<exchange>& answer) {
-            ages.push_back(present() - wanted.m_sent_after);
-            answer->respond(json_response(200, "{}"));
-        },
-        options);
+    start_dated([&](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        ages.push_back(present() - wanted.m_sent_after);
+        answer->respond(json_response(200, "{}"));
+    });
     auto socket = connect();
     std::array<char, 4096> piece{};
     for (int i = 0; i < 2; ++i) {
@@ -281,20 +278,14 @@
 // Guards against a request that waited behind another one and passes for a new one.
 TEST_F(http_server, requests_sent_ahead_are_dated_from_the_request_before)
 {
-    server_options options;
-    options.m_dates_requests = true;
-    options.m_now = present;
     std::vector<time_span> ages;
-    start(
-        {},
-        [&](request&& wanted, const std::shared_ptr<exchange>& answer) {
-            ages.push_back(present() - wanted.m_sent_after);
-            auto delay = std::make_shared<asio::steady_timer>(m_context, 300ms);
-            delay->async_wait([delay, answer](const boost::system::error_code&) {
-                answer->respond(json_response(200, "{}"));
-            });
-        },
-        options);
+    start_dated([&](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        ages.push_back(present() - wanted.m_sent_after);
+        auto delay = std::make_shared<asio::steady_timer>(m_context, 300ms);
+        delay->async_wait([delay, answer](const boost::system::error_code&) {
+            answer->respond(json_response(200, "{}"));
+        });
+    });
     const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n";
     exchange_bytes(get + "\r\n" + get + "Connection: close\r\n\r\n");
     ASSERT_EQ(ages.size(), 2U);
