Soak a deployment as deploy/ describes it, judged by retry budgets and lost answers

The soak's site had 3 gateways, one service, default retry settings and no rank agents, and judged neither how many retries reach upstreams nor which requests end without an answer.

Each part of both rules is a check; rule_checks_session shows each of them failing and what it excuses.

--- /dev/null
+++ b/test/deployed_soak_session.py
@@ -0,0 +1,47 @@
+"""A short soak of a deployment at the size of a customer's, with the settings of `deploy/`."""
+
+import argparse
+import os
+import sys
+import unittest
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "tool")]
+from soak.deployed.hosts import Size  # noqa: E402
+from soak.deployed.run import run_deployed, summary  # noqa: E402
+
+DEPLOY = os.path.join(HERE, "..", "deploy")
+STANDARD_SEED = 1
+SECONDS = 10.0
+CALM_S = 5.0  # in which gateways save up retries
+TROUBLE_S = 13.0  # longer than the window of the retry budget
+
+
+class DeployedSoak(unittest.TestCase):
+    def run_case(self, seconds, script=None):
+        result = run_deployed(OPTIONS.bin, DEPLOY, STANDARD_SEED, seconds, Size(), script)
+        print(summary(result))
+        self.assertEqual(result["broken"], [], "\n".join(result["faults"]))
+        return result
+
+    def test_a_seed_breaks_no_promise(self):
+        self.run_case(SECONDS)
+
+    def test_restarts_in_series_multiply_no_retries(self):
+        def script(faults):
+            faults.begin(faults.fail_upstreams, "fail", CALM_S)
+            faults.begin(faults.kill_in_turn, 0.3, CALM_S)
+        result = self.run_case(CALM_S + TROUBLE_S, script)
+        self.assertGreater(result["worst"]["assist-lm"][0], 0)
+
+    def test_a_second_stop_signal_cuts_no_request(self):
+        def script(faults):
+            faults.begin(faults.stop_in_turn, 2.0, True)
+        self.run_case(SECONDS, script)
+
+
+if __name__ == "__main__":
+    PARSER = argparse.ArgumentParser()
+    PARSER.add_argument("--bin", required=True)
+    OPTIONS, REST = PARSER.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *REST], verbosity=2)
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -424,9 +424,10 @@
         raise http.client.IncompleteRead(b"")
 
 
-def call(port, method, path, body=None, fields=None, limit_s=5.0):
-    """One request; status 0 where there is no whole answer."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=limit_s)
+def call(place, method, path, body=None, fields=None, limit_s=5.0):
+    """One request to a port of this host, or to an address; status 0 where there is no whole answer."""
+    address = place if isinstance(place, str) else "127.0.0.1:%d" % place
+    connection = http.client.HTTPConnection(address, timeout=limit_s)
     try:
         connection.request(method, path, body, fields or {})
         with connection.getresponse() as answer:
--- /dev/null
+++ b/test/rule_checks_session.py
@@ -0,0 +1,223 @@
+"""The checks of the soak of a deployment, on records made by hand: each finds what it is for, and excuses
+only what the platform excuses."""
+
+import argparse
+import os
+import sys
+import unittest
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "tool")]
+from soak.deployed.answer_checks import check_answers  # noqa: E402
+from soak.deployed.budget_checks import check_budget  # noqa: E402
+from soak.deployed.records import Arrival, Exchange, Records, Span  # noqa: E402
+from soak.deployed.settings import BOUNDS, settings_of  # noqa: E402
+
+T = 100.0
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.records = Records()
+        self.number = 0
+
+    def request(self, at=T, name=None, **changes):
+        self.number += 1
+        name = name or "c-%d" % self.number
+        exchange = Exchange(name, "s", "g0", 8.0, False, at, at + 1.0, 200, True)
+        for key, value in changes.items():
+            setattr(exchange, key, value)
+        self.records.exchanges.append(exchange)
+        return name
+
+    def arrive(self, name, at=T, upstream="i-0", left_s=8.0, **changes):
+        arrival = Arrival(name, "s", upstream, at, left_s, ended_at=at + 0.5)
+        for key, value in changes.items():
+            setattr(arrival, key, value)
+        self.records.arrivals.append(arrival)
+
+    def fault(self, host, begun, ended, kind="kill"):
+        self.records.faults.append(Span(kind, host, begun, ended))
+
+    def broken(self):
+        self.records.broken = []
+        check_budget(self.records)
+        check_answers(self.records)
+        return sorted({what.split(":")[0] for what in self.records.broken})
+
+
+class BudgetChecks(Case):
+    def retry(self, count, span=9.0):
+        for index in range(count):
+            at = T + span * index / count
+            name = self.request(at)
+            self.arrive(name, at)
+            self.arrive(name, at + 0.1, "i-1")
+
+    def test_retries_beyond_share_and_slack(self):
+        self.retry(112)  # 0.2 x 112 + 90 = 112.4
+        self.assertEqual(self.broken(), [])
+        self.retry(2)
+        self.assertEqual(self.broken(), ["retries"])
+
+    def test_restarts_excuse_no_retries(self):
+        self.fault("g0", T - 1.0, T + 20.0)
+        self.retry(114)
+        self.assertEqual(self.broken(), ["retries"])
+
+    def test_refused_and_cancelled_arrivals_count(self):
+        for index in range(114):
+            name = self.request(T)
+            self.arrive(name, T, is_rejected=index % 2 == 0)
+            self.arrive(name, T + 0.1, "i-1")
+        self.assertEqual(self.broken(), ["retries"])
+
+    def test_requests_of_the_window_before_count(self):
+        for _ in range(200):
+            self.request(T - 8.0)
+        self.retry(114)
+        self.assertEqual(self.broken(), [])
+
+    def test_more_upstreams_than_attempts(self):
+        for index in range(4):
+            name = self.request()
+            for place in range(3):
+                self.arrive(name, T + place, "i-%d" % place)
+            if index == 2:
+                self.assertEqual(self.broken(), [])
+        self.assertEqual(self.broken(), ["attempts"])
+        self.records.upstream_faults.append(Span("crash", "i-1", T, T + 5.0))
+        self.assertEqual(self.broken(), [])
+
+    def test_time_left_of_repeats(self):
+        for _ in range(25):
+            name = self.request()
+            self.arrive(name, T, left_s=8.0)
+            self.arrive(name, T + 1.0, "i-1", left_s=8.0)
+        self.assertEqual(self.broken(), ["time left"])
+        self.fault("g0", T - 2.0, T - 1.0)
+        self.assertEqual(self.broken(), [])
+
+    def test_time_left_unstated(self):
+        for _ in range(25):
+            self.arrive(self.request(), T, left_s=None)
+        self.assertEqual(self.broken(), ["time left"])
+
+    def test_requests_in_a_backoff(self):
+        self.arrive(self.request(), T, is_rejected=True, backoff_s=3.0)
+        for index in range(3):
+            self.assertEqual(self.broken(), [])
+            self.arrive(self.request(T + 1.0 + index / 10), T + 1.0 + index / 10)
+        self.assertEqual(self.broken(), ["backoffs"])
+        self.fault("g1", T + 0.5, T + 0.6)
+        self.assertEqual(self.broken(), ["backoffs"])
+        self.fault("g0", T + 0.5, T + 0.6)
+        self.assertEqual(self.broken(), [])
+
+    def test_contents_that_crash_upstreams(self):
+        for index in range(7):
+            at = T + (index if index < 3 else index + 4)
+            name = self.request(at, "deadly-1-%d" % index)
+            self.arrive(name, at, "i-%d" % index, is_broken_off=True)
+            self.assertEqual(self.broken(), ["contents"] if index == 6 else [])
+        self.fault("g0", T + 6.0, T + 6.1)
+        self.assertEqual(self.broken(), [])
+
+
+class AnswerChecks(Case):
+    def lose(self, at=T, **changes):
+        name = self.request(at, status=0, is_whole=False, ended_at=at + 0.3, **changes)
+        self.arrive(name, at)
+        return name
+
+    def test_kept_connections(self):
+        for _ in range(3):
+            self.lose(is_kept=True)
+        self.assertEqual(self.broken(), [])
+        self.lose(is_kept=True)
+        self.assertEqual(self.broken(), ["kept connections"])
+        self.fault("r-r0", T - 2.0, T - 1.9)
+        self.assertEqual(self.broken(), [])
+
+    def test_kept_connections_of_unsound_upstreams(self):
+        self.records.upstream_faults.append(Span("hang", "i-0", T - 1.0, T + 1.0))
+        for _ in range(4):
+            self.lose(is_kept=True)
+        self.assertEqual(self.broken(), [])
+
+    def test_new_connections_are_no_kept_ones(self):
+        for _ in range(4):
+            self.lose()
+        self.assertEqual(self.broken(), [])
+
+    def test_stops(self):
+        self.records.stops.append(("g0", T - 2.0))
+        self.lose()
+        self.assertEqual(self.broken(), ["stops"])
+        self.fault("g0", T - 2.9, T - 2.8)
+        self.assertEqual(self.broken(), [])
+
+    def test_stops_of_other_gateways(self):
+        self.records.stops.append(("g1", T - 2.0))
+        self.lose()
+        self.assertEqual(self.broken(), [])
+
+    def test_stops_may_cut_what_takes_the_whole_grace(self):
+        self.records.stops.append(("g0", T))
+        for sent, is_lost in ((2.0, False), (3.5, True)):
+            with self.subTest(sent):
+                self.records.exchanges.clear()
+                self.records.arrivals.clear()
+                name = self.request(T + sent, status=200, is_whole=False, ended_at=T + 7.3)
+                self.arrive(name, T + sent, ended_at=T + 7.4)
+                self.assertEqual(self.broken(), ["stops"] if is_lost else [])
+
+    def test_streams_cut_by_a_stop(self):
+        self.records.stops.append(("g0", T - 2.0))
+        self.arrive(self.request(T, status=200, is_whole=False), T, ended_at=T + 0.9)
+        self.assertEqual(self.broken(), ["stops"])
+
+    def test_requests_read_and_not_passed_on(self):
+        self.records.stops.append(("g0", T - 2.0))
+        self.request(T, status=0, is_whole=False, ended_at=T + 0.1)
+        self.assertEqual(self.broken(), [], "it crossed the close")
+        self.request(T, status=0, is_whole=False, ended_at=T + 0.3)
+        self.assertEqual(self.broken(), ["stops"])
+
+    def test_reloads(self):
+        self.records.reloads.append(("g0", T - 1.0))
+        self.assertEqual(self.broken(), [])
+        self.lose(T - 1.2)
+        self.assertEqual(self.broken(), ["reloads"])
+
+    def test_configurations(self):
+        self.records.changes.append((T - 0.5, T - 0.2))
+        self.lose()
+        self.assertEqual(self.broken(), ["configurations"])
+        self.lose(T + 20.0)
+        self.assertEqual(self.broken(), [], "it cuts as often at other times")
+
+
+class RenderedSettings(unittest.TestCase):
+    FIELDS = {"node-name": "n", "zone": "z2", "ip": "127.0.0.1", "internal-ports": [7340, 7355],
+              "bootstrap": True, "bounds": BOUNDS, "fault-tolerance": {"machines": 1},
+              "limits": {"link-mbps": 20.0}, "zones": {"z1": "r", "z2": "r"}, "data-dir": "/d",
+              "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2", "control": "127.0.0.1:3"},
+              "seeds": ["127.0.0.1:8229"], "app": "127.0.0.1:9"}
+    DEPLOY = os.path.join(HERE, "..", "deploy")
+
+    def test_deployed_templates_are_rendered(self):
+        registrar = settings_of(self.DEPLOY, "registrar", self.FIELDS)
+        self.assertEqual(registrar["failure_domains"], ["z1", "z2"])
+        self.assertEqual(registrar["registries"], {"seeds": ["127.0.0.1:8229"], "link_port": 7340})
+        self.assertIs(registrar["found"], True)
+        gateway = settings_of(self.DEPLOY, "gateway", self.FIELDS)
+        self.assertIs(gateway["drains"]["wait_at_start"], False)
+        self.assertEqual(settings_of(self.DEPLOY, "rank", self.FIELDS)["engine"]["address"], "127.0.0.1:9")
+
+
+if __name__ == "__main__":
+    PARSER = argparse.ArgumentParser()
+    PARSER.add_argument("--bin")
+    OPTIONS, REST = PARSER.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *REST], verbosity=2)
--- /dev/null
+++ b/test/soak/deployed/faults.py
@@ -0,0 +1,249 @@
+"""What is done to the hosts and upstreams of a deployment: in series, and overlapping."""
+
+import random
+import signal
+import threading
+import time
+
+from soak.deployed.records import Span
+from soak.deployed.replicas import TROUBLES
+from soak.promises import now
+
+GRACE_S = 8.0
+CATCH_UP_LIMIT_S = 20.0
+SLOW_TURN_S = 0.055  # a slowed process runs for a part of each such turn
+
+
+class Faults:
+    """Draws the faults of a seed. One registrar at a time is lost; gateways are lost in any number."""
+
+    def __init__(self, seed, deployment):
+        self.random = random.Random(seed)
+        self.deployment, self.records = deployment, deployment.records
+        self.log = []
+        self.threads = []
+        self.is_over = threading.Event()
+        self.registrar_lock = threading.Lock()
+        self.held = {name: threading.Lock() for name in deployment.gateways}
+
+    def note(self, what):
+        self.log.append("%.2f %s" % (now(), what))
+
+    def begin(self, action, *arguments):
+        thread = threading.Thread(target=action, args=arguments, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def end(self):
+        self.is_over.set()
+        for thread in self.threads:
+            thread.join(30.0)
+        for upstream in list(self.deployment.upstreams):
+            upstream.set_trouble(None)
+
+    def draw(self):
+        """Begins the faults of a seed: upstreams in trouble, and series of faults at hosts beside them."""
+        draws = self.random
+        self.begin(self.trouble_upstreams, draws.choice([None, *TROUBLES, *TROUBLES]),
+                   draws.choice([1.0, 1.0, 0.5, 0.2]), draws.randrange(1 << 30))
+        series = [self.kill_gateways, self.roll, self.freeze, self.kill_registrars, self.slow_all,
+                  self.reload, self.stop_twice, self.kill_all_gateways, self.replace_registrar,
+                  self.lose_disks, self.crash_upstreams]
+        for action in draws.sample(series, draws.randint(1, 4)):
+            self.begin(action, random.Random(draws.randrange(1 << 30)))
+
+    def pause(self, span):
+        """Whether the run goes on behind a pause."""
+        return not self.is_over.wait(span)
+
+    def span(self, kind, host):
+        return self.records.add(self.records.faults, Span(kind, host, now()))
+
+    def trouble_upstreams(self, trouble, share, seed):
+        draws = random.Random(seed)
+        if trouble is None or not self.pause(3.0):
+            return
+        chosen = [one for one in list(self.deployment.upstreams) if draws.random() < share]
+        self.note("%s at %d upstreams" % (trouble, len(chosen)))
+        for upstream in chosen:
+            upstream.backoff_s = draws.choice([0.6, 1.0, 3.0])
+            upstream.set_trouble(trouble)
+        self.pause(draws.choice([3.0, 12.0, 20.0]))
+        for upstream in chosen:
+            upstream.set_trouble(None)
+
+    def fail_upstreams(self, trouble, calm_s):
+        """All upstreams are in trouble from then on."""
+        if self.pause(calm_s):
+            self.trouble_all(trouble)
+
+    def trouble_all(self, trouble):
+        for upstream in list(self.deployment.upstreams):
+            upstream.set_trouble(trouble)
+
+    def crash_upstreams(self, draws):
+        while self.pause(draws.uniform(0.5, 4.0)):
+            upstream = draws.choice(list(self.deployment.upstreams))
+            if upstream.trouble is None:
+                self.note("crash " + upstream.name)
+                upstream.end("reset")
+
+    def kill_gateways(self, draws):
+        self.kill_in_turn(draws.choice([0.2, 0.3, 0.6, 1.0, 2.0]))
+
+    def kill_in_turn(self, gap, calm_s=0.0):
+        self.pause(calm_s)
+        for name in self.in_turn(random.Random(gap), gap):
+            self.restart_after(name, self.kill, 0.05, "kill")
+
+    def kill(self, name):
+        self.deployment.processes[name].kill()
+
+    def in_turn(self, draws, gap):
+        names = list(self.deployment.gateways)
+        draws.shuffle(names)
+        while True:
+            for name in names:
+                if not self.pause(gap):
+                    return
+                yield name
+
+    def restart_after(self, name, end_it, down_s, kind):
+        if not self.held[name].acquire(blocking=False):
+            return
+        try:
+            self.note("%s %s" % (kind, name))
+            span = self.span(kind, name)
+            end_it(name)
+            time.sleep(down_s)
+            self.deployment.start(name)
+            span.ended = now()
+        finally:
+            self.held[name].release()
+
+    def kill_all_gateways(self, draws):
+        while self.pause(draws.uniform(3.0, 8.0)):
+            for name in self.deployment.gateways:
+                self.begin(self.restart_after, name, self.kill, draws.uniform(0.1, 1.0), "kill")
+
+    def roll(self, draws):
+        self.stop_in_turn(draws.choice([0.3, 0.8, 1.3, 2.0]), False)
+
+    def stop_twice(self, draws):
+        self.stop_in_turn(draws.choice([0.8, 2.0]), True)
+
+    def stop_in_turn(self, gap, is_twice):
+        """`is_twice`: with a second stop signal while the first one is carried out."""
+        for name in self.in_turn(random.Random(gap), gap):
+            self.begin(self.stop_gateway, name, is_twice)
+
+    def stop_gateway(self, name, is_twice):
+        if not self.held[name].acquire(blocking=False):
+            return
+        try:
+            process = self.deployment.processes[name]
+            self.note("stop%s %s" % (" twice" if is_twice else "", name))
+            self.records.add(self.records.stops, (name, now()))
+            process.send(signal.SIGTERM)
+            if is_twice:
+                time.sleep(0.7)
+                process.send(signal.SIGTERM)
+            code = process.wait(GRACE_S)
+            if code == -1:
+                self.records.fail("stops", "%s did not end within %.0f s" % (name, GRACE_S))
+            self.deployment.start(name)
+        finally:
+            self.held[name].release()
+
+    def reload(self, draws):
+        for name in self.in_turn(draws, draws.choice([0.2, 0.4, 1.0])):
+            if self.held[name].acquire(blocking=False):
+                self.records.add(self.records.reloads, (name, now()))
+                self.deployment.processes[name].send(signal.SIGHUP)
+                self.held[name].release()
+
+    def freeze(self, draws):
+        for name in self.in_turn(draws, draws.choice([0.5, 1.5, 3.0])):
+            if self.held[name].acquire(blocking=False):
+                self.note("freeze " + name)
+                span = self.span("freeze", name)
+                self.stand_still(name, draws.choice([0.5, 1.5, 3.5]))
+                span.ended = now()
+                self.held[name].release()
+
+    def stand_still(self, name, span):
+        process = self.deployment.processes[name]
+        process.send(signal.SIGSTOP)
+        time.sleep(span)
+        process.send(signal.SIGCONT)
+
+    def slow_all(self, draws):
+        """Gateways and registrars get a part of each turn only, as with a fraction of a core; no fault by
+        the rules, since any host may be slow throughout."""
+        share = draws.choice([0.15, 0.25, 0.5])
+        self.note("all run for %.2f of each turn" % share)
+        while not self.is_over.is_set():
+            running = [self.deployment.processes[name]
+                       for name in self.deployment.gateways + list(self.deployment.registrars)]
+            running = [process for process in running if process.is_running()]
+            for process in running:
+                process.send(signal.SIGSTOP)
+            time.sleep(SLOW_TURN_S * (1.0 - share) * draws.uniform(0.5, 1.5))
+            for process in running:
+                process.send(signal.SIGCONT)
+            time.sleep(SLOW_TURN_S * share)
+
+    def on_registrar(self, draws, kind, action):
+        while self.pause(draws.uniform(0.5, 3.0)):
+            with self.registrar_lock:
+                name = draws.choice(self.deployment.registrars)
+                self.note("%s %s" % (kind, name))
+                span = self.span(kind, "r-" + name)
+                replaced = action(name, draws)
+                self.wait_caught_up(replaced or name)
+                span.ended = now()
+
+    def kill_registrars(self, draws):
+        def action(name, inner):
+            self.deployment.processes[name].kill()
+            time.sleep(inner.uniform(0.1, 2.0))
+            self.deployment.start(name)
+        self.on_registrar(draws, "kill", action)
+
+    def lose_disks(self, draws):
+        def action(name, _):
+            self.deployment.processes[name].kill()
+            self.deployment.lose_disk(name)
+            self.deployment.start(name)
+        self.on_registrar(draws, "lose the disk of", action)
+
+    def replace_registrar(self, draws):
+        self.on_registrar(draws, "replace", lambda name, _: self.deployment.replace_registrar(name))
+
+    def wait_caught_up(self, name):
+        deadline = now() + CATCH_UP_LIMIT_S
+        while now() < deadline and not self.is_over.is_set():
+            page = self.deployment.status(name)
+            if page and page["voter"] and page["caught_up"]:
+                return
+            time.sleep(0.1)
+
+    def end_deployment(self, operator, with_wipe):
+        """The final fault, right behind an acknowledged configuration: all processes are killed, and as
+        many registrars as the deployment bears lose their disks."""
+        if not operator.change():
+            self.records.fail("final fault", "no acknowledgement of a configuration within 20 s")
+            return
+        names = [*self.deployment.registrars, *self.deployment.gateways]
+        for name in names:
+            self.deployment.processes[name].child.kill()
+        self.records.add(self.records.faults, Span("final", "", now(), now() + 60.0))
+        for name in names:
+            self.deployment.processes[name].child.wait()
+        if with_wipe:
+            name = self.random.choice(self.deployment.registrars)
+            self.note("final loss of the disk of " + name)
+            self.deployment.lose_disk(name)
+        time.sleep(0.95)
+        for name in names:
+            self.deployment.start(name)
--- a/tool/dewbeam_soak.py
+++ b/tool/dewbeam_soak.py
@@ -9,6 +9,8 @@
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 sys.path[:0] = [os.path.join(ROOT, "test"), os.path.join(ROOT, "tool")]
+from soak.deployed import run as deployed  # noqa: E402
+from soak.deployed.hosts import Size  # noqa: E402
 from soak.run import run_seed, summary  # noqa: E402
 
 
@@ -27,26 +29,42 @@
     kind.add_argument("--notices", action="store_true",
                       help="with upstreams that ask for backoffs or say that they leave")
     kind.add_argument("--foreign", action="store_true", help="with bytes of other writers")
+    kind.add_argument("--deployed", action="store_true",
+                      help="a deployment with the settings of deploy/, judged by retry budgets and answers")
+    parser.add_argument("--deploy", default=os.path.join(ROOT, "deploy"),
+                        help="with --deployed: the folder of the settings' templates")
+    parser.add_argument("--gateways", type=int, default=7, help="with --deployed")
+    parser.add_argument("--registrars", type=int, default=3, help="with --deployed: 3, 5 or 7")
+    parser.add_argument("--groups", type=int, default=2, help="with --deployed: of 8 ranks each")
+    parser.add_argument("--per-second", type=float, default=85.0, help="with --deployed: requests")
     parser.add_argument("--keep", default="soak-logs", help="folder for the logs of failed seeds")
     return parser.parse_args()
 
 
+def run_one(options, seed):
+    if options.deployed:
+        size = Size(options.gateways, options.registrars, options.groups,
+                    per_second=options.per_second)
+        return deployed.run_deployed(options.bin, options.deploy, seed, options.seconds, size)
+    return run_seed(options.bin, seed, options.seconds, deadly=options.deadly, broken=options.broken,
+                    notices=options.notices, foreign=options.foreign)
+
+
 def main():
     options = parse_arguments()
+    summarize = deployed.summary if options.deployed else summary
     first = options.first or random.SystemRandom().randrange(1_000, 1_000_000)
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        runs = {pool.submit(run_seed, options.bin, seed, options.seconds,
-                            deadly=options.deadly, broken=options.broken, notices=options.notices,
-                            foreign=options.foreign): seed
+        runs = {pool.submit(run_one, options, seed): seed
                 for seed in range(first, first + options.seeds)}
         for run in concurrent.futures.as_completed(runs):
             try:
                 result = run.result()
             except Exception as error:  # the seed's name must not be lost with it
                 result = {"seed": runs[run], "broken": [repr(error)], "faults": [], "answers": {},
-                          "revisions": 0, "logs": {}}
-            print(summary(result), flush=True)
+                          "revisions": 0, "worst": {}, "lost": 0, "logs": {}}
+            print(summarize(result), flush=True)
             if result["broken"]:
                 failed += 1
                 os.makedirs(options.keep, exist_ok=True)
