Gateways tell the retries that they sent and may still send

Which gateway and incarnation sent how many retries, what it had left and among how many gateways it divided the budget could not be told from logs or metrics: attempts were only counted in total. dewbeam_gateway_state gets retries_sent, retries_left and sharing_gateways; each change of the division is logged (retry_budget_shared).

--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -394,6 +394,18 @@
     return result;
 }
 
+retry_totals pool_table::retries() const
+{
+    retry_totals result;
+    for (const auto& name : names()) {
+        const auto pool = find(name);
+        const std::lock_guard lock(pool->m_mutex);
+        result.m_sent += pool->m_broker.m_retry_budget.m_retries;
+        result.m_left += pool->m_broker.m_retry_budget.m_tokens;
+    }
+    return result;
+}
+
 std::vector<std::string> pool_table::names() const
 {
     const std::shared_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -35,6 +35,12 @@
     quarantine::suspicion m_record;
 };
 
+/// Retries of a process.
+struct retry_totals {
+    std::uint64_t m_sent = 0;
+    double m_left = 0.0;  ///< that it may still send
+};
+
 /// What overload control allows this gateway to send to a group.
 struct group_limits {
     double m_share_of_slots = 1.0;
@@ -107,6 +113,9 @@
     dispatch::actions add_permits(const std::string& pool, const upstream_id& name,
                                   std::uint32_t count, time_point deadline, time_point now);
 
+    /// Retries of all pools together.
+    [[nodiscard]] retry_totals retries() const;
+
     /// Sets for all pools how many entries share the upstreams, and this entry's retry budget.
     void set_sharing(std::uint32_t entries, const retry::budget_options& retries);
 
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -69,7 +69,8 @@
                 "upstreams "
                 "closed by what they said in answers, drained failure domains, registries heard, "
                 "groups whose prompts are paced, "
-                "revision in force, messages of registries dropped as unreadable.")
+                "revision in force, messages of registries dropped as unreadable, retries sent "
+                "and left, gateways that share the retry budget.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
     prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
@@ -84,6 +85,9 @@
     prometheus::Gauge& m_paced_groups = m_state.Add({{"name", "paced_groups"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
     prometheus::Gauge& m_unreadable_messages = m_state.Add({{"name", "unreadable_messages"}});
+    prometheus::Gauge& m_retries_sent = m_state.Add({{"name", "retries_sent"}});
+    prometheus::Gauge& m_retries_left = m_state.Add({{"name", "retries_left"}});
+    prometheus::Gauge& m_sharing_gateways = m_state.Add({{"name", "sharing_gateways"}});
 };
 
 gateway_metrics::gateway_metrics() : m_families(std::make_unique<families>()) {}
@@ -185,6 +189,21 @@
     m_families->m_unreadable_messages.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::set_retries_sent(std::uint64_t count)
+{
+    m_families->m_retries_sent.Set(static_cast<double>(count));
+}
+
+void gateway_metrics::set_retries_left(double count)
+{
+    m_families->m_retries_left.Set(count);
+}
+
+void gateway_metrics::set_sharing_gateways(std::uint32_t count)
+{
+    m_families->m_sharing_gateways.Set(count);
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_families->m_registry.Collect());
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -596,7 +596,10 @@
             return;
         }
         m_gateways = gateways;
-        m_state.m_pools.set_sharing(gateways, retries_of(m_state.m_settings, gateways));
+        const auto retries = retries_of(m_state.m_settings, gateways);
+        log_event(log_level::info, "retry_budget_shared",
+                  {{"gateways", gateways}, {"share", retries.m_share}, {"burst", retries.m_burst}});
+        m_state.m_pools.set_sharing(gateways, retries);
     }
 
     void tick(time_point now)
@@ -644,6 +647,10 @@
         m_state.m_metrics.set_registries(m_state.m_feed.heard(now));
         m_state.m_metrics.set_revision(m_state.m_feed.revision().value());
         m_state.m_metrics.set_unreadable_messages(m_node->unreadable_messages());
+        const auto retries = m_state.m_pools.retries();
+        m_state.m_metrics.set_retries_sent(retries.m_sent);
+        m_state.m_metrics.set_retries_left(retries.m_left);
+        m_state.m_metrics.set_sharing_gateways(m_gateways);
     }
 
     /// Logs a group's limits when its concurrency limit has moved by a tenth of the slots, or when
@@ -674,7 +681,7 @@
     std::atomic<bool> m_is_started = false;  ///< all members below are initialised
     std::map<upstream_id, std::uint32_t> m_other_gateways_load;  ///< used only on the link's thread
     std::map<upstream_id, double> m_slowdowns;                   ///< the same
-    std::uint32_t m_gateways = 0;                                ///< the same
+    std::atomic<std::uint32_t> m_gateways = 0;                   ///< that share the retry budget
     time_point m_next_slow{};                                 ///< used only on the frame's thread
     std::map<upstream_id, permits::own_share> m_own_shares;   ///< the same
     std::map<upstream_id, permits::own_share> m_cold_shares;  ///< the same; of cold upstreams
