A repeated stop signal cuts no request

Callers lost what was in flight at a gateway that got a second SIGTERM while it carried out the first: streams were cut and plain calls got 504, at once and not at the end of the drain time. Supervisors repeat the signal, and stops overlap.

Cause: lifecycle::process took any second signal for an order to give up (exit_cut). A stop has one pair of deadlines, set by its first signal; a repeated one now changes neither and is logged. Who wants a process gone at once has SIGKILL.

--- a/dewbeam/src/lifecycle/lifecycle.cpp
+++ b/dewbeam/src/lifecycle/lifecycle.cpp
@@ -106,9 +106,8 @@
 
 command process::stop_requested(time_point notice_deadline, time_point drain_deadline)
 {
-    ++m_signals;
-    if (m_signals > 1) {
-        return command::exit_cut;
+    if (std::exchange(m_is_stopping, true)) {
+        return command::none;
     }
     m_notice_deadline = notice_deadline;
     m_drain_deadline = drain_deadline;
--- a/dewbeam/src/lifecycle/lifecycle.h
+++ b/dewbeam/src/lifecycle/lifecycle.h
@@ -24,7 +24,7 @@
     announce_leave,  ///< readiness becomes false, tell the members
     stop_accepting,  ///< close the listeners
     exit_clean,      ///< everything is done
-    exit_cut,        ///< the deadline passed or a second signal came: log what is cut
+    exit_cut,        ///< the deadline passed: log what is cut
 };
 
 /// Name of a phase in logs and status pages.
@@ -45,7 +45,8 @@
     /// The process knows enough to serve.
     command learned();
 
-    /// SIGTERM: stay accepting until `notice_deadline`, then finish until `drain_deadline`.
+    /// SIGTERM: stay accepting until `notice_deadline`, then finish until `drain_deadline`. A
+    /// repeated signal changes nothing: supervisors may send more than one for the same stop.
     command stop_requested(time_point notice_deadline, time_point drain_deadline);
 
     /// Time passed; `in_flight` requests are unfinished.
@@ -56,7 +57,7 @@
     std::unique_ptr<machine> m_machine;
     time_point m_notice_deadline = no_deadline;
     time_point m_drain_deadline = no_deadline;
-    int m_signals = 0;
+    bool m_is_stopping = false;
 };
 
 }  // namespace dewbeam::lifecycle
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -280,6 +280,10 @@
             const auto notice = stopped_at.load() + m_stop_notice;
             wanted =
                 life.stop_requested(notice, notice + span_setting(m_settings, "/stop/drain_ms"));
+            if (handled_signals > 1) {
+                log_event(log_level::info, "stop_signal_passed_over",
+                          {{"reason", "the process is stopping already"}});
+            }
         }
         else if (life.current() == lifecycle::phase::starting && hooks.m_is_ready()) {
             wanted = life.learned();
