Gateways that restart don't multiply the retry budget

While an outage of upstreams lasted, restarts of gateways in series let more retries through to a service than the deployment's budget allows: 358 of 322 in 10 s, with 7 gateways killed in turn each 0.3 s.

Cause: retry::budget began with 10 saved retries at each start of a process, whatever the process before it had just sent. A restart each 0.3 s is 33 new buckets in 10 s, where the burst of the deployment is 90.

The part of a gateway is decided in one place now (retry::part_of): a gateway that starts again begins with an empty bucket and earns its retries by first tries, so that its bucket is never above what one that had not restarted could hold, and the sum over all processes keeps the bound of one bucket a gateway.

--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -73,8 +73,7 @@
         place = std::make_shared<locked_broker>();
         place->m_broker.m_options = m_options;
         place->m_broker.m_suspicions.m_options = m_options.m_quarantine;
-        dispatch::set_sharing(place->m_broker, m_options.m_sharing_entry_count,
-                              m_options.m_retries);
+        place->m_broker.m_retry_budget = retry::make_budget(m_options.m_retries);
         place->m_broker.m_options.m_overload.m_is_active = m_controlled.contains(name);
         place->m_random = program::seeded_engine();
     }
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -27,18 +27,11 @@
 /// How long startup waits for a registry that is certain to have the newest revision.
 constexpr time_span settled_revision_timeout = std::chrono::seconds(4);
 
-/// Share of the retry budget that is used. The margin is needed because the number of gateways is
-/// known with a delay, and the budget applies to any span of some seconds.
-constexpr double used_budget_share = 0.8;
-
 retry::budget_options retries_of(const json& settings, std::uint32_t gateways)
 {
-    // All gateways together must stay within the settings: each takes an equal part of the burst.
-    retry::budget_options result;
-    result.m_share = used_budget_share * setting_value<double>(settings, "/retries/share");
-    result.m_burst = std::max(
-        1.0, used_budget_share * setting_value<double>(settings, "/retries/burst") / gateways);
-    return result;
+    return retry::part_of({setting_value<double>(settings, "/retries/share"),
+                           setting_value<double>(settings, "/retries/burst")},
+                          gateways, setting_value<bool>(settings, "/retries/first_start"));
 }
 
 /// No gateway has an upstream to itself, so contents run concurrently with others. Quarantine takes
@@ -159,6 +152,9 @@
          "Retries for each first try that all gateways may send.", 0, 1},
         {"/retries/burst", setting_kind::number, 40.0,
          "Retries beyond that share that all gateways together may send at once.", 0, max_retries},
+        {"/retries/first_start", setting_kind::boolean, true,
+         "Whether the deployment starts for the first time. A gateway that starts again begins "
+         "without saved retries."},
         {"/overload/control", setting_kind::boolean, true,
          "Overload control in pools of streams whose routes have different priorities."},
         {"/overload/priority_ratio", setting_kind::number, 2.0,
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -4,6 +4,13 @@
 
 namespace dewbeam::retry {
 
+budget make_budget(const budget_options& options)
+{
+    budget result;
+    result.m_tokens = std::min(options.m_first, options.m_burst);
+    return result;
+}
+
 void count_first_try(budget& state, const budget_options& options)
 {
     ++state.m_first_tries;
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -19,15 +19,16 @@
     cancelled,      ///< the caller went away
 };
 
+/// Retries that a new bucket holds, so that thin traffic can be retried at all.
+inline constexpr double first_retries = 10.0;
+
 /// Limits, set by the operator.
 struct budget_options {
-    double m_share = 0.1;   ///< retries for each first try
-    double m_burst = 20.0;  ///< most retries saved up
+    double m_share = 0.1;            ///< retries for each first try
+    double m_burst = 20.0;           ///< most retries saved up
+    double m_first = first_retries;  ///< retries that a new bucket holds, `m_burst` at most
 };
 
-/// Retries that a new bucket holds, so that thin traffic can be retried at all.
-inline constexpr double first_retries = 10.0;
-
 /// The bucket. Over any time, retries stay below `m_share` of first tries plus what was saved up.
 struct budget {
     double m_tokens = first_retries;
@@ -35,6 +36,9 @@
     std::uint64_t m_retries = 0;
 };
 
+/// A new bucket.
+budget make_budget(const budget_options& options);
+
 /// A request was dispatched for the first time.
 void count_first_try(budget& state, const budget_options& options);
 
--- /dev/null
+++ b/dewbeam/src/retry/sharing.cpp
@@ -0,0 +1,24 @@
+#include "dewbeam/src/retry/sharing.h"
+
+#include <algorithm>
+
+namespace dewbeam::retry {
+
+namespace {
+
+/// Share of the budget that is used. The margin is needed because the number of gateways is known
+/// with a delay, and the budget applies to any span of some seconds.
+constexpr double used_share = 0.8;
+
+}  // namespace
+
+budget_options part_of(const deployment_budget& all, std::uint32_t gateways, bool is_first_start)
+{
+    budget_options result;
+    result.m_share = used_share * all.m_share;
+    result.m_burst = std::max(1.0, used_share * all.m_burst / gateways);
+    result.m_first = is_first_start ? first_retries : 0.0;
+    return result;
+}
+
+}  // namespace dewbeam::retry
--- /dev/null
+++ b/dewbeam/src/retry/sharing.h
@@ -0,0 +1,22 @@
+/// \file
+/// The part that each gateway has in the retry budget of a deployment. Gateways share no counter:
+/// the parts alone keep the sum within the budget, whatever restarts or joins.
+#pragma once
+
+#include <cstdint>
+
+#include "dewbeam/src/retry/budget.h"
+
+namespace dewbeam::retry {
+
+/// Retries that all gateways of a deployment together may send to a service.
+struct deployment_budget {
+    double m_share = 0.1;   ///< for each first try
+    double m_burst = 40.0;  ///< beyond that, in any span of some seconds
+};
+
+/// The part of one of `gateways`. A gateway that starts again begins with an empty bucket: the
+/// process before it may have sent its whole part just before.
+budget_options part_of(const deployment_budget& all, std::uint32_t gateways, bool is_first_start);
+
+}  // namespace dewbeam::retry
--- /dev/null
+++ b/test/retry_sharing_test.cpp
@@ -0,0 +1,134 @@
+// The retries of all gateways of a deployment together, in virtual time: every attempt fails, and
+// gateways restart in series. The budget must hold in every window.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+#include "dewbeam/base"
+#include "dewbeam/retry"
+
+namespace dewbeam::retry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_span window = seconds(10);
+constexpr time_span step = milliseconds(10);
+
+/// What happens to a deployment, and how large it is.
+struct plan {
+    std::uint32_t m_gateways = 7;
+    double m_requests_per_second = 85.0;
+    double m_burst = 90.0;
+    time_span m_calm = seconds(60);  ///< in which nothing fails
+    time_span m_trouble = seconds(40);
+    time_span m_restart_gap = time_span::max();  ///< between restarts, one gateway after the other
+};
+
+constexpr double share = 0.2;
+
+struct gateway {
+    budget_options m_options;
+    budget m_retries;
+};
+
+/// Times of requests and retries of the whole deployment.
+struct history {
+    std::vector<time_point> m_requests;
+    std::vector<time_point> m_retries;
+};
+
+std::size_t count(const std::vector<time_point>& times, time_point begin, time_point end)
+{
+    const auto first = std::upper_bound(times.begin(), times.end(), begin);
+    return static_cast<std::size_t>(std::upper_bound(first, times.end(), end) - first);
+}
+
+/// The most retries of any window, less those that the budget allows.
+double most_beyond_budget(const history& seen, double burst)
+{
+    double result = -burst;
+    for (const auto end : seen.m_retries) {
+        const auto retries = count(seen.m_retries, end - window, end);
+        const auto requests = count(seen.m_requests, end - window, end);
+        result = std::max(
+            result, static_cast<double>(retries) - share * static_cast<double>(requests) - burst);
+    }
+    return result;
+}
+
+history play(const plan& wanted, std::uint64_t seed)
+{
+    random_engine random(seed);
+    const deployment_budget all{share, wanted.m_burst};
+    std::vector<gateway> gateways(wanted.m_gateways);
+    const auto begin = [&](gateway& subject, bool is_first_start) {
+        subject.m_options = part_of(all, wanted.m_gateways, is_first_start);
+        subject.m_retries = make_budget(subject.m_options);
+    };
+    for (auto& subject : gateways) {
+        begin(subject, true);
+    }
+    history result;
+    double due = 0.0;
+    std::size_t next_restart = 0;
+    auto restart_at = time_point{} + wanted.m_calm;
+    for (time_point now{}; now < time_point{} + wanted.m_calm + wanted.m_trouble; now += step) {
+        const bool is_trouble = now >= time_point{} + wanted.m_calm;
+        if (is_trouble && wanted.m_restart_gap != time_span::max() && now >= restart_at) {
+            restart_at += wanted.m_restart_gap;
+            begin(gateways[next_restart++ % gateways.size()], false);
+        }
+        for (due += wanted.m_requests_per_second * to_seconds(step); due >= 1.0; due -= 1.0) {
+            auto& subject = gateways[uniform_below(random, gateways.size())];
+            result.m_requests.push_back(now);
+            count_first_try(subject.m_retries, subject.m_options);
+            if (is_trouble && take_retry(subject.m_retries)) {
+                result.m_retries.push_back(now);
+            }
+        }
+    }
+    return result;
+}
+
+/// Plays a plan for each size, with a share of the load that leaves the burst to decide.
+void expect_within_budget(plan wanted, std::initializer_list<std::uint32_t> sizes)
+{
+    for (const auto gateways : sizes) {
+        for (const double rate : {9.0, 85.0, 300.0}) {
+            wanted.m_gateways = gateways;
+            wanted.m_requests_per_second = rate;
+            const auto seen = play(wanted, gateways);
+            EXPECT_FALSE(seen.m_retries.empty()) << gateways << " gateways, " << rate << "/s";
+            EXPECT_LE(most_beyond_budget(seen, wanted.m_burst), 0.0)
+                << gateways << " gateways, " << rate << " requests per second";
+        }
+    }
+}
+
+TEST(retry_sharing, gateways_that_restart_in_series_stay_within_the_budget)
+{
+    for (const auto gap : {milliseconds(50), milliseconds(200), milliseconds(300),
+                           milliseconds(600), milliseconds(1000)}) {
+        plan wanted;
+        wanted.m_restart_gap = gap;
+        expect_within_budget(wanted, {7, 42});
+    }
+}
+
+TEST(retry_sharing, a_gateway_that_starts_again_earns_its_retries)
+{
+    const auto options = part_of({0.2, 90.0}, 7, false);
+    auto subject = make_budget(options);
+    EXPECT_FALSE(take_retry(subject));
+    for (int i = 0; i < 7; ++i) {
+        count_first_try(subject, options);
+    }
+    EXPECT_TRUE(take_retry(subject));
+}
+
+}  // namespace
+}  // namespace dewbeam::retry
