Gateways that are cut into parts stay within the retry budget

A deployment whose failure domains are cut off from each other, or whose registries have just started, could send a multiple of its retry budget: each gateway divides the burst by the number of gateways that a registry counts at the moment, and each side of a cut counts its own alone. At three parts the buckets together hold three times the burst after some seconds.

Not shown on real processes: the rig of the soak can't cut hosts from each other. Not covered: a gateway that starts inside a cut knows its own part only.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -520,7 +520,7 @@
 {
     state.m_options.m_sharing_entry_count = std::max(1U, entries);
     state.m_options.m_retries = retries;
-    state.m_retry_budget.m_tokens = std::min(state.m_retry_budget.m_tokens, retries.m_burst);
+    retry::limit(state.m_retry_budget, retries);
 }
 
 void set_overload_control(broker& state, bool is_active, time_point now)
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -588,13 +588,22 @@
 
     void on_gateways(std::uint32_t gateways)
     {
-        if (gateways == m_gateways || gateways == 0) {
+        if (gateways == 0) {
             return;
         }
+        slow_start::note_count(m_retry_sharing, gateways, program::now(), retry::count_retention);
+        const auto sharing = m_retry_sharing.m_highest;
+        if (gateways == m_gateways && sharing == m_sharing_gateways) {
+            return;
+        }
+        const auto retries = retries_of(m_state.m_settings, sharing);
+        if (sharing != m_sharing_gateways) {
+            log_event(
+                log_level::info, "retry_budget_shared",
+                {{"gateways", sharing}, {"share", retries.m_share}, {"burst", retries.m_burst}});
+        }
         m_gateways = gateways;
-        const auto retries = retries_of(m_state.m_settings, gateways);
-        log_event(log_level::info, "retry_budget_shared",
-                  {{"gateways", gateways}, {"share", retries.m_share}, {"burst", retries.m_burst}});
+        m_sharing_gateways = sharing;
         m_state.m_pools.set_sharing(gateways, retries);
     }
 
@@ -646,7 +655,7 @@
         const auto retries = m_state.m_pools.retries();
         m_state.m_metrics.set_retries_sent(retries.m_sent);
         m_state.m_metrics.set_retries_left(retries.m_left);
-        m_state.m_metrics.set_sharing_gateways(m_gateways);
+        m_state.m_metrics.set_sharing_gateways(m_sharing_gateways);
     }
 
     /// Logs a group's limits when its concurrency limit has moved by a tenth of the slots, or when
@@ -677,7 +686,9 @@
     std::atomic<bool> m_is_started = false;  ///< all members below are initialised
     std::map<upstream_id, std::uint32_t> m_other_gateways_load;  ///< used only on the link's thread
     std::map<upstream_id, double> m_slowdowns;                   ///< the same
-    std::atomic<std::uint32_t> m_gateways = 0;                   ///< that share the retry budget
+    std::uint32_t m_gateways = 0;                                ///< the same
+    slow_start::gateway_count m_retry_sharing;                   ///< the same
+    std::atomic<std::uint32_t> m_sharing_gateways = 0;           ///< among which retries are shared
     time_point m_next_slow{};                                 ///< used only on the frame's thread
     std::map<upstream_id, permits::own_share> m_own_shares;   ///< the same
     std::map<upstream_id, permits::own_share> m_cold_shares;  ///< the same; of cold upstreams
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -11,6 +11,11 @@
     return result;
 }
 
+void limit(budget& state, const budget_options& options)
+{
+    state.m_tokens = std::min(state.m_tokens, options.m_burst);
+}
+
 void count_first_try(budget& state, const budget_options& options)
 {
     ++state.m_first_tries;
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -39,6 +39,9 @@
 /// A new bucket.
 budget make_budget(const budget_options& options);
 
+/// Applies new limits.
+void limit(budget& state, const budget_options& options);
+
 /// A request was dispatched for the first time.
 void count_first_try(budget& state, const budget_options& options);
 
--- a/dewbeam/src/slow_start/gateway_count.cpp
+++ b/dewbeam/src/slow_start/gateway_count.cpp
@@ -4,14 +4,7 @@
 
 namespace dewbeam::slow_start {
 
-namespace {
-
-/// Gateways that left stay in the number for this long. Longer than a restart of all processes.
-constexpr time_span retention = std::chrono::seconds(60);
-
-}  // namespace
-
-void note_count(gateway_count& state, std::uint32_t gateways, time_point now)
+void note_count(gateway_count& state, std::uint32_t gateways, time_point now, time_span retention)
 {
     if (gateways >= state.m_highest || now >= state.m_highest_until) {
         state.m_highest = gateways;
--- a/dewbeam/src/slow_start/gateway_count.h
+++ b/dewbeam/src/slow_start/gateway_count.h
@@ -18,6 +18,9 @@
 /// other gateways.
 inline constexpr time_span settling_time = std::chrono::seconds(3);
 
+/// How long gateways that left stay in the number. Longer than a restart of all processes.
+inline constexpr time_span default_retention = std::chrono::seconds(60);
+
 /// The highest number of gateways heard recently.
 struct gateway_count {
     std::uint32_t m_highest = 0;
@@ -25,7 +28,8 @@
 };
 
 /// Records the number that a registry reported.
-void note_count(gateway_count& state, std::uint32_t gateways, time_point now);
+void note_count(gateway_count& state, std::uint32_t gateways, time_point now,
+                time_span retention = default_retention);
 
 /// The number to share among, for a gateway that has heard registries since
 /// `heard_since`.
--- a/test/retry_sharing_test.cpp
+++ b/test/retry_sharing_test.cpp
@@ -1,13 +1,15 @@
 // The retries of all gateways of a deployment together, in virtual time: every attempt fails, and
-// gateways restart in series. The budget must hold in every window.
+// gateways restart in series or are told too low a number of gateways. The budget must hold in
+// every window.
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
+#include <functional>
 #include <vector>
 
 #include "dewbeam/base"
 #include "dewbeam/retry"
+#include "dewbeam/slow_start"
 
 namespace dewbeam::retry {
 namespace {
@@ -26,15 +28,38 @@
     time_span m_calm = seconds(60);  ///< in which nothing fails
     time_span m_trouble = seconds(40);
     time_span m_restart_gap = time_span::max();  ///< between restarts, one gateway after the other
+    /// Number of gateways that registries report at a time.
+    std::function<std::uint32_t(std::uint32_t gateways, time_span)> m_reported =
+        [](std::uint32_t gateways, time_span) { return gateways; };
 };
 
 constexpr double share = 0.2;
 
+constexpr time_span report_interval = milliseconds(250);
+
 struct gateway {
+    bool m_is_first_start = true;
+    slow_start::gateway_count m_heard;
     budget_options m_options;
     budget m_retries;
 };
 
+void start(gateway& subject, const deployment_budget& all, std::uint32_t gateways,
+           bool is_first_start)
+{
+    subject = {};
+    subject.m_is_first_start = is_first_start;
+    subject.m_options = part_of(all, gateways, is_first_start);
+    subject.m_retries = make_budget(subject.m_options);
+}
+
+void hear(gateway& subject, const deployment_budget& all, std::uint32_t gateways, time_point now)
+{
+    slow_start::note_count(subject.m_heard, gateways, now, count_retention);
+    subject.m_options = part_of(all, subject.m_heard.m_highest, subject.m_is_first_start);
+    limit(subject.m_retries, subject.m_options);
+}
+
 /// Times of requests and retries of the whole deployment.
 struct history {
     std::vector<time_point> m_requests;
@@ -65,22 +90,24 @@
     random_engine random(seed);
     const deployment_budget all{share, wanted.m_burst};
     std::vector<gateway> gateways(wanted.m_gateways);
-    const auto begin = [&](gateway& subject, bool is_first_start) {
-        subject.m_options = part_of(all, wanted.m_gateways, is_first_start);
-        subject.m_retries = make_budget(subject.m_options);
-    };
     for (auto& subject : gateways) {
-        begin(subject, true);
+        start(subject, all, wanted.m_gateways, true);
     }
     history result;
     double due = 0.0;
     std::size_t next_restart = 0;
     auto restart_at = time_point{} + wanted.m_calm;
+    time_point report_at{};
     for (time_point now{}; now < time_point{} + wanted.m_calm + wanted.m_trouble; now += step) {
         const bool is_trouble = now >= time_point{} + wanted.m_calm;
         if (is_trouble && wanted.m_restart_gap != time_span::max() && now >= restart_at) {
             restart_at += wanted.m_restart_gap;
-            begin(gateways[next_restart++ % gateways.size()], false);
+            start(gateways[next_restart++ % gateways.size()], all, wanted.m_gateways, false);
+        }
+        for (; report_at <= now; report_at += report_interval) {
+            for (auto& subject : gateways) {
+                hear(subject, all, wanted.m_reported(wanted.m_gateways, now - time_point{}), now);
+            }
         }
         for (due += wanted.m_requests_per_second * to_seconds(step); due >= 1.0; due -= 1.0) {
             auto& subject = gateways[uniform_below(random, gateways.size())];
@@ -119,6 +146,25 @@
     }
 }
 
+TEST(retry_sharing, gateways_cut_into_parts_stay_within_the_budget)
+{
+    plan wanted;
+    wanted.m_calm = seconds(120);
+    wanted.m_reported = [](std::uint32_t gateways, time_span passed) {
+        return passed < seconds(5) ? gateways : std::max(1U, gateways / 3);
+    };
+    expect_within_budget(wanted, {7, 42});
+}
+
+TEST(retry_sharing, registries_that_have_just_started_raise_no_part)
+{
+    plan wanted;
+    wanted.m_reported = [](std::uint32_t gateways, time_span passed) {
+        return passed >= seconds(45) && passed < seconds(75) ? 1U : gateways;
+    };
+    expect_within_budget(wanted, {7, 42});
+}
+
 TEST(retry_sharing, a_gateway_that_starts_again_earns_its_retries)
 {
     const auto options = part_of({0.2, 90.0}, 7, false);
