Registries count a gateway that started again once

A gateway whose connection ended silently stays a watcher until its lease ends, so that after a loss of power it was counted twice. Gateways keep the highest number for minutes as the divisor of the retry budget, so that its part would stay halved.

A watch from a host's new process now replaces that of the one before it, by the host that the envelope names; rank agents of the same host don't count. Test: watchers.a_gateway_that_started_again_counts_once (3 gateways counted before).

--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -501,14 +501,14 @@
             m_runner->receive(message.consensus());
         }
         else if (message.has_watch()) {
-            on_watch(from, message.watch());
+            on_watch(from, host_id(message.sender()), message.watch());
         }
         else if (message.has_registry_sync()) {
             on_sync(from, message.registry_sync());
         }
     }
 
-    void on_watch(const link::peer& from, const wire::Watch& watch)
+    void on_watch(const link::peer& from, const host_id& host, const wire::Watch& watch)
     {
         const auto now = program::now();
         wire::Envelope answer;
@@ -516,7 +516,7 @@
         put_revision_news(news, watch);
         {
             const std::lock_guard lock(m_mutex);
-            auto& subject = apply_watch(m_watchers, from, watch, now);
+            auto& subject = apply_watch(m_watchers, from, host, watch, now);
             const bool knows_incarnation = watch.registry_life() == m_own_incarnation.value();
             put_upstreams(m_registry, watch.known_change(), !knows_incarnation, news);
             subject.m_sent_change = m_registry.m_last_change;
--- a/dewbeam/src/registrar/watchers.cpp
+++ b/dewbeam/src/registrar/watchers.cpp
@@ -62,6 +62,10 @@
     subtract_loads(table, place->second);
     table.m_slowdowns.erase(place->first);
     table.m_gateways -= place->second.m_is_gateway ? 1 : 0;
+    const auto newest = table.m_gateway_of_host.find(place->second.m_host);
+    if (newest != table.m_gateway_of_host.end() && newest->second == place->first) {
+        table.m_gateway_of_host.erase(newest);
+    }
     return table.m_watchers.erase(place);
 }
 
@@ -79,12 +83,32 @@
     table.m_packed_loads = list.SerializeAsString();
 }
 
+/// Makes `from` the one gateway of its host.
+void replace_gateway(watcher_table& table, const link::peer& from, const host_id& host)
+{
+    if (host.value().empty()) {
+        return;
+    }
+    const auto [newest, is_new] = table.m_gateway_of_host.try_emplace(host, from);
+    if (is_new || newest->second == from) {
+        return;
+    }
+    const auto earlier = table.m_watchers.find(std::exchange(newest->second, from));
+    if (earlier != table.m_watchers.end()) {
+        erase(table, earlier);
+    }
+}
+
 }  // namespace
 
-watcher& apply_watch(watcher_table& table, const link::peer& from, const wire::Watch& watch,
-                     time_point now)
+watcher& apply_watch(watcher_table& table, const link::peer& from, const host_id& host,
+                     const wire::Watch& watch, time_point now)
 {
+    if (watch.is_gateway()) {
+        replace_gateway(table, from, host);
+    }
     auto& subject = table.m_watchers[from];
+    subject.m_host = host;
     subtract_loads(table, subject);
     table.m_gateways -= subject.m_is_gateway ? 1 : 0;
     subject.m_lease_deadline = now + lease;
--- a/dewbeam/src/registrar/watchers.h
+++ b/dewbeam/src/registrar/watchers.h
@@ -16,6 +16,7 @@
 
 /// A gateway or rank agent that watches.
 struct watcher {
+    host_id m_host;  ///< empty: not stated
     time_point m_lease_deadline{};
     std::uint64_t m_sent_change = 0;  ///< last change sent; it may not have arrived yet
     std::vector<std::pair<std::string, std::uint32_t>> m_loads;
@@ -27,7 +28,8 @@
 /// requests them several times a second.
 struct watcher_table {
     std::map<link::peer, watcher> m_watchers;
-    std::uint32_t m_gateways = 0;  ///< among the watchers
+    std::uint32_t m_gateways = 0;                     ///< among the watchers
+    std::map<host_id, link::peer> m_gateway_of_host;  ///< its newest connection
     std::map<std::string, std::uint32_t>
         m_loads;                 ///< requests in flight of all gateways, by upstream
     std::string m_packed_loads;  ///< the same, serialized for sending
@@ -36,9 +38,10 @@
     std::map<link::peer, std::vector<std::pair<std::string, double>>> m_slowdowns;
 };
 
-/// Applies a watch and renews the lease of its sender.
-watcher& apply_watch(watcher_table& table, const link::peer& from, const wire::Watch& watch,
-                     time_point now);
+/// Applies a watch of a process on `host` and renews its lease. A gateway that started again
+/// replaces the one before it, whose lease may not have expired.
+watcher& apply_watch(watcher_table& table, const link::peer& from, const host_id& host,
+                     const wire::Watch& watch, time_point now);
 
 /// Removes the watchers whose lease expired.
 void expire(watcher_table& table, time_point now);
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -308,9 +308,9 @@
     load.set_upstream("u1");
     load.set_in_flight(3);
     for (const auto* address : {"a", "b", "c"}) {
-        registrar::apply_watch(table, {address, ""}, watch, {});
+        registrar::apply_watch(table, {address, ""}, host_id(address), watch, {});
     }
-    registrar::apply_watch(table, {"rank agent", ""}, {}, {});
+    registrar::apply_watch(table, {"rank agent", ""}, {}, {}, {});
     wire::WatchNews news;
     registrar::put_loads(table, table.m_watchers.at({"a", ""}), news);
     EXPECT_EQ(registrar::loads_of_others(news), (std::map<std::string, std::uint32_t>{{"u1", 6}}));
@@ -321,10 +321,32 @@
     EXPECT_EQ(table.m_gateways, 0U);
 }
 
+TEST(watchers, a_gateway_that_started_again_counts_once)
+{
+    registrar::watcher_table table;
+    wire::Watch watch;
+    watch.set_is_gateway(true);
+    auto& load = *watch.add_loads();
+    load.set_upstream("u1");
+    load.set_in_flight(3);
+    for (const auto* connection : {"1", "2", "3"}) {
+        registrar::apply_watch(table, {"", connection}, host_id("a"), watch, {});
+        EXPECT_EQ(table.m_gateways, 1U);
+        EXPECT_EQ(table.m_loads.at("u1"), 3U);
+    }
+    registrar::apply_watch(table, {"", "4"}, host_id("b"), watch, {});
+    registrar::apply_watch(table, {"", "5"}, host_id("a"), {}, {});
+    EXPECT_EQ(table.m_gateways, 2U) << "a rank agent of the same host replaces no gateway";
+    registrar::forget(table, {"", "3"});
+    EXPECT_EQ(table.m_gateways, 1U);
+    registrar::apply_watch(table, {"", "6"}, host_id("a"), watch, {});
+    EXPECT_EQ(table.m_gateways, 2U);
+}
+
 TEST(watchers, leases_are_put_off_by_the_time_for_which_the_registry_was_held_up)
 {
     registrar::watcher_table table;
-    registrar::apply_watch(table, {"a", ""}, {}, {});
+    registrar::apply_watch(table, {"a", ""}, {}, {}, {});
     registrar::put_off_leases(table, seconds(3), time_point(seconds(3)));
     registrar::expire(table, time_point(seconds(6)));
     EXPECT_EQ(table.m_watchers.size(), 1U);
@@ -356,7 +378,7 @@
                 load.set_in_flight(count);
                 reported[upstream] = count;
             }
-            registrar::apply_watch(table, from, watch, {});
+            registrar::apply_watch(table, from, {}, watch, {});
         }
         std::map<std::string, std::uint32_t> sums;
         for (const auto& [name, reported] : expected) {
