Parts of the retry budget below one retry add up to it

With more gateways than retries in the burst, each gateway's part was rounded up to one retry: 300 gateways could send 300 where 90 are allowed, and 150 gateways 150.

A part may now be below one. Such a bucket gives a retry with the probability that it holds and is empty then either way, so that the sum over all gateways is the burst in the mean, and the unused fifth of the budget covers its spread.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -105,7 +105,7 @@
     }
     else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
                  max_attempts_of(state, request) ||
-             !retry::take_retry(state.m_retry_budget)) {
+             !retry::take_retry(state.m_retry_budget, state.m_options.m_retries, random)) {
         refuse_request(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/retry/budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dewbeam::retry {
 
@@ -22,8 +23,13 @@
     state.m_tokens = std::min(state.m_tokens + options.m_share, options.m_burst);
 }
 
-bool take_retry(budget& state)
+bool take_retry(budget& state, const budget_options& options, random_engine& random)
 {
+    if (options.m_burst < 1.0) {
+        const bool is_taken = uniform_unit(random) < std::exchange(state.m_tokens, 0.0);
+        state.m_retries += is_taken ? 1 : 0;
+        return is_taken;
+    }
     if (state.m_tokens < 1.0) {
         return false;
     }
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 
+#include "dewbeam/base"
+
 namespace dewbeam::retry {
 
 /// How an attempt ended, as the broker sees it.
@@ -25,7 +27,7 @@
 /// Limits, set by the operator.
 struct budget_options {
     double m_share = 0.1;            ///< retries for each first try
-    double m_burst = 20.0;           ///< most retries saved up
+    double m_burst = 20.0;           ///< most retries saved up; may be below one
     double m_first = first_retries;  ///< retries that a new bucket holds, `m_burst` at most
 };
 
@@ -45,8 +47,10 @@
 /// A request was dispatched for the first time.
 void count_first_try(budget& state, const budget_options& options);
 
-/// Takes one retry from the budget; false when none is left.
-bool take_retry(budget& state);
+/// Takes one retry from the budget; false when none is left. A bucket that never holds a whole
+/// retry gives one with the probability that it holds, and is empty then in either case: where the
+/// burst is divided among more gateways than it has retries, only their sum is a whole number.
+bool take_retry(budget& state, const budget_options& options, random_engine& random);
 
 /// Whether the attempt certainly never began.
 bool is_never_begun(attempt_end end);
--- a/dewbeam/src/retry/sharing.cpp
+++ b/dewbeam/src/retry/sharing.cpp
@@ -1,7 +1,5 @@
 #include "dewbeam/src/retry/sharing.h"
 
-#include <algorithm>
-
 namespace dewbeam::retry {
 
 namespace {
@@ -16,7 +14,7 @@
 {
     budget_options result;
     result.m_share = used_share * all.m_share;
-    result.m_burst = std::max(1.0, used_share * all.m_burst / gateways);
+    result.m_burst = used_share * all.m_burst / gateways;
     result.m_first = is_first_start ? first_retries : 0.0;
     return result;
 }
--- a/test/retry_sharing_test.cpp
+++ b/test/retry_sharing_test.cpp
@@ -113,7 +113,7 @@
             auto& subject = gateways[uniform_below(random, gateways.size())];
             result.m_requests.push_back(now);
             count_first_try(subject.m_retries, subject.m_options);
-            if (is_trouble && take_retry(subject.m_retries)) {
+            if (is_trouble && take_retry(subject.m_retries, subject.m_options, random)) {
                 result.m_retries.push_back(now);
             }
         }
@@ -169,11 +169,39 @@
 {
     const auto options = part_of({0.2, 90.0}, 7, false);
     auto subject = make_budget(options);
-    EXPECT_FALSE(take_retry(subject));
+    random_engine random(1);
+    EXPECT_FALSE(take_retry(subject, options, random));
     for (int i = 0; i < 7; ++i) {
         count_first_try(subject, options);
     }
-    EXPECT_TRUE(take_retry(subject));
+    EXPECT_TRUE(take_retry(subject, options, random));
+}
+
+TEST(retry_sharing, more_gateways_than_retries_stay_within_the_budget)
+{
+    expect_within_budget({}, {150, 300});
+    plan restarted;
+    restarted.m_restart_gap = milliseconds(200);
+    expect_within_budget(restarted, {150});
+    plan cut;
+    cut.m_reported = [](std::uint32_t gateways, time_span passed) {
+        return passed < seconds(5) ? gateways : gateways / 5;
+    };
+    expect_within_budget(cut, {150});
+}
+
+TEST(retry_sharing, a_part_below_one_retry_gives_its_share_in_the_mean)
+{
+    const auto options = part_of({0.2, 90.0}, 150, true);
+    ASSERT_LT(options.m_burst, 1.0);
+    random_engine random(1);
+    int taken = 0;
+    for (int gateway = 0; gateway < 1500; ++gateway) {
+        auto subject = make_budget(options);
+        taken += take_retry(subject, options, random) ? 1 : 0;
+        EXPECT_FALSE(take_retry(subject, options, random));
+    }
+    EXPECT_NEAR(taken, 720, 60) << "ten deployments with a burst of 0.8 x 90";
 }
 
 }  // namespace
--- a/test/retry_test.cpp
+++ b/test/retry_test.cpp
@@ -11,8 +11,10 @@
 {
     const budget_options options;
     budget subject;
+    random_engine random(1);
     for (const bool is_first : events) {
-        is_first ? count_first_try(subject, options) : static_cast<void>(take_retry(subject));
+        is_first ? count_first_try(subject, options)
+                 : static_cast<void>(take_retry(subject, options, random));
         const double most = first_retries + options.m_share * double(subject.m_first_tries);
         RC_ASSERT(double(subject.m_retries) <= most + 1e-9);
         RC_ASSERT(subject.m_tokens <= options.m_burst);
