Bound what entries send again from lost links and silent upstreams

Attempts that are cancelled may have reached their upstream.

Cause: two of the ways to send a request again went past the budget (attempt_end::lost in the broker, redispatch_unanswered). take_repeat is now the one place by which anything is sent again that an upstream may have received. An attempt that ended by itself costs an attempt and a retry as before; one that was cancelled borrows its retry: the bucket may owe a burst at most, since such ends come all at once (a process held up for seconds) and replace load rather than add to it. Debt is paid from first tries before anything else is retried.

Gateways have neither way.

--- a/dewbeam/src/dispatch/broker.cpp
+++ b/dewbeam/src/dispatch/broker.cpp
@@ -97,15 +97,11 @@
         ++request.m_busy_refusals;
         request.m_tried.pop_back();
     }
-    else if (end == attempt_end::not_reached || end == attempt_end::lost) {
-        // Costs no retry, since it adds no load: no upstream received the request, or it was
-        // cancelled there. Many attempts may end this way, at once or one after another, as their
-        // connections are found to be lost.
+    else if (end == attempt_end::not_reached) {
+        // Costs no retry, since no upstream received the request.
         ++request.m_unreached;
     }
-    else if (request.m_attempts - request.m_busy_refusals - request.m_unreached >=
-                 max_attempts_of(state, request) ||
-             !retry::take_retry(state.m_retry_budget, state.m_options.m_retries, random)) {
+    else if (!take_repeat(state, request, end, random)) {
         refuse_request(state, request, refusal::retries_exhausted, now, random, result);
         return;
     }
--- a/dewbeam/src/dispatch/request_lifecycle.cpp
+++ b/dewbeam/src/dispatch/request_lifecycle.cpp
@@ -213,6 +213,21 @@
     return own > 0 ? own : state.m_options.m_most_attempts;
 }
 
+bool take_repeat(broker& state, pending_request& request, attempt_end end, random_engine& random)
+{
+    if (end == attempt_end::lost) {
+        if (!retry::borrow_retry(state.m_retry_budget, state.m_options.m_retries)) {
+            return false;
+        }
+        // Many attempts of one request may end this way, as connections are found lost one by one.
+        ++request.m_unreached;
+        return true;
+    }
+    const auto attempts = request.m_attempts - request.m_busy_refusals - request.m_unreached;
+    return attempts < max_attempts_of(state, request) &&
+           retry::take_retry(state.m_retry_budget, state.m_options.m_retries, random);
+}
+
 double cost_of(const request_info& info)
 {
     constexpr double least_weight = 0.01;
--- a/dewbeam/src/dispatch/request_lifecycle.h
+++ b/dewbeam/src/dispatch/request_lifecycle.h
@@ -32,6 +32,12 @@
 /// Max attempts of the request.
 std::uint32_t max_attempts_of(const broker& state, const pending_request& request);
 
+/// Takes what it costs to send a request again that an upstream may have received. This bounds all
+/// that is sent beyond first attempts: one that ended by itself costs one of the request's attempts
+/// and a retry; one that was cancelled, as its way was lost or its upstream is unresponsive
+/// (`attempt_end::lost`), a retry that may be borrowed. Returns false if none is left.
+bool take_repeat(broker& state, pending_request& request, attempt_end end, random_engine& random);
+
 /// Cost of a request for its workspace: tokens divided by the selector's weight.
 double cost_of(const request_info& info);
 
--- a/dewbeam/src/dispatch/serve.cpp
+++ b/dewbeam/src/dispatch/serve.cpp
@@ -203,9 +203,9 @@
     }
 }
 
-/// Dispatches requests at unresponsive upstreams again, to upstreams that will answer soon. This
-/// costs no retry, since the previous attempt is cancelled, and it terminates, since no request is
-/// sent to the same upstream twice.
+/// Dispatches requests at unresponsive upstreams again, to upstreams that will answer soon. The
+/// previous attempts are cancelled, but may have reached their upstreams. This terminates, since no
+/// request is sent to the same upstream twice.
 void redispatch_unanswered(broker& state, route& subject, time_point now, random_engine& random,
                            actions& result)
 {
@@ -221,11 +221,11 @@
         const auto chosen =
             may_go ? choose(context_of(state, now), *request, random) : std::nullopt;
         if (!chosen || chosen->m_seconds > max_restart_wait ||
-            was_tried(*request, *state.m_table.m_upstreams[chosen->m_index])) {
+            was_tried(*request, *state.m_table.m_upstreams[chosen->m_index]) ||
+            !take_repeat(state, *request, attempt_end::lost, random)) {
             continue;
         }
         release(state, *request, now);
-        ++request->m_unreached;
         start(state, *request, *chosen, false, now, result);
     }
 }
--- a/dewbeam/src/retry/budget.cpp
+++ b/dewbeam/src/retry/budget.cpp
@@ -26,7 +26,8 @@
 bool take_retry(budget& state, const budget_options& options, random_engine& random)
 {
     if (options.m_burst < 1.0) {
-        const bool is_taken = uniform_unit(random) < std::exchange(state.m_tokens, 0.0);
+        const auto held = std::exchange(state.m_tokens, std::min(state.m_tokens, 0.0));
+        const bool is_taken = uniform_unit(random) < held;
         state.m_retries += is_taken ? 1 : 0;
         return is_taken;
     }
@@ -38,6 +39,16 @@
     return true;
 }
 
+bool borrow_retry(budget& state, const budget_options& options)
+{
+    if (state.m_tokens < 1.0 - options.m_burst) {
+        return false;
+    }
+    state.m_tokens -= 1.0;
+    ++state.m_retries;
+    return true;
+}
+
 bool is_never_begun(attempt_end end)
 {
     return end == attempt_end::not_run || end == attempt_end::not_reached ||
--- a/dewbeam/src/retry/budget.h
+++ b/dewbeam/src/retry/budget.h
@@ -31,9 +31,10 @@
     double m_first = first_retries;  ///< retries that a new bucket holds, `m_burst` at most
 };
 
-/// The bucket. Over any time, retries stay below `m_share` of first tries plus what was saved up.
+/// The bucket. Over any time, retries stay below `m_share` of first tries plus what was saved up
+/// and what may be borrowed.
 struct budget {
-    double m_tokens = first_retries;
+    double m_tokens = first_retries;  ///< negative: owed
     std::uint64_t m_first_tries = 0;
     std::uint64_t m_retries = 0;
 };
@@ -52,6 +53,11 @@
 /// burst is divided among more gateways than it has retries, only their sum is a whole number.
 bool take_retry(budget& state, const budget_options& options, random_engine& random);
 
+/// Takes one retry for a request whose attempt was cancelled where it ran, as its way or its
+/// upstream went silent. Such attempts end together, all at once, and what replaces them adds no
+/// lasting load: the bucket may go into debt for them, by `m_burst` at most. False at that limit.
+bool borrow_retry(budget& state, const budget_options& options);
+
 /// Whether the attempt certainly never began.
 bool is_never_begun(attempt_end end);
 
--- a/test/broker_test.cpp
+++ b/test/broker_test.cpp
@@ -374,6 +374,32 @@
     }
 }
 
+TEST(broker, what_is_sent_again_from_lost_ways_and_silent_upstreams_is_bounded)
+{
+    fixture f;
+    constexpr std::uint64_t requests = 100;
+    f.put(make_upstream("u", requests));
+    for (std::uint64_t id = 1; id <= requests; ++id) {
+        f.add(make_request(id));
+    }
+    f.put(make_upstream("v", requests));
+    const auto& options = f.m_broker.m_options.m_retries;
+    const auto most =
+        static_cast<std::uint64_t>(f.m_broker.m_retry_budget.m_tokens + options.m_burst);
+    ASSERT_LT(most, requests);
+    std::uint64_t sent = 0;
+    for (std::uint64_t id = 1; id <= requests / 2; ++id) {
+        const auto steps = f.end(id, attempt_end::lost);
+        ASSERT_EQ(steps.size(), 1U);
+        sent += steps[0].m_kind == action::kind::dispatch ? 1 : 0;
+    }
+    EXPECT_EQ(sent, most);
+    for (std::uint64_t id = requests / 2 + 1; id <= requests; ++id) {
+        EXPECT_TRUE(report_unresponsive(f, id, milliseconds(2500)).empty()) << "nothing is left";
+    }
+    EXPECT_EQ(f.end(requests, attempt_end::unknown).at(0).m_refusal, refusal::retries_exhausted);
+}
+
 TEST(broker, requests_are_refused_once_no_upstream_was_heard_for_longer_than_a_moment)
 {
     fixture f;
