A stop waits for requests that are being read

A caller that was sending its request when a gateway's drain began got a reset and no answer, on new and kept connections alike: the process counted a request as in flight only once it was read, and exited as soon as its last answer was written. On a host with little processor time that includes requests whose bytes are already in the process.

The HTTP server counts a request from its first byte. Behind the start of the drain, one that is still being read counts for a second, so that a caller that stalls halfway doesn't turn the stop into a cut. All programs with an HTTP listener have it.

--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -20,6 +20,8 @@
 using namespace internal;
 
 constexpr unsigned first_version_with_chunks = 11;  ///< HTTP/1.1
+/// How long a server that stops waits for the rest of requests that it has begun to read.
+constexpr std::chrono::seconds read_grace{1};
 
 request to_request(bhttp::request<bhttp::string_body>&& source)
 {
@@ -104,8 +106,12 @@
     endpoint m_address;        ///< set before the server starts
     std::optional<asio::ssl::context> m_tls;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_reading = 0;  ///< requests of which a part has been read
     std::atomic<std::size_t> m_unanswered = 0;
     std::atomic<bool> m_is_stopping = false;
+    /// Once it stops: until when requests that are being read count as unanswered.
+    std::atomic<std::chrono::steady_clock::time_point> m_read_deadline{
+        std::chrono::steady_clock::time_point::max()};
     std::atomic<bool> m_is_winding_down = false;
     std::mutex m_mutex;
     connection_list m_open;           ///< under m_mutex
@@ -313,6 +319,7 @@
         if (error) {
             break;
         }
+        std::optional<counted> reading(std::in_place, state->m_reading);
         error = co_await read_request(stream, buffer, parser, executor, limits.m_read_limit);
         if (error) {
             co_await refuse_request(*state, stream, explain(error));
@@ -329,6 +336,7 @@
         watch.start(executor, answer);
         {
             const counted unanswered(state->m_unanswered);
+            reading.reset();
             auto wanted = to_request(parser.release());
             wanted.m_sent_after = sent_after(*state, std::exchange(not_before, std::nullopt));
             handle_request(*state, std::move(wanted), answer);
@@ -499,6 +507,7 @@
     if (m_shared->m_is_stopping.exchange(true)) {
         return;
     }
+    m_shared->m_read_deadline = std::chrono::steady_clock::now() + read_grace;
     const std::lock_guard lock(m_shared->m_mutex);
     for (auto& slot : m_shared->m_open) {
         asio::post(slot.m_executor, [kept = slot.shared_from_this()] {
@@ -517,7 +526,11 @@
 
 std::size_t server::unanswered() const
 {
-    return m_shared->m_unanswered;
+    const bool waits_for_readers =
+        std::chrono::steady_clock::now() < m_shared->m_read_deadline.load();
+    // Read in the order in which requests move on, so that none is missed.
+    const std::size_t reading = waits_for_readers ? m_shared->m_reading.load() : 0;
+    return reading + m_shared->m_unanswered;
 }
 
 std::size_t server::connections() const
--- a/dewbeam/src/http/server.h
+++ b/dewbeam/src/http/server.h
@@ -97,7 +97,8 @@
     /// Closes the listener, idle connections, and each other one after its current answer.
     void stop_accepting();
 
-    /// Requests whose answer is not wholly written yet.
+    /// Requests of which a part has been read and whose answer is not wholly written yet. Once the
+    /// server stops, those that are still being read count for a second at most.
     [[nodiscard]] std::size_t unanswered() const;
 
     /// Connections that are open.
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -154,6 +154,32 @@
     EXPECT_TRUE(has(answer, " 503 ") && has(answer, "too_many_connections")) << answer;
 }
 
+// Guards against a stop that ends the process while a request is being read.
+TEST_F(http_server, request_that_is_being_read_is_unanswered_for_a_while_behind_a_stop)
+{
+    start({}, always_ok());
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n";
+    auto in_time = connect();
+    auto never = connect();
+    asio::write(in_time, asio::buffer(head + "{"));
+    asio::write(never, asio::buffer(head + "{"));
+    const auto deadline = std::chrono::steady_clock::now() + 5s;
+    const auto wait_for_unanswered = [&](std::size_t count) {
+        while (m_server->unanswered() != count && std::chrono::steady_clock::now() < deadline) {
+            std::this_thread::sleep_for(5ms);
+        }
+        EXPECT_EQ(m_server->unanswered(), count);
+    };
+    wait_for_unanswered(2);
+    m_server->stop_accepting();
+    EXPECT_EQ(m_server->unanswered(), 2U);
+    asio::write(in_time, asio::buffer(std::string("}")));
+    std::array<char, 12> begin{};
+    asio::read(in_time, asio::buffer(begin));
+    EXPECT_EQ(std::string(begin.data(), begin.size()), "HTTP/1.1 200");
+    wait_for_unanswered(0);
+}
+
 // Guards against a handler's exception that keeps the place of its connection for good.
 TEST_F(http_server, handler_that_throws_frees_its_connection)
 {
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -8,6 +8,7 @@
 import re
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -133,6 +134,21 @@
         self.assertEqual(self.ask("/once/x", key="key-2")[0], 401)
         self.assertEqual(self.ask("/once/x", key=None)[0], 401)
 
+    def test_a_stop_answers_a_request_that_is_being_read(self):
+        """The process ended once its last answer was written, with a reset for who was sending."""
+        self.begin()
+        gateway = self.site.processes["g0"]
+        with socket.create_connection(("127.0.0.1", self.gateways[0]), timeout=5.0) as caller:
+            caller.sendall(b"POST /once/x HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: slow\r\n"
+                           b"Authorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{")
+            time.sleep(0.2)
+            gateway.send(signal.SIGTERM)
+            time.sleep(0.6)  # the notice of 0.3 s is over
+            caller.sendall(b"}")
+            self.assertIn(b"HTTP/1.1 503", caller.recv(4096))
+        self.assertEqual(gateway.wait(), 0)
+        self.assertNotIn("slow", [request for request, _ in self.runs()])
+
     def test_a_call_before_the_first_configuration_waits_for_it(self):
         def is_led(port):
             status, body = call(port, "GET", "/v1/status")
