A new registrar finds the leader through a follower

A deployment that replaced two registrars, one after the other, could lose what it had acknowledged with the next disk: the second successor never became a voter, so that two of three votes remained, and one lost disk left no quorum. Reads of the configuration answered 503 not_sure for good.

Cause: only the leader admits a member, and a blank registrar asks its seeds and those registrars that wrote to it. A registrar names itself alone to others. Where the seeds that are left are followers, and the leader is itself a successor that is in no settings, neither learns of the other.

Registrars now name the members of their log in the messages by which they keep contact (RegistrySync.members; older programs pass over the field). A registrar that joins asks these, too. Members that are dropped from the log are no longer named, so that no address is handed on for ever.

--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -630,6 +630,9 @@
             for (const auto& address : sync.registries()) {
                 m_registry_contacts[address] = now;
             }
+            for (const auto& address : sync.members()) {
+                m_named_members[address] = now;
+            }
         }
         push_upstreams();
         if (sync.token() != 0 || sync.wants_all()) {
@@ -789,17 +792,27 @@
     void sync_registries(time_point now)
     {
         std::set<std::string> targets(m_seeds.begin(), m_seeds.end());
-        for (const auto& member : m_runner->status().m_members) {
-            targets.insert(address_of(member.m_identity.m_id));
-        }
         wire::Envelope message;
         auto& sync = *message.mutable_registry_sync();
+        for (const auto& member : m_runner->status().m_members) {
+            const auto address = address_of(member.m_identity.m_id);
+            targets.insert(address);
+            sync.add_members(address);
+        }
         std::vector<consensus::replica_id> known;
         {
             const std::lock_guard lock(m_mutex);
-            std::erase_if(m_registry_contacts,
-                          [&](const auto& item) { return item.second + advertise_timeout <= now; });
+            const auto is_old = [&](const auto& item) {
+                return item.second + advertise_timeout <= now;
+            };
+            std::erase_if(m_registry_contacts, is_old);
+            std::erase_if(m_named_members, is_old);
             m_registry_contacts[m_node->address()] = now;
+            // A registry that joins may have a follower as its only contact; the leader admits it.
+            for (const auto& [address, named_at] : m_named_members) {
+                targets.insert(address);
+                known.push_back(id_of(address));
+            }
             m_advertised_registries.clear();
             for (const auto& [address, heard_at] : m_registry_contacts) {
                 targets.insert(address);
@@ -840,6 +853,8 @@
     std::set<upstream_id> m_renewed;   ///< the same; since the last sync
     std::map<std::string, time_point>
         m_registry_contacts;  ///< the same; last sync by registry address
+    std::map<std::string, time_point>
+        m_named_members;  ///< the same; members of the log, by when another registry named them
     std::vector<std::string>
         m_advertised_registries;   ///< the same; registries that watchers are sent
     replica_view m_replica_view;   ///< used only on the main loop's thread
--- a/test/platform_session.py
+++ b/test/platform_session.py
@@ -134,6 +134,26 @@
         self.assertEqual(self.ask("/once/x", key="key-2")[0], 401)
         self.assertEqual(self.ask("/once/x", key=None)[0], 401)
 
+    def test_a_registrar_that_knows_a_follower_alone_replaces_a_lost_one(self):
+        """Only the leader admits a member. A registrar whose seeds were replaced, or gone, but for a
+        follower never joined, so that the loss of one more disk lost what was acknowledged."""
+        self.begin()
+        leader = next(n for n in ("r0", "r1", "r2")
+                      if "leader=tcp://" + self.links[int(n[1])] in self.site.processes[n].log())
+        follower, lost = [name for name in ("r0", "r1", "r2") if name != leader]
+        self.site.processes[lost].kill()
+        link = "127.0.0.1:%d" % free_port()
+        self.site.add("r3", "dewbeam-registrar", {
+            **process_settings(self.site, "r3", [self.links[int(follower[1])]]),
+            "link": {"listen": link}, "data_folder": os.path.join(self.work, "data-r3"),
+            "found": False, "stop": {"notice_ms": 0, "drain_ms": 2000}}).start()
+
+        def has_joined():
+            status, body = call(self.site.processes["r3"].http_port(), "GET", "/v1/status")
+            page = json.loads(body) if status == 200 else {}
+            return bool(page) and page["voter"] and page["caught_up"]
+        self.site.wait_for(has_joined, "the new registrar to join", limit_s=15.0)
+
     def test_a_stop_answers_a_request_that_is_being_read(self):
         """The process ended once its last answer was written, with a reset for who was sending."""
         self.begin()
