Soak: new hosts get current seeds, and a lost registrar counts again first

Hosts that start later get their seeds from the operator's list as it was 3 s before, as the platform does.

--- a/test/soak/deployed/faults.py
+++ b/test/soak/deployed/faults.py
@@ -11,6 +11,7 @@
 
 GRACE_S = 8.0
 CATCH_UP_LIMIT_S = 20.0
+CATCH_UP_S = 4.0  # for which a registrar still counts as lost once it is back, or new
 SLOW_TURN_S = 0.055  # a slowed process runs for a part of each such turn
 
 
@@ -200,8 +201,8 @@
                 self.note("%s %s" % (kind, name))
                 span = self.span(kind, "r-" + name)
                 replaced = action(name, draws)
-                self.wait_caught_up(replaced or name)
                 span.ended = now()
+                self.wait_caught_up(replaced or name)
 
     def kill_registrars(self, draws):
         def action(name, inner):
@@ -221,12 +222,15 @@
         self.on_registrar(draws, "replace", lambda name, _: self.deployment.replace_registrar(name))
 
     def wait_caught_up(self, name):
-        deadline = now() + CATCH_UP_LIMIT_S
-        while now() < deadline and not self.is_over.is_set():
+        """No other registrar is lost before this one counts again."""
+        begun = now()
+        while now() < begun + CATCH_UP_LIMIT_S:
             page = self.deployment.status(name)
             if page and page["voter"] and page["caught_up"]:
+                time.sleep(max(0.0, begun + CATCH_UP_S - now()))
                 return
             time.sleep(0.1)
+        self.records.fail("registrars", "%s did not come back within %.0f s" % (name, CATCH_UP_LIMIT_S))
 
     def end_deployment(self, operator, with_wipe):
         """The final fault, right behind an acknowledged configuration: all processes are killed, and as
@@ -235,9 +239,9 @@
             self.records.fail("final fault", "no acknowledgement of a configuration within 20 s")
             return
         names = [*self.deployment.registrars, *self.deployment.gateways]
+        self.records.add(self.records.faults, Span("final", "", now(), now() + 60.0))
         for name in names:
             self.deployment.processes[name].child.kill()
-        self.records.add(self.records.faults, Span("final", "", now(), now() + 60.0))
         for name in names:
             self.deployment.processes[name].child.wait()
         if with_wipe:
--- a/test/soak/deployed/hosts.py
+++ b/test/soak/deployed/hosts.py
@@ -19,6 +19,7 @@
 FIRST_NET, LAST_NET = 20, 250
 GROUP_SIZE = 8
 START_LIMIT_S = 60.0
+SEED_LAG_S = 3.0  # of the operator's list
 READY_PATH = "/-/ready"
 
 
@@ -60,8 +61,10 @@
             self.add_host(name, "registrar", index)
         for index, name in enumerate(self.gateways):
             self.add_host(name, "gateway", index)
-        self.exchange_seeds(self.registrars[:3])
+        self.operator_list = [(time.monotonic(), list(self.registrars))]
+        first_seeds = [self.address(name, CONTROL) for name in self.registrars[:3]]
         for name in self.registrars + self.gateways:
+            self.fields[name]["seeds"] = first_seeds
             self.start(name)
         self.controls = {name: self.address(name, CONTROL) for name in self.registrars}
         for index in range(size.groups * GROUP_SIZE):
@@ -99,17 +102,18 @@
             self.fields[name]["app"] = app
         self.processes[name] = Process(self, name, PROGRAMS[role], {"role": role})
 
-    def exchange_seeds(self, names):
-        """Settings written from now on name these registrars as seeds."""
-        seeds = [self.address(name, CONTROL) for name in names]
-        for fields in self.fields.values():
-            fields["seeds"] = seeds
-        self.seeds = seeds
+    def seeds(self):
+        """Three registrars of the operator's list, which lags."""
+        seen = [names for at, names in self.operator_list
+                if at <= max(self.operator_list[0][0], time.monotonic() - SEED_LAG_S)]
+        names = self.random.sample(seen[-1], min(3, len(seen[-1])))
+        return [self.address(name, CONTROL) for name in names]
 
     def start(self, name):
         if self.is_ending:
             return
         process, fields = self.processes[name], self.fields[name]
+        fields["seeds"] = fields["seeds"] if fields["bootstrap"] else self.seeds()
         role = {program: role for role, program in PROGRAMS.items()}[process.program]
         process.settings = settings_of(self.deploy, role, fields)
         process.start()
@@ -122,8 +126,8 @@
         successor = "r%d" % (100 + self.next_host)
         self.add_host(successor, "registrar", index)
         self.fields[successor]["bootstrap"] = False
-        self.fields[successor]["seeds"] = self.seeds
         self.registrars[index] = successor
+        self.operator_list.append((time.monotonic(), list(self.registrars)))
         del self.controls[name]
         self.start(successor)
         self.controls[successor] = self.address(successor, CONTROL)
@@ -151,7 +155,7 @@
         if group:
             name = "s-" + upstream.name
             self.add_host(name, "rank", ZONES.index(zone), upstream.address)
-            self.fields[name]["seeds"] = self.seeds
+            self.fields[name]["bootstrap"] = False
             self.start(name)
         return upstream
 
