Soak: one copy of what counts as a fault or a stop in the checks

The checks of answers had their own copy of the span test of the budget checks and its 12 s of a planned stop as a bare number; a function of run.py was not called.

--- a/test/soak/deployed/answer_checks.py
+++ b/test/soak/deployed/answer_checks.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from soak.deployed.budget_checks import CONTACT_S, by_request, disturbed, was_in_touch
+from soak.deployed.budget_checks import CONTACT_S, by_request, has_fault, is_stopped, was_in_touch
 
 MOST_LOST_ON_KEPT = 3
 LOSS_SLACK_S = 0.2
@@ -53,13 +53,7 @@
 
 
 def is_calm(records, exchange):
-    return not disturbed_without_stop(records, exchange.gateway, exchange.sent_at - CONTACT_S,
-                                      exchange.ended_at)
-
-
-def disturbed_without_stop(records, host, begin, end):
-    return any(span.host in ("", host) and span.begun <= end and begin <= span.ended
-               for span in records.faults)
+    return not has_fault(records, exchange.gateway, exchange.sent_at - CONTACT_S, exchange.ended_at)
 
 
 def check_stops(records, lost, arrivals):
@@ -87,8 +81,7 @@
 
 
 def stopped_meanwhile(records, exchange):
-    return any(gateway == exchange.gateway and at <= exchange.ended_at <= at + 12.0
-               for gateway, at in records.stops)
+    return is_stopped(records, exchange.gateway, exchange.ended_at, exchange.ended_at)
 
 
 def check_changes(records, lost):
--- a/test/soak/deployed/budget_checks.py
+++ b/test/soak/deployed/budget_checks.py
@@ -14,6 +14,7 @@
 MOST_IN_BACKOFF = 2
 CONTACT_S = 3.0
 MOST_COPIES = 3  # behind the third crash
+STOP_S = 12.0  # from a stop signal until the gateway that starts again serves
 
 
 def check_budget(records):
@@ -44,7 +45,7 @@
         sent = sorted(item.sent_at for item in records.exchanges if item.service == service)
         found = by_request(item for item in records.arrivals if item.service == service)
         repeats = sorted(item.at for items in found.values() for item in items[1:])
-        worst[service] = (0, RATIO * 0 + SLACK)
+        worst[service] = (0, SLACK)
         for end in repeats:
             retries = count(repeats, end - WINDOW_S, end)
             requests = max(count(sent, end - WINDOW_S - back, end - back)
@@ -133,9 +134,18 @@
 
 def disturbed(records, host, begin, end):
     """Whether a host, or all, stood still, started or was cut off in a span."""
-    stopped = any(gateway == host and begin <= at + 12.0 and at <= end for gateway, at in records.stops)
-    return stopped or any(span.host in ("", host) and span.begun <= end and begin <= span.ended
-                          for span in records.faults)
+    return is_stopped(records, host, begin, end) or has_fault(records, host, begin, end)
+
+
+def is_stopped(records, host, begin, end):
+    """Whether a host was stopped as planned in a span, or shortly before."""
+    return any(gateway == host and begin <= at + STOP_S and at <= end for gateway, at in records.stops)
+
+
+def has_fault(records, host, begin, end):
+    """Whether a host, or all, had an unplanned disturbance in a span."""
+    return any(span.host in ("", host) and span.begun <= end and begin <= span.ended
+               for span in records.faults)
 
 
 def was_in_touch(records, gateway, at):
--- a/test/soak/deployed/run.py
+++ b/test/soak/deployed/run.py
@@ -32,11 +32,6 @@
         operator.change(limit_s=8.0)
 
 
-def served_share(records, since):
-    ended = [item for item in records.exchanges if item.sent_at > since]
-    return sum(item.is_whole and item.status == 200 for item in ended) / max(1, len(ended))
-
-
 def run_deployed(bin_folder, deploy_folder, seed, seconds, size, script=None, work=None):
     """Runs a seed, or the faults that `script(faults)` begins. Gives what was broken and what was seen."""
     records = Records()
