Tell by what each refusal and attempt was decided, and who confirmed it

Logs could not tell the hypotheses of the incident apart: by which revision a call was refused or sent, how old it was, which registrar told it, and whether a quorum had confirmed it.

Registrars ask a quorum every 0.5 s whether they hold everything that was acknowledged, by the reads that operators use, and tell gateways how long ago that was; gateways compute from the moment at which they asked, so that an answer that was held up confirms nothing later. Registrars of earlier versions tell no age: there being sure counts as a confirmation on arrival.

confirmation.* (5 cases) and the unit tests of the feed pass.

--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "dewbeam/src/control/wire.h"
+#include "dewbeam/src/program/program.h"
 #include "dewbeam/storage"
 
 namespace dewbeam::control {
@@ -19,6 +20,8 @@
 using storage::write_outcome;
 
 constexpr time_span resend_span = std::chrono::milliseconds(250);
+/// How often a replica asks a quorum whether it holds everything that was acknowledged.
+constexpr time_span confirm_span = std::chrono::milliseconds(500);
 constexpr time_span full_disk_pause = std::chrono::milliseconds(500);
 constexpr time_span withdrawal_limit = std::chrono::hours(1);
 constexpr time_span hand_over_limit = std::chrono::seconds(1);
@@ -52,6 +55,7 @@
 struct waiting_read {
     std::function<void(bool)> m_done;
     time_point m_deadline{};
+    time_point m_begun_at{};
     std::uint64_t m_index = 0;  ///< 0: not known yet
 };
 
@@ -215,7 +219,8 @@
         result.m_leader = m_replica.m_leader ? m_replica.m_leader->value() : 0;
         result.m_has_quorum = !m_has_failed && consensus::has_quorum(m_replica, steady_now());
         result.m_is_voter = consensus::is_voter(m_replica);
-        result.m_is_caught_up = m_is_caught_up;
+        result.m_is_caught_up = m_confirmed_at != time_point{};
+        result.m_confirmed_at = m_confirmed_at;
         result.m_is_disk_full = m_is_disk_full;
         result.m_has_failed = m_has_failed;
         result.m_term = m_replica.m_hard.m_term;
@@ -375,7 +380,8 @@
             return;
         }
         const auto token = ++m_last_number;
-        m_reads[token] = {std::move(done), steady_now() + m_options.m_answer_limit, 0};
+        m_reads[token] = {std::move(done), steady_now() + m_options.m_answer_limit, program::now(),
+                          0};
         react(work, consensus::read_request{token});
     }
 
@@ -400,7 +406,7 @@
             if (read.m_index == 0 || read.m_index > m_replica.m_applied) {
                 return false;
             }
-            m_is_caught_up = true;
+            m_confirmed_at = std::max(m_confirmed_at, read.m_begun_at);
             work.m_calls.emplace_back([done = std::move(read.m_done)] { done(true); });
             return true;
         });
@@ -462,13 +468,14 @@
         }
     }
 
-    /// Until a majority confirmed it once, this host may hold an old configuration.
-    void confirm_start(deferred_work& work, time_point now)
+    /// What this host holds may be outdated, after a start or a partition, until a majority
+    /// confirms it.
+    void confirm_when_due(deferred_work& work, time_point now)
     {
-        if (m_is_caught_up || m_next_read_at > now) {
+        if (m_next_read_at > now) {
             return;
         }
-        m_next_read_at = now + resend_span;
+        m_next_read_at = now + (m_confirmed_at == time_point{} ? resend_span : confirm_span);
         add_read(work, [](bool) {});
     }
 
@@ -495,7 +502,7 @@
             react(work, consensus::tick{});
             expire(work, now);
             resend(work, now);
-            confirm_start(work, now);
+            confirm_when_due(work, now);
             compact_when_due(work);
             lock.unlock();
             carry_out(std::move(work));
@@ -646,7 +653,7 @@
     std::uint64_t m_snapshot_index = 0;
     byte_count m_bytes_since_snapshot;
     time_point m_next_read_at{};
-    bool m_is_caught_up = false;
+    time_point m_confirmed_at{};  ///< begin of the latest read that a majority confirmed
     bool m_is_disk_full = false;
     bool m_has_failed = false;
     bool m_is_draining = false;
--- a/dewbeam/src/control/replica_runner.h
+++ b/dewbeam/src/control/replica_runner.h
@@ -86,6 +86,9 @@
     bool m_has_quorum = false;   ///< heard from a majority, or from a leader, lately
     bool m_is_voter = false;
     bool m_is_caught_up = false;  ///< confirmed by a majority since the start
+    /// Everything that was acknowledged before this time, by `program::now`, is held;
+    /// `time_point{}`: not confirmed yet.
+    time_point m_confirmed_at{};
     bool m_is_disk_full = false;
     bool m_has_failed = false;
     std::uint64_t m_term = 0;
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -69,7 +69,8 @@
                 "upstreams "
                 "closed by what they said in answers, drained failure domains, registries heard, "
                 "groups whose prompts are paced, "
-                "revision in force, messages of registries dropped as unreadable, retries sent "
+                "revision in force, seconds since a quorum of registries confirmed it (-1: never), "
+                "messages of registries dropped as unreadable, retries sent "
                 "and left, gateways that share the retry budget.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
@@ -84,6 +85,7 @@
     prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
     prometheus::Gauge& m_paced_groups = m_state.Add({{"name", "paced_groups"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
+    prometheus::Gauge& m_confirmed_seconds = m_state.Add({{"name", "confirmed_seconds"}});
     prometheus::Gauge& m_unreadable_messages = m_state.Add({{"name", "unreadable_messages"}});
     prometheus::Gauge& m_retries_sent = m_state.Add({{"name", "retries_sent"}});
     prometheus::Gauge& m_retries_left = m_state.Add({{"name", "retries_left"}});
@@ -185,6 +187,11 @@
     m_families->m_revision.Set(static_cast<double>(number));
 }
 
+void gateway_metrics::set_confirmed_age(std::optional<time_span> age)
+{
+    m_families->m_confirmed_seconds.Set(age ? to_seconds(*age) : -1.0);
+}
+
 void gateway_metrics::set_unreadable_messages(std::uint64_t count)
 {
     m_families->m_unreadable_messages.Set(static_cast<double>(count));
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "dewbeam/base"
@@ -56,6 +57,8 @@
     void set_registries(std::size_t count);
     void set_paced_groups(std::size_t count);
     void set_revision(std::uint64_t number);
+    /// `age`: since a quorum of registries confirmed the revision in force; empty if none did.
+    void set_confirmed_age(std::optional<time_span> age);
     void set_unreadable_messages(std::uint64_t count);
     void set_retries_sent(std::uint64_t count);
     void set_retries_left(double count);
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -306,13 +306,25 @@
         return to_response({404, "unknown_path", "there is no such path", time_span::zero()}, "");
     }
 
+    /// How long ago a quorum of registries confirmed the newest revision held; empty if none did.
+    std::optional<time_span> confirmed_age(time_point now) const
+    {
+        const auto known = m_state.m_feed.last_confirmation();
+        if (!is_confirmed(known, m_state.m_feed.revision())) {
+            return std::nullopt;
+        }
+        return now - known.m_at;
+    }
+
     http::response status() const
     {
         const auto now = program::now();
+        const auto confirmed = confirmed_age(now);
         json page{{"host", setting_value<std::string>(m_state.m_settings, "/host")},
                   {"role", "gateway"},
                   {"phase", lifecycle::to_string(m_state.m_frame.phase())},
                   {"revision", m_state.m_feed.revision().value()},
+                  {"confirmed_ms", confirmed ? to_milliseconds(*confirmed) : -1.0},
                   {"registries", m_state.m_feed.heard(now)},
                   {"in_flight", m_state.m_requests.size()},
                   {"attempts", m_state.m_pools.in_flight()},
@@ -341,8 +353,9 @@
         };
         result.m_follow_log = [this](log_id log) { m_node->follow_log(log); };
         result.m_on_upstream = [this](const registry::record& changed) { on_upstream(changed); };
-        result.m_on_revision = [this](const revisions::revision& newer) {
-            return on_revision(newer);
+        result.m_on_revision = [this](const revisions::revision& newer,
+                                      const std::string& registry) {
+            return on_revision(newer, registry);
         };
         result.m_on_drains = [this](const std::set<failure_domain_id>& drained) {
             on_drains(drained);
@@ -414,7 +427,7 @@
         m_state.m_metrics.set_drained_domains(drained.size());
     }
 
-    bool on_revision(const revisions::revision& newer)
+    bool on_revision(const revisions::revision& newer, const std::string& registry)
     {
         auto read = m_state.m_format.m_read_book(newer.m_content);
         if (!read.ok()) {
@@ -425,6 +438,8 @@
         }
         auto fresh = std::make_shared<routes::book>(*std::move(read));
         routes::index(*fresh);
+        log_event(log_level::info, "revision_received",
+                  {{"revision", newer.m_number.value()}, {"registry", registry}});
         if (must_wait_for_drains(program::now())) {
             const std::lock_guard lock(m_first_book_mutex);
             m_first_book = std::move(fresh);
@@ -447,8 +462,12 @@
         control_overload(*fresh);
         set_cold_services(*fresh);
         m_state.m_book.adopt(std::move(fresh));
+        const auto known = m_state.m_feed.last_confirmation();
         log_event(log_level::info, "revision_in_force",
-                  {{"revision", revision.value()}, {"routes", routes}});
+                  {{"revision", revision.value()},
+                   {"routes", routes},
+                   {"confirmed_revision", known.m_newest.value()},
+                   {"confirmed_by", known.m_registry}});
         release_held_calls(m_state);
     }
 
@@ -655,6 +674,7 @@
         m_state.m_metrics.set_upstreams(m_state.m_upstreams.size());
         m_state.m_metrics.set_registries(m_state.m_feed.heard(now));
         m_state.m_metrics.set_revision(m_state.m_feed.revision().value());
+        m_state.m_metrics.set_confirmed_age(confirmed_age(now));
         m_state.m_metrics.set_unreadable_messages(m_node->unreadable_messages());
         const auto retries = m_state.m_pools.retries();
         m_state.m_metrics.set_retries_sent(retries.m_sent);
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -37,6 +37,25 @@
     answer.respond(to_response(fault, request_id));
 }
 
+/// Refuses a call that the configuration doesn't admit. Logs what the decision rests on.
+void refuse_by_configuration(const gateway_state& state, const held_call& subject,
+                             const gateway_error& fault, revisions::revision_number revision,
+                             time_point now)
+{
+    const auto known = state.m_feed.last_confirmation();
+    const bool is_known = known.m_at != time_point{};
+    log_event(log_level::info, "request_refused",
+              {{"request", subject.m_call.m_request_id},
+               {"status", fault.m_status},
+               {"code", fault.m_code},
+               {"revision", revision.value()},
+               {"newest_known", state.m_feed.newest_known_revision().value()},
+               {"confirmed_revision", known.m_newest.value()},
+               {"confirmed_ms", is_known ? to_milliseconds(now - known.m_at) : -1.0},
+               {"confirmed_by", known.m_registry}});
+    subject.m_answer->respond(to_response(fault, subject.m_call.m_request_id));
+}
+
 /// The route and the workspace of a request.
 struct admission_result {
     const routes::route* m_route = nullptr;
@@ -145,7 +164,7 @@
             retry_after_without_configuration});
 }
 
-void hold_call(gateway_state& state, held_call subject)
+void hold_call(gateway_state& state, held_call subject, const char* reason)
 {
     const auto limit = subject.m_call.m_time_limit.value_or(longest_wait);
     subject.m_deadline = subject.m_arrival + max_wait_of(limit);
@@ -159,7 +178,7 @@
     log_event(
         log_level::info, "request_held",
         {{"request", request_id},
-         {"reason", required.value() == 0 ? "no_configuration" : "newer_configuration"},
+         {"reason", reason},
          {"revision", required.value()},
          {"longest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()}});
 }
@@ -176,7 +195,7 @@
         return false;
     }
     subject.m_required_revision = newest;
-    hold_call(state, std::move(subject));
+    hold_call(state, std::move(subject), "newer_configuration");
     if (state.m_book.current()->m_revision >= newest) {
         release_held_calls(state);  // adopted between the check and the hold
     }
@@ -207,7 +226,7 @@
         return;
     }
     if (admitted.m_fault) {
-        refuse(*subject.m_answer, subject.m_call.m_request_id, *admitted.m_fault);
+        refuse_by_configuration(state, subject, *admitted.m_fault, rules->m_revision, now);
         return;
     }
     gateway_request::facts known;
@@ -265,7 +284,7 @@
         route_call(state, rules, std::move(subject), now);
         return;
     }
-    hold_call(state, std::move(subject));
+    hold_call(state, std::move(subject), "no_configuration");
     if (state.m_book.current()) {
         release_held_calls(state);  // a configuration arrived in the meantime
     }
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -152,7 +152,7 @@
                 m_upstreams[known.m_name] = known;
             }
         };
-        result.m_on_revision = [this](const revisions::revision& newer) {
+        result.m_on_revision = [this](const revisions::revision& newer, const std::string&) {
             const std::lock_guard lock(m_mutex);
             m_configuration = newer.m_content;
             return true;
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -469,6 +469,7 @@
                   {"quorum", status.m_has_quorum},
                   {"voter", status.m_is_voter},
                   {"caught_up", status.m_is_caught_up},
+                  {"confirmed_ms", confirmed_ms(status)},
                   {"term", status.m_term},
                   {"disk_full", status.m_is_disk_full},
                   {"failed", status.m_has_failed},
@@ -578,13 +579,23 @@
 
     void put_revision_news(wire::WatchNews& news, const wire::Watch& watch)
     {
-        const auto status = m_runner->status();
         news.set_registry_life(m_own_incarnation.value());
-        m_revision_news.put(m_runner->revision(), status.m_is_caught_up && status.m_has_quorum,
-                            watch, news);
+        // Read before the revision: what is acknowledged in between is then held already.
+        const auto age = confirmed_age(m_runner->status(), program::now());
+        m_revision_news.put(m_runner->revision(), age, watch, news);
         put_drains(m_runner->drains(), news);
     }
 
+    /// How long ago a quorum confirmed what this registry holds; empty if none did.
+    static std::optional<time_span> confirmed_age(const control::runner_status& status,
+                                                  time_point now)
+    {
+        if (status.m_confirmed_at == time_point{}) {
+            return std::nullopt;
+        }
+        return now - status.m_confirmed_at;
+    }
+
     void take_limits(const link::peer& from, const wire::Watch& watch, time_point now)
     {
         for (const auto& limit :
@@ -769,7 +780,15 @@
                    {"voter", status.m_is_voter},
                    {"members", status.m_members.size()},
                    {"commit", status.m_commit},
-                   {"revision", m_runner->revision().m_number.value()}});
+                   {"revision", m_runner->revision().m_number.value()},
+                   {"confirmed_ms", confirmed_ms(status)}});
+    }
+
+    /// How long ago a quorum confirmed what this registry holds, in ms; -1 if none did.
+    static double confirmed_ms(const control::runner_status& status)
+    {
+        const auto age = confirmed_age(status, program::now());
+        return age ? to_milliseconds(*age) : -1.0;
     }
 
     void update_stability(const control::runner_status& status, time_point now)
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -89,6 +89,7 @@
     watch.set_registry_life(target.m_registry_incarnation);
     watch.set_known_change(target.m_change);
     watch.set_known_revision(m_revision.value());
+    watch.set_sent_at(static_cast<std::uint64_t>(now.time_since_epoch().count()));
     watch.set_wants_loads(wants_loads && m_options.m_is_gateway);
     watch.set_is_gateway(m_options.m_is_gateway);
     if (m_options.m_is_gateway) {
@@ -330,7 +331,7 @@
                        {"reason", std::string(content.status().message())}});
             return;  // requested again after the answer deadline
         }
-        if (!m_handlers.m_on_revision({number, *std::move(content)})) {
+        if (!m_handlers.m_on_revision({number, *std::move(content)}, from)) {
             return;
         }
     }
@@ -414,6 +415,7 @@
         subject.m_heard_at = now;
         subject.m_is_sure = news.is_sure();
         subject.m_newest = revisions::revision_number(news.newest_revision());
+        take_confirmation(m_confirmation, from.m_address, news, now);
         learn_registries(news);
         has_new_drains = takes_drains(news);
         m_gateways = news.has_loads() ? news.gateways() : m_gateways;
@@ -437,6 +439,7 @@
     if (news.has_revision()) {
         take_document(from.m_address, news.revision(), now);
     }
+    m_handlers.m_on_confirmation();
     request_document(now);
     if (m_options.m_is_gateway) {
         for (const auto& item : suspicions) {
@@ -514,6 +517,12 @@
     return result;
 }
 
+confirmation registry_feed::last_confirmation() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_confirmation;
+}
+
 std::uint32_t registry_feed::gateways() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -19,6 +19,7 @@
 #include "dewbeam/registry"
 #include "dewbeam/revisions"
 #include "dewbeam/slow_start"
+#include "dewbeam/src/registrar/confirmation.h"
 #include "dewbeam/src/registrar/document_fetch.h"
 #include "dewbeam/src/registrar/log_choice.h"
 #include "dewbeam/src/registrar/suspicion_store.h"
@@ -32,8 +33,12 @@
     /// The log of the registries, once it is chosen. Called under the feed's lock.
     std::function<void(log_id log)> m_follow_log;
     std::function<void(const registry::record& changed)> m_on_upstream;
-    /// A document newer than the current one arrived. Returns whether it was accepted.
-    std::function<bool(const revisions::revision& newer)> m_on_revision;
+    /// A document newer than the current one arrived from a registry. Returns whether it was
+    /// accepted.
+    std::function<bool(const revisions::revision& newer, const std::string& registry)>
+        m_on_revision;
+    /// An update was applied; `last_confirmation` may have changed.
+    std::function<void()> m_on_confirmation = [] {};
     /// The drained failure domains changed. Also called with the first ones that are heard.
     std::function<void(const std::set<failure_domain_id>& drained)> m_on_drains =
         [](const std::set<failure_domain_id>&) {};
@@ -143,6 +148,9 @@
     /// The newest revision reported by any registry; its document may not have been received yet.
     [[nodiscard]] revisions::revision_number newest_known_revision() const;
 
+    /// What a quorum of registries confirmed last of the newest revision.
+    [[nodiscard]] confirmation last_confirmation() const;
+
     /// The number of gateways that watch the registries, including this one.
     [[nodiscard]] std::uint32_t gateways() const;
 
@@ -188,6 +196,7 @@
     log_choice m_log;
     registry::table m_table;
     revisions::revision_number m_revision;
+    confirmation m_confirmation;
     std::uint64_t m_drain_change = 0;  ///< of the drained domains that were handed on
     bool m_knows_drains = false;
     document_fetch m_document_fetch;
--- a/dewbeam/src/registrar/revision_update.cpp
+++ b/dewbeam/src/registrar/revision_update.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/registrar/revision_update.h"
 
+#include "dewbeam/src/registrar/confirmation.h"
+
 namespace dewbeam::registrar {
 
 namespace {
@@ -9,11 +11,12 @@
 
 }  // namespace
 
-void revision_update::put(const revisions::revision_store& held, bool is_sure,
-                          const wire::Watch& watch, wire::WatchNews& news)
+void revision_update::put(const revisions::revision_store& held,
+                          std::optional<time_span> confirmed_age, const wire::Watch& watch,
+                          wire::WatchNews& news)
 {
     news.set_newest_revision(held.m_number.value());
-    news.set_is_sure(is_sure);
+    put_confirmation(confirmed_age, watch, news);
     if (!watch.wants_revision() || watch.known_revision() >= held.m_number.value()) {
         return;
     }
--- a/dewbeam/src/registrar/revision_update.h
+++ b/dewbeam/src/registrar/revision_update.h
@@ -2,9 +2,11 @@
 /// The part of a watch update that announces the newest revision.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "dewbeam.pb.h"
+#include "dewbeam/base"
 #include "dewbeam/revisions"
 
 namespace dewbeam::registrar {
@@ -14,10 +16,10 @@
 /// request the document: answer these on one thread. Others may be answered on any thread.
 class revision_update {
 public:
-    /// \param is_sure whether this registry is caught up with the log and has a quorum, so that a
-    ///     majority of registries knows no newer revision
-    void put(const revisions::revision_store& held, bool is_sure, const wire::Watch& watch,
-             wire::WatchNews& news);
+    /// \param confirmed_age how long ago a quorum confirmed that it knows no newer revision; empty
+    ///     if it has not since this registry started
+    void put(const revisions::revision_store& held, std::optional<time_span> confirmed_age,
+             const wire::Watch& watch, wire::WatchNews& news);
 
 private:
     const std::string& packed_content(const revisions::revision_store& held);
--- a/test/registry_test.cpp
+++ b/test/registry_test.cpp
@@ -156,6 +156,76 @@
     }
 }
 
+/// An answer to the watch sent at `asked_at`, confirmed `age` before it was given.
+wire::WatchNews confirmed_news(std::uint64_t newest, time_point asked_at, time_span age)
+{
+    wire::Watch watch;
+    watch.set_sent_at(static_cast<std::uint64_t>(asked_at.time_since_epoch().count()));
+    wire::WatchNews news;
+    news.set_newest_revision(newest);
+    registrar::put_confirmation(age, watch, news);
+    return news;
+}
+
+TEST(confirmation, an_answer_that_was_held_up_confirms_nothing_later_than_its_watch)
+{
+    registrar::confirmation state;
+    const time_point asked_at(milliseconds(5000));
+    take_confirmation(state, "r1", confirmed_news(3, asked_at, milliseconds(400)),
+                      time_point(milliseconds(9000)));
+    EXPECT_EQ(state.m_at, time_point(milliseconds(4600)));
+    EXPECT_EQ(state.m_registry, "r1");
+    EXPECT_TRUE(is_confirmed(state, revisions::revision_number(3), state.m_at));
+    EXPECT_FALSE(is_confirmed(state, revisions::revision_number(3), asked_at));
+    EXPECT_FALSE(is_confirmed(state, revisions::revision_number(2)));
+    EXPECT_TRUE(is_confirmed(state, revisions::revision_number(4)));
+}
+
+TEST(confirmation, updates_that_answer_no_watch_confirm_nothing)
+{
+    registrar::confirmation state;
+    const auto now = time_point(milliseconds(9000));
+    take_confirmation(state, "r1", confirmed_news(3, {}, milliseconds(1)), now);
+    EXPECT_FALSE(is_confirmed(state, revisions::revision_number(3)));
+}
+
+TEST(confirmation, a_registry_without_one_confirms_nothing)
+{
+    wire::Watch watch;
+    watch.set_sent_at(1);
+    wire::WatchNews news;
+    news.set_newest_revision(3);
+    registrar::put_confirmation(std::nullopt, watch, news);
+    EXPECT_FALSE(news.is_sure());
+    registrar::confirmation state;
+    take_confirmation(state, "r1", news, time_point(milliseconds(9000)));
+    EXPECT_FALSE(is_confirmed(state, revisions::revision_number(3)));
+}
+
+TEST(confirmation, an_older_one_never_replaces_a_newer_one)
+{
+    registrar::confirmation state;
+    const auto now = time_point(milliseconds(9000));
+    take_confirmation(state, "r1", confirmed_news(3, now, milliseconds(10)), now);
+    take_confirmation(state, "r2", confirmed_news(4, now, milliseconds(500)), now);
+    EXPECT_EQ(state.m_newest, revisions::revision_number(3));
+    take_confirmation(state, "r2", confirmed_news(2, now, milliseconds(1)), now);
+    EXPECT_EQ(state.m_newest, revisions::revision_number(3));
+    take_confirmation(state, "r2", confirmed_news(4, now, milliseconds(5)), now);
+    EXPECT_EQ(state.m_newest, revisions::revision_number(4));
+}
+
+TEST(confirmation, registries_of_earlier_versions_confirm_by_being_sure)
+{
+    wire::WatchNews news;
+    news.set_newest_revision(3);
+    news.set_is_sure(true);
+    registrar::confirmation state;
+    const auto now = time_point(milliseconds(9000));
+    take_confirmation(state, "r1", news, now);
+    EXPECT_TRUE(is_confirmed(state, revisions::revision_number(3), now));
+}
+
 TEST(registry_feed, many_gateways_ask_for_loads_less_often)
 {
     const auto max_interval = milliseconds(250);
@@ -482,11 +552,11 @@
     watch.set_wants_revision(true);
     registrar::revision_update subject;
     wire::WatchNews plain;
-    subject.put(held, true, watch, plain);
+    subject.put(held, time_span::zero(), watch, plain);
     EXPECT_EQ(plain.revision().content(), *held.m_content);
     watch.set_takes_packed_revision(true);
     wire::WatchNews packed;
-    subject.put(held, true, watch, packed);
+    subject.put(held, time_span::zero(), watch, packed);
     EXPECT_TRUE(packed.revision().content().empty());
     const auto text = inflate_text(packed.revision().packed_content(), 5000);
     ASSERT_TRUE(text.ok());
--- a/test/revision_spread_test.cpp
+++ b/test/revision_spread_test.cpp
@@ -98,7 +98,9 @@
             };
             handlers.m_follow_log = [](log_id) {};
             handlers.m_on_upstream = [](const registry::record&) {};
-            handlers.m_on_revision = [](const revisions::revision&) { return true; };
+            handlers.m_on_revision = [](const revisions::revision&, const std::string&) {
+                return true;
+            };
             handlers.m_on_load = [](const std::string&, std::uint32_t) {};
             handlers.m_on_slowdown = [](const std::string&, double) {};
             handlers.m_on_loads_end = [] {};
@@ -171,7 +173,7 @@
         item.m_message.set_log(1);
         auto& news = *item.m_message.mutable_watch_news();
         news.set_registry_life(1);
-        subject.m_news.put(subject.m_held, true, watch, news);
+        subject.m_news.put(subject.m_held, time_span::zero(), watch, news);
         subject.m_documents += news.has_revision() ? 1 : 0;
         const auto bytes = item.m_message.ByteSizeLong();
         const auto sent_at = subject.m_link.transmit(bytes, m_now + one_way);
