Refuse calls only by a configuration that a quorum confirmed lately

What callers saw: 404 and 401 for routes and keys of an acknowledged configuration, and requests run by an old service, from gateways that had started while registrars did not know yet what was committed.

Cause: a gateway decided by what one registrar told it last, with no word on whether a quorum had confirmed it, and when. After a loss of all processes a registrar tells the revision that its disk records as committed, until a quorum stands; a gateway that is cut off keeps refusing by what it held.

A refusal now needs a confirmation that is at most 1 s old at the gateway. Until one comes the call waits, within its time, and then gets 503; at once where none came for 5 s. The first configuration since a start is in force once a quorum has confirmed it, however long ago, or after 4 s: a failure domain that is cut off goes on serving by what it held, but refuses nothing by it.

--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -357,6 +357,10 @@
                                       const std::string& registry) {
             return on_revision(newer, registry);
         };
+        result.m_on_confirmation = [this] {
+            adopt_first_book(program::now());
+            release_held_calls(m_state);
+        };
         result.m_on_drains = [this](const std::set<failure_domain_id>& drained) {
             on_drains(drained);
         };
@@ -440,7 +444,7 @@
         routes::index(*fresh);
         log_event(log_level::info, "revision_received",
                   {{"revision", newer.m_number.value()}, {"registry", registry}});
-        if (must_wait_for_drains(program::now())) {
+        if (must_wait(*fresh, program::now())) {
             const std::lock_guard lock(m_first_book_mutex);
             m_first_book = std::move(fresh);
             return true;
@@ -471,23 +475,27 @@
         release_held_calls(m_state);
     }
 
-    /// Whether the first configuration must not take effect yet: after a loss of all processes the
-    /// registries may tell it before they know which drains were acknowledged. Not longer than the
-    /// wait for the newest revision, since a gateway that is cut off must serve with what it knows.
-    bool must_wait_for_drains(time_point now) const
+    /// Whether a configuration must not take effect yet, as the first one since the start. After a
+    /// loss of all processes, registries tell revisions before they know whether newer ones were
+    /// acknowledged, and which drains were. Not longer than the wait for the newest revision, since
+    /// a gateway that is cut off must serve with what it knows.
+    bool must_wait(const routes::book& fresh, time_point now) const
     {
-        return !m_state.m_book.current() && !m_state.m_feed.knows_drains() &&
-               setting_value<bool>(m_state.m_settings, "/drains/wait_at_start") &&
-               now < m_started_at + settled_revision_timeout;
+        if (m_state.m_book.current() || now >= m_started_at + settled_revision_timeout) {
+            return false;
+        }
+        const bool needs_drains = setting_value<bool>(m_state.m_settings, "/drains/wait_at_start");
+        return !is_confirmed(m_state.m_feed.last_confirmation(), fresh.m_revision) ||
+               (needs_drains && !m_state.m_feed.knows_drains());
     }
 
-    /// Puts the configuration in force that waited for the drains.
+    /// Puts the configuration in force that waited for its confirmation or for the drains.
     void adopt_first_book(time_point now)
     {
         std::shared_ptr<const routes::book> fresh;
         {
             const std::lock_guard lock(m_first_book_mutex);
-            if (m_first_book && !must_wait_for_drains(now)) {
+            if (m_first_book && !must_wait(*m_first_book, now)) {
                 fresh = std::exchange(m_first_book, nullptr);
             }
         }
--- a/dewbeam/src/gateway/held_calls.h
+++ b/dewbeam/src/gateway/held_calls.h
@@ -22,6 +22,9 @@
     time_point m_deadline{};  ///< the call is refused at this time
     /// The call is routed only by a configuration of at least this revision; 0 means any.
     revisions::revision_number m_required_revision;
+    /// The call is routed again only once a quorum confirmed at this time or later that the
+    /// configuration is the newest.
+    time_point m_required_confirmation{};
 };
 
 /// The calls, in order of arrival. Thread-safe. After startup the first configuration is known
@@ -40,10 +43,20 @@
         return true;
     }
 
-    /// Removes and returns the calls that need no revision newer than `current`.
-    std::vector<held_call> take_ready(revisions::revision_number current)
+    [[nodiscard]] bool empty() const
     {
-        return take([&](const held_call& call) { return call.m_required_revision <= current; });
+        const std::lock_guard lock(m_mutex);
+        return m_calls.empty();
+    }
+
+    /// Removes and returns the calls that need no revision newer than `current` and no confirmation
+    /// of it later than `confirmed_at`.
+    std::vector<held_call> take_ready(revisions::revision_number current, time_point confirmed_at)
+    {
+        return take([&](const held_call& call) {
+            return call.m_required_revision <= current &&
+                   call.m_required_confirmation <= confirmed_at;
+        });
     }
 
     /// Removes and returns the calls whose deadline has expired.
@@ -70,7 +83,7 @@
     /// One of three gateways' share of 1,300 requests per second, times the maximum wait.
     static constexpr std::size_t max_held = 1000;
 
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::vector<held_call> m_calls;
 };
 
--- a/dewbeam/src/gateway/intake.cpp
+++ b/dewbeam/src/gateway/intake.cpp
@@ -26,6 +26,12 @@
 constexpr time_span retry_after_when_stopping = std::chrono::milliseconds(100);
 /// Retry-After for a caller that was refused because no configuration is known.
 constexpr time_span retry_after_without_configuration = std::chrono::milliseconds(500);
+/// A call is refused only by a configuration that a quorum of registries confirmed within this
+/// time. Well below the time within which a change must be in force everywhere.
+constexpr time_span refusal_confirmation_limit = std::chrono::seconds(1);
+/// Without a confirmation for this long, the registries are taken to be partitioned away: calls
+/// that need one don't wait for it.
+constexpr time_span partition_limit = std::chrono::seconds(5);
 /// Share of the latency objective that may be spent in the queue. The rest is left to the upstream:
 /// a first token takes 0.4 of a usual objective, and 0.6 under load.
 constexpr double queue_share = 0.4;
@@ -202,6 +208,30 @@
     return true;
 }
 
+/// Holds a refused call until a quorum of registries has confirmed that no newer configuration was
+/// acknowledged, which might admit it. Returns false, leaving `subject` unchanged, if one has.
+bool hold_for_confirmation(gateway_state& state, const routes::book& rules, held_call& subject,
+                           time_point now)
+{
+    if (subject.m_required_confirmation == time_point{}) {
+        subject.m_required_confirmation = now - refusal_confirmation_limit;
+    }
+    const auto since = subject.m_required_confirmation;
+    const auto known = state.m_feed.last_confirmation();
+    if (is_confirmed(known, rules.m_revision, since)) {
+        return false;
+    }
+    if (known.m_at + partition_limit <= now) {
+        refuse_pending_call(subject);
+        return true;
+    }
+    hold_call(state, std::move(subject), "unconfirmed_configuration");
+    if (is_confirmed(state.m_feed.last_confirmation(), rules.m_revision, since)) {
+        release_held_calls(state);  // confirmed between the check and the hold
+    }
+    return true;
+}
+
 /// Submits a request to its pool. If the caller disconnects meanwhile, the ticket is cancelled
 /// again here, since the first cancellation may have come before the broker knew the ticket.
 void submit(gateway_state& state, const request_pointer& request, dispatch::request_info info,
@@ -222,7 +252,8 @@
                 held_call subject, time_point now)
 {
     const auto admitted = admit(*rules, subject.m_call);
-    if (admitted.m_fault && hold_for_newer_configuration(state, *rules, subject)) {
+    if (admitted.m_fault && (hold_for_newer_configuration(state, *rules, subject) ||
+                             hold_for_confirmation(state, *rules, subject, now))) {
         return;
     }
     if (admitted.m_fault) {
@@ -279,7 +310,7 @@
                {503, "stopping", "this gateway is about to stop", retry_after_when_stopping});
         return;
     }
-    held_call subject{std::move(wanted), *std::move(call), answer, now, {}, {}};
+    held_call subject{std::move(wanted), *std::move(call), answer, now, {}, {}, {}};
     if (const auto rules = state.m_book.current()) {
         route_call(state, rules, std::move(subject), now);
         return;
@@ -293,11 +324,13 @@
 void release_held_calls(gateway_state& state)
 {
     const auto rules = state.m_book.current();
-    if (!rules) {
+    if (!rules || state.m_held.empty()) {
         return;
     }
     const auto now = program::now();
-    for (auto& subject : state.m_held.take_ready(rules->m_revision)) {
+    const auto known = state.m_feed.last_confirmation();
+    const auto confirmed_at = is_confirmed(known, rules->m_revision) ? known.m_at : time_point{};
+    for (auto& subject : state.m_held.take_ready(rules->m_revision, confirmed_at)) {
         route_call(state, rules, std::move(subject), now);
     }
 }
--- a/test/intake_test.cpp
+++ b/test/intake_test.cpp
@@ -1,5 +1,6 @@
-// Guards against refusing calls by an outdated configuration while a newer one is being fetched,
-// and against calls of disconnected callers that keep occupying a slot of an upstream.
+// Guards against refusing calls by an outdated configuration while a newer one is being fetched, or
+// by one that no quorum of registries has confirmed lately, and against calls of disconnected
+// callers that keep occupying a slot of an upstream.
 #include "dewbeam/src/gateway/intake.h"
 
 #include <gtest/gtest.h>
@@ -18,9 +19,10 @@
 
 using test::recording_exchange;
 
-class intake : public testing::Test {
+/// A gateway that knows the first configuration from a registry that no quorum has confirmed.
+class unconfirmed_intake : public testing::Test {
 protected:
-    intake()
+    unconfirmed_intake()
         : m_frame(test::gateway_settings()),
           m_state(m_frame, test::gateway_settings(), platform::wire_format(),
                   test::silent_feed_handlers())
@@ -47,6 +49,22 @@
         m_state.m_feed.take({"tcp://127.0.0.1:7000", {}}, message, program::now());
     }
 
+    /// Delivers a registry's answer that a quorum confirmed `revision` as the newest at
+    /// `confirmed_at`.
+    void confirm(std::uint64_t revision, time_point confirmed_at)
+    {
+        const auto now = program::now();
+        wire::Envelope message;
+        message.set_log(1);
+        auto& news = *message.mutable_watch_news();
+        news.set_newest_revision(revision);
+        news.set_watch_sent_at(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        news.set_confirmed_age_us(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(now - confirmed_at).count()));
+        m_state.m_feed.take({"tcp://127.0.0.1:7000", {}}, message, now);
+        release_held_calls(m_state);
+    }
+
     /// Adds an upstream of the service with one slot.
     void add_upstream(registry::upstream_state phase = registry::upstream_state::ready)
     {
@@ -80,6 +98,54 @@
     gateway_state m_state;
 };
 
+class intake : public unconfirmed_intake {
+protected:
+    intake() { confirm(1, program::now()); }
+};
+
+TEST_F(unconfirmed_intake, a_call_is_admitted_but_not_refused)
+{
+    EXPECT_EQ(send_call("/new/x")->m_status, 503);
+    EXPECT_EQ(send_call("/old/x", "key-2")->m_status, 503);
+    EXPECT_EQ(send_call("/old/x")->m_status, 0);
+    EXPECT_EQ(m_state.m_requests.size(), 1U);
+}
+
+TEST_F(unconfirmed_intake, a_refused_call_waits_for_a_recent_confirmation)
+{
+    confirm(1, program::now() - std::chrono::seconds(2));
+    const auto answer = send_call("/new/x");
+    const auto expired = send_call("/new/x");
+    EXPECT_EQ(answer->m_status, 0);
+    confirm(1, program::now());
+    EXPECT_EQ(answer->m_status, 404);
+    EXPECT_EQ(expired->m_status, 404);
+    EXPECT_EQ(send_call("/new/x")->m_status, 404);
+}
+
+TEST_F(unconfirmed_intake, a_refused_call_waits_for_the_revision_that_a_quorum_confirmed)
+{
+    confirm(1, program::now() - std::chrono::seconds(2));
+    const auto added = send_call("/new/x");
+    const auto unknown = send_call("/nowhere/x");
+    confirm(2, program::now());
+    EXPECT_EQ(added->m_status, 0);
+    EXPECT_EQ(unknown->m_status, 0);
+    adopt(2, {"/old/", "/new/"});
+    EXPECT_EQ(m_state.m_requests.size(), 1U);
+    EXPECT_EQ(unknown->m_status, 404);
+}
+
+TEST_F(unconfirmed_intake, a_call_does_not_wait_for_a_confirmation_beyond_its_deadline)
+{
+    confirm(1, program::now() - std::chrono::seconds(2));
+    const auto answer = send_call("/new/x");
+    refuse_expired_calls(m_state, program::now());
+    EXPECT_EQ(answer->m_status, 0);
+    refuse_expired_calls(m_state, program::now() + std::chrono::seconds(2));
+    EXPECT_EQ(answer->m_status, 503);
+}
+
 TEST_F(intake, a_call_is_refused_at_once_by_the_newest_configuration)
 {
     EXPECT_EQ(send_call("/new/x")->m_status, 404);
