Entries refuse requests for good only by a confirmed configuration

A control that reached no quorum also counted as heard, so that no other one was asked.

Controls tell in answers to subscriptions how long ago a quorum confirmed what they hold. An entry refuses for good by a configuration that was confirmed within 2 s of its question, and answers 503 unconfirmed_configuration with Retry-After otherwise; a control without a quorum for 2 s counts as silent. With controls of earlier versions, which tell no age, refusals are 503: upgrade controls first.

--- a/dewbeam/src/control/control_server.cpp
+++ b/dewbeam/src/control/control_server.cpp
@@ -9,6 +9,7 @@
 #include "dewbeam/configuration"
 #include "dewbeam/http"
 #include "dewbeam/link"
+#include "dewbeam/src/consensus/confirmed_time.h"
 #include "dewbeam/src/control/change_page.h"
 #include "dewbeam/src/control/claim_wire.h"
 #include "dewbeam/src/control/replica_runner.h"
@@ -256,7 +257,7 @@
             m_runner->receive(message.consensus());
         }
         else if (message.has_subscribe()) {
-            on_subscribe(from, link::from_wire(message.subscribe().known()));
+            on_subscribe(from, message.subscribe());
         }
         else if (message.has_claim_request()) {
             on_claim(from, message.claim_request());
@@ -266,19 +267,24 @@
         }
     }
 
-    void on_subscribe(const link::peer& from, configuration_version known)
+    void on_subscribe(const link::peer& from, const wire::Subscribe& wanted)
     {
         {
             const std::lock_guard lock(m_mutex);
             m_subscribers[from] = program::now() + subscription_lease;
         }
-        if (!m_runner->status().m_is_caught_up) {
+        const auto status = m_runner->status();
+        if (!status.m_is_caught_up) {
             return;  // what this host knows may be long over; another one answers
         }
+        // The configuration is read behind the time of its confirmation, so that it is no older.
         auto answer = configuration_message();
-        if (known >= link::from_wire(answer.configuration_update().version())) {
+        auto& update = *answer.mutable_configuration_update();
+        update.set_subscribe_sent_at(wanted.sent_at());
+        update.set_confirmed_age_us(consensus::to_age_us(program::now() - status.m_confirmed_at));
+        if (link::from_wire(wanted.known()) >= link::from_wire(update.version())) {
             // Nothing newer: the answer only says that control is there.
-            answer.mutable_configuration_update()->clear_document();
+            update.clear_document();
         }
         m_node->reply(from, std::move(answer));
     }
--- a/dewbeam/src/control/subscriber.cpp
+++ b/dewbeam/src/control/subscriber.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dewbeam/src/consensus/confirmed_time.h"
+
 namespace dewbeam::control {
 
 namespace {
@@ -31,6 +33,17 @@
     return result;
 }
 
+std::chrono::microseconds confirmed_age(const wire::Configuration& message)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(message.confirmed_age_us()));
+}
+
+/// Whether the sender reaches a quorum. Controls of earlier versions don't tell.
+bool is_up_to_date(const wire::Configuration& message)
+{
+    return !message.has_confirmed_age_us() || confirmed_age(message) <= control_silence;
+}
+
 }  // namespace
 
 subscriber::subscriber(std::vector<std::string> controls, std::function<void()> on_change)
@@ -63,13 +76,37 @@
     return m_current->m_version != configuration_version{};
 }
 
+void subscriber::take_confirmation(const wire::Configuration& answer, time_point now)
+{
+    if (!answer.has_confirmed_age_us() || answer.subscribe_sent_at() == 0) {
+        return;
+    }
+    const time_point asked_at(time_span(static_cast<std::int64_t>(answer.subscribe_sent_at())));
+    const auto at = consensus::confirmed_time(asked_at, confirmed_age(answer), now);
+    const auto version = link::from_wire(answer.version());
+    const std::lock_guard lock(m_mutex);
+    if (at > m_confirmed_at && version >= m_confirmed_version) {
+        m_confirmed_at = at;
+        m_confirmed_version = version;
+    }
+}
+
+bool subscriber::is_confirmed(time_point since) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controls.empty() ||
+           (m_confirmed_at >= since && m_confirmed_version <= m_current->m_version);
+}
+
 bool subscriber::adopt(const wire::Configuration& message, bool is_from_control)
 {
     const auto version = link::from_wire(message.version());
     {
         const std::lock_guard lock(m_mutex);
         m_has_heard = m_has_heard || is_from_control;
-        m_heard_control_since_ask = m_heard_control_since_ask || is_from_control;
+        // One that reaches no quorum is heard but knows no news: the next one is asked, too.
+        m_heard_control_since_ask =
+            m_heard_control_since_ask || (is_from_control && is_up_to_date(message));
         if (version <= m_current->m_version) {
             return false;
         }
@@ -121,6 +158,8 @@
         }
         targets.push_back(m_controls[m_in_use]);
         link::to_wire(m_current->m_version, *message.mutable_subscribe()->mutable_known());
+        message.mutable_subscribe()->set_sent_at(
+            static_cast<std::uint64_t>(now.time_since_epoch().count()));
     }
     for (const auto& target : targets) {
         node.send(target, message);
--- a/dewbeam/src/control/subscriber.h
+++ b/dewbeam/src/control/subscriber.h
@@ -43,6 +43,14 @@
     /// Whether a process of any kind gave a configuration since the start.
     [[nodiscard]] bool knows_any() const;
 
+    /// Takes what a control's answer to `tick` tells: until when no version newer than its own was
+    /// accepted.
+    void take_confirmation(const wire::Configuration& answer, time_point now);
+
+    /// Whether a quorum confirmed at `since` or later that the configuration in force is the
+    /// newest; true where no control is known, since nothing can be asked then.
+    [[nodiscard]] bool is_confirmed(time_point since) const;
+
     /// Takes a configuration from any process; true where it is newer and now in force.
     /// `is_from_control` says that a control host sent it.
     bool adopt(const wire::Configuration& message, bool is_from_control);
@@ -67,6 +75,9 @@
     std::size_t m_in_use = 0;
     time_point m_next_ask{};
     time_point m_control_deadline{};  ///< after that control counts as silent
+    configuration_version
+        m_confirmed_version;      ///< no newer one was accepted before `m_confirmed_at`
+    time_point m_confirmed_at{};  ///< `time_point{}`: not confirmed yet
 };
 
 }  // namespace dewbeam::control
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// A request is refused for good only by a configuration that a quorum of controls confirmed within
+/// this time: entries ask each 0.5 s, and controls their quorum as often.
+constexpr time_span refusal_confirmation_limit = std::chrono::seconds(2);
+
 void on_caller_disconnected(entry_state& state, const request_pointer& request)
 {
     if (!request->set_caller_disconnected()) {
@@ -110,7 +114,10 @@
     const auto active = state.m_configuration.current();
     const auto found = classify(active->m_document, known.m_call);
     if (const auto* fault = std::get_if<caller::error>(&found)) {
-        refuse_unclassified_request(state, *fault, known, *answer, now);
+        const bool is_final = known.m_may_have_run ||
+                              state.m_configuration.is_confirmed(now - refusal_confirmation_limit);
+        refuse_unclassified_request(state, is_final ? *fault : unconfirmed_configuration(), known,
+                                    *answer, now);
         return;
     }
     const auto& match = std::get<classification>(found);
--- a/dewbeam/src/entry/messages.cpp
+++ b/dewbeam/src/entry/messages.cpp
@@ -160,6 +160,7 @@
             state.m_node->follow_log(log_id(message.log()));
         }
         state.m_configuration.adopt(message.configuration_update(), is_of_control);
+        state.m_configuration.take_confirmation(message.configuration_update(), now);
     }
     else if (message.has_claim_reply()) {
         state.m_claims.take(*state.m_node, message.claim_reply(),
--- a/dewbeam/src/entry/refusals.cpp
+++ b/dewbeam/src/entry/refusals.cpp
@@ -80,6 +80,18 @@
     return fault;
 }
 
+caller::error unconfirmed_configuration()
+{
+    caller::error fault;
+    fault.m_status = 503;
+    fault.m_type = "upstream_error";
+    fault.m_code = "unconfirmed_configuration";
+    fault.m_message = "whether a newer configuration admits this request can't be told now";
+    fault.m_outcome = caller::run_outcome::not_run;
+    fault.m_retry_after = std::chrono::milliseconds(500);
+    return fault;
+}
+
 caller::error not_authorized()
 {
     auto fault = caller::bad_request("not_authorized", "a valid bearer token is needed");
--- a/dewbeam/src/entry/refusals.h
+++ b/dewbeam/src/entry/refusals.h
@@ -15,6 +15,9 @@
 /// No work selector matches the request's labels.
 caller::error no_selector(const configuration::label_set& labels);
 
+/// The configuration refuses the request, but a newer one that admits it may have been accepted.
+caller::error unconfirmed_configuration();
+
 /// The token is missing or belongs to no workspace.
 caller::error not_authorized();
 
--- a/dewbeam/src/registrar/confirmation.cpp
+++ b/dewbeam/src/registrar/confirmation.cpp
@@ -1,6 +1,6 @@
 #include "dewbeam/src/registrar/confirmation.h"
 
-#include <algorithm>
+#include "dewbeam/src/consensus/confirmed_time.h"
 
 namespace dewbeam::registrar {
 
@@ -18,7 +18,7 @@
     }
     const time_point asked_at{time_span(static_cast<std::int64_t>(news.watch_sent_at()))};
     const std::chrono::microseconds age(static_cast<std::int64_t>(news.confirmed_age_us()));
-    return std::min(asked_at, now) - std::chrono::duration_cast<time_span>(age);
+    return consensus::confirmed_time(asked_at, age, now);
 }
 
 }  // namespace
@@ -28,9 +28,7 @@
     news.set_watch_sent_at(watch.sent_at());
     news.set_is_sure(age && *age <= sure_limit);
     if (age) {
-        const auto passed = std::chrono::ceil<std::chrono::microseconds>(*age);
-        news.set_confirmed_age_us(
-            static_cast<std::uint64_t>(std::max<std::int64_t>(0, passed.count())));
+        news.set_confirmed_age_us(consensus::to_age_us(*age));
     }
 }
 
