Soak: lose power, keeping only what registrars have synced

The soak killed processes, and the kernel kept what they had not synced. A missing sync in dewbeam/src/storage could not be seen on real processes.

Where descriptions change routes, a small library is preloaded into registrars. At each fsync or fdatasync it copies the file's content to a shadow; a sync of the folder takes over names that were changed or removed. After a kill, the shadow takes the folder's place: all later writes are gone, renames and removals without a sync of the folder, too. Drawn for the loss of all hosts, of all registrars but one, and for the final fault. Torn or partly kept writes are not played. Programs of sanitizer builds were not tried with the library.

--- a/test/soak/deployed/faults.py
+++ b/test/soak/deployed/faults.py
@@ -342,7 +342,6 @@
         while self.pause(draws.uniform(3.0, 6.0)):
             with self.registrar_lock:
                 names = draws.sample(self.deployment.registrars, len(self.deployment.registrars) - 1)
-                self.note("kill " + " ".join(names))
                 self.lose_hosts(names, [], draws)
 
     def lose_all(self, draws):
@@ -351,7 +350,6 @@
             return
         with self.registrar_lock:
             gateways = [name for name in self.deployment.gateways if self.held[name].acquire(timeout=10.0)]
-            self.note("kill all")
             self.lose_hosts(list(self.deployment.registrars), gateways, draws)
             for name in gateways:
                 self.held[name].release()
@@ -359,10 +357,7 @@
     def lose_hosts(self, registrars, gateways, draws):
         names = registrars + gateways
         span = self.span("loss", "")
-        for name in names:
-            self.deployment.processes[name].child.kill()
-        for name in names:
-            self.deployment.processes[name].child.wait()
+        self.end_hosts(names, registrars if draws.random() < 0.5 else [])
         spread = draws.choice([0.3, 2.0, 6.0])
         starts = sorted((draws.uniform(0.1, spread), name) for name in names)
         begun = now()
@@ -373,6 +368,16 @@
             self.wait_caught_up(name)
         span.ended = now()
 
+    def end_hosts(self, names, without_power):
+        """All at once; of `without_power`, registrars, what was not synced is gone."""
+        self.note("kill %s, power lost: %s" % (" ".join(names), " ".join(without_power) or "none"))
+        for name in names:
+            self.deployment.processes[name].child.kill()
+        for name in names:
+            self.deployment.processes[name].child.wait()
+        for name in without_power:
+            self.deployment.lose_power(name)
+
     def wait_caught_up(self, name):
         """No other registrar is lost before this one counts again. Where more registrars work than the
         log needs, one of them stays a learner."""
@@ -388,17 +393,15 @@
         self.records.fail("registrars", "%s did not come back within %.0f s" % (name, CATCH_UP_LIMIT_S))
 
     def end_deployment(self, operator, with_wipe):
-        """The final fault, right behind an acknowledged configuration: all processes are killed, and as
-        many registrars as the deployment bears lose their disks."""
+        """The final fault, right behind an acknowledged configuration: all processes are killed or lose
+        power, and as many registrars as the deployment bears lose their disks."""
         if not operator.change():
             self.records.fail("final fault", "no acknowledgement of a configuration within 20 s")
             return
         names = [*self.deployment.registrars, *self.deployment.gateways]
         final = self.records.add(self.records.faults, Span("final", "", now(), now() + 60.0))
-        for name in names:
-            self.deployment.processes[name].child.kill()
-        for name in names:
-            self.deployment.processes[name].child.wait()
+        is_powerless = self.description.changes_routes and self.random.random() < 0.5
+        self.end_hosts(names, self.deployment.registrars if is_powerless else [])
         if with_wipe:
             for name in self.random.sample(self.deployment.registrars, self.description.losses["machines"]):
                 self.note("final loss of the disk of " + name)
--- a/test/soak/deployed/hosts.py
+++ b/test/soak/deployed/hosts.py
@@ -5,7 +5,6 @@
 import json
 import os
 import random
-import shutil
 import socket
 import subprocess
 import threading
@@ -13,6 +12,7 @@
 
 from dewbeam_site import Process
 from platform_standins import call
+from soak.deployed import synced_files
 from soak.deployed.clients import View
 from soak.deployed.link_proxy import Links
 from soak.deployed.replicas import DOWN_S
@@ -69,6 +69,7 @@
         self.bin, self.deploy, self.work, self.description = bin_folder, deploy_folder, work, description
         self.records, self.keeps_settings = records, keeps_settings
         self.random = random.Random(seed * 104729)
+        self.synced_files = synced_files.build(work) if description.changes_routes else None
         self.net, self.net_owner = take_net()
         self.next_host = 0
         self.next_upstream = itertools.count()
@@ -128,6 +129,9 @@
                        "control": "%s:%d" % (ip, CONTROL)},
             "data-dir": os.path.join(self.work, "data-" + name), "seeds": []}
         self.processes[name] = Process(self, name, PROGRAMS[role], {"role": role})
+        if role == "registrar" and self.synced_files:
+            self.processes[name].environment = synced_files.environment(
+                self.synced_files, self.fields[name]["data-dir"])
         return ip
 
     def seeds(self):
@@ -191,7 +195,11 @@
         return successor
 
     def lose_disk(self, name):
-        shutil.rmtree(self.fields[name]["data-dir"], ignore_errors=True)
+        synced_files.lose_disk(self.fields[name]["data-dir"])
+
+    def lose_power(self, name):
+        """Of a registrar that was killed."""
+        synced_files.lose_power(self.fields[name]["data-dir"])
 
     def address(self, name, port):
         return "%s:%d" % (self.fields[name]["ip"], port)
--- a/tool/dewbeam_site.py
+++ b/tool/dewbeam_site.py
@@ -65,6 +65,7 @@
         self.name = name
         self.program = program
         self.settings = settings
+        self.environment = None  # that of this process
         self.child = None
 
     def start(self):
@@ -74,7 +75,7 @@
         with open(os.path.join(self.site.work, self.name + ".log"), "a") as log:
             self.child = subprocess.Popen(
                 [os.path.join(self.site.bin, self.program), "--settings", path],
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=self.environment)
 
     def http_port(self):
         listen = self.settings.get("http", {}).get("listen") or self.settings["listen"]
