Answers to reads of an earlier life confirm nothing

Tokens of reads counted from 1 in each life of a replica, and an answer carries neither life nor term. One that was held up until its asker had started again could confirm a read of the new life: the replica would tell that it holds everything that was acknowledged before now, though it was asked before the start. Found in review; the sequence was not played on processes.

Tokens begin at a drawn number. replica_runner_test: the new case fails before (one run, by the reviewer), passes now.

--- a/dewbeam/src/control/replica_runner.cpp
+++ b/dewbeam/src/control/replica_runner.cpp
@@ -101,6 +101,7 @@
                                             {replica_id(m_options.m_replica), m_disk->disk()}, held,
                                             steady_now(), m_random);
         m_next_read_at = steady_now();
+        m_last_token = m_random();
         if (!held.m_snapshot) {
             return absl::OkStatus();
         }
@@ -379,7 +380,7 @@
             work.m_calls.emplace_back([done = std::move(done)] { done(false); });
             return;
         }
-        const auto token = ++m_last_number;
+        const auto token = ++m_last_token;
         m_reads[token] = {std::move(done), steady_now() + m_options.m_answer_limit, program::now(),
                           0};
         react(work, consensus::read_request{token});
@@ -647,6 +648,7 @@
     std::map<std::uint64_t, waiting_command> m_commands;
     std::map<std::uint64_t, waiting_read> m_reads;
     std::uint64_t m_last_number = 0;
+    std::uint64_t m_last_token = 0;  ///< drawn at the start: answers to an earlier life fit no read
     std::deque<queued_batch> m_queue;
     std::deque<held_message> m_held;
     std::uint64_t m_synced_batch = 0;
--- a/test/replica_runner_test.cpp
+++ b/test/replica_runner_test.cpp
@@ -220,6 +220,89 @@
     return got != nullptr ? got->m_decision : claims::decision::full;
 }
 
+/// A follower whose leader is played by the test: appends arrive, reads stay unanswered.
+class led_follower {
+public:
+    led_follower(const std::string& folder, std::uint64_t life)
+    {
+        runner_options options;
+        options.m_data_folder = folder;
+        options.m_addresses = {address_of(0), address_of(1), address_of(2)};
+        options.m_replica = 3;
+        options.m_life = incarnation(life);
+        runner_hooks hooks;
+        hooks.m_send = [this](const std::string&, wire::ConsensusMessage&& message) {
+            if (message.kind() == static_cast<std::uint32_t>(consensus::message_kind::read)) {
+                const std::lock_guard lock(m_mutex);
+                m_reads.push_back(message.round());
+            }
+        };
+        hooks.m_on_configuration = [] {};
+        hooks.m_on_failed = [](const std::string& reason) { ADD_FAILURE() << reason; };
+        m_runner = *replica_runner::start(options, hooks);
+    }
+
+    static wire::ConsensusMessage from_leader(consensus::message_kind kind)
+    {
+        wire::ConsensusMessage made;
+        made.set_kind(static_cast<std::uint32_t>(kind));
+        made.set_from(1);
+        made.set_to(3);
+        made.set_from_incarnation(77);
+        made.set_term(5);
+        made.set_log(9);
+        return made;
+    }
+
+    /// Lets the leader be heard until this life has asked it `count` reads; their tokens.
+    std::vector<std::uint64_t> asked(std::size_t count)
+    {
+        for (;;) {
+            auto append = from_leader(consensus::message_kind::append);
+            auto& entry = *append.add_entries();
+            entry.set_term(5);
+            entry.set_index(1);
+            append.set_commit_index(1);
+            m_runner->receive(append);
+            std::this_thread::sleep_for(milliseconds(20));
+            const std::lock_guard lock(m_mutex);
+            if (m_reads.size() >= count) {
+                return m_reads;
+            }
+        }
+    }
+
+    std::unique_ptr<replica_runner> m_runner;
+
+private:
+    std::mutex m_mutex;
+    std::vector<std::uint64_t> m_reads;
+};
+
+TEST(replica_runner, an_answer_to_a_read_of_an_earlier_life_confirms_nothing)
+{
+    auto pattern = (fs::temp_directory_path() / "dewbeam-runner-XXXXXX").string();
+    const std::string folder = ::mkdtemp(pattern.data());
+    std::vector<std::uint64_t> earlier;
+    {
+        led_follower first(folder, 1001);
+        earlier = first.asked(4);
+    }
+    led_follower second(folder, 1002);
+    second.asked(1);
+    EXPECT_EQ(second.m_runner->status().m_confirmed_at, time_point{});
+    for (const auto token : earlier) {
+        auto held_up = led_follower::from_leader(consensus::message_kind::read_reply);
+        held_up.set_round(token);
+        held_up.set_granted(true);
+        held_up.set_commit_index(1);
+        second.m_runner->receive(held_up);
+    }
+    EXPECT_EQ(second.m_runner->status().m_confirmed_at, time_point{});
+    second.m_runner->stop();
+    fs::remove_all(folder);
+}
+
 TEST(replica_runner, changes_survive_restarts_and_a_lost_disk)
 {
     site all;
