A first configuration waits for a confirmation that is no older than the start

What callers saw: requests run by an old service from a gateway that started beside a registrar which had been frozen or cut off. That registrar tells when a quorum last confirmed what it holds; any age counted, so that its revision was in force 0.6 s after the start, before the other registrars were heard.

For 1.5 s the confirmation must be no older than the start. Then any will do, so that a failure domain that is cut off is served by what was confirmed before the cut; without any it stays at 4 s.

--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -26,6 +26,9 @@
 constexpr time_span document_interval = std::chrono::milliseconds(200);
 /// How long startup waits for a registry that is certain to have the newest revision.
 constexpr time_span settled_revision_timeout = std::chrono::seconds(4);
+/// How long the first configuration waits for a confirmation that is no older than the start. Then
+/// any will do: a registry that is cut off tells what a quorum confirmed before the cut.
+constexpr time_span fresh_confirmation_timeout = std::chrono::milliseconds(1500);
 
 retry::budget_options retries_of(const json& settings, std::uint32_t gateways)
 {
@@ -485,7 +488,10 @@
             return false;
         }
         const bool needs_drains = setting_value<bool>(m_state.m_settings, "/drains/wait_at_start");
-        return !is_confirmed(m_state.m_feed.last_confirmation(), fresh.m_revision) ||
+        const auto since = now < m_started_at + fresh_confirmation_timeout
+                               ? m_started_at - registrar::sure_limit
+                               : time_point{};
+        return !is_confirmed(m_state.m_feed.last_confirmation(), fresh.m_revision, since) ||
                (needs_drains && !m_state.m_feed.knows_drains());
     }
 
--- a/test/unconfirmed_configuration_session.py
+++ b/test/unconfirmed_configuration_session.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -15,6 +16,7 @@
 
 REGISTRARS = 3
 SYNC_S = 0.3  # until what a registrar has applied is on its disk
+FRESH_S = 1.0  # in which only a confirmation that is no older than the start counts
 ASK_S = 6.0  # beyond the time for which a gateway waits for a confirmation at its start
 
 
@@ -101,6 +103,30 @@
         self.start_beside_an_outdated_registrar()
         self.site.wait_for(lambda: self.ask("/safe/x", "key-1") == 200, "the old route")
 
+    def test_a_confirmation_from_before_the_start_puts_nothing_in_force_at_once(self):
+        self.put(configuration(1))
+        self.site.wait_for(lambda: all(json.loads(call(port, "GET", "/v1/status")[1])["revision"] == 1
+                                       for port in self.ports), "the first revision at all registrars")
+        self.site.wait_for(lambda: json.loads(call(self.ports[0], "GET", "/v1/status")[1])["caught_up"],
+                           "a confirmation")
+        self.site.processes["r0"].child.send_signal(signal.SIGSTOP)
+        changed = dict(second_configuration())
+        self.site.wait_for(lambda: any(call(port, "PUT", "/-/config", json.dumps(changed))[0] == 200
+                                       for port in self.ports[1:]), "version 2")
+        time.sleep(3.0)
+        for name in self.registrars[1:]:
+            self.site.processes[name].child.send_signal(signal.SIGSTOP)
+        try:
+            self.site.processes["r0"].child.send_signal(signal.SIGCONT)
+            time.sleep(0.5)
+            begun = time.monotonic()
+            self.site.processes["g0"].start()
+            self.site.wait_for(lambda: self.ask("/safe/x", "key-1") == 200, "the old route")
+            self.assertGreater(time.monotonic() - begun, FRESH_S)
+        finally:
+            for name in self.registrars:
+                self.site.processes[name].child.send_signal(signal.SIGCONT)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
