Test a gateway under a hundred endless answers at once

One hundred endless answers at once (plain, streams, bodies), beside 500 idle callers, and garbage at all upstreams were not covered; 24 at once were.

--- a/test/endless_bytes_session.py
+++ b/test/endless_bytes_session.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import socket
 import sys
 import tempfile
 import threading
@@ -15,12 +16,15 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
 sys.path.insert(0, os.path.dirname(__file__))
 from dewbeam_site import Site, free_port  # noqa: E402
-from platform_standins import (EVENTS, FloodingUpstream, call, configuration,  # noqa: E402
-                               process_settings, read_pieces)
+from platform_standins import (EVENTS, FloodingUpstream, GarbageListener, call,  # noqa: E402
+                               configuration, process_settings, read_pieces)
 
 UPSTREAMS = 6
 INNOCENTS = 12  # before each case, so that the shared retries last
 MOST_MEMORY_KB = 160 * 1024  # of a gateway's host
+MOST_CROWDED_MEMORY_KB = 260 * 1024  # of a gateway's host with `CROWD` such answers at once
+CROWD = 100
+IDLE_CALLERS = 500
 MOST_ANSWER_BYTES = 16 * 1024 * 1024  # default of `/answers/most_bytes`
 MOST_EVENT_BYTES = 256 * 1024  # default of `/answers/most_event_bytes`
 IN_FLIGHT_BYTES = 16 * 1024 * 1024  # in the buffers of both ends of a loopback connection
@@ -181,6 +185,61 @@
                 self.assertLess(self.most_memory_kb(), MOST_MEMORY_KB)
                 self.assertEqual([one for one in answers if one[0] != 200], [])
 
+    def crowd(self, kinds):
+        """`CROWD` endless answers at once; returns the innocents' answers."""
+        for upstream in self.upstreams:
+            upstream.slots = CROWD
+        time.sleep(0.7)  # two announcements
+        innocents = Innocents(self)
+        plans = itertools.islice(itertools.cycle(kinds), CROWD)
+        threads = [threading.Thread(target=self.ask, args=(kind, what + "-9")) for kind, what in plans]
+        for one in threads:
+            one.start()
+        for one in threads:
+            one.join()
+        return innocents.end()
+
+    def test_a_hundred_endless_answers_at_once_leave_memory(self):
+        plain = [(kind, what) for kind in ("safe", "once") for what in HEADS + BODIES]
+        streams = [("stream", what) for what in HEADS + STREAMS]
+        for name, kinds in (("plain", plain), ("streams", streams), ("bodies", [("safe", "chunks")])):
+            with self.subTest(name):
+                answers = self.crowd(kinds)
+                self.assertTrue(self.site.processes["g0"].is_running())
+                self.assertLess(self.most_memory_kb(), MOST_CROWDED_MEMORY_KB)
+                self.assertEqual({status for status, _ in answers} - {200, 502, 503, 504}, set())
+                self.assertEqual(self.ask("safe", "x")[0], 200)
+
+    def test_many_idle_callers_beside_a_hundred_endless_answers_leave_memory(self):
+        port = self.site.processes["g0"].http_port()
+        for _ in range(IDLE_CALLERS):
+            caller = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+            self.addCleanup(caller.close)
+            caller.sendall(b"POST /safe/x HTTP/1.1\r\nHost: api.example\r\n")
+        self.crowd([("safe", "chunks"), ("stream", "line"), ("stream", "eventlater")])
+        self.assertLess(self.most_memory_kb(), MOST_CROWDED_MEMORY_KB)
+        self.assertEqual(self.ask("safe", "x")[0], 200)
+
+    def test_garbage_at_every_upstream_leaves_memory(self):
+        listeners = [GarbageListener() for _ in self.upstreams]
+        for upstream, listener in zip(self.upstreams, listeners):
+            self.addCleanup(listener.close)
+            upstream.server.shutdown()
+            upstream.server.server_close()
+            upstream.address = listener.address
+        time.sleep(1.0)
+        threads = [threading.Thread(target=self.ask, args=(kind, "x"))
+                   for kind in ("safe", "once", "stream") for _ in range(CROWD // 3)]
+        for one in threads:
+            one.start()
+        for one in threads:
+            one.join()
+        taken = [count for listener in listeners for count in listener.taken]
+        self.assertGreater(len(taken), 0)
+        self.assertLess(max(taken), 1024 * 1024 + IN_FLIGHT_BYTES)
+        self.assertTrue(self.site.processes["g0"].is_running())
+        self.assertLess(self.most_memory_kb(), MOST_MEMORY_KB)
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -25,6 +25,7 @@
     """A replica: runs what names it, counts runs by request id, and announces itself."""
 
     ip = "127.0.0.1"
+    slots = 8
 
     def __init__(self, name, service, registries, domain="z1"):
         self.name = name
@@ -129,7 +130,7 @@
         self.sequence += 1
         cold_ms = int(1000 * max(0.0, self.cold_until - time.monotonic()))
         beat = {"service": self.service, "address": self.address, "zone": self.domain,
-                "version": "v1", "slots": 8, "state": state, "sequence": self.sequence,
+                "version": "v1", "slots": self.slots, "state": state, "sequence": self.sequence,
                 "cold-remaining-ms": cold_ms}
         if self.born is not None:
             beat["born"] = self.born
@@ -418,6 +419,41 @@
             self.flooded.append(taken)
 
 
+class GarbageListener:
+    """Sends bytes that are no answer to whoever connects, without waiting for a request."""
+
+    BLOCK = b"\x16\x03no answer" * 6000
+
+    def __init__(self):
+        self.taken = []  # bytes that each connection took
+        self.server = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.server.accept()
+            except OSError:
+                return  # closed
+            threading.Thread(target=self.flood, args=(connection,), daemon=True).start()
+
+    def flood(self, connection):
+        taken = 0
+        with connection:
+            try:
+                while taken < FloodingUpstream.MOST_BYTES:
+                    connection.sendall(self.BLOCK)
+                    taken += len(self.BLOCK)
+            except OSError:
+                pass  # the caller has closed
+        self.taken.append(taken)
+
+    def close(self):
+        self.server.shutdown(socket.SHUT_RDWR)  # wakes `accept`
+        self.server.close()
+
+
 def read_pieces(answer):
     """Yields the pieces of an answer's body as they come; raises where it isn't whole."""
     while piece := answer.read1(65536):
