Bound the memory of all unfinished answers of an entry

What callers saw: an upstream that sent bytes without end to a hundred requests at once made their entry hold up to 16 MiB for each; the whole process, and with it the requests of all other callers, would have ended at its memory limit. Cause: an entry bounded each answer, but not all together, and kept the bytes of an attempt that had ended until the next one began. Gateways have such a budget. Change: the gateway's budget moves to the replies module, with the share that one answer takes of it; entries have one, too (/answers/most_buffered_bytes), and free what an ended attempt left.

--- a/dewbeam/src/entry/entry_request.cpp
+++ b/dewbeam/src/entry/entry_request.cpp
@@ -63,9 +63,11 @@
 
 }  // namespace
 
-entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer)
+entry_request::entry_request(facts known, std::shared_ptr<http::exchange> answer,
+                             std::shared_ptr<replies::answer_budget> budget)
     : m_facts(std::move(known)),
       m_answer(std::move(answer)),
+      m_budget_share(std::move(budget)),
       m_is_claim_granted(m_facts.m_is_claim_granted),
       m_may_have_run(m_facts.m_may_have_run)
 {
@@ -84,12 +86,11 @@
     }
     m_attempt = std::move(attempt);
     m_attempt.m_ack_deadline = now + acknowledgement_timeout;
-    replies::drop_partial(m_events);
+    drop_received();
     if (!m_is_streaming) {
         // Nothing was delivered to the caller yet: the answer is assembled from scratch.
         m_stream = {};
         m_stream.m_options.m_max_kept = {0};
-        m_body.clear();
         m_status = 0;
     }
     replies::start_attempt(
@@ -178,12 +179,28 @@
     else {
         m_body += out.m_bytes;
     }
-    if (m_body.size() > most_answer_bytes || replies::is_oversized(m_events, most_event_bytes)) {
+    const bool is_too_large =
+        m_body.size() > most_answer_bytes || replies::is_oversized(m_events, most_event_bytes);
+    if (is_too_large || !update_budget()) {
+        drop_received();
         return chunk_effect::broken;
     }
     return out.m_starts_response ? chunk_effect::first : chunk_effect::none;
 }
 
+/// Frees what no caller will get.
+void entry_request::drop_received()
+{
+    std::string().swap(m_body);
+    replies::drop_partial(m_events);
+    update_budget();
+}
+
+bool entry_request::update_budget()
+{
+    return m_budget_share.resize(m_body.size() + m_events.m_partial.size());
+}
+
 bool entry_request::resumes_at_sent_offset(const wire::ReplyChunk& chunk) const
 {
     // An engine that does not confirm the resume offset would repeat events that the caller already
@@ -331,6 +348,7 @@
     m_attempt = {};
     m_may_have_run = m_may_have_run || !is_not_run;
     replies::drop_attempt(m_stream);
+    drop_received();
     return true;
 }
 
@@ -343,6 +361,7 @@
     m_attempt = {};
     m_may_have_run = true;
     replies::drop_attempt(m_stream);
+    drop_received();
     return true;
 }
 
--- a/dewbeam/src/entry/entry_request.h
+++ b/dewbeam/src/entry/entry_request.h
@@ -90,7 +90,8 @@
         configuration_version m_configuration;
     };
 
-    entry_request(facts known, std::shared_ptr<http::exchange> answer);
+    entry_request(facts known, std::shared_ptr<http::exchange> answer,
+                  std::shared_ptr<replies::answer_budget> budget);
 
     [[nodiscard]] const facts& known() const { return m_facts; }
 
@@ -173,6 +174,8 @@
     [[nodiscard]] bool has_event_stream() const;
     void store_answer();
     void record_run_outcome(ledger::outcome known);
+    void drop_received();
+    bool update_budget();
     [[nodiscard]] bool streams() const;
     [[nodiscard]] bool resumes_at_sent_offset(const wire::ReplyChunk& chunk) const;
     [[nodiscard]] http::fields answer_fields() const;
@@ -186,6 +189,7 @@
     http::fields m_head;
     std::string m_body;  ///< buffered non-streamed answer
     replies::event_splitter m_events;
+    replies::budget_share m_budget_share;
     std::atomic<bool> m_is_claim_granted = false;
     bool m_is_over = false;
     bool m_may_have_run = false;  ///< some released attempt may have run
--- a/dewbeam/src/entry/entry_server.cpp
+++ b/dewbeam/src/entry/entry_server.cpp
@@ -38,6 +38,7 @@
     auto schema = program::common_settings();
     const auto listeners = program::listener_settings();
     schema.insert(schema.end(), listeners.begin(), listeners.end());
+    constexpr std::int64_t mebibyte = 1024L * 1024;
     const caller::call_limits limits;
     const std::vector<setting> own{
         {"/controls", setting_kind::addresses, json::array(), "Link addresses of control hosts."},
@@ -51,6 +52,9 @@
          "Most output tokens of one request.", 1, 1'000'000},
         {"/limits/queued", setting_kind::integer, 10'000,
          "Requests that may wait for an upstream, for each pool.", 1, 1'000'000},
+        {"/answers/most_buffered_bytes", setting_kind::integer, 32 * mebibyte,
+         "Memory of all unfinished answers together; small ones don't count (bytes).", 0,
+         1024 * mebibyte},
     };
     schema.insert(schema.end(), own.begin(), own.end());
     return schema;
--- a/dewbeam/src/entry/entry_state.cpp
+++ b/dewbeam/src/entry/entry_state.cpp
@@ -45,6 +45,8 @@
       m_settings(settings),
       m_incarnation(program::new_incarnation()),
       m_limits(call_limits_of(settings)),
+      m_answer_budget(std::make_shared<replies::answer_budget>(
+          setting_value<std::size_t>(settings, "/answers/most_buffered_bytes"))),
       m_burn(setting_value<std::string>(settings, "/burn_file")),
       m_configuration(program::link_addresses(settings, "/controls"), std::move(on_configuration)),
       m_claims(program::link_addresses(settings, "/controls")),
--- a/dewbeam/src/entry/entry_state.h
+++ b/dewbeam/src/entry/entry_state.h
@@ -44,6 +44,7 @@
     nlohmann::json m_settings;
     incarnation m_incarnation;
     caller::call_limits m_limits;
+    std::shared_ptr<replies::answer_budget> m_answer_budget;
     metrics m_metrics;
     burn_recorder m_burn;
     control::subscriber m_configuration;
--- a/dewbeam/src/entry/intake.cpp
+++ b/dewbeam/src/entry/intake.cpp
@@ -129,7 +129,8 @@
         known.m_claim->m_attempt = next_attempt_id(state);
     }
     auto info = to_request_info(match, known);
-    const request_pointer request(new entry_request(std::move(known), answer));
+    const request_pointer request(
+        new entry_request(std::move(known), answer, state.m_answer_budget));
     start_request(state, request, std::move(info), answer, now);
 }
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -43,15 +43,13 @@
 
 gateway_request::gateway_request(facts known, std::shared_ptr<http::exchange> answer,
                                  answer_limits& limits)
-    : m_facts(std::move(known)), m_answer(std::move(answer)), m_limits(limits)
+    : m_facts(std::move(known)),
+      m_answer(std::move(answer)),
+      m_limits(limits),
+      m_budget_share(limits.m_budget)
 {
 }
 
-gateway_request::~gateway_request()
-{
-    m_limits.m_budget.give_back(m_budgeted_bytes);
-}
-
 std::optional<attempt_start> gateway_request::begin(const upstream_id& upstream,
                                                     incarnation target_incarnation,
                                                     std::uint32_t order, time_point now)
@@ -159,16 +157,7 @@
 bool gateway_request::update_budget()
 {
     const auto held_failure = m_failure ? m_failure->m_body.size() : 0;
-    const auto held = m_body.size() + m_events.m_partial.size() + held_failure;
-    const auto wanted = held > unbudgeted_answer_bytes ? held : 0;
-    if (wanted > m_budgeted_bytes && !m_limits.m_budget.take(wanted - m_budgeted_bytes)) {
-        return false;
-    }
-    if (wanted < m_budgeted_bytes) {
-        m_limits.m_budget.give_back(m_budgeted_bytes - wanted);
-    }
-    m_budgeted_bytes = wanted;
-    return true;
+    return m_budget_share.resize(m_body.size() + m_events.m_partial.size() + held_failure);
 }
 
 void gateway_request::drop_received()
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -105,7 +105,6 @@
 
     /// `limits` must outlive the request.
     gateway_request(facts known, std::shared_ptr<http::exchange> answer, answer_limits& limits);
-    ~gateway_request();
     gateway_request(const gateway_request&) = delete;
     gateway_request& operator=(const gateway_request&) = delete;
     gateway_request(gateway_request&&) = delete;
@@ -210,6 +209,7 @@
         std::make_shared<http::connection_history>();
     std::shared_ptr<http::exchange> m_answer;
     answer_limits& m_limits;
+    replies::budget_share m_budget_share;
     mutable std::mutex m_mutex;
     std::uint32_t m_attempts = 0;
     bool m_has_attempt = false;
@@ -223,7 +223,6 @@
     http::fields m_fields;                                ///< of the answer, as sent to the caller
     std::string m_body;                                   ///< of an answer that is not a stream
     replies::event_splitter m_events;
-    std::size_t m_budgeted_bytes = 0;             ///< taken from the budget of all answers
     time_point m_silence_deadline = no_deadline;  ///< of a stream, for its next event
     bool m_is_streaming = false;                  ///< the head of a stream was sent to the caller
     std::optional<stored_failure> m_failure;
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -88,7 +88,7 @@
 {
     const auto bytes = [&](const char* path) { return setting_value<std::size_t>(settings, path); };
     return {bytes("/answers/most_event_bytes"), silence_limit_of(settings),
-            answer_budget(bytes("/answers/most_buffered_bytes"))};
+            std::make_shared<replies::answer_budget>(bytes("/answers/most_buffered_bytes"))};
 }
 
 backoff_limits backoff_limits_of(const json& settings)
--- a/test/endless_engine_session.py
+++ b/test/endless_engine_session.py
@@ -2,6 +2,7 @@
 memory, go on asking, and callers are served elsewhere."""
 
 import argparse
+import json
 import os
 import socket
 import sys
@@ -11,10 +12,14 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "tool"))
+sys.path.insert(0, os.path.dirname(__file__))
 from dewbeam_site import DOMAINS, Site, free_port  # noqa: E402
+from platform_standins import call, configuration  # noqa: E402
 
 MOST_MEMORY_KB = 128 * 1024  # of a host beside an engine
 IN_FLIGHT_BYTES = 16 * 1024 * 1024  # in the buffers of both ends of a loopback connection
+MOST_CROWDED_MEMORY_KB = 260 * 1024  # with `CROWD` endless answers at once
+CROWD = 100
 MOST_REPORT_BYTES = 1024 * 1024
 REQUESTS = 10
 PAUSE_S = 0.2  # between two requests; until the agent knows that its engine is lost, each costs a retry
@@ -41,7 +46,7 @@
         self.server = socket.socket()
         self.server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.server.bind((ip, int(port)))
-        self.server.listen(64)
+        self.server.listen(256)
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -56,10 +61,16 @@
             threading.Thread(target=self.flood, args=(connection,), daemon=True).start()
 
     def flood(self, connection):
+        try:
+            connection.recv(65536)
+        except OSError:
+            pass  # the program has closed
+        self.flood_now(connection)
+
+    def flood_now(self, connection):
         taken = 0
         try:
-            if connection.recv(65536):
-                connection.sendall(self.head)
+            connection.sendall(self.head)
             while not self.is_closed:
                 connection.sendall(self.repeated)
                 taken += len(self.repeated)
@@ -75,6 +86,37 @@
         self.server.close()
 
 
+class PartlyFloodingListener(FloodingListener):
+    """Floods the paths that begin with one of `paths`; `answer` gives the JSON text of the others, from method,
+    path and body."""
+
+    def __init__(self, address, paths, answer, head, repeated):
+        self.paths, self.answer = paths, answer
+        self.asked = []  # paths
+        super().__init__(address, head, repeated)
+
+    def flood(self, connection):
+        with connection.makefile("rb") as source:
+            line = source.readline().split()
+            fields = {}
+            while (field := source.readline().strip()):
+                name, _, value = field.partition(b":")
+                fields[name.strip().lower()] = value.strip()
+            body = source.read(int(fields.get(b"content-length", 0)))
+        if len(line) < 2:
+            return connection.close()
+        path = line[1].decode()
+        self.asked.append(path)
+        if path.startswith(self.paths):
+            return super().flood_now(connection)
+        text = self.answer(line[0].decode(), path, body)
+        try:
+            connection.sendall(HEAD + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+        except OSError:
+            pass  # the program has closed
+        return connection.close()
+
+
 def most_memory_kb(process):
     with open("/proc/%d/status" % process.child.pid, encoding="ascii") as page:
         return next(int(line.split()[1]) for line in page if line.startswith("VmHWM"))
@@ -124,13 +166,21 @@
             self.addCleanup(engine.close)
             self.check_reader(rank, engine, MOST_REPORT_BYTES)
 
-    def start_agents(self):
+    def start_agents(self, slots=8):
         for index in range(len(DOMAINS)):
             self.site.add_control(index)
         self.site.add_entry(0)
         for name in ("chat-0", "chat-1"):
-            self.site.add_upstream(name, "d1", ["ad-copy"], "pool=chat")
-        self.site.start_all()
+            self.site.add_upstream(name, "d1", ["ad-copy"], "pool=chat", slots=slots)
+        self.flooded_address = "127.0.0.1:%d" % free_port()
+        if slots > 8:
+            self.site.processes["chat-0"].settings["upstream"]["address"] = self.flooded_address
+            agents = [n for n in self.site.processes if n != "chat-0"]
+            for process in self.site.processes.values():
+                process.start()
+            self.site.wait_ready(agents)
+        else:
+            self.site.start_all()
         patch = {"selectors": {"chat": {"when": "model=ad-copy", "upstreams": "pool=chat"}}}
         self.site.wait_for(lambda: self.site.apply(patch, "first")[0] == 200, "the selector")
         self.site.wait_for_number(1)
@@ -154,6 +204,74 @@
                     engine.close()
         self.assertLess(most_memory_kb(self.site.processes["e1"]), MOST_MEMORY_KB)
 
+    def forward_to(self, process):
+        def answer(method, path, body):
+            return call(process.http_port(), method, path, body)[1].encode()
+        return answer
+
+    def check_entry_and_agent(self):
+        for name in ("e1", "chat-0"):
+            self.assertTrue(self.site.processes[name].is_running(), name)
+            self.assertLess(most_memory_kb(self.site.processes[name]), MOST_CROWDED_MEMORY_KB, name)
+
+    def test_a_hundred_endless_answers_at_once_leave_memory_of_agent_and_entry(self):
+        self.start_agents(slots=CROWD)
+        engine = self.site.processes["chat-0-engine"]
+        for name in ("chunks", "unframed", "head"):
+            with self.subTest(name):
+                flooding = PartlyFloodingListener(self.flooded_address, ("/v1/",), self.forward_to(engine),
+                                                  *KINDS[name])
+                try:
+                    self.site.wait_for(lambda: "/load" in flooding.asked, "a poll")
+                    time.sleep(1.0)
+                    self.ask_crowd(name)
+                    self.assertGreater(len(flooding.asked), 0)
+                    self.check_entry_and_agent()
+                finally:
+                    flooding.close()
+
+    def ask_crowd(self, name):
+        def ask(number):
+            self.site.try_call("e1", "POST", "/v1/completions", {
+                "model": "ad-copy", "prompt": "%s %d" % (name, number), "max_tokens": 2}, None, 8.0)
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(CROWD)]
+        for one in threads:
+            one.start()
+        for one in threads:
+            one.join()
+
+    def test_a_rank_agent_bounds_answers_to_counts(self):
+        rank, address = self.start_rank()
+        for process in self.site.processes.values():
+            process.start()
+        group = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
+        control = self.site.processes["r0"].http_port()
+        document = configuration(1)
+        document["services"][0]["engine"] = {"slots": 8, "sets": 2, "experts": 8, "places": 8, "spare": 3,
+                                             "expert-mb": 1.0, "link-mbps": 1000.0, "step_ms": 5.0}
+        self.site.wait_for(lambda: call(control, "PUT", "/-/config", json.dumps(document))[0] == 200,
+                           "a configuration")
+        beat = {"service": "chat", "address": address, "zone": "d1", "version": "v1", "slots": 8,
+                "state": "ready", "cold-remaining-ms": 0, "group": group, "size": 1}
+
+        def answer(_, path, __):
+            if path.startswith("/-/picked?"):
+                return json.dumps({"epoch": 1, "map": {"version": 0, "experts": [[list(range(8))]] * 2}}).encode()
+            if path.startswith("/-/picked"):
+                return json.dumps({"epoch": 1, "step": 1, "counts": [[1] * 8] * 2}).encode()
+            return json.dumps({"group": group, "size": 1, "step": 1, "map": 0, "pace": 1.0}).encode()
+
+        for number, path in enumerate(("/-/picked?", "/-/picked")):
+            for name, (head, repeated) in KINDS.items():
+                with self.subTest("%s %s" % (path, name)):
+                    beat["sequence"] = number + 1
+                    call(control, "PUT", "/-/instances/i-0", json.dumps(beat))
+                    engine = PartlyFloodingListener(address, (path,), answer, head, repeated)
+                    try:
+                        self.check_reader(rank, engine, MOST_REPORT_BYTES)
+                    finally:
+                        engine.close()
+
 
 if __name__ == "__main__":
     PARSER = argparse.ArgumentParser()
--- a/test/entry_attempts_test.cpp
+++ b/test/entry_attempts_test.cpp
@@ -119,8 +119,8 @@
         known.m_call.m_model = known.m_caller_model = model_id("m");
         known.m_call.m_content = fingerprint(7);
         known.m_arrival = program::now();
-        const request_pointer first(
-            new entry_request(std::move(known), std::make_shared<recording_exchange>()));
+        const request_pointer first(new entry_request(
+            std::move(known), std::make_shared<recording_exchange>(), m_state.m_answer_budget));
         m_state.m_requests.add(first);
         resubmit(m_state, first, {}, program::now());
         return m_state.m_requests.all().at(0);
--- a/test/entry_intake_test.cpp
+++ b/test/entry_intake_test.cpp
@@ -34,7 +34,8 @@
         known.m_caller_model = known.m_call.m_model;
         known.m_arrival = program::now();
         auto answer = std::make_shared<recording_exchange>();
-        const request_pointer request(new entry_request(std::move(known), answer));
+        const request_pointer request(
+            new entry_request(std::move(known), answer, m_state.m_answer_budget));
         m_state.m_requests.add(request);
         resubmit(m_state, request, {}, program::now());
         return answer;
@@ -77,7 +78,8 @@
     known.m_arrival = program::now();
     auto answer = std::make_shared<recording_exchange>();
     answer->m_is_gone = true;
-    const request_pointer request(new entry_request(std::move(known), answer));
+    const request_pointer request(
+        new entry_request(std::move(known), answer, m_state.m_answer_budget));
     m_state.m_requests.add(request);
     resubmit(m_state, request, {}, program::now());
     EXPECT_EQ(m_state.m_requests.size(), 0U);
--- a/test/entry_site.h
+++ b/test/entry_site.h
@@ -15,6 +15,7 @@
             {"host", "e1"},
             {"failure_domain", "d1"},
             {"burn_file", ""},
+            {"answers", {{"most_buffered_bytes", 1024 * 1024}}},
             {"controls", {"127.0.0.1:7000"}},
             {"entries", json::array()},
             {"limits", {{"queued", 100}, {"json_depth", 16}, {"output_tokens", 4096}}}};
--- a/test/entry_stream_test.cpp
+++ b/test/entry_stream_test.cpp
@@ -8,6 +8,8 @@
 namespace dewbeam::entry {
 namespace {
 
+constexpr std::size_t budget_bytes = 1024UL * 1024;
+
 class entry_stream : public testing::TestWithParam<std::string> {
 protected:
     /// Starts a request whose caller wants a stream, or a non-streamed answer.
@@ -16,7 +18,7 @@
         entry_request::facts known;
         known.m_call.m_is_stream = is_stream;
         known.m_deadline = m_now + std::chrono::seconds(60);
-        m_request.reset(new entry_request(std::move(known), m_answer));
+        m_request.reset(new entry_request(std::move(known), m_answer, m_budget));
         assign_attempt();
     }
 
@@ -68,11 +70,33 @@
     time_point m_now = time_point{} + std::chrono::hours(1);
     std::shared_ptr<test::recording_exchange> m_answer =
         std::make_shared<test::recording_exchange>();
+    std::shared_ptr<replies::answer_budget> m_budget =
+        std::make_shared<replies::answer_budget>(budget_bytes);
     request_pointer m_request;
     std::uint64_t m_attempts = 0;
     std::uint64_t m_chunks = 0;
 };
 
+TEST_P(entry_stream, ends_a_large_answer_without_room_for_it_and_gives_its_memory_back)
+{
+    begin(false);
+    receive_head();
+    ASSERT_TRUE(m_budget->take(budget_bytes / 2));
+    wire::ReplyChunk chunk;
+    chunk.set_data(std::string(budget_bytes * 3 / 4, 'x'));
+    EXPECT_EQ(handle(chunk), chunk_effect::broken);
+    EXPECT_TRUE(m_budget->take(budget_bytes / 2));
+}
+
+TEST_P(entry_stream, gives_a_small_answer_when_large_ones_hold_all_memory)
+{
+    begin(false);
+    receive_head();
+    ASSERT_TRUE(m_budget->take(budget_bytes));
+    receive_data(event("a"));
+    EXPECT_EQ(receive_end(), chunk_effect::completed);
+}
+
 TEST_P(entry_stream, gives_each_event_as_it_is_whole)
 {
     begin(true);
