--- a/test/endless_engine_session.py
+++ b/test/endless_engine_session.py
@@ -2,6 +2,7 @@
 memory, go on asking, and callers are served elsewhere."""
 
 import argparse
+import itertools
 import json
 import os
 import socket
@@ -240,7 +241,7 @@
         for one in threads:
             one.join()
 
-    def test_a_rank_agent_bounds_answers_to_counts(self):
+    def test_a_rank_agent_bounds_answers_to_orders_and_counts(self):
         rank, address = self.start_rank()
         for process in self.site.processes.values():
             process.start()
@@ -252,7 +253,7 @@
         self.site.wait_for(lambda: call(control, "PUT", "/-/config", json.dumps(document))[0] == 200,
                            "a configuration")
         beat = {"service": "chat", "address": address, "zone": "d1", "version": "v1", "slots": 8,
-                "state": "ready", "cold-remaining-ms": 0, "group": group, "size": 1}
+                "state": "ready", "cold-remaining-ms": 0, "group": group, "size": 1, "sequence": 0}
 
         def answer(_, path, __):
             if path.startswith("/-/picked?"):
@@ -261,16 +262,16 @@
                 return json.dumps({"epoch": 1, "step": 1, "counts": [[1] * 8] * 2}).encode()
             return json.dumps({"group": group, "size": 1, "step": 1, "map": 0, "pace": 1.0}).encode()
 
-        for number, path in enumerate(("/-/picked?", "/-/picked")):
-            for name, (head, repeated) in KINDS.items():
-                with self.subTest("%s %s" % (path, name)):
-                    beat["sequence"] = number + 1
-                    call(control, "PUT", "/-/instances/i-0", json.dumps(beat))
-                    engine = PartlyFloodingListener(address, (path,), answer, head, repeated)
-                    try:
-                        self.check_reader(rank, engine, MOST_REPORT_BYTES)
-                    finally:
-                        engine.close()
+        for path, (name, (head, repeated)) in itertools.product(
+                ("/-/order", "/-/picked?", "/-/picked"), KINDS.items()):
+            with self.subTest("%s %s" % (path, name)):
+                beat["sequence"] += 1
+                self.assertEqual(call(control, "PUT", "/-/instances/i-0", json.dumps(beat))[0], 200)
+                engine = PartlyFloodingListener(address, (path,), answer, head, repeated)
+                try:
+                    self.check_reader(rank, engine, MOST_REPORT_BYTES)
+                finally:
+                    engine.close()
 
 
 if __name__ == "__main__":
