Agents bound expert reports of their engines as they bound load reports

What callers saw: nothing at once; an agent of a group whose engine answered GET /experts with a byte now and then never asked again, so that the group moved no experts and saw no stall. An endless answer was read up to 16 MiB. Cause: the questions for experts used the client for callers' requests, which has no limit for a whole answer and that of their size. Change: they use the client for reports (1 MiB, 2 s).

--- a/dewbeam/src/agent/agent_server.cpp
+++ b/dewbeam/src/agent/agent_server.cpp
@@ -218,7 +218,7 @@
                                       setting_value<bool>(m_settings, "/upstream/checks_fencing")),
             std::move(hooks), m_engine_port, program::now());
         m_balancer = std::make_shared<expert_balancer>(balancer_settings(), balancer_calls(),
-                                                       m_upstream, program::now());
+                                                       m_reports, program::now());
         m_gate->set_paused(true);  // until the group's map is known to be settled
         m_group->start(*m_node, program::now());
         return absl::OkStatus();
--- a/test/endless_engine_session.py
+++ b/test/endless_engine_session.py
@@ -241,6 +241,30 @@
         for one in threads:
             one.join()
 
+    def test_an_agent_asks_on_while_its_engine_sends_expert_counts_without_end(self):
+        for index in range(len(DOMAINS)):
+            self.site.add_control(index)
+        agent = self.site.add_upstream("rank0", "d1", ["ad-copy"], "pool=chat", experts={
+            "experts": 12, "layers": 2, "slots_per_rank": 12, "tokens_per_step": 8192, "skew_percent": 0})
+        engine = self.site.processes["rank0-engine"]
+        link = "127.0.0.1:%d" % free_port()
+        address = "127.0.0.1:%d" % free_port()
+        agent.settings["link"]["listen"] = link
+        agent.settings["group"] = {"name": "g", "rank": 0, "members": [link]}
+        agent.settings["upstream"]["address"] = address
+        for process in self.site.processes.values():
+            process.start()
+        for name, (head, repeated), pause_s in (("chunks", KINDS["chunks"], 0.0),
+                                                ("a byte now and then", (HEAD + b"\r\n", b" "), 0.2)):
+            with self.subTest(name):
+                flooding = PartlyFloodingListener(address, ("/experts",), self.forward_to(engine),
+                                                  head, repeated)
+                flooding.pause_s = pause_s
+                try:
+                    self.check_reader(agent, flooding, MOST_REPORT_BYTES)
+                finally:
+                    flooding.close()
+
     def test_a_rank_agent_bounds_answers_to_orders_and_counts(self):
         rank, address = self.start_rank()
         for process in self.site.processes.values():
