--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -109,6 +109,7 @@
     gateway_request& operator=(const gateway_request&) = delete;
     gateway_request(gateway_request&&) = delete;
     gateway_request& operator=(gateway_request&&) = delete;
+    ~gateway_request() = default;
 
     [[nodiscard]] const facts& known() const { return m_facts; }
 
