Gateways and ranks say that they hear no registry

registries_unreachable says so after a second and then each 10 s, with the addresses that are tried, since when, the revision in force and the age of its confirmation; registries_reached ends it. attempt_unconfirmed names each attempt by a revision that is older than the newest known or was not confirmed within a second. Metrics: registry_silence_seconds and dewbeam_gateway_unconfirmed_attempts_total. Decisions are unchanged.

--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -22,6 +22,8 @@
 /// rank; its caller disconnects after five objectives without an event.
 constexpr double overtaken_share = 0.75;
 constexpr double overtaken_share_of_stream = 2.5;
+/// Attempts by a configuration that was last confirmed longer ago are logged.
+constexpr time_span reported_confirmation_age = std::chrono::seconds(1);
 
 std::int64_t milliseconds(time_span value)
 {
@@ -354,6 +356,28 @@
     return result;
 }
 
+/// Records an attempt by a configuration that is older than the newest known one, or that no quorum
+/// of registries confirmed lately.
+void report_unconfirmed_attempt(gateway_state& state, const gateway_request::facts& known,
+                                attempt_number attempt, time_point now)
+{
+    const auto revision = known.m_book->m_revision;
+    const auto newest = state.m_feed.newest_known_revision();
+    const auto last = state.m_feed.last_confirmation();
+    if (newest <= revision &&
+        registrar::is_confirmed(last, revision, now - reported_confirmation_age)) {
+        return;
+    }
+    state.m_metrics.count_unconfirmed_attempt();
+    log_event(log_level::info, "attempt_unconfirmed",
+              {{"request", known.m_request_id},
+               {"attempt", attempt.value()},
+               {"revision", revision.value()},
+               {"newest_known", newest.value()},
+               {"confirmed_revision", last.m_newest.value()},
+               {"confirmed_ms", last.m_at == time_point{} ? -1 : milliseconds(now - last.m_at)}});
+}
+
 void begin_attempt(gateway_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
@@ -392,6 +416,7 @@
                {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)},
                {"closed_by_notices", name_closed_by_notices(state, known.m_pool, now)},
                {"content", known.m_content.value()}});
+    report_unconfirmed_attempt(state, known, begun->m_number, now);
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
         handlers_of(state, request,
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -56,6 +56,11 @@
             .Name("dewbeam_gateway_attempts_begun_total")
             .Help("Attempts that were sent to upstreams.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_unconfirmed_attempts =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_unconfirmed_attempts_total")
+            .Help("Attempts by a configuration that was not known to be the newest.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Histogram>& m_latency =
         prometheus::BuildHistogram()
             .Name("dewbeam_gateway_seconds")
@@ -83,6 +88,7 @@
     prometheus::Gauge& m_cold_upstreams = m_state.Add({{"name", "cold_upstreams"}});
     prometheus::Gauge& m_closed_by_notices = m_state.Add({{"name", "closed_by_notices"}});
     prometheus::Gauge& m_registries = m_state.Add({{"name", "registries"}});
+    prometheus::Gauge& m_registry_silence = m_state.Add({{"name", "registry_silence_seconds"}});
     prometheus::Gauge& m_paced_groups = m_state.Add({{"name", "paced_groups"}});
     prometheus::Gauge& m_revision = m_state.Add({{"name", "revision"}});
     prometheus::Gauge& m_confirmed_seconds = m_state.Add({{"name", "confirmed_seconds"}});
@@ -182,6 +188,16 @@
     m_families->m_registries.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::set_registry_silence(time_span silence)
+{
+    m_families->m_registry_silence.Set(to_seconds(silence));
+}
+
+void gateway_metrics::count_unconfirmed_attempt()
+{
+    m_families->m_unconfirmed_attempts.Add({}).Increment();
+}
+
 void gateway_metrics::set_revision(std::uint64_t number)
 {
     m_families->m_revision.Set(static_cast<double>(number));
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -55,6 +55,10 @@
     void set_cold_upstreams(std::size_t count);
     void set_closed_by_notices(std::size_t count);
     void set_registries(std::size_t count);
+    /// For how long no registry has been heard.
+    void set_registry_silence(time_span silence);
+    /// Counts an attempt by a configuration that wasn't known to be the newest.
+    void count_unconfirmed_attempt();
     void set_paced_groups(std::size_t count);
     void set_revision(std::uint64_t number);
     /// `age`: since a quorum of registries confirmed the revision in force; empty if none did.
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -10,6 +10,7 @@
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "dewbeam/src/gateway/intake.h"
 #include "dewbeam/src/registrar/addresses.h"
+#include "dewbeam/src/registrar/registry_contact.h"
 
 namespace dewbeam::gateway {
 
@@ -329,6 +330,7 @@
                   {"revision", m_state.m_feed.revision().value()},
                   {"confirmed_ms", confirmed ? to_milliseconds(*confirmed) : -1.0},
                   {"registries", m_state.m_feed.heard(now)},
+                  {"registry_addresses", m_state.m_feed.addresses()},
                   {"in_flight", m_state.m_requests.size()},
                   {"attempts", m_state.m_pools.in_flight()},
                   {"upstreams", json::array()}};
@@ -676,6 +678,8 @@
     /// Work that is due less often than each tick.
     void slow_tick(time_point now)
     {
+        report_contact(m_contact, m_state.m_feed, now);
+        m_state.m_metrics.set_registry_silence(silence_of(m_contact, now));
         report_unresponsive_upstreams(m_state, now);
         for (const auto& name : m_state.m_upstreams.silent()) {
             update_broker(m_state, name, now);
@@ -731,7 +735,8 @@
     std::map<upstream_id, permits::own_share> m_own_shares;   ///< the same
     std::map<upstream_id, permits::own_share> m_cold_shares;  ///< the same; of cold upstreams
     slow_start::gateway_count m_sharing;                      ///< the same
-    time_point m_first_heard_at{};  ///< the same; when a registry first answered
+    time_point m_first_heard_at{};          ///< the same; when a registry first answered
+    registrar::registry_contact m_contact;  ///< the same
     std::map<std::string, entry::group_limits> m_logged_limits;  ///< the same; by group
     time_point m_started_at{};
     std::mutex m_adopt_mutex;
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -17,6 +17,7 @@
 #include "dewbeam/src/ranks/rank_balancer.h"
 #include "dewbeam/src/ranks/rank_engine.h"
 #include "dewbeam/src/registrar/addresses.h"
+#include "dewbeam/src/registrar/registry_contact.h"
 #include "dewbeam/src/registrar/registry_feed.h"
 
 namespace dewbeam::ranks {
@@ -512,6 +513,7 @@
     void tick(time_point now)
     {
         m_feed.tick({}, own_slowdown(), now);
+        report_contact(m_contact, m_feed, now);
         if (now >= m_next_report) {
             request_report(now);
             follow_group(now);
@@ -545,9 +547,10 @@
     std::atomic<bool> m_is_started = false;  ///< the link node exists
     std::atomic<bool> m_is_report_requested = false;
     std::atomic<bool> m_are_counts_requested = false;
-    time_point m_next_report{};      ///< used only on the frame's thread
-    std::uint64_t m_runners = 0;     ///< likewise
-    reported_counts m_own_reported;  ///< used by one request for counts at a time
+    time_point m_next_report{};             ///< used only on the frame's thread
+    registrar::registry_contact m_contact;  ///< likewise
+    std::uint64_t m_runners = 0;            ///< likewise
+    reported_counts m_own_reported;         ///< used by one request for counts at a time
     mutable std::mutex m_mutex;
     std::map<upstream_id, registry::announcement> m_upstreams;  ///< under m_mutex, like all below
     std::string m_configuration;
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -507,6 +507,16 @@
         [&](const auto& item) { return item.second.m_heard_at + response_timeout > now; }));
 }
 
+std::vector<std::string> registry_feed::addresses() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> result;
+    for (const auto& [address, known] : m_sources) {
+        result.push_back(address);
+    }
+    return result;
+}
+
 revisions::revision_number registry_feed::newest_known_revision() const
 {
     const std::lock_guard lock(m_mutex);
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -143,6 +143,9 @@
     /// The number of registries that answered recently.
     [[nodiscard]] std::size_t heard(time_point now) const;
 
+    /// The link addresses of all registries that are watched or tried.
+    [[nodiscard]] std::vector<std::string> addresses() const;
+
     [[nodiscard]] revisions::revision_number revision() const;
 
     /// The newest revision reported by any registry; its document may not have been received yet.
