Tests of processes that are away while all registrars are replaced

Real processes whose links lead through proxies: gateways, ranks and registrars are frozen, cut off (bytes swallowed, or first packets dropped by a listener whose queue is full) or killed and started with their old seeds while each registrar is replaced by one at another address, and are judged 3 s after their return. Two further cases change the seeds in the settings file, one starts a gateway beside a registrar that is cut off.

Links of gateways lead through proxies, too, and what is sent to a registrar that was removed is dropped, not refused. Drawn from a random engine of its own, so that what other faults a seed plays is as before.

--- a/test/soak/deployed/faults.py
+++ b/test/soak/deployed/faults.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from soak.deployed.absences import Absences
 from soak.deployed.link_proxy import KINDS
 from soak.deployed.records import Span
 from soak.deployed.replicas import TROUBLES
@@ -18,7 +19,7 @@
     """Draws the faults of a seed. One registrar at a time is lost; gateways are lost in any number."""
 
     def __init__(self, seed, deployment, clients):
-        self.random = random.Random(seed)
+        self.seed, self.random = seed, random.Random(seed)
         self.deployment, self.records = deployment, deployment.records
         self.description, self.clients = deployment.description, clients
         self.log = []
@@ -56,6 +57,8 @@
                        self.lose_all, self.replace_all_registrars]
         for action in draws.sample(series, draws.randint(1, 4)):
             self.begin(action, random.Random(draws.randrange(1 << 30)))
+        if self.description.changes_routes and self.deployment.links:
+            Absences(self).draw(random.Random(self.seed * 15485863))
 
     def pause(self, span):
         """Whether the run goes on behind a pause."""
--- a/test/soak/deployed/hosts.py
+++ b/test/soak/deployed/hosts.py
@@ -25,6 +25,8 @@
 START_LIMIT_S = 60.0
 SEED_LAG_S = 3.0  # of the operator's list
 UPSTREAMS_PER_PROCESS = 13
+MOST_HOSTS = 250
+ADDRESS_REUSE_S = 2.0  # before an address that was left may be given to another host
 
 
 class Upstream:
@@ -72,6 +74,9 @@
         self.synced_files = synced_files.build(work) if description.changes_routes else None
         self.net, self.net_owner = take_net()
         self.next_host = 0
+        self.next_registrar = itertools.count(1000)
+        self.released = []  # (name, domain, time) of hosts that are gone for good
+        self.reuses = random.Random(seed * 86028121)
         self.next_upstream = itertools.count()
         self.processes = {}
         self.fields = {}
@@ -117,9 +122,7 @@
 
     def add_host(self, name, role, domain):
         """Gives the host's address."""
-        self.next_host += 1
-        places = self.description.domains.index(domain)
-        ip = "127.%d.%d.%d" % (self.net, 1 + places, 1 + self.next_host % 250)
+        ip = self.take_address(domain)
         self.fields[name] = {
             "node-name": name, "zone": domain, "ip": ip, "internal-ports": LINKS, "bootstrap": True,
             "bounds": self.description.bounds, "fault-tolerance": self.description.losses,
@@ -134,6 +137,37 @@
                 self.synced_files, self.fields[name]["data-dir"])
         return ip
 
+    def take_address(self, domain):
+        """A new address, or one that a host of the same domain has left for a while."""
+        free = [item for item in self.released
+                if item[1] == domain and item[2] <= time.monotonic() - ADDRESS_REUSE_S]
+        if free and self.reuses.random() < 0.5:
+            self.released.remove(free[0])
+            self.links.release(free[0][0])
+            return self.fields[free[0][0]]["ip"]
+        self.next_host += 1
+        places = self.description.domains.index(domain)
+        return "127.%d.%d.%d" % (self.net, 1 + places, 1 + self.next_host % 250)
+
+    def release_host(self, name):
+        """The host is gone for good: what is sent to it is dropped, until another host has its address."""
+        if self.links:
+            self.links.drop_new([name], True)
+            self.released.append((name, self.fields[name]["zone"], time.monotonic()))
+
+    def add_gateway(self, name, domain):
+        """A gateway that clients don't know of."""
+        self.add_host(name, "gateway", domain)
+        self.fields[name]["bootstrap"] = False
+        if self.links:
+            self.serve_link(self.links, name)
+        self.start(name)
+
+    def all_registrars(self):
+        """The names of all registrars that are, were, or may come."""
+        return [name for name in self.fields if name.startswith("r")] + \
+            ["r%d" % number for number in range(1000, 1000 + MOST_HOSTS)]
+
     def seeds(self):
         """Three registrars of the operator's list, which lags."""
         seen = [names for at, names in self.operator_list
@@ -148,7 +182,7 @@
         fields["seeds"] = fields["seeds"] or self.seeds()
         role = {program: role for role, program in PROGRAMS.items()}[process.program]
         process.settings = settings_of(self.deploy, role, fields)
-        if role == "registrar" and self.links:
+        if role in ("registrar", "gateway") and self.links:
             process.settings["link"].update(listen=self.inner_link(name),
                                             advertise=self.address(name, LINKS[0]))
         process.start()
@@ -163,24 +197,25 @@
                                 capture_output=True, text=True, check=True)
         if "/link/advertise" not in answer.stdout:
             return None
-        links = Links(self.gateways + self.registrars)
-        for name in self.registrars:
+        links = Links()
+        for name in self.registrars + self.gateways:
             self.serve_link(links, name)
         return links
 
     def inner_link(self, name):
-        """The address at which a registrar listens, behind the proxy."""
+        """The address at which a host listens, behind the proxy."""
         return "%s:%d" % (self.fields[name]["ip"], INNER_LINK)
 
     def serve_link(self, links, name):
         ip = self.fields[name]["ip"]
-        links.serve(name, (ip, LINKS[0]), (ip, INNER_LINK))
+        links.serve(name, (ip, LINKS[0]), (ip, INNER_LINK), name.startswith("g"))
 
     def replace_registrar(self, name):
         """Removes a registrar for good; an empty one at another address takes its place."""
         self.processes[name].kill()
         index = self.registrars.index(name)
-        successor = "r%d" % (1000 + self.next_host)
+        self.release_host(name)
+        successor = "r%d" % next(self.next_registrar)
         self.add_host(successor, "registrar", self.fields[name]["zone"])
         self.fields[successor]["bootstrap"] = False
         self.registrars[index] = successor
@@ -259,7 +294,7 @@
             self.records.upstream_faults += faults
 
     def status(self, name):
-        port = READY if name in self.gateways else CONTROL
+        port = READY if name.startswith("g") else CONTROL
         status, body = call(self.address(name, port), "GET", "/v1/status", limit_s=1.0)
         return json.loads(body) if status == 200 else None
 
--- a/test/soak/deployed/link_proxy.py
+++ b/test/soak/deployed/link_proxy.py
@@ -1,8 +1,11 @@
-"""Processes that stand before the links of registrars, one each, so that hosts can be cut from them and
-registrars from each other. Which host opened a connection shows in the first message on it."""
+"""Processes that stand before the links of hosts, so that hosts can be cut from each other. Which host
+opened a connection shows in the first message on it."""
 
 import asyncio
+import contextlib
 import random
+import re
+import socket
 import threading
 
 from soak.deployed.processes import CONTEXT, end
@@ -13,9 +16,15 @@
 PIECE = 65536
 
 
-def sender_field(name):
-    """The first field of a message of that host."""
-    return b"\x0a" + bytes([len(name)]) + name.encode()
+SENDER = re.compile(rb"\x0a(.)((?:[grk]|s-i-)[0-9]+)", re.DOTALL)  # the first field of a message
+
+
+def sender_of(content):
+    """The host that sent a message; empty if none begins in `content`."""
+    for found in SENDER.finditer(content):
+        if found[1][0] == len(found[2]):
+            return found[2].decode()
+    return None
 
 
 class Connection:
@@ -29,8 +38,7 @@
         """Learns who sends."""
         if self.source is None and len(self.begin) < PIECE:
             self.begin += content
-            self.source = next((name for name in self.proxy.hosts
-                                if sender_field(name) in self.begin), None)
+            self.source = sender_of(self.begin)
 
     def cut(self):
         return self.proxy.cuts.get((self.source, self.registrar))
@@ -64,12 +72,43 @@
             await asyncio.sleep(STALL_S)
 
 
+class DroppingListener:
+    """Listens with a full queue: the system drops the first packet of a new connection, and its sender
+    repeats it after 1, then 2, then 4 s."""
+
+    FILLERS = 3
+
+    def __init__(self, address):
+        self.listener = socket.create_server(address, backlog=0)
+        self.fillers = [socket.socket() for _ in range(self.FILLERS)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(address)
+
+    def close(self):
+        for item in [*self.fillers, self.listener]:
+            item.close()
+
+
 class Proxy:
-    def __init__(self, hosts):
-        self.hosts = hosts  # names of all that may connect
+    def __init__(self):
         self.cuts = {}  # (host, registrar) -> kind
+        self.served = {}  # name -> addresses
+        self.listeners = {}  # name -> what listens
+
+    async def drop_new(self, name, is_dropped):
+        """Whether packets that begin connections to that host are dropped."""
+        self.listeners[name].close()
+        public, target = self.served[name]
+        if is_dropped:
+            self.listeners[name] = DroppingListener(public)
+        else:
+            await self.serve(name, public, target)
 
     async def serve(self, registrar, public, target):
+        self.served[registrar] = (public, target)
+
         async def on_connection(reader, writer):
             connection = Connection(self, registrar)
             try:
@@ -79,19 +118,21 @@
                 return
             await asyncio.gather(connection.pump(reader, inner_writer, True),
                                  connection.pump(inner_reader, writer, False))
-        await asyncio.start_server(on_connection, *public, reuse_address=True)
+        self.listeners[registrar] = await asyncio.start_server(on_connection, *public,
+                                                               reuse_address=True)
 
 
-def run_proxy(hosts, pipe):
-    proxy = Proxy(hosts)
+def run_proxy(pipe):
+    proxy = Proxy()
     loop = asyncio.new_event_loop()
 
     def take_commands():
         try:
             while True:
                 command, *arguments = pipe.recv()
-                if command == "serve":
-                    asyncio.run_coroutine_threadsafe(proxy.serve(*arguments), loop).result()
+                if command in ("serve", "drop_new"):
+                    action = getattr(proxy, command)(*arguments)
+                    asyncio.run_coroutine_threadsafe(action, loop).result()
                 else:
                     proxy.cuts = dict(arguments[0])
                 pipe.send("done")
@@ -105,9 +146,9 @@
 class LinkProcess:
     """The soak's end of such a process."""
 
-    def __init__(self, hosts):
+    def __init__(self):
         self.pipe, other = CONTEXT.Pipe()
-        self.child = CONTEXT.Process(target=run_proxy, args=(hosts, other))
+        self.child = CONTEXT.Process(target=run_proxy, args=(other,))
         self.child.start()
         self.lock = threading.Lock()
 
@@ -121,27 +162,50 @@
 
 
 class Links:
-    """All links of registrars."""
+    """All links that can be cut. Links of registrars have a process each; the others share one."""
 
-    def __init__(self, hosts):
-        self.hosts = hosts  # names of all that may be cut off
-        self.processes = {}  # by registrar
+    def __init__(self):
+        self.processes = {}  # by host
+        self.shared = None
         self.cuts = {}
+        self.lock = threading.Lock()
+
+    def serve(self, name, public, target, is_shared=False):
+        if is_shared:
+            self.shared = self.shared or LinkProcess()
+        with self.lock:
+            self.processes[name] = self.shared if is_shared else LinkProcess()
+            self.processes[name].ask("serve", name, public, target)
+            self.tell([name])
 
-    def serve(self, registrar, public, target):
-        self.processes[registrar] = LinkProcess(self.hosts)
-        self.processes[registrar].ask("serve", registrar, public, target)
+    def drop_new(self, names, is_dropped):
+        """Whether packets that begin connections to those hosts are dropped."""
+        for name in names:
+            self.processes[name].ask("drop_new", name, is_dropped)
+
+    def release(self, name):
+        """Nothing listens at the address any more."""
+        with self.lock:
+            process = self.processes.pop(name)
+        if process is not self.shared:
+            process.end()
 
     def cut(self, pairs, kind):
-        """Cuts hosts from registrars; joins them again if `kind` is empty."""
-        for pair in pairs:
-            self.cuts.pop(pair, None)
-            if kind:
-                self.cuts[pair] = kind
-        for registrar in {registrar for _, registrar in pairs if registrar in self.processes}:
-            mine = [item for item in self.cuts.items() if item[0][1] == registrar]
-            self.processes[registrar].ask("cut", mine)
+        """Cuts hosts from others, also from those that are served later; joins them again if `kind` is
+        empty."""
+        with self.lock:
+            for pair in pairs:
+                self.cuts.pop(pair, None)
+                if kind:
+                    self.cuts[pair] = kind
+            self.tell({name for _, name in pairs})
+
+    def tell(self, names):
+        """Sends the cuts to the processes of those hosts."""
+        for process in {self.processes[name] for name in names if name in self.processes}:
+            process.ask("cut", [item for item in self.cuts.items()
+                                if self.processes.get(item[0][1]) is process])
 
     def end(self):
-        for process in self.processes.values():
+        for process in set(self.processes.values()):
             process.end()
