Registries invite followers that lost all of them

Callers saw requests handled by an old configuration for as long as the gateway lived: one that was cut off, frozen or stopped while all registrars were replaced knew only addresses at which nobody listens any more. A follower learned of registries from its seeds and from registries that it heard, and of nobody else; registries only answered.

A watch names its sender's link address and host. Registries remember them, tell each other, keep them in the data folder on a thread of its own, and invite those that have not watched for 2 s, each 0.5 s for an hour. An invitation names its host, since addresses are reused, and comes only from a registry that follows a log. The table of addresses at a follower stays at 16: the unresponsive one that was named longest ago gives way, seeds never do.

Messages of earlier versions name no address, and their senders are not invited.

--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -74,9 +74,10 @@
     return result;
 }
 
-registrar::feed_options feed_options_of(incarnation own)
+registrar::feed_options feed_options_of(const json& settings, incarnation own)
 {
     registrar::feed_options result;
+    result.m_host = setting_value<std::string>(settings, "/host");
     result.m_document_interval = document_interval;
     result.m_preference_seed = own.value();
     result.m_quarantine = quarantine_of_contents();
@@ -127,7 +128,7 @@
       m_upstreams(frame.context(), client_options(settings)),
       m_answer_limits(answer_limits_of(settings)),
       m_backoff_limits(backoff_limits_of(settings)),
-      m_feed(registrar::registry_addresses(settings), feed_options_of(m_incarnation),
+      m_feed(registrar::registry_addresses(settings), feed_options_of(settings, m_incarnation),
              std::move(handlers)),
       m_random(program::seeded_engine())
 {
@@ -206,9 +207,7 @@
         auto node = program::start_node(
             m_state.m_settings, m_state.m_incarnation,
             {[this](const link::peer& from, wire::Envelope&& message) {
-                 if (m_is_started && message.has_watch_news()) {
-                     m_state.m_feed.take(from, message, program::now());
-                 }
+                 on_message(from, message);
              },
              [this](const std::vector<link::peer>& lost_peers) {
                  for (const auto& item : lost_peers) {
@@ -220,6 +219,7 @@
             return node.status();
         }
         m_node = *std::move(node);
+        m_state.m_feed.set_link_address(m_node->address());
         auto server = program::start_http(
             m_state.m_frame.context(), m_state.m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
@@ -276,6 +276,19 @@
     implementation& operator=(implementation&&) = delete;
 
 private:
+    void on_message(const link::peer& from, const wire::Envelope& message)
+    {
+        if (!m_is_started) {
+            return;
+        }
+        if (message.has_watch_news()) {
+            m_state.m_feed.take(from, message, program::now());
+        }
+        else if (message.has_watch_invitation()) {
+            m_state.m_feed.take_invitation(message, program::now());
+        }
+    }
+
     void handle(http::request&& request, const std::shared_ptr<http::exchange>& answer)
     {
         if (m_state.m_format.m_is_readiness_call(request)) {
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -48,6 +48,17 @@
     return result;
 }
 
+registrar::feed_options feed_options_of(const json& settings, incarnation own)
+{
+    registrar::feed_options result;
+    result.m_is_gateway = false;
+    result.m_interval = watch_interval;
+    result.m_document_interval = document_interval;
+    result.m_preference_seed = own.value();
+    result.m_host = setting_value<std::string>(settings, "/host");
+    return result;
+}
+
 }  // namespace
 
 std::vector<setting> rank_schema()
@@ -82,8 +93,7 @@
               parse_endpoint(setting_value<std::string>(settings, "/engine/address")).value()),
           m_reports(frame.context(), m_address, engine_client_options()),
           m_engine(make_engine(m_address)),
-          m_feed(registrar::registry_addresses(settings),
-                 {false, watch_interval, document_interval, m_incarnation.value()},
+          m_feed(registrar::registry_addresses(settings), feed_options_of(settings, m_incarnation),
                  make_feed_handlers())
     {
     }
@@ -103,6 +113,7 @@
             return node.status();
         }
         m_node = *std::move(node);
+        m_feed.set_link_address(m_node->address());
         m_is_started = true;
         return absl::OkStatus();
     }
@@ -175,6 +186,10 @@
             m_feed.take(from, message, now);
             return;
         }
+        if (message.has_watch_invitation()) {
+            m_feed.take_invitation(message, now);
+            return;
+        }
         if (message.has_group() && message.group().has_counts()) {
             take_counts(message.group(), now);
             return;
--- a/dewbeam/src/registrar/document_fetch.cpp
+++ b/dewbeam/src/registrar/document_fetch.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// All registries apply a document within one heartbeat interval of the log, so the preferred one
-/// normally has it by then.
-constexpr time_span preferred_wait = std::chrono::milliseconds(150);
 constexpr time_span min_answer_timeout = std::chrono::seconds(1);
 /// The timeout doubles with each unanswered request, so that retries don't saturate slow links.
 constexpr std::uint32_t max_timeout_doublings = 2;
--- a/dewbeam/src/registrar/document_fetch.h
+++ b/dewbeam/src/registrar/document_fetch.h
@@ -16,6 +16,10 @@
 
 namespace dewbeam::registrar {
 
+/// All registries apply a document within one heartbeat interval of the log, so the preferred one
+/// normally has it by then.
+inline constexpr time_span preferred_wait = std::chrono::milliseconds(150);
+
 /// A registry that answered recently.
 struct document_source {
     std::string m_address;
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -11,6 +11,8 @@
 #include "dewbeam/src/registrar/announcement_wire.h"
 #include "dewbeam/src/registrar/drain_calls.h"
 #include "dewbeam/src/registrar/error_response.h"
+#include "dewbeam/src/registrar/follower_file.h"
+#include "dewbeam/src/registrar/follower_table.h"
 #include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/quorum_waits.h"
 #include "dewbeam/src/registrar/revision_update.h"
@@ -34,6 +36,10 @@
 constexpr time_span max_tick_gap = std::chrono::milliseconds(700);
 /// A registry from which no sync arrived for this long is no longer advertised to watchers.
 constexpr time_span advertise_timeout = std::chrono::seconds(10);
+/// Interval at which the other registries are told all followers; new ones are told at once.
+constexpr time_span followers_interval = std::chrono::seconds(10);
+/// Minimum time between two writes of the followers to the data folder.
+constexpr time_span save_interval = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds election_span{500};
 constexpr std::chrono::milliseconds heartbeat_span{100};
 constexpr std::chrono::milliseconds replica_tick{20};
@@ -117,6 +123,7 @@
             return server.status();
         }
         m_server = *std::move(server);
+        load_followers();
         m_stable_since = program::now();
         m_is_started = true;
         program::write_address_file(m_settings, to_string(m_server->address()));
@@ -187,6 +194,18 @@
         return hooks;
     }
 
+    /// After the runner has taken the data folder.
+    void load_followers()
+    {
+        m_follower_file =
+            std::make_unique<follower_file>(setting_value<std::string>(m_settings, "/data_folder"));
+        const std::lock_guard lock(m_mutex);
+        for (const auto& place : m_follower_file->load()) {
+            note_follower(m_followers, place, time_span::zero(), program::now());
+        }
+        m_saved_places = m_followers.m_places_changed;
+    }
+
     // Requests of upstreams and operators.
 
     void handle(const http::request& request, const std::shared_ptr<http::exchange>& answer)
@@ -476,6 +495,7 @@
                   {"failed", status.m_has_failed},
                   {"unreadable_messages", m_node->unreadable_messages()},
                   {"registries", json::array()},
+                  {"followers", json::array()},
                   {"upstreams", json::array()}};
         for (const auto& member : status.m_members) {
             page["registries"].push_back(
@@ -483,6 +503,12 @@
         }
         const std::lock_guard lock(m_mutex);
         page["gateways"] = m_watchers.m_gateways;
+        const auto now = program::now();
+        for (const auto& [address, known] : m_followers.m_followers) {
+            page["followers"].push_back({{"address", address},
+                                         {"host", known.m_host.value()},
+                                         {"silent", is_silent(known, now)}});
+        }
         for (const auto& [name, item] : m_registry.m_records) {
             page["upstreams"].push_back({{"name", name.value()},
                                          {"service", item.m_announced.m_service},
@@ -506,7 +532,10 @@
             on_watch(from, host_id(message.sender()), message.watch());
         }
         else if (message.has_registry_sync()) {
-            on_sync(from, message.registry_sync());
+            on_sync(from, host_id(message.sender()), message.registry_sync());
+        }
+        else if (message.has_watch_invitation()) {
+            on_invitation(message);
         }
     }
 
@@ -519,6 +548,9 @@
         {
             const std::lock_guard lock(m_mutex);
             auto& subject = apply_watch(m_watchers, from, host, watch, now);
+            if (note_watch(m_followers, {watch.link_address(), host}, now)) {
+                m_node->close(watch.link_address());  // was opened for the invitation
+            }
             const bool knows_incarnation = watch.registry_life() == m_own_incarnation.value();
             put_upstreams(m_registry, watch.known_change(), !knows_incarnation, news);
             subject.m_sent_change = m_registry.m_last_change;
@@ -624,7 +656,56 @@
         }
     }
 
-    void on_sync(const link::peer& from, const wire::RegistrySync& sync)
+    /// Takes the addresses of registries that replaced those that this one knew.
+    void on_invitation(const wire::Envelope& message)
+    {
+        const auto& invitation = message.watch_invitation();
+        if (!is_for(invitation, message.log(), setting_value<std::string>(m_settings, "/host"))) {
+            return;
+        }
+        const auto now = program::now();
+        const std::lock_guard lock(m_mutex);
+        for (const auto& address : invitation.registries()) {
+            m_named_members[address] = now;
+        }
+    }
+
+    /// Tells silent followers which registries there are.
+    void invite_followers(time_point now)
+    {
+        std::vector<follower_place> due;
+        wire::Envelope message;
+        auto& invitation = *message.mutable_watch_invitation();
+        {
+            const std::lock_guard lock(m_mutex);
+            due = take_due_invitations(m_followers, now);
+            for (const auto& address : m_advertised_registries) {
+                invitation.add_registries(address);
+            }
+        }
+        if (m_runner->log() == log_id{}) {
+            return;  // it may belong to another deployment
+        }
+        for (const auto& place : due) {
+            invitation.set_host(place.m_host.value());
+            m_node->send(place.m_address, message);
+        }
+    }
+
+    void save_followers(time_point now)
+    {
+        if (now < m_next_save) {
+            return;
+        }
+        m_next_save = now + save_interval;
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_saved_places, m_followers.m_places_changed) !=
+            m_followers.m_places_changed) {
+            m_follower_file->save(to_json(m_followers));
+        }
+    }
+
+    void on_sync(const link::peer& from, const host_id& host, const wire::RegistrySync& sync)
     {
         const auto now = program::now();
         if (sync.is_answer()) {
@@ -643,7 +724,9 @@
             }
             for (const auto& address : sync.registries()) {
                 m_registry_contacts[address] = now;
+                note_watch(m_followers, {address, host}, now);
             }
+            take_followers(m_followers, sync, now);
             for (const auto& address : sync.members()) {
                 m_named_members[address] = now;
             }
@@ -665,6 +748,7 @@
             for (const auto* item : registry::changes_since(m_registry, 0)) {
                 to_wire(*item, *reply.add_upstreams());
             }
+            put_followers(m_followers, true, program::now(), reply);
         }
         m_node->reply(from, std::move(answer));
     }
@@ -748,6 +832,7 @@
             const std::lock_guard lock(m_mutex);
             if (held_up > time_span::zero()) {
                 put_off_leases(m_watchers, held_up, now);
+                postpone_invitations(m_followers, held_up);
             }
             expire(m_watchers, now);
             expire(m_quorum_waits, now, calls);
@@ -762,6 +847,8 @@
             m_next_sync = now + sync_interval;
             sync_registries(now);
         }
+        invite_followers(now);
+        save_followers(now);
     }
 
     /// Logs this registry's view of the replicated log if it changed.
@@ -853,6 +940,9 @@
                 }
             }
             m_renewed.clear();
+            const bool send_all = now >= m_next_followers;
+            m_next_followers = send_all ? now + followers_interval : m_next_followers;
+            put_followers(m_followers, send_all, now, sync);
         }
         sync.add_registries(m_node->address());
         sync.set_wants_all(!std::exchange(m_has_asked_all, true));
@@ -877,21 +967,26 @@
     quorum_wait_table m_quorum_waits;  ///< the same
     permits::issuer m_issuer;          ///< the same
     suspicion_store m_suspicions;      ///< the same
+    follower_table m_followers;        ///< the same
     std::set<upstream_id> m_renewed;   ///< the same; since the last sync
     std::map<std::string, time_point>
         m_registry_contacts;  ///< the same; last sync by registry address
     std::map<std::string, time_point>
         m_named_members;  ///< the same; members of the log, by when another registry named them
     std::vector<std::string>
-        m_advertised_registries;   ///< the same; registries that watchers are sent
-    replica_view m_replica_view;   ///< used only on the main loop's thread
-    time_point m_next_sync{};      ///< the same
-    time_point m_last_tick{};      ///< the same
-    held_up_since m_link_delay;    ///< the same; as of the last tick
-    time_point m_stable_since{};   ///< the same
-    bool m_has_asked_all = false;  ///< the same
+        m_advertised_registries;       ///< the same; registries that watchers are sent
+    replica_view m_replica_view;       ///< used only on the main loop's thread
+    time_point m_next_sync{};          ///< the same
+    time_point m_next_followers{};     ///< the same; all of them are told again
+    time_point m_next_save{};          ///< the same; of the followers
+    std::uint64_t m_saved_places = 0;  ///< the same; changes of followers that were saved
+    time_point m_last_tick{};          ///< the same
+    held_up_since m_link_delay;        ///< the same; as of the last tick
+    time_point m_stable_since{};       ///< the same
+    bool m_has_asked_all = false;      ///< the same
     std::unique_ptr<link::node> m_node;
     std::unique_ptr<control::replica_runner> m_runner;
+    std::unique_ptr<follower_file> m_follower_file;
     std::unique_ptr<http::server> m_server;
 };
 
--- a/dewbeam/src/registrar/registry_feed.cpp
+++ b/dewbeam/src/registrar/registry_feed.cpp
@@ -6,6 +6,7 @@
 #include "dewbeam/retry"
 #include "dewbeam/src/registrar/announcement_wire.h"
 #include "dewbeam/src/registrar/drain_calls.h"
+#include "dewbeam/src/registrar/follower_table.h"
 #include "dewbeam/src/registrar/limit_wire.h"
 #include "dewbeam/src/registrar/watchers.h"
 
@@ -92,6 +93,7 @@
     watch.set_sent_at(static_cast<std::uint64_t>(now.time_since_epoch().count()));
     watch.set_wants_loads(wants_loads && m_options.m_is_gateway);
     watch.set_is_gateway(m_options.m_is_gateway);
+    watch.set_link_address(m_link_address);
     if (m_options.m_is_gateway) {
         put_known_gateways(m_known_gateways, now, *watch.mutable_known_gateways());
     }
@@ -340,13 +342,70 @@
     note_answer(m_document_fetch, from, now + m_options.m_document_interval);
 }
 
-void registry_feed::learn_registries(const wire::WatchNews& news)
+void registry_feed::set_link_address(std::string address)
 {
-    for (const auto& address : news.registries()) {
-        if (m_sources.size() < max_registries) {
-            m_sources.try_emplace(address);
+    const std::lock_guard lock(m_mutex);
+    m_link_address = std::move(address);
+}
+
+void registry_feed::set_seeds(std::vector<std::string> seeds, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_seeds = std::move(seeds);
+    for (const auto& address : m_seeds) {
+        add_registry(address, now);
+    }
+}
+
+void registry_feed::take_invitation(const wire::Envelope& message, time_point now)
+{
+    const auto& invitation = message.watch_invitation();
+    if (!is_for(invitation, message.log(), m_options.m_host)) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    for (const auto& address : invitation.registries()) {
+        add_registry(address, now);
+    }
+}
+
+bool registry_feed::is_seed(const std::string& address) const
+{
+    return std::find(m_seeds.begin(), m_seeds.end(), address) != m_seeds.end();
+}
+
+/// A registry that is new is watched with the next tick.
+void registry_feed::add_registry(const std::string& address, time_point now)
+{
+    const auto known = m_sources.find(address);
+    if (known != m_sources.end()) {
+        known->second.m_named_at = now;
+        return;
+    }
+    if (m_sources.size() >= max_registries) {
+        make_room(now);
+    }
+    if (m_sources.size() < max_registries) {
+        m_sources[address].m_named_at = now;
+    }
+}
+
+/// Forgets the unresponsive registry that was named longest ago, unless it is a seed.
+void registry_feed::make_room(time_point now)
+{
+    auto oldest = m_sources.end();
+    for (auto place = m_sources.begin(); place != m_sources.end(); ++place) {
+        const bool is_responsive = place->second.m_heard_at + response_timeout > now;
+        if (is_responsive || is_seed(place->first)) {
+            continue;
+        }
+        if (oldest == m_sources.end() || place->second.m_named_at < oldest->second.m_named_at) {
+            oldest = place;
         }
     }
+    if (oldest != m_sources.end()) {
+        m_sources.erase(oldest);
+    }
 }
 
 /// Whether news has drains that are newer than the known ones. A registry that lags never takes
@@ -416,7 +475,9 @@
         subject.m_is_sure = news.is_sure();
         subject.m_newest = revisions::revision_number(news.newest_revision());
         take_confirmation(m_confirmation, from.m_address, news, now);
-        learn_registries(news);
+        for (const auto& address : news.registries()) {
+            add_registry(address, now);
+        }
         has_new_drains = takes_drains(news);
         m_gateways = news.has_loads() ? news.gateways() : m_gateways;
         if (news.has_loads()) {
@@ -472,11 +533,6 @@
     }
     place->second.m_heard_at = {};
     record_disconnect(m_document_fetch, disconnected.m_address);
-    const bool is_seed =
-        std::find(m_seeds.begin(), m_seeds.end(), disconnected.m_address) != m_seeds.end();
-    if (!is_seed && m_sources.size() >= max_registries) {
-        m_sources.erase(place);  // frees the slot for a replacement
-    }
 }
 
 bool registry_feed::is_settled(time_point lenient_from, time_point now) const
--- a/dewbeam/src/registrar/registry_feed.h
+++ b/dewbeam/src/registrar/registry_feed.h
@@ -68,6 +68,7 @@
     /// process, so that the requests of all followers are distributed over the registries.
     std::uint64_t m_preference_seed = 0;
     quarantine::quarantine_options m_quarantine = {};
+    std::string m_host = {};  ///< own host, by which registries invite this process
 };
 
 /// The interval at which loads are requested from the registry that reports them; `max_interval` at
@@ -120,6 +121,15 @@
     [[nodiscard]] std::optional<time_point> quarantined_until(fingerprint subject,
                                                               time_point now) const;
 
+    /// Sets where this process listens, so that registries can invite it.
+    void set_link_address(std::string address);
+
+    /// Replaces the seeds. Registries that are known already stay known.
+    void set_seeds(std::vector<std::string> seeds, time_point now);
+
+    /// Watches the registries that an invitation names, unless it is for another process.
+    void take_invitation(const wire::Envelope& message, time_point now);
+
     /// Sends the watches that are due.
     void tick(const load_list& loads, const slowdown_list& paces, time_point now);
 
@@ -169,6 +179,7 @@
         revisions::revision_number m_newest;
         time_point m_last_watch{};
         time_point m_heard_at{};
+        time_point m_named_at{};  ///< by the settings, another registry or an invitation
         std::uint64_t m_suspicion_incarnation =
             0;  ///< incarnation of the registry for the next two
         std::uint64_t m_known_suspicion = 0;
@@ -176,7 +187,9 @@
     };
 
     bool accepts_log(const std::string& address, log_id reported, time_point now);
-    void learn_registries(const wire::WatchNews& news);
+    bool is_seed(const std::string& address) const;
+    void add_registry(const std::string& address, time_point now);
+    void make_room(time_point now);
     bool takes_drains(const wire::WatchNews& news);
     void take_upstreams(source& from, const wire::WatchNews& news, time_point now,
                         std::vector<registry::record>& changed);
@@ -195,6 +208,7 @@
     feed_handlers m_handlers;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_seeds;
+    std::string m_link_address;               ///< own
     std::map<std::string, source> m_sources;  ///< by link address
     log_choice m_log;
     registry::table m_table;
