Seeds are taken over while a program runs

A gateway that no registry has seen, started with seeds of which none is left, answered 503 for ever: settings were read at the start only, SIGHUP was passed over, and a change without a signal was not noticed.

Programs compare their settings file with what they read last, once a second and at SIGHUP. Invalid settings are refused with what is wrong and change nothing. Only regular files are read again: a pipe would block.

--- a/app/dewbeam_gateway.cpp
+++ b/app/dewbeam_gateway.cpp
@@ -12,7 +12,7 @@
     if (started.m_must_exit) {
         return started.m_exit_code;
     }
-    program::program frame(started.m_settings);
+    program::program frame(started.m_settings, started.m_source);
     gateway::gateway_server server(frame, started.m_settings, platform::wire_format());
     const auto status = server.start();
     if (!status.ok()) {
--- a/dewbeam/src/program/program.cpp
+++ b/dewbeam/src/program/program.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds answer_limit{200};
 /// A tick that comes so late is logged.
 constexpr std::chrono::milliseconds late_tick_limit{500};
+/// How often the settings file is compared with what was read last.
+constexpr std::chrono::seconds settings_interval{1};
 
 /// Stop signals so far, and when the first one came. The limits of a stop count from then on, and
 /// not from when a busy process comes to handle it.
@@ -77,7 +79,7 @@
 
 start_result exit_with(int code)
 {
-    return {true, code, {}};
+    return {true, code, {}, {}};
 }
 
 time_span span_setting(const nlohmann::json& settings, const char* path)
@@ -165,7 +167,8 @@
         std::cout << describe_settings(info.m_schema);
         return exit_with(0);
     }
-    auto settings = load_settings(info.m_schema, words["--settings"].asString());
+    const auto file = words["--settings"].asString();
+    auto settings = load_settings(info.m_schema, file);
     if (!settings.ok()) {
         std::cerr << settings.status().message() << "\n";
         return exit_with(exit_settings);
@@ -176,7 +179,7 @@
     }
     configure_log(info.m_name, setting_value<std::string>(*settings, "/host"),
                   to_log_level(setting_value<std::string>(*settings, "/log/level")));
-    return {false, 0, *std::move(settings)};
+    return {false, 0, *std::move(settings), {file, info.m_schema}};
 }
 
 int fail_start(const absl::Status& fault)
@@ -196,8 +199,10 @@
     std::rename(unfinished.c_str(), file.c_str());
 }
 
-program::program(const nlohmann::json& settings)
-    : m_settings(settings), m_context(setting_value<int>(settings, "/threads"))
+program::program(const nlohmann::json& settings, settings_source source)
+    : m_settings(settings),
+      m_source(std::move(source)),
+      m_context(setting_value<int>(settings, "/threads"))
 {
 }
 
@@ -246,21 +251,44 @@
     }
 }
 
+void program::look_at_settings(settings_watch& watch, const program_hooks& hooks, time_point now)
+{
+    const bool is_signalled = m_is_reload_requested.exchange(false);
+    if (!is_signalled && now < m_next_look) {
+        return;
+    }
+    m_next_look = now + settings_interval;
+    const auto fresh = watch.look(is_signalled);
+    if (!fresh) {
+        if (is_signalled) {
+            log_event(log_level::info, "settings_unchanged");
+        }
+        return;
+    }
+    if (!fresh->ok()) {
+        log_event(log_level::error, "settings_refused",
+                  {{"reason", std::string(fresh->status().message())}});
+        return;
+    }
+    log_event(log_level::info, "settings_changed",
+              {{"since_start", changed_settings(m_source.m_schema, m_settings, **fresh)}});
+    hooks.m_on_settings(**fresh);
+}
+
 int program::run(const program_hooks& hooks)
 {
     lifecycle::process life;
-    // What a process was told at its start holds for its life; the signal must not end it.
     boost::asio::signal_set reloads(m_context, SIGHUP);
     const std::function<void()> note_reload = [&] {
         reloads.async_wait([&](const boost::system::error_code& error, int) {
             if (!error) {
-                log_event(log_level::info, "settings_reload_passed_over",
-                          {{"reason", "settings are read at the start"}});
+                m_is_reload_requested = true;
                 note_reload();
             }
         });
     };
     note_reload();
+    settings_watch watch(m_source, m_settings);
     m_stop_notice = span_setting(m_settings, "/stop/notice_ms");
     start_threads();
     int handled_signals = 0;
@@ -273,6 +301,7 @@
             late >= late_tick_limit) {
             log_event(log_level::warning, "process_held_up", {{"ms", to_milliseconds(late)}});
         }
+        look_at_settings(watch, hooks, time);
         hooks.m_tick(time);
         auto wanted = lifecycle::command::none;
         if (stop_signals > handled_signals) {
--- a/dewbeam/src/program/program.h
+++ b/dewbeam/src/program/program.h
@@ -13,6 +13,7 @@
 
 #include "dewbeam/base"
 #include "dewbeam/lifecycle"
+#include "dewbeam/src/program/settings_watch.h"
 
 namespace dewbeam::program {
 
@@ -45,6 +46,7 @@
     bool m_must_exit = false;
     int m_exit_code = 0;
     nlohmann::json m_settings;
+    settings_source m_source;  ///< refers to the schema in `program_info`
 };
 start_result start_program(const program_info& info, int argc, char** argv);
 
@@ -65,12 +67,15 @@
     std::function<void()> m_give_up;
     std::function<void(time_point)> m_tick;  ///< every `m_tick_interval`
     time_span m_tick_interval = std::chrono::milliseconds(10);
+    /// The settings file has changed. Takes over what may change while the program runs.
+    std::function<void(const nlohmann::json&)> m_on_settings = [](const nlohmann::json&) {};
 };
 
 /// Runs the threads of a context and the life of a process.
 class program {
 public:
-    explicit program(const nlohmann::json& settings);
+    /// \param source the file that is watched for changes of the settings
+    explicit program(const nlohmann::json& settings, settings_source source = {});
     ~program();
     program(const program&) = delete;
     program& operator=(const program&) = delete;
@@ -90,6 +95,7 @@
     int run(const program_hooks& hooks);
 
 private:
+    void look_at_settings(settings_watch& watch, const program_hooks& hooks, time_point now);
     void start_threads();
 
     /// Has callers answered that a stop can't wait for.
@@ -98,7 +104,10 @@
     /// Nothing runs on the context any more, so that what its handlers use may be destroyed.
     void stop_threads();
 
-    nlohmann::json m_settings;
+    nlohmann::json m_settings;  ///< of the start
+    settings_source m_source;
+    time_point m_next_look{};  ///< at the settings file
+    std::atomic<bool> m_is_reload_requested = false;
     boost::asio::io_context m_context;
     std::atomic<lifecycle::phase> m_phase = lifecycle::phase::starting;
     time_span m_stop_notice{};  ///< set before the threads start
--- a/dewbeam/src/ranks/rank_server.cpp
+++ b/dewbeam/src/ranks/rank_server.cpp
@@ -131,6 +131,9 @@
         };
         result.m_tick = [this](time_point now) { tick(now); };
         result.m_tick_interval = tick_interval;
+        result.m_on_settings = [this](const json& settings) {
+            m_feed.set_seeds(registrar::registry_addresses(settings), program::now());
+        };
         return result;
     }
 
--- a/dewbeam/src/registrar/addresses.cpp
+++ b/dewbeam/src/registrar/addresses.cpp
@@ -19,7 +19,7 @@
     constexpr std::int64_t max_port = 65'535;
     return {
         {"/registries/seeds", setting_kind::addresses, nlohmann::json::array(),
-         "Addresses of some registries; they name all others."},
+         "Addresses of some registries; they name all others. Taken over while the program runs."},
         {"/registries/link_port", setting_kind::integer, 0,
          "Port of all registries for dewbeam's own processes, where the seeds are addresses for "
          "others; 0: the seeds are link addresses.",
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -139,6 +139,9 @@
         result.m_stop_accepting = [this] { m_server->stop_accepting(); };
         result.m_tick = [this](time_point now) { tick(now); };
         result.m_tick_interval = tick_interval;
+        result.m_on_settings = [this](const json& settings) {
+            m_seeds = registry_addresses(settings);  // read by `tick`, on the same thread
+        };
         return result;
     }
 
