Registries name the members of their log, heard or not

A registrar named to its followers those registrars that it had heard within 10 s, which is only itself when it starts inside a cut. A gateway that starts with it as its only living seed could reach a quorum and never learned of it. The members of the log, which are on the registrar's disk, are named as well.

--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -911,9 +911,13 @@
         std::set<std::string> targets(m_seeds.begin(), m_seeds.end());
         wire::Envelope message;
         auto& sync = *message.mutable_registry_sync();
+        // Members are advertised whether they are heard or not: a registry that is cut off would
+        // otherwise name only itself to a follower that could reach the others.
+        std::set<std::string> advertised;
         for (const auto& member : m_runner->status().m_members) {
             const auto address = address_of(member.m_identity.m_id);
             targets.insert(address);
+            advertised.insert(address);
             sync.add_members(address);
         }
         std::vector<consensus::replica_id> known;
@@ -930,12 +934,12 @@
                 targets.insert(address);
                 known.push_back(id_of(address));
             }
-            m_advertised_registries.clear();
             for (const auto& [address, heard_at] : m_registry_contacts) {
                 targets.insert(address);
-                m_advertised_registries.push_back(address);
+                advertised.insert(address);
                 known.push_back(id_of(address));
             }
+            m_advertised_registries.assign(advertised.begin(), advertised.end());
             for (const auto& name : m_renewed) {
                 const auto place = m_registry.m_records.find(name);
                 if (place != m_registry.m_records.end()) {
