A voter without a leader asks the replicas that it heard of

A registrar that was away while the others were replaced stayed at its revision: its own log says that it votes, so that it asked only the members that it knew, which were gone. It could not learn that it had been dropped.

With m_wanted_voters a replica counts as settled only while it hears a leader; until then it probes the seeds and the replicas that it was told of, and is let in as a learner. Probes of a member under the same disk change nothing, as before.

--- a/dewbeam/src/consensus/replica.cpp
+++ b/dewbeam/src/consensus/replica.cpp
@@ -111,11 +111,11 @@
     // A membership that is not committed may never come to be: only a committed one ends the
     // probes.
     const auto* own = find_member(membership_in_force(self.m_log, self.m_commit), self.m_self.m_id);
-    // With `m_wanted_voters` a learner may stay one; it is settled while a leader is heard.
-    const bool may_stay_learner =
-        self.m_options.m_wanted_voters > 0 && self.m_leader_until > at.m_now;
-    const bool is_settled =
-        own != nullptr && own->m_identity == self.m_self && (own->m_votes || may_stay_learner);
+    // With `m_wanted_voters` a learner may stay one, and a voter may have been dropped while it was
+    // away: either is settled while a leader is heard.
+    const bool keeps_place = self.m_options.m_wanted_voters > 0 ? self.m_leader_until > at.m_now
+                                                                : own != nullptr && own->m_votes;
+    const bool is_settled = own != nullptr && own->m_identity == self.m_self && keeps_place;
     if (!is_settled && self.m_probe_at <= at.m_now) {
         self.m_probe_at = at.m_now + self.m_options.m_heartbeat_span;
         internal::probe(at);
--- a/test/membership_keeping_test.cpp
+++ b/test/membership_keeping_test.cpp
@@ -67,6 +67,12 @@
 
     [[nodiscard]] bool votes(std::uint64_t id) const { return is_voter(m_replicas.at(id)); }
 
+    /// Whether a replica knows as committed what the leader does.
+    [[nodiscard]] bool has_newest(std::uint64_t id) const
+    {
+        return m_replicas.at(id).m_commit == m_replicas.at(leader()).m_commit;
+    }
+
     void hear_of(std::uint64_t id, std::vector<replica_id> others)
     {
         feed(m_replicas.at(id), known_replicas{std::move(others)});
@@ -211,5 +217,26 @@
     EXPECT_TRUE(net.votes(away));
 }
 
+TEST(membership_keeping, a_voter_that_was_away_while_all_others_were_replaced_follows_again)
+{
+    auto net = three_voters();
+    net.stop(3);
+    net.start(4, 4, false);
+    net.run(milliseconds(4000));
+    for (const auto gone : {1, 2}) {
+        net.stop(gone);
+        net.start(20 + gone, 20 + gone, false);
+        net.hear_of(20 + gone, {replica_id(4)});
+        net.run(milliseconds(4000));
+    }
+    net.propose("second");
+    net.resume(3);
+    net.hear_of(3, {replica_id(4), replica_id(21), replica_id(22)});
+    net.run(milliseconds(1000));
+    EXPECT_FALSE(net.votes(3));
+    EXPECT_TRUE(net.has_newest(3));
+    EXPECT_EQ(net.voters(), 3U);
+}
+
 }  // namespace
 }  // namespace dewbeam::consensus
