Log fewer attempts at an address at which nobody answers

The first 16 in a row are logged, then each 16th. Losses of connections that had been heard are all logged, as before.

--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -92,6 +92,14 @@
     return std::min<time_span>(longest, shortest * (1U << std::min(beyond, most_doublings)));
 }
 
+/// Whether the loss of a connection on which nothing was heard is logged. An address at which
+/// nobody listens is tried for hours.
+bool is_logged_try(std::uint32_t silent_tries)
+{
+    constexpr std::uint32_t first_tries = 16;
+    return silent_tries <= first_tries || silent_tries % first_tries == 0;
+}
+
 }  // namespace
 
 /// The node's thread owns all sockets; other threads hand it bytes through a queue.
@@ -495,11 +503,13 @@
         const auto place = m_connections.find(item.m_address);
         auto& open = place->second;
         const auto heard_at = std::max(open.m_heard_at, open.m_opened_at);
-        log_event(log_level::info, "link_lost",
-                  {{"address", item.m_address},
-                   {"was_heard", open.m_was_heard},
-                   {"silent_ms", to_milliseconds(now - heard_at)},
-                   {"not_looked_ms", to_milliseconds(now - m_watched_at)}});
+        if (open.m_was_heard || is_logged_try(m_silent_tries[item.m_address])) {
+            log_event(log_level::info, "link_lost",
+                      {{"address", item.m_address},
+                       {"was_heard", open.m_was_heard},
+                       {"silent_ms", to_milliseconds(now - heard_at)},
+                       {"not_looked_ms", to_milliseconds(now - m_watched_at)}});
+        }
         open.m_socket.set(zmq::sockopt::linger, 0);
         close_connection(item.m_address);
     }
