--- a/test/deployed_soak_session.py
+++ b/test/deployed_soak_session.py
@@ -2,11 +2,13 @@
 
 import argparse
 import os
+import random
 import sys
 import unittest
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "tool")]
+from soak.deployed.absences import Absences  # noqa: E402
 from soak.deployed.description import load  # noqa: E402
 from soak.deployed.run import run_deployed, summary  # noqa: E402
 
@@ -14,6 +16,7 @@
 STANDARD_SEED = 1
 SECONDS = 10.0
 CALM_S = 5.0  # in which gateways save up retries
+REPLACEMENT_S = 28.0  # of all registrars, and some seconds behind it
 TROUBLE_S = 13.0  # longer than the window of the retry budget
 
 
@@ -33,6 +36,12 @@
             result = self.run_case(SECONDS / 2, name=name)
             self.assertGreater(result["probes"][1], 100, "judged at gateways in touch")
 
+    def test_gateways_that_miss_a_whole_replacement_are_in_touch_again(self):
+        def script(faults):
+            faults.begin(Absences(faults).replace_all_while_away, random.Random(STANDARD_SEED))
+        result = self.run_case(REPLACEMENT_S, script, name="kilima-adops")
+        self.assertTrue(any("back: " in line for line in result["faults"]))
+
     def test_restarts_in_series_multiply_no_retries(self):
         def script(faults):
             faults.begin(faults.fail_upstreams, "fail", CALM_S)
--- a/test/soak/deployed/absences.py
+++ b/test/soak/deployed/absences.py
@@ -8,10 +8,12 @@
 import threading
 import time
 
+from soak.deployed.hosts import LINKS
 from soak.promises import now
 
 LONG_S = 30.0  # after which a host that came back is judged again
 INVALID = ["", "{", '{"registries": {"seeds": ["nowhere"]}}']
+CATCH_UP_LIMIT_S = 20.0
 REFUSAL_S = 4.0  # within which a program must have refused an invalid file
 
 
@@ -50,6 +52,7 @@
         come_back = [self.leave(name, kind) for name in names]
         for registrar in list(self.deployment.registrars):
             self.faults.replace_one(registrar)
+            self.wait_for_voters()
         for action in come_back:
             action()
         for span in spans:
@@ -58,6 +61,21 @@
         for name in gateways:
             self.judge_later(name, kind == "killed")
 
+    def wait_for_voters(self):
+        """Until no registrar that is gone has a vote, so that another one may be lost."""
+        begun = now()
+        while now() < begun + CATCH_UP_LIMIT_S:
+            living = {"tcp://" + self.deployment.address(name, LINKS[0])
+                      for name in self.deployment.registrars}
+            for name in self.deployment.registrars:
+                page = self.deployment.status(name)
+                voters = {item["address"] for item in page["registries"] if item["votes"]} if page else set()
+                if page and page["quorum"] and len(voters) >= len(living) and voters <= living:
+                    return
+            time.sleep(0.1)
+        self.records.fail("registrars", "a registrar that is gone kept its vote for %.0f s" %
+                          CATCH_UP_LIMIT_S)
+
     def leave(self, name, kind):
         """Takes a host away. Gives what brings it back."""
         process, links = self.deployment.processes[name], self.deployment.links
--- a/test/soak/deployed/link_proxy.py
+++ b/test/soak/deployed/link_proxy.py
@@ -106,6 +106,11 @@
         else:
             await self.serve(name, public, target)
 
+    async def release(self, name):
+        """Nothing listens at that host's address any more."""
+        self.listeners.pop(name).close()
+        del self.served[name]
+
     async def serve(self, registrar, public, target):
         self.served[registrar] = (public, target)
 
@@ -130,7 +135,7 @@
         try:
             while True:
                 command, *arguments = pipe.recv()
-                if command in ("serve", "drop_new"):
+                if command in ("serve", "drop_new", "release"):
                     action = getattr(proxy, command)(*arguments)
                     asyncio.run_coroutine_threadsafe(action, loop).result()
                 else:
@@ -187,6 +192,7 @@
         """Nothing listens at the address any more."""
         with self.lock:
             process = self.processes.pop(name)
+        process.ask("release", name)
         if process is not self.shared:
             process.end()
 
