Settings that change during a start are noticed; followers told to one are told to all

The watch took the file's content at its own start for what the program had read before: a change in between was passed over until the next one. It now judges the first content, too.

The answer to a registry that asks for everything marked all followers as handed on, so that the others would have learned of new ones only with the whole list, 10 s later. The list for one registry marks nothing now.

settings_file.a_change_between_the_start_and_the_first_look_is_taken failed by construction before: the content compared as unchanged.

--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -79,6 +79,7 @@
                 "and left, gateways that share the retry budget.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
+    prometheus::Counter& m_unconfirmed = m_unconfirmed_attempts.Add({});
     prometheus::Histogram& m_first_byte = m_latency.Add({{"until", "first_byte"}}, latency_bounds);
     prometheus::Histogram& m_total_latency = m_latency.Add({{"until", "end"}}, latency_bounds);
     prometheus::Gauge& m_in_flight = m_state.Add({{"name", "in_flight"}});
@@ -195,7 +196,7 @@
 
 void gateway_metrics::count_unconfirmed_attempt()
 {
-    m_families->m_unconfirmed_attempts.Add({}).Increment();
+    m_families->m_unconfirmed.Increment();
 }
 
 void gateway_metrics::set_revision(std::uint64_t number)
--- a/dewbeam/src/program/settings_watch.cpp
+++ b/dewbeam/src/program/settings_watch.cpp
@@ -28,22 +28,20 @@
 settings_watch::settings_watch(settings_source source, nlohmann::json settings)
     : m_source(std::move(source)), m_settings(std::move(settings))
 {
-    m_content = read_regular_file(m_source.m_file).value_or("");
-    m_seen_content = m_content;
 }
 
 std::optional<absl::StatusOr<nlohmann::json>> settings_watch::look(bool is_signalled)
 {
-    auto content = read_regular_file(m_source.m_file);
-    if (!content || *content == m_content) {
+    const auto content = read_regular_file(m_source.m_file);
+    if (!content || content == m_content) {
         return std::nullopt;
     }
-    const bool is_settled = *content == m_seen_content;
-    m_seen_content = *content;
+    const bool is_settled = content == m_seen_content;
+    m_seen_content = content;
     if (!is_settled && !is_signalled) {
         return std::nullopt;
     }
-    m_content = *std::move(content);
+    m_content = content;
     auto settings = load_settings(m_source.m_schema, m_source.m_file);
     if (!settings.ok()) {
         return settings;
--- a/dewbeam/src/program/settings_watch.h
+++ b/dewbeam/src/program/settings_watch.h
@@ -21,6 +21,7 @@
 /// would block.
 class settings_watch {
 public:
+    /// \param settings those of the start; the file may have changed since they were read
     settings_watch(settings_source source, nlohmann::json settings);
 
     /// The new settings, or why they are refused; empty while the file is as it was. Without
@@ -30,9 +31,9 @@
 
 private:
     settings_source m_source;
-    nlohmann::json m_settings;   ///< last valid ones
-    std::string m_content;       ///< of the file, as judged last
-    std::string m_seen_content;  ///< of the file, at the last look
+    nlohmann::json m_settings;                  ///< last valid ones
+    std::optional<std::string> m_content;       ///< of the file, as judged last
+    std::optional<std::string> m_seen_content;  ///< of the file, at the last look
 };
 
 /// The paths of the settings at which two documents differ, for the log.
--- a/dewbeam/src/registrar/follower_table.cpp
+++ b/dewbeam/src/registrar/follower_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "dewbeam/src/registrar/addresses.h"
 
@@ -49,6 +50,17 @@
     table.m_places_changed += forgotten;
 }
 
+void put(const std::string& address, const follower& subject, time_point now,
+         wire::RegistrySync& sync)
+{
+    using std::chrono::milliseconds;
+    const auto age = std::chrono::duration_cast<milliseconds>(now - subject.m_seen_at);
+    auto& item = *sync.add_followers();
+    item.set_address(address);
+    item.set_host(subject.m_host.value());
+    item.set_seen_ms_ago(static_cast<std::uint64_t>(std::max(age, milliseconds(0)).count()));
+}
+
 }  // namespace
 
 bool note_watch(follower_table& table, const follower_place& place, time_point now)
@@ -120,20 +132,19 @@
     }
 }
 
-void put_followers(follower_table& table, bool send_all, time_point now, wire::RegistrySync& sync)
+void put_all_followers(const follower_table& table, time_point now, wire::RegistrySync& sync)
+{
+    for (const auto& [address, subject] : table.m_followers) {
+        put(address, subject, now, sync);
+    }
+}
+
+void put_new_followers(follower_table& table, time_point now, wire::RegistrySync& sync)
 {
-    using std::chrono::milliseconds;
     for (auto& [address, subject] : table.m_followers) {
-        if (subject.m_is_handed_on && !send_all) {
-            continue;
+        if (!std::exchange(subject.m_is_handed_on, true)) {
+            put(address, subject, now, sync);
         }
-        subject.m_is_handed_on = true;
-        auto& item = *sync.add_followers();
-        item.set_address(address);
-        item.set_host(subject.m_host.value());
-        const auto age = std::chrono::duration_cast<milliseconds>(now - subject.m_seen_at);
-        item.set_seen_ms_ago(
-            static_cast<std::uint64_t>(std::max(age.count(), milliseconds::rep{0})));
     }
 }
 
--- a/dewbeam/src/registrar/follower_table.h
+++ b/dewbeam/src/registrar/follower_table.h
@@ -72,8 +72,11 @@
 /// Postpones invitations by the time for which this registry read no messages.
 void postpone_invitations(follower_table& table, time_span held_up);
 
-/// Writes the followers that the other registries were not told yet, or all if `send_all`.
-void put_followers(follower_table& table, bool send_all, time_point now, wire::RegistrySync& sync);
+/// Writes all followers.
+void put_all_followers(const follower_table& table, time_point now, wire::RegistrySync& sync);
+
+/// Writes the followers that the other registries were not told yet, for a message to all of them.
+void put_new_followers(follower_table& table, time_point now, wire::RegistrySync& sync);
 
 /// Records the followers in a message of another registry.
 void take_followers(follower_table& table, const wire::RegistrySync& sync, time_point now);
--- a/dewbeam/src/registrar/registrar_server.cpp
+++ b/dewbeam/src/registrar/registrar_server.cpp
@@ -751,7 +751,7 @@
             for (const auto* item : registry::changes_since(m_registry, 0)) {
                 to_wire(*item, *reply.add_upstreams());
             }
-            put_followers(m_followers, true, program::now(), reply);
+            put_all_followers(m_followers, program::now(), reply);
         }
         m_node->reply(from, std::move(answer));
     }
@@ -947,9 +947,13 @@
                 }
             }
             m_renewed.clear();
-            const bool send_all = now >= m_next_followers;
-            m_next_followers = send_all ? now + followers_interval : m_next_followers;
-            put_followers(m_followers, send_all, now, sync);
+            if (now >= m_next_followers) {
+                m_next_followers = now + followers_interval;
+                put_all_followers(m_followers, now, sync);
+            }
+            else {
+                put_new_followers(m_followers, now, sync);
+            }
         }
         sync.add_registries(m_node->address());
         sync.set_wants_all(!std::exchange(m_has_asked_all, true));
--- a/test/follower_table_test.cpp
+++ b/test/follower_table_test.cpp
@@ -69,15 +69,15 @@
     follower_table table;
     note_watch(table, gateway, start);
     wire::RegistrySync sync;
-    put_followers(table, false, start + seconds(1), sync);
+    put_new_followers(table, start + seconds(1), sync);
     follower_table successor;
     const auto later = start + seconds(20);
     take_followers(successor, sync, later);
     EXPECT_EQ(take_due_invitations(successor, later + invitation_delay), std::vector{gateway});
     wire::RegistrySync again;
-    put_followers(table, false, start + seconds(2), again);
+    put_new_followers(table, start + seconds(2), again);
     EXPECT_EQ(again.followers_size(), 0) << "told already";
-    put_followers(table, true, start + seconds(2), again);
+    put_all_followers(table, start + seconds(2), again);
     EXPECT_EQ(again.followers_size(), 1);
 }
 
--- a/test/settings_watch_test.cpp
+++ b/test/settings_watch_test.cpp
@@ -47,6 +47,14 @@
     EXPECT_FALSE(subject.look(false));
 }
 
+TEST_F(settings_file, a_change_between_the_start_and_the_first_look_is_taken)
+{
+    auto subject = watch();
+    write(R"({"name": "b"})");
+    EXPECT_FALSE(subject.look(false));
+    EXPECT_TRUE(subject.look(false));
+}
+
 TEST_F(settings_file, a_signal_has_a_change_taken_at_once)
 {
     auto subject = watch();
