Read the followers' file with parse_json; log what can't be read

Found in the read-through. parse_followers called the JSON library where the project has one bounded reader, and a damaged file was passed over without a line, against the rule that no error is swallowed.

--- a/dewbeam/src/registrar/follower_table.cpp
+++ b/dewbeam/src/registrar/follower_table.cpp
@@ -176,11 +176,12 @@
 std::vector<follower_place> parse_followers(std::string_view text)
 {
     std::vector<follower_place> result;
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array()) {
+    const auto document = parse_json(text);
+    if (!document.ok() || !document->is_array()) {
+        log_event(log_level::warning, "followers_not_read", {{"bytes", text.size()}});
         return result;
     }
-    for (const auto& item : document) {
+    for (const auto& item : *document) {
         const bool has_texts = item.is_object() && item.contains("address") &&
                                item["address"].is_string() && item.contains("host") &&
                                item["host"].is_string();
@@ -188,6 +189,10 @@
             result.push_back({item["address"], host_id(item["host"].get<std::string>())});
         }
     }
+    if (result.size() < document->size()) {
+        log_event(log_level::warning, "followers_left_out",
+                  {{"count", document->size() - result.size()}});
+    }
     return result;
 }
 
--- a/dewbeam/src/registrar/follower_table.h
+++ b/dewbeam/src/registrar/follower_table.h
@@ -88,7 +88,7 @@
 /// The addresses and hosts of all followers as JSON text, for the data folder.
 std::string to_json(const follower_table& table);
 
-/// The places in a text that `to_json` wrote; what can't be read is left out.
+/// The places in a text that `to_json` wrote; what can't be read is logged and left out.
 std::vector<follower_place> parse_followers(std::string_view text);
 
 }  // namespace dewbeam::registrar
