Test: contents whose upstreams crash some time after the answer broke

What callers see: one content ends upstream after upstream, each of them with the answers of others on it.

--- a/test/mortal_site.py
+++ b/test/mortal_site.py
@@ -36,7 +36,7 @@
             index += 1
 
     def send(self, index):
-        gateway = index % GATEWAYS
+        gateway = index % self.session.gateway_count
         begun = time.monotonic()
         status, body = self.ask(index, gateway, "%s-%d" % (self.name, index))
         took = time.monotonic() - self.session.seen_from(begun, gateway)
@@ -55,6 +55,8 @@
 
 class MortalSite(unittest.TestCase):
     bin = None  # folder of the programs
+    gateway_count = GATEWAYS
+    upstream_count = UPSTREAMS
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -68,7 +70,7 @@
                 **self.common("r%d" % index), "link": {"listen": self.links[index]},
                 "data_folder": self.data_folder(index), "found": True,
                 "stop": {"notice_ms": 0, "drain_ms": 2000}})
-        for index in range(GATEWAYS):
+        for index in range(self.gateway_count):
             self.site.add("g%d" % index, "dewbeam-gateway", {
                 **self.common("g%d" % index),
                 "readiness_listen": "127.0.0.1:%d" % free_port(),
@@ -77,17 +79,17 @@
         for process in self.site.processes.values():
             process.start()
         self.ports = [self.site.processes["r%d" % i].http_port() for i in range(REGISTRIES)]
-        self.gateways = [self.site.processes["g%d" % i].http_port() for i in range(GATEWAYS)]
+        self.gateways = [self.site.processes["g%d" % i].http_port() for i in range(self.gateway_count)]
         self.upstreams = []
         self.adding = threading.Lock()
         self.ends = []  # of upstreams: (time, name)
         self.pauses = []  # of gateways: (name, from, to)
         self.closing = threading.Event()
         self.addCleanup(self.close)
-        for _ in range(UPSTREAMS):
+        for _ in range(self.upstream_count):
             self.add_upstream()
         self.site.wait_for(lambda: self.put(configuration(1)), "a configuration")
-        self.site.wait_for(lambda: all(self.knows_all(i) for i in range(GATEWAYS)), "the gateways")
+        self.site.wait_for(lambda: all(self.knows_all(i) for i in range(self.gateway_count)), "the gateways")
 
     def common(self, name):
         return process_settings(self.site, name, self.links)
@@ -102,7 +104,7 @@
         listen = self.site.processes["g%d" % index].settings["readiness_listen"]
         status, body = call(int(listen.rsplit(":", 1)[1]), "GET", "/v1/status")
         page = json.loads(body) if status == 200 else {"revision": 0, "upstreams": []}
-        return page["revision"] > 0 and len(page["upstreams"]) >= UPSTREAMS
+        return page["revision"] > 0 and len(page["upstreams"]) >= self.upstream_count
 
     def add_upstream(self):
         with self.adding:
@@ -128,7 +130,7 @@
         return call(self.gateways[gateway], "POST", path, body, head)
 
     def logs(self):
-        return "".join(self.site.processes["g%d" % i].log() for i in range(GATEWAYS))
+        return "".join(self.site.processes["g%d" % i].log() for i in range(self.gateway_count))
 
     def seen_from(self, sent_at, gateway):
         """When a gateway could see a call: one that stands still can't."""
--- a/test/platform_standins.py
+++ b/test/platform_standins.py
@@ -159,7 +159,10 @@
     """An upstream that ends when it runs a path with `deadly-HOW` in it, when it is told to, or, as by
     `part`, when it runs a prompt with a deadly part before the last; it never comes back. HOW: `reset`,
     `part` (after a part of its answer), `unframed` (closes its answer, which has no length, inside an
-    event, and then ends), `after` (ends behind a whole answer) or `silent`."""
+    event, and then ends), `unframed-later` (the same, and serves on for `linger_s`), `after` (ends behind
+    a whole answer) or `silent`."""
+
+    linger_s = 0.1
 
     def __init__(self, name, service, registries, on_end):
         self.on_end = on_end
@@ -180,16 +183,16 @@
             super().serve(handler)
             threading.Timer(0.02, self.end, ("reset",)).start()
             return None
-        if how not in ("reset", "part", "unframed", "silent"):
+        if how not in ("reset", "part", "unframed", "unframed-later", "silent"):
             return super().serve(handler)
         self.arrivals.append((handler.headers["Attempt-Id"], time.monotonic()))
         self.runs.append((handler.headers["Attempt-Id"], dict(handler.headers)))
-        if how in ("part", "unframed"):
+        if how != "reset" and how != "silent":
             self.begin_answer(handler, how == "part")
-        if how == "unframed":
+        if how.startswith("unframed"):
             handler.wfile.write(b"id: 2\nda")
             handler.connection.shutdown(socket.SHUT_WR)
-        time.sleep(0.02)
+        time.sleep(self.linger_s if how == "unframed-later" else 0.02)
         self.end(how)
         handler.close_connection = True
         return None
