Gateways log why a request is sent again and which lost attempts are forgotten

Cause: neither logs nor metrics told why an attempt beyond the first was made, what it left of the budget, under which order of crashes it began, or that evidence against a content was dropped.

Change: event retry_begun (reason, retries sent, left and arriving of the pool), dewbeam_gateway_retries_total{reason}, order in attempt_begun, event lost_attempt_forgotten (reason, order, age). No decision changes.

--- a/dewbeam/src/entry/pool_table.cpp
+++ b/dewbeam/src/entry/pool_table.cpp
@@ -397,15 +397,25 @@
 {
     retry_totals result;
     for (const auto& name : names()) {
-        const auto pool = find(name);
-        const std::lock_guard lock(pool->m_mutex);
-        result.m_sent += pool->m_broker.m_retry_budget.m_retries;
-        result.m_left += pool->m_broker.m_retry_budget.m_tokens;
-        result.m_arriving += retry::arriving_retries(pool->m_broker.m_retry_budget);
+        const auto one = retries_of(name);
+        result.m_sent += one.m_sent;
+        result.m_left += one.m_left;
+        result.m_arriving += one.m_arriving;
     }
     return result;
 }
 
+retry_totals pool_table::retries_of(const std::string& name) const
+{
+    const auto pool = find(name);
+    if (!pool) {
+        return {};
+    }
+    const std::lock_guard lock(pool->m_mutex);
+    const auto& budget = pool->m_broker.m_retry_budget;
+    return {budget.m_retries, budget.m_tokens, retry::arriving_retries(budget)};
+}
+
 std::vector<std::string> pool_table::names() const
 {
     const std::shared_lock lock(m_mutex);
--- a/dewbeam/src/entry/pool_table.h
+++ b/dewbeam/src/entry/pool_table.h
@@ -117,6 +117,9 @@
     /// Retries of all pools together.
     [[nodiscard]] retry_totals retries() const;
 
+    /// Retries of one pool.
+    [[nodiscard]] retry_totals retries_of(const std::string& name) const;
+
     /// Sets for all pools how many entries share the upstreams, and this entry's retry budget.
     void set_sharing(std::uint32_t entries, const retry::budget_options& retries);
 
--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -64,6 +64,20 @@
                {"deaths", state.m_feed.deaths_of(content, now)}});
 }
 
+/// Logs lost attempts that are no evidence any more, since their upstream was found alive.
+void log_forgotten(const std::vector<lost_attempt>& losses, const upstream_incarnation& where,
+                   const char* reason, time_point now)
+{
+    for (const auto& loss : losses) {
+        log_event(log_level::info, "lost_attempt_forgotten",
+                  {{"content", loss.m_content.value()},
+                   {"order", loss.m_order},
+                   {"upstream", where.m_upstream.value()},
+                   {"reason", reason},
+                   {"age_ms", to_milliseconds(now - loss.m_lost_at)}});
+    }
+}
+
 void merge(gateway_state& state, const registrar::pooled_suspicion& subject, time_point now)
 {
     perform(state, state.m_pools.merge_suspicion(subject.m_pool, subject.m_record, now), now);
@@ -134,12 +148,14 @@
 void retract(gateway_state& state, const upstream_incarnation& where, time_point now)
 {
     const auto seen_at = now - answer_reordering_time;
+    std::vector<lost_attempt> forgotten;
     std::vector<lost_attempt> judged;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
-        forget_losses(state.m_crashes.m_losses, where, seen_at);
+        forgotten = forget_losses(state.m_crashes.m_losses, where, seen_at);
         judged = take_losses(state.m_crashes.m_reported_losses, where);
     }
+    log_forgotten(forgotten, where, "answered", now);
     for (const auto& loss : judged) {
         auto crash = crash_report_of(where, loss);
         crash.m_is_outweighed = true;
@@ -209,8 +225,12 @@
             confirm_crash(state, where, "connection_refused", program::now());
         }
         else if (result == probe_result::accepted) {
-            const std::lock_guard lock(state.m_crashes.m_mutex);
-            forget_losses(state.m_crashes.m_losses, where, accepted_at);
+            std::vector<lost_attempt> forgotten;
+            {
+                const std::lock_guard lock(state.m_crashes.m_mutex);
+                forgotten = forget_losses(state.m_crashes.m_losses, where, accepted_at);
+            }
+            log_forgotten(forgotten, where, "accepted", program::now());
         }
         then();
     };
--- a/dewbeam/src/gateway/forwarder.cpp
+++ b/dewbeam/src/gateway/forwarder.cpp
@@ -147,6 +147,7 @@
                  attempt_outcome outcome, time_point now)
 {
     const auto& known = request->known();
+    request->note_attempt_end(outcome.m_reason);
     state.m_metrics.attempt_ended(outcome.m_reason);
     state.m_metrics.answer_ended(outcome.m_answer);
     const bool is_completed = outcome.m_end == dispatch::attempt_end::completed;
@@ -378,6 +379,23 @@
                {"confirmed_ms", last.m_at == time_point{} ? -1 : milliseconds(now - last.m_at)}});
 }
 
+/// Records why a request is sent again, and what that leaves of the retry budget of its pool.
+void report_retry(gateway_state& state, const gateway_request::facts& known,
+                  const attempt_start& begun, const upstream_id& upstream)
+{
+    const auto budget = state.m_pools.retries_of(known.m_pool);
+    state.m_metrics.count_retry(begun.m_last_end);
+    log_event(log_level::info, "retry_begun",
+              {{"request", known.m_request_id},
+               {"attempt", begun.m_number.value()},
+               {"upstream", upstream.value()},
+               {"pool", known.m_pool},
+               {"reason", begun.m_last_end},
+               {"retries_sent", budget.m_sent},
+               {"retries_left", budget.m_left},
+               {"retries_arriving", budget.m_arriving}});
+}
+
 void begin_attempt(gateway_state& state, const request_pointer& request,
                    const dispatch::action& action, time_point now)
 {
@@ -415,7 +433,11 @@
                {"waited_ms", milliseconds(now - known.m_arrival)},
                {"time_left_ms", milliseconds(begun->m_forwarding.m_time_left)},
                {"closed_by_notices", name_closed_by_notices(state, known.m_pool, now)},
-               {"content", known.m_content.value()}});
+               {"content", known.m_content.value()},
+               {"order", order}});
+    if (begun->m_number.value() > 1) {
+        report_retry(state, known, *begun, action.m_upstream);
+    }
     report_unconfirmed_attempt(state, known, begun->m_number, now);
     auto exchange = target.m_client->start(
         state.m_format.m_to_upstream(known.m_request, begun->m_forwarding),
--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -56,6 +56,11 @@
             .Name("dewbeam_gateway_attempts_begun_total")
             .Help("Attempts that were sent to upstreams.")
             .Register(m_registry);
+    prometheus::Family<prometheus::Counter>& m_retries =
+        prometheus::BuildCounter()
+            .Name("dewbeam_gateway_retries_total")
+            .Help("Attempts beyond the first of a request, by why the one before ended.")
+            .Register(m_registry);
     prometheus::Family<prometheus::Counter>& m_unconfirmed_attempts =
         prometheus::BuildCounter()
             .Name("dewbeam_gateway_unconfirmed_attempts_total")
@@ -125,6 +130,11 @@
     m_families->m_begun.Increment();
 }
 
+void gateway_metrics::count_retry(const std::string& reason)
+{
+    m_families->m_retries.Add({{"reason", reason}}).Increment();
+}
+
 void gateway_metrics::attempt_ended(const std::string& reason)
 {
     m_families->m_ended_attempts.Add({{"reason", reason}}).Increment();
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -35,6 +35,9 @@
     /// Counts an attempt that started.
     void count_started_attempt();
 
+    /// Counts an attempt beyond the first; `reason` is why the one before ended.
+    void count_retry(const std::string& reason);
+
     /// Counts an attempt that ended; `reason` is the name used in the logs.
     void attempt_ended(const std::string& reason);
 
--- a/dewbeam/src/gateway/gateway_request.cpp
+++ b/dewbeam/src/gateway/gateway_request.cpp
@@ -76,6 +76,7 @@
     drop_received();
     attempt_start result;
     result.m_number = attempt_number(m_attempts);
+    result.m_last_end = m_last_end;
     result.m_forwarding.m_upstream = upstream;
     result.m_forwarding.m_workspace = m_facts.m_workspace;
     result.m_forwarding.m_time_left = std::max(time_span::zero(), m_facts.m_deadline - now);
@@ -177,6 +178,12 @@
     m_answer->write(std::move(events));
 }
 
+void gateway_request::note_attempt_end(const char* reason)
+{
+    const std::lock_guard lock(m_mutex);
+    m_last_end = reason;
+}
+
 std::optional<attempt_outcome> gateway_request::receive_end(attempt_number attempt,
                                                             const absl::Status& result,
                                                             http::progress how_far)
--- a/dewbeam/src/gateway/gateway_request.h
+++ b/dewbeam/src/gateway/gateway_request.h
@@ -49,6 +49,7 @@
 struct attempt_start {
     attempt_number m_number;
     forwarding m_forwarding;
+    const char* m_last_end = "";  ///< why the attempt before ended; empty for the first one
 };
 
 /// How a request was answered, for logs and metrics.
@@ -135,6 +136,9 @@
     /// Handles received bytes of an answer.
     data_result receive_data(attempt_number attempt, std::string bytes, time_point now);
 
+    /// Records why the last attempt ended, for the log of its retry. `reason` is a literal.
+    void note_attempt_end(const char* reason);
+
     /// Handles the end of an attempt's exchange. Empty if the attempt is not the current one.
     std::optional<attempt_outcome> receive_end(attempt_number attempt, const absl::Status& result,
                                                http::progress how_far);
@@ -233,6 +237,7 @@
     bool m_attempt_has_events = false;          ///< the last attempt has delivered events
     std::optional<time_point> m_writing_since;  ///< when the answer of the last attempt began
     std::uint32_t m_good_attempt = 0;           ///< the last attempt whose run counts as good
+    const char* m_last_end = "";                ///< why the last attempt that ended did
     request_end m_result;
 };
 
--- a/dewbeam/src/gateway/lost_attempt_tracker.cpp
+++ b/dewbeam/src/gateway/lost_attempt_tracker.cpp
@@ -1,6 +1,7 @@
 #include "dewbeam/src/gateway/lost_attempt_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dewbeam::gateway {
 
@@ -34,18 +35,24 @@
     return result;
 }
 
-void forget_losses(lost_attempt_tracker& watch, const upstream_incarnation& where,
-                   time_point seen_at)
+std::vector<lost_attempt> forget_losses(lost_attempt_tracker& watch,
+                                        const upstream_incarnation& where, time_point seen_at)
 {
     const auto place = watch.m_losses.find(where);
     if (place == watch.m_losses.end()) {
-        return;
+        return {};
     }
-    std::erase_if(place->second,
-                  [&](const lost_attempt& loss) { return loss.m_lost_at < seen_at; });
-    if (place->second.empty()) {
+    auto& losses = place->second;
+    const auto forgotten =
+        std::stable_partition(losses.begin(), losses.end(),
+                              [&](const lost_attempt& loss) { return loss.m_lost_at >= seen_at; });
+    std::vector<lost_attempt> result(std::make_move_iterator(forgotten),
+                                     std::make_move_iterator(losses.end()));
+    losses.erase(forgotten, losses.end());
+    if (losses.empty()) {
         watch.m_losses.erase(place);
     }
+    return result;
 }
 
 void forget_upstream(lost_attempt_tracker& watch, const upstream_id& name)
--- a/dewbeam/src/gateway/lost_attempt_tracker.h
+++ b/dewbeam/src/gateway/lost_attempt_tracker.h
@@ -47,9 +47,9 @@
 std::vector<lost_attempt> take_losses(lost_attempt_tracker& watch,
                                       const upstream_incarnation& where);
 
-/// Removes the losses before `seen_at`, a time at which the process was found alive.
-void forget_losses(lost_attempt_tracker& watch, const upstream_incarnation& where,
-                   time_point seen_at);
+/// Removes and returns the losses before `seen_at`, a time at which the process was found alive.
+std::vector<lost_attempt> forget_losses(lost_attempt_tracker& watch,
+                                        const upstream_incarnation& where, time_point seen_at);
 
 /// Removes the losses of all incarnations of an upstream that left as planned.
 void forget_upstream(lost_attempt_tracker& watch, const upstream_id& name);
