Contents are blamed for upstreams that crash some time after the answer broke

What callers saw: one content ended upstream after upstream (50 in 14 s), each of them with the answers of others on it.

Cause: an upstream that accepted two connections, 0.25 s apart, counted as alive for good, and so did one that answered another request 50 ms after the break. Its lost attempts were forgotten, so that a process that crashed later than that left nothing to blame. The exclusive grant of a suspect went to the next run after 0.5 s, before the crash could be known.

Evidence: lost_attempt_forgotten reason=accepted, 25 times beside three attributed ends (8 gateways, 12 upstreams that end 0.6 s after the break).

Change: a lost attempt is evidence until its upstream was found alive two seconds later. The upstream is probed until then (0.25, 0.75, 1.75 and 2.75 s after the first probe), once for all of its losses; an answer counts as a sign of life only with that distance, too. The exclusive grant is kept as long.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -14,9 +14,12 @@
 
 namespace {
 
-/// Delay before the second probe. A process that exits may close its connections shortly before
-/// its listener, so the first probe may still be accepted.
+/// An upstream that is alive this long after an attempt broke didn't crash from it. A process that
+/// crashes may serve on for a while after it closed the connection.
+constexpr time_span crash_delay_limit = std::chrono::seconds(2);
+/// Delay before the second probe of an upstream. Doubled for each further one, up to the limit.
 constexpr time_span second_probe_delay = std::chrono::milliseconds(250);
+constexpr time_span max_probe_delay = std::chrono::seconds(1);
 /// How long after an upstream was found unresponsive the decision is delayed: its neighbours may be
 /// found unresponsive within this time too, as in a network partition.
 constexpr time_span unresponsive_settle_time = std::chrono::milliseconds(1500);
@@ -27,16 +30,12 @@
 /// Delay before an upstream that has not answered is reported. An upstream that is only slow
 /// answers another request within this time.
 constexpr time_span unanswered_check_delay = std::chrono::milliseconds(200);
-/// By then it is usually known whether an upstream crashed. The exclusive grant of the content is
-/// kept until then.
-constexpr time_span crash_decision_time = std::chrono::milliseconds(500);
+/// Maximum delay of a suspect's retry for the same reason. Its exclusive grant is kept for longer.
+constexpr time_span max_suspect_hold = std::chrono::milliseconds(500);
 /// Longer than the registries take to find an upstream unresponsive and its successor takes to
 /// announce itself.
 constexpr time_span loss_retention = std::chrono::seconds(12);
 constexpr time_span reported_loss_retention = std::chrono::minutes(10);
-/// An answer may be read this much later than the end of another connection, although the answer
-/// arrived first.
-constexpr time_span answer_reordering_time = std::chrono::milliseconds(50);
 /// A neighbour that answered within this time shows that its failure domain is reachable.
 constexpr time_span neighbour_contact_window = std::chrono::seconds(1);
 
@@ -143,19 +142,28 @@
     report_all(state, where, losses, false, reason, now);
 }
 
+/// Drops the losses on an upstream that was found alive at `now` and has outlived them.
+void forget_outlived_losses(gateway_state& state, const upstream_incarnation& where,
+                            const char* reason, time_point now)
+{
+    std::vector<lost_attempt> forgotten;
+    {
+        const std::lock_guard lock(state.m_crashes.m_mutex);
+        forgotten = forget_losses(state.m_crashes.m_losses, where, now - crash_delay_limit);
+    }
+    log_forgotten(forgotten, where, reason, now);
+}
+
 /// Retracts the reports on an upstream that was presumed crashed but continues in the same
 /// incarnation.
 void retract(gateway_state& state, const upstream_incarnation& where, time_point now)
 {
-    const auto seen_at = now - answer_reordering_time;
-    std::vector<lost_attempt> forgotten;
+    forget_outlived_losses(state, where, "answered", now);
     std::vector<lost_attempt> judged;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
-        forgotten = forget_losses(state.m_crashes.m_losses, where, seen_at);
         judged = take_losses(state.m_crashes.m_reported_losses, where);
     }
-    log_forgotten(forgotten, where, "answered", now);
     for (const auto& loss : judged) {
         auto crash = crash_report_of(where, loss);
         crash.m_is_outweighed = true;
@@ -216,27 +224,47 @@
     note_loss(state.m_crashes.m_losses, incarnation_of(sent), loss);
 }
 
-/// Probes again an upstream that accepted a connection after one of its connections broke.
-void probe_again(gateway_state& state, const upstream_incarnation& where, const endpoint& address,
-                 time_point accepted_at, const std::function<void()>& then)
+/// Whether an upstream that is being probed has losses that it hasn't outlived. If not, ends the
+/// probing.
+bool has_losses(gateway_state& state, const upstream_incarnation& where)
 {
-    const auto look = [&state, where, accepted_at, then](probe_result result) {
+    const std::lock_guard lock(state.m_crashes.m_mutex);
+    const bool result = state.m_crashes.m_losses.m_losses.contains(where);
+    if (!result) {
+        state.m_crashes.m_probed.erase(where);
+    }
+    return result;
+}
+
+/// Returns false if the upstream is being probed already.
+bool begin_probing(gateway_state& state, const upstream_incarnation& where)
+{
+    const std::lock_guard lock(state.m_crashes.m_mutex);
+    return state.m_crashes.m_probed.insert(where).second;
+}
+
+/// Probes an upstream that accepted a connection after one of its connections broke, until it has
+/// crashed or outlived its losses. `then` is called after the first of these probes.
+void probe_until_outlived(gateway_state& state, const upstream_incarnation& where,
+                          const endpoint& address, time_span delay,
+                          const std::function<void()>& then)
+{
+    const auto look = [&state, where, address, delay, then](probe_result result) {
+        const auto now = program::now();
         if (result == probe_result::refused) {
-            confirm_crash(state, where, "connection_refused", program::now());
+            confirm_crash(state, where, "connection_refused", now);
         }
         else if (result == probe_result::accepted) {
-            std::vector<lost_attempt> forgotten;
-            {
-                const std::lock_guard lock(state.m_crashes.m_mutex);
-                forgotten = forget_losses(state.m_crashes.m_losses, where, accepted_at);
-            }
-            log_forgotten(forgotten, where, "accepted", program::now());
+            forget_outlived_losses(state, where, "accepted", now);
+        }
+        if (has_losses(state, where)) {
+            const auto next = std::min<time_span>(2 * delay, max_probe_delay);
+            probe_until_outlived(state, where, address, next, [] {});
         }
         then();
     };
-    state.m_crashes.m_probe.wait(second_probe_delay, [&state, address, look] {
-        state.m_crashes.m_probe.ask(address, look);
-    });
+    state.m_crashes.m_probe.wait(
+        delay, [&state, address, look] { state.m_crashes.m_probe.ask(address, look); });
 }
 
 /// Evaluates the probe of an upstream after one of its connections broke. `then` continues the
@@ -251,7 +279,9 @@
             confirm_crash(state, where, "connection_refused", now);
             break;
         case probe_result::accepted:
-            probe_again(state, where, address, now, then);
+            if (begin_probing(state, where)) {
+                probe_until_outlived(state, where, address, second_probe_delay, then);
+            }
             if (is_suspect) {
                 return;
             }
@@ -303,7 +333,7 @@
     });
 }
 
-/// Suspected contents whose last run here was lost so recently that its outcome is not known yet.
+/// Suspected contents whose last run here was lost so recently that its upstream may still crash.
 std::vector<fingerprint> contents_awaiting_outcome(gateway_state& state, time_point now)
 {
     std::set<fingerprint> recent;
@@ -311,7 +341,7 @@
         const std::lock_guard lock(state.m_crashes.m_mutex);
         for (const auto& [process, losses] : state.m_crashes.m_losses.m_losses) {
             for (const auto& loss : losses) {
-                if (now < loss.m_lost_at + crash_decision_time) {
+                if (now < loss.m_lost_at + crash_delay_limit) {
                     recent.insert(loss.m_content);
                 }
             }
@@ -366,7 +396,7 @@
     // known.
     const bool is_suspect =
         has_part_evidence || state.m_feed.is_suspected(request->known().m_content, now);
-    state.m_crashes.m_probe.wait(is_suspect ? crash_decision_time : max_hold, go_on);
+    state.m_crashes.m_probe.wait(is_suspect ? max_suspect_hold : max_hold, go_on);
     state.m_crashes.m_probe.ask(target.m_address, [&state, sent, address = target.m_address,
                                                    is_suspect, go_on](probe_result result) {
         handle_probe_result(state, sent, address, result, is_suspect, go_on);
--- a/dewbeam/src/gateway/gateway_state.h
+++ b/dewbeam/src/gateway/gateway_state.h
@@ -102,10 +102,11 @@
     lost_attempt_tracker m_reported_losses;  ///< the same; may be retracted
     std::map<upstream_incarnation, time_point> m_unresponsive_since;  ///< the same; recent ones
     std::set<upstream_incarnation> m_unreported_incarnations;  ///< the same; not yet reported
-    good_runs m_good_runs;                                     ///< the same
-    good_runs m_good_part_runs;                                ///< the same, of prompt parts
-    std::size_t m_granted = 0;       ///< the same; number of exclusive grants
-    bool m_has_no_registry = false;  ///< the same; no registry is reachable
+    std::set<upstream_incarnation> m_probed;  ///< the same; until they have outlived their losses
+    good_runs m_good_runs;                    ///< the same
+    good_runs m_good_part_runs;               ///< the same, of prompt parts
+    std::size_t m_granted = 0;                ///< the same; number of exclusive grants
+    bool m_has_no_registry = false;           ///< the same; no registry is reachable
     upstream_probe m_probe;
 };
 
