--- a/test/soak/deployed/replicas.py
+++ b/test/soak/deployed/replicas.py
@@ -89,6 +89,7 @@
             return self.serve_request(handler, arrival)
         finally:
             arrival.ended_at = now()
+            arrival.is_broken_off = arrival.is_broken_off or self.has_ended
 
     def serve_request(self, handler, arrival):
         if handler.headers["Expect-Instance"] != self.name:
