--- a/test/rule_checks_session.py
+++ b/test/rule_checks_session.py
@@ -139,6 +139,15 @@
         self.fault("g0", T + 6.0, T + 6.1)
         self.assertEqual(self.broken(), [])
 
+    def test_contents_that_crash_upstreams_after_their_answer(self):
+        for kind in ("unframed", "answered"):
+            self.setUp()
+            for index in range(8):
+                at = T + (index if index < 3 else index + 3)  # the third crashes at 3 s
+                name = self.request(at, "deadly-%s-%d" % (kind, index))
+                self.arrive(name, at, "i-%d" % index, is_broken_off=True, ended_at=at + 1.0)
+                self.assertEqual(self.broken(), ["contents"] if index == 7 else [])
+
     def test_parts_of_prompts_that_crash_upstreams(self):
         for index in range(9):
             at = T + (index if index < 5 else index + 4)
