What callers make a process hold is counted for the whole process

What the customer saw: clients ended a process, which ran out of memory.

Cause: each limit held for one field, one request or one connection, and none for all of them. Bytes ahead of the parser (trailers, extensions of chunks, requests sent ahead of an answer) had no limit, or one of 4 MiB a connection; a body that runs is held twice; answers that nobody takes were not counted.

Change: http/held_memory counts the read buffer, the request as stored with the copy that is sent on, what lies unread behind a request that runs, and answers that aren't taken, over all listeners of a process. Over /http/most_held_bytes (48 MiB) the connection that holds most and can free it is ended: 503 with Retry-After before its request was passed on, else its answer is cut. 431 for more than /http/most_header_fields (256), and for trailers and extensions beyond the header's limit; trailers are dropped.

--- a/dewbeam/src/gateway/gateway_metrics.cpp
+++ b/dewbeam/src/gateway/gateway_metrics.cpp
@@ -81,7 +81,7 @@
                 "groups whose prompts are paced, "
                 "revision in force, seconds since a quorum of registries confirmed it (-1: never), "
                 "messages of registries dropped as unreadable, retries sent "
-                "and left, gateways that share the retry budget.")
+                "and left, gateways that share the retry budget, bytes held for callers.")
             .Register(m_registry);
     prometheus::Counter& m_begun = m_begun_attempts.Add({});
     prometheus::Counter& m_unconfirmed = m_unconfirmed_attempts.Add({});
@@ -103,6 +103,7 @@
     prometheus::Gauge& m_retries_left = m_state.Add({{"name", "retries_left"}});
     prometheus::Gauge& m_retries_arriving = m_state.Add({{"name", "retries_arriving"}});
     prometheus::Gauge& m_sharing_gateways = m_state.Add({{"name", "sharing_gateways"}});
+    prometheus::Gauge& m_caller_bytes = m_state.Add({{"name", "caller_bytes"}});
 };
 
 gateway_metrics::gateway_metrics() : m_families(std::make_unique<families>()) {}
@@ -244,6 +245,11 @@
     m_families->m_sharing_gateways.Set(count);
 }
 
+void gateway_metrics::set_caller_bytes(std::size_t count)
+{
+    m_families->m_caller_bytes.Set(static_cast<double>(count));
+}
+
 std::string gateway_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_families->m_registry.Collect());
--- a/dewbeam/src/gateway/gateway_metrics.h
+++ b/dewbeam/src/gateway/gateway_metrics.h
@@ -71,6 +71,8 @@
     void set_retries_left(double count);
     void set_retries_arriving(std::size_t count);
     void set_sharing_gateways(std::uint32_t count);
+    /// What callers make the process hold.
+    void set_caller_bytes(std::size_t count);
 
     /// The metrics in the Prometheus text format.
     [[nodiscard]] std::string text() const;
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -220,11 +220,13 @@
         }
         m_node = *std::move(node);
         m_state.m_feed.set_link_address(m_node->address());
+        m_memory = program::make_memory_budget(m_state.m_settings);
         auto server = program::start_http(
             m_state.m_frame.context(), m_state.m_settings,
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 handle(std::move(request), answer);
-            });
+            },
+            m_memory);
         if (!server.ok()) {
             return server.status();
         }
@@ -233,7 +235,8 @@
             m_state.m_frame.context(), m_state.m_settings, "/readiness_listen",
             [this](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                 answer->respond(page(request));
-            });
+            },
+            m_memory);
         if (!pages.ok()) {
             return pages.status();
         }
@@ -715,6 +718,7 @@
         m_state.m_metrics.set_retries_left(retries.m_left);
         m_state.m_metrics.set_retries_arriving(retries.m_arriving);
         m_state.m_metrics.set_sharing_gateways(m_sharing_gateways);
+        m_state.m_metrics.set_caller_bytes(m_memory->held_bytes());
     }
 
     /// Logs a group's limits when its concurrency limit has moved by a tenth of the slots, or when
@@ -759,6 +763,7 @@
     std::mutex m_first_book_mutex;
     std::shared_ptr<const routes::book> m_first_book;  ///< guarded; waits for the drains
     std::unique_ptr<link::node> m_node;
+    std::shared_ptr<http::memory_budget> m_memory;  ///< of both servers
     std::unique_ptr<http::server> m_server;
     std::unique_ptr<http::server> m_pages;
 };
--- a/dewbeam/src/http/caller_watch.h
+++ b/dewbeam/src/http/caller_watch.h
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -30,11 +31,16 @@
 template <class Stream>
 class caller_watch {
 public:
-    /// Reads no more than `most_bytes` ahead.
+    /// Reads no more than `most_bytes` ahead, and counts what lies there in `held`.
     caller_watch(Stream& stream, beast::flat_buffer& buffer, const strand& executor,
-                 std::size_t most_bytes)
-        : m_stream(stream), m_buffer(buffer), m_most_bytes(most_bytes), m_timer(executor)
+                 std::size_t most_bytes, held_memory& held)
+        : m_stream(stream),
+          m_buffer(buffer),
+          m_most_bytes(most_bytes),
+          m_held(held),
+          m_timer(executor)
     {
+        m_buffer.max_size(std::max(m_buffer.size(), most_bytes + read_size));
     }
 
     /// Tells `answer` when its caller is gone.
@@ -68,12 +74,15 @@
             const auto got =
                 co_await m_stream.async_read_some(m_buffer.prepare(read_size), to_value(error));
             m_buffer.commit(got);
+            m_held.set(held_memory::part::reading, m_buffer.capacity());
         }
         bool is_gone = static_cast<bool>(error);
         while (!m_is_stopped && !is_gone) {
             m_timer.expires_after(look_interval);
             co_await m_timer.async_wait(to_value(error));
-            is_gone = is_closed_by_peer(lowest(m_stream).socket());
+            auto& socket = lowest(m_stream).socket();
+            is_gone = is_closed_by_peer(socket);
+            m_held.set(held_memory::part::reading, m_buffer.capacity() + socket.available(error));
         }
         if (!m_is_stopped) {
             answer->set_gone();
@@ -85,6 +94,7 @@
     Stream& m_stream;
     beast::flat_buffer& m_buffer;
     std::size_t m_most_bytes;
+    held_memory& m_held;
     asio::steady_timer m_timer;  ///< of the looks, and of whoever waits for the end
     bool m_is_stopped = false;
     bool m_is_done = false;
--- a/dewbeam/src/http/queued_exchange.h
+++ b/dewbeam/src/http/queued_exchange.h
@@ -13,6 +13,7 @@
 
 #include "dewbeam/base"
 #include "dewbeam/src/http/coroutines.h"
+#include "dewbeam/src/http/held_memory.h"
 #include "dewbeam/src/http/server.h"
 
 namespace dewbeam::http::internal {
@@ -28,8 +29,12 @@
 /// Answers queue here; the connection's coroutine writes them.
 class queued_exchange : public exchange, public std::enable_shared_from_this<queued_exchange> {
 public:
-    queued_exchange(const strand& executor, std::size_t most_unsent)
-        : m_executor(executor), m_timer(executor), m_most_unsent(most_unsent)
+    queued_exchange(const strand& executor, std::size_t most_unsent,
+                    std::shared_ptr<held_memory> held)
+        : m_executor(executor),
+          m_timer(executor),
+          m_most_unsent(most_unsent),
+          m_held(std::move(held))
     {
         m_timer.expires_at(asio::steady_timer::time_point::max());
     }
@@ -85,6 +90,8 @@
                 action = std::move(m_on_gone);
             }
             m_on_gone = nullptr;
+            m_pieces.clear();
+            hold(0);
         }
         if (action) {
             contain("caller_gone", action);
@@ -121,9 +128,10 @@
         const std::lock_guard lock(m_mutex);
         m_is_over = true;
         m_on_gone = nullptr;
+        hold(0);
     }
 
-    /// The next step, or nothing where the caller went away.
+    /// The next step, or nothing where the caller went away. The one before has been written.
     asio::awaitable<std::optional<piece>> next()
     {
         for (;;) {
@@ -132,11 +140,13 @@
                 if (m_is_gone) {
                     co_return std::nullopt;
                 }
+                hold(m_held_bytes - std::exchange(m_writing_bytes, 0));
                 if (!m_pieces.empty()) {
                     piece first = std::move(m_pieces.front());
                     m_pieces.pop_front();
                     merge_data(first);
                     m_unsent -= first.m_data.size();
+                    m_writing_bytes = bytes_of(first);
                     co_return first;
                 }
                 m_is_waiting = true;
@@ -170,6 +180,7 @@
             m_is_closed = is_last;
             m_has_begun = true;
             m_unsent += item.m_data.size();
+            hold(m_held_bytes + bytes_of(item));
             is_too_slow = m_unsent > m_most_unsent;
             m_pieces.push_back(std::move(item));
         }
@@ -183,6 +194,18 @@
         }
     }
 
+    static std::size_t bytes_of(const piece& item)
+    {
+        return item.m_data.size() + item.m_response.m_body.size();
+    }
+
+    /// Sets what is held for the caller, under the mutex.
+    void hold(std::size_t bytes)
+    {
+        m_held_bytes = bytes;
+        m_held->set(held_memory::part::answer, bytes);
+    }
+
     void wake()
     {
         asio::post(m_executor, [self = shared_from_this()] { self->m_timer.cancel(); });
@@ -191,7 +214,10 @@
     strand m_executor;
     asio::steady_timer m_timer;
     std::size_t m_most_unsent;
+    std::shared_ptr<held_memory> m_held;  ///< of the connection
     mutable std::mutex m_mutex;
+    std::size_t m_held_bytes = 0;     ///< queued or being written
+    std::size_t m_writing_bytes = 0;  ///< of these: the piece that `next` gave last
     std::deque<piece> m_pieces;
     std::size_t m_unsent = 0;
     bool m_has_begun = false;  ///< the first piece is queued
--- a/dewbeam/src/http/server.h
+++ b/dewbeam/src/http/server.h
@@ -10,14 +10,20 @@
 #include <string>
 
 #include "dewbeam/base"
+#include "dewbeam/src/http/held_memory.h"
 #include "dewbeam/src/http/message.h"
 
 namespace dewbeam::http {
 
+namespace internal {
+struct server_state;
+}
+
 /// Limits of a server; each has its own error.
 struct server_limits {
     std::size_t m_most_header_bytes = 16UL * 1024;
     std::size_t m_most_body_bytes = 4UL * 1024 * 1024;
+    std::size_t m_most_header_fields = 256;
     std::size_t m_most_connections = 4096;
     std::size_t m_most_unsent_bytes =
         1024UL * 1024;  ///< of one answer, before a slow reader is cut
@@ -26,6 +32,9 @@
     time_span m_idle_limit = std::chrono::seconds(60);   ///< between requests
 };
 
+/// Memory that one request of the largest size needs, with the copy in which it is sent on.
+std::size_t largest_request_bytes(const server_limits& limits);
+
 /// What a server needs to know at start.
 struct server_options {
     endpoint m_listen;
@@ -34,6 +43,7 @@
     std::string m_key_file;          ///< PEM
     bool m_dates_requests = false;   ///< sets `request::m_sent_after`, by `m_now`
     time_point (*m_now)() = nullptr;
+    std::shared_ptr<memory_budget> m_memory;  ///< of the process; empty: a default one of its own
 };
 
 /// The answering side of one request. Thread-safe; holds the connection until it is over.
@@ -105,9 +115,8 @@
     [[nodiscard]] std::size_t connections() const;
 
 private:
-    struct shared;
-    explicit server(std::shared_ptr<shared> state);
-    std::shared_ptr<shared> m_shared;
+    explicit server(std::shared_ptr<internal::server_state> state);
+    std::shared_ptr<internal::server_state> m_shared;
 };
 
 }  // namespace dewbeam::http
--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -1,5 +1,6 @@
 #include "dewbeam/src/program/listeners.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "dewbeam/caller"
@@ -21,6 +22,7 @@
     http::server_limits limits;
     limits.m_most_header_bytes = setting_value<std::size_t>(settings, "/http/most_header_bytes");
     limits.m_most_body_bytes = setting_value<std::size_t>(settings, "/http/most_body_bytes");
+    limits.m_most_header_fields = setting_value<std::size_t>(settings, "/http/most_header_fields");
     limits.m_most_connections = setting_value<std::size_t>(settings, "/http/most_connections");
     limits.m_most_unsent_bytes = setting_value<std::size_t>(settings, "/http/most_unsent_bytes");
     limits.m_read_limit = milliseconds_setting(settings, "/http/read_ms");
@@ -29,9 +31,11 @@
     return limits;
 }
 
-http::server_options http_options(const json& settings, std::string_view address_path)
+http::server_options http_options(const json& settings, std::string_view address_path,
+                                  std::shared_ptr<http::memory_budget> memory)
 {
     http::server_options options;
+    options.m_memory = memory ? std::move(memory) : make_memory_budget(settings);
     options.m_listen = parse_endpoint(setting_value<std::string>(settings, address_path)).value();
     options.m_limits = read_limits(settings);
     options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
@@ -77,6 +81,13 @@
          "Largest header of a request (bytes).", 256, most_bytes},
         {"/http/most_body_bytes", setting_kind::integer, standard.m_most_body_bytes,
          "Largest body of a request (bytes).", 256, most_bytes},
+        {"/http/most_header_fields", setting_kind::integer, standard.m_most_header_fields,
+         "Fields of a request's header.", 16, 65'536},
+        {"/http/most_held_bytes", setting_kind::integer, http::default_memory_bytes,
+         "Memory that the callers of this process may make it hold: requests that come, wait and "
+         "run, and answers that they don't take. Connections that hold 4 KiB or less don't count "
+         "(bytes).",
+         1024, 17'179'869'184},
         {"/http/most_connections", setting_kind::integer, standard.m_most_connections,
          "Connections that are open at once.", 1, 1'000'000},
         {"/http/most_unsent_bytes", setting_kind::integer, standard.m_most_unsent_bytes,
@@ -124,30 +135,44 @@
     return link::node::start(std::move(options), std::move(handlers));
 }
 
-absl::StatusOr<std::unique_ptr<http::server>> start_http(boost::asio::io_context& context,
-                                                         const json& settings,
-                                                         http::request_handler handler)
+std::shared_ptr<http::memory_budget> make_memory_budget(const json& settings)
 {
-    return start_http_at(context, settings, "/http/listen", std::move(handler));
+    const auto limits = read_limits(settings);
+    const auto wanted = setting_value<std::size_t>(settings, "/http/most_held_bytes");
+    const auto least = http::largest_request_bytes(limits);
+    if (wanted < least) {
+        log_event(log_level::warning, "setting_raised",
+                  {{"setting", "/http/most_held_bytes"},
+                   {"value", wanted},
+                   {"used", least},
+                   {"reason", "the largest request that the limits allow must fit"}});
+    }
+    return std::make_shared<http::memory_budget>(std::max(wanted, least));
+}
+
+absl::StatusOr<std::unique_ptr<http::server>> start_http(
+    boost::asio::io_context& context, const json& settings, http::request_handler handler,
+    std::shared_ptr<http::memory_budget> memory)
+{
+    return start_http_at(context, settings, "/http/listen", std::move(handler), std::move(memory));
 }
 
 absl::StatusOr<std::unique_ptr<http::server>> start_dated_http(boost::asio::io_context& context,
                                                                const json& settings,
                                                                http::request_handler handler)
 {
-    auto options = http_options(settings, "/http/listen");
+    auto options = http_options(settings, "/http/listen", nullptr);
     options.m_dates_requests = true;
     options.m_now = &now;
     return http::server::start(context, std::move(options), std::move(handler), api_error);
 }
 
-absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
-                                                            const json& settings,
-                                                            std::string_view address_path,
-                                                            http::request_handler handler)
+absl::StatusOr<std::unique_ptr<http::server>> start_http_at(
+    boost::asio::io_context& context, const json& settings, std::string_view address_path,
+    http::request_handler handler, std::shared_ptr<http::memory_budget> memory)
 {
-    return http::server::start(context, http_options(settings, address_path), std::move(handler),
-                               api_error);
+    return http::server::start(context, http_options(settings, address_path, std::move(memory)),
+                               std::move(handler), api_error);
 }
 
 std::vector<std::string> link_addresses(const json& settings, std::string_view path)
--- a/dewbeam/src/program/listeners.h
+++ b/dewbeam/src/program/listeners.h
@@ -21,10 +21,15 @@
                                                        incarnation self,
                                                        link::node_handlers handlers);
 
+/// The memory that the callers of a process may make it hold. At least one request of the largest
+/// size fits, whatever the setting is.
+std::shared_ptr<http::memory_budget> make_memory_budget(const nlohmann::json& settings);
+
 /// Opens the HTTP listener as the settings say. The server's own errors have the API's shape.
-absl::StatusOr<std::unique_ptr<http::server>> start_http(boost::asio::io_context& context,
-                                                         const nlohmann::json& settings,
-                                                         http::request_handler handler);
+/// `memory`: shared by the listeners of a process; empty for its only one.
+absl::StatusOr<std::unique_ptr<http::server>> start_http(
+    boost::asio::io_context& context, const nlohmann::json& settings, http::request_handler handler,
+    std::shared_ptr<http::memory_budget> memory = nullptr);
 
 /// The same for a server whose requests may come late and must then not be carried out: it sets
 /// `http::request::m_sent_after`.
@@ -33,10 +38,9 @@
                                                                http::request_handler handler);
 
 /// Opens one more HTTP listener, under the limits of the first, at the address of a setting.
-absl::StatusOr<std::unique_ptr<http::server>> start_http_at(boost::asio::io_context& context,
-                                                            const nlohmann::json& settings,
-                                                            std::string_view address_path,
-                                                            http::request_handler handler);
+absl::StatusOr<std::unique_ptr<http::server>> start_http_at(
+    boost::asio::io_context& context, const nlohmann::json& settings, std::string_view address_path,
+    http::request_handler handler, std::shared_ptr<http::memory_budget> memory);
 
 /// `tcp://` addresses of a list of `IP:PORT`.
 std::vector<std::string> link_addresses(const nlohmann::json& settings, std::string_view path);
--- a/test/group_runner_test.cpp
+++ b/test/group_runner_test.cpp
@@ -130,7 +130,7 @@
         host.m_engine.m_checks_fencing = m_checks_fencing;
         host.m_server =
             http::server::start(
-                m_context, {parse_endpoint("127.0.0.1:0").value(), {}, "", ""},
+                m_context, {parse_endpoint("127.0.0.1:0").value(), {}, "", "", false, nullptr, {}},
                 [&host](http::request&& request, const std::shared_ptr<http::exchange>& answer) {
                     const auto order = engine::order_from_json(request.m_body).value();
                     const std::lock_guard lock(host.m_mutex);
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -125,6 +125,88 @@
     EXPECT_TRUE(has(answer, " 413 ") && has(answer, "body_too_large")) << answer;
 }
 
+std::string chunked_request(const std::string& behind)
+{
+    return "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + behind;
+}
+
+std::string repeated(std::string_view text, int times)
+{
+    std::string result;
+    for (int i = 0; i < times; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+TEST_F(http_server, trailers_without_end_are_refused)
+{
+    start({}, always_ok());
+    const auto answer =
+        exchange_bytes(chunked_request("1\r\nx\r\n0\r\n" + repeated("A: b\r\n", 20'000)));
+    EXPECT_TRUE(has(answer, " 431 ") && has(answer, "header_too_large")) << answer;
+}
+
+TEST_F(http_server, chunk_extension_without_end_is_refused)
+{
+    start({}, always_ok());
+    const auto answer = exchange_bytes(chunked_request("1;" + std::string(100'000, 'e')));
+    EXPECT_TRUE(has(answer, " 431 ") && has(answer, "header_too_large")) << answer;
+}
+
+TEST_F(http_server, header_of_too_many_fields_is_refused)
+{
+    server_limits limits;
+    limits.m_most_header_fields = 20;
+    start(limits, always_ok());
+    const auto answer = exchange_bytes("GET / HTTP/1.1\r\n" + repeated("a:b\r\n", 21) + "\r\n");
+    EXPECT_TRUE(has(answer, " 431 ") && has(answer, "too_many_fields")) << answer;
+}
+
+TEST_F(http_server, trailers_are_no_header_fields)
+{
+    std::string seen;
+    start({}, [&](request&& wanted, const std::shared_ptr<exchange>& answer) {
+        seen = std::string(find_field(wanted.m_fields, "Tenant"));
+        answer->respond(json_response(200, wanted.m_body));
+    });
+    const auto answer = exchange_bytes(
+        "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nx\r\n0\r\nTenant: t\r\n\r\n");
+    EXPECT_TRUE(has(answer, " 200 ")) << answer;
+    EXPECT_EQ(seen, "");
+}
+
+TEST_F(http_server, request_without_memory_for_it_may_come_again)
+{
+    server_options options;
+    options.m_memory = std::make_shared<memory_budget>(64UL * 1024);
+    start({}, always_ok(), options);
+    const auto answer = exchange_bytes(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" + std::string(199'999, 'b'));
+    EXPECT_TRUE(has(answer, " 503 ") && has(answer, "memory_exhausted")) << answer;
+    EXPECT_TRUE(has(answer, "Retry-After: 1.000")) << answer;
+    EXPECT_EQ(options.m_memory->held_bytes(), 0U);
+}
+
+TEST_F(http_server, answer_that_is_not_taken_is_cut_for_want_of_memory)
+{
+    server_options options;
+    options.m_memory = std::make_shared<memory_budget>(64UL * 1024);
+    std::promise<void> gone;
+    start(
+        {},
+        [&](request&&, const std::shared_ptr<exchange>& answer) {
+            answer->on_gone([&] { gone.set_value(); });
+            answer->start(200, {});
+            answer->write(std::string(100'000, 'a'));
+        },
+        options);
+    auto socket = connect();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    EXPECT_EQ(gone.get_future().wait_for(10s), std::future_status::ready);
+}
+
 TEST_F(http_server, slow_sender_is_refused)
 {
     server_limits limits;
--- a/test/load_test.cpp
+++ b/test/load_test.cpp
@@ -103,7 +103,8 @@
 public:
     explicit test_server(http::request_handler handler)
         : m_server(http::server::start(
-                       m_context, {{"127.0.0.1", 0}, {}, "", ""}, std::move(handler),
+                       m_context, {{"127.0.0.1", 0}, {}, "", "", false, nullptr, {}},
+                       std::move(handler),
                        [](int, std::string_view, std::string_view) { return std::string(); })
                        .value()),
           m_thread([this] { m_context.run(); })
