--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -29,11 +29,11 @@
 constexpr time_span recent_unresponsive_window = std::chrono::seconds(5);
 /// Maximum delay of a retry while the gateway determines whether the previous upstream crashed.
 constexpr time_span max_hold = std::chrono::milliseconds(100);
+/// The same for a suspect, whose exclusive grant is kept for longer.
+constexpr time_span max_suspect_hold = std::chrono::milliseconds(500);
 /// Delay before an upstream that has not answered is reported. An upstream that is only slow
 /// answers another request within this time.
 constexpr time_span unanswered_check_delay = std::chrono::milliseconds(200);
-/// Maximum delay of a suspect's retry for the same reason. Its exclusive grant is kept for longer.
-constexpr time_span max_suspect_hold = std::chrono::milliseconds(500);
 /// Longer than the registries take to find an upstream unresponsive and its successor takes to
 /// announce itself.
 constexpr time_span loss_retention = std::chrono::seconds(12);
