Gateways look at upstreams that another gateway reports as crashed

Cause: a gateway found a crash behind an answer only when one of its own requests next met that upstream, up to some seconds later, though others had reported the crash by then.

Change: crash reports of any content name the process that crashed; a gateway that had attempts there probes it, and a refused connection blames what it ran last. Reports alone blame nothing.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -304,6 +304,23 @@
     return state.m_crashes.m_probed.insert(where).second;
 }
 
+/// Probes an upstream that may have crashed, if attempts were lost or answered there lately. A
+/// refused connection confirms it.
+void check_crash(gateway_state& state, const upstream_incarnation& where)
+{
+    const auto target = state.m_upstreams.find(where.m_upstream);
+    if (!target.m_client || target.m_is_leaving || target.m_incarnation != where.m_incarnation ||
+        !has_run_recently(state, where) || !begin_probing(state, where)) {
+        return;
+    }
+    state.m_crashes.m_probe.ask(target.m_address, [&state, where](probe_result result) {
+        if (result == probe_result::refused) {
+            confirm_crash(state, where, "connection_refused", program::now());
+        }
+        end_probing(state, where);
+    });
+}
+
 /// Probes an upstream that accepted a connection after one of its connections broke, until it has
 /// crashed or outlived its losses. `then` is called after the first of these probes.
 void probe_until_outlived(gateway_state& state, const upstream_incarnation& where,
@@ -510,18 +527,7 @@
 
 void check_unreachable_upstream(gateway_state& state, const sent_attempt& sent)
 {
-    const auto where = incarnation_of(sent);
-    const auto target = state.m_upstreams.find(sent.m_upstream);
-    if (!target.m_client || target.m_is_leaving || !has_run_recently(state, where) ||
-        !begin_probing(state, where)) {
-        return;
-    }
-    state.m_crashes.m_probe.ask(target.m_address, [&state, where](probe_result result) {
-        if (result == probe_result::refused) {
-            confirm_crash(state, where, "connection_refused", program::now());
-        }
-        end_probing(state, where);
-    });
+    check_crash(state, incarnation_of(sent));
 }
 
 void record_upstream_answer(gateway_state& state, const sent_attempt& sent, time_point now)
@@ -588,6 +594,10 @@
 void apply_suspicion(gateway_state& state, const registrar::pooled_suspicion& received,
                      time_point now)
 {
+    // Another gateway's evidence says that the upstream crashed, whatever ran there from here.
+    for (const auto& crash : received.m_record.m_crash_reports) {
+        check_crash(state, {crash.m_upstream, crash.m_incarnation});
+    }
     if (is_about_part(received)) {
         apply_part_suspicion(state, received, now);
         return;
