The end of an idle connection right behind an answer is looked at

The process that ends closes its kept connections, and the client now tells of that. Where an attempt was lost or answered there so lately that the upstream may still crash from it, the gateway probes it once, which finds the crash at once. Connections that idle out later cause no probe.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -279,6 +279,19 @@
            state.m_crashes.m_answered.m_losses.contains(where);
 }
 
+/// Whether an upstream may still crash from an attempt that was lost or answered there.
+bool may_crash(gateway_state& state, const upstream_incarnation& where, time_point now)
+{
+    const std::lock_guard lock(state.m_crashes.m_mutex);
+    const auto is_pending = [&](const lost_attempt_tracker& tracker) {
+        const auto place = tracker.m_losses.find(where);
+        return place != tracker.m_losses.end() &&
+               std::any_of(place->second.begin(), place->second.end(),
+                           [&](const lost_attempt& item) { return now < item.m_outlived_at; });
+    };
+    return is_pending(state.m_crashes.m_losses) || is_pending(state.m_crashes.m_answered);
+}
+
 void end_probing(gateway_state& state, const upstream_incarnation& where)
 {
     const std::lock_guard lock(state.m_crashes.m_mutex);
@@ -530,6 +543,13 @@
     check_crash(state, incarnation_of(sent));
 }
 
+void check_idle_end(gateway_state& state, const upstream_incarnation& where, time_point now)
+{
+    if (may_crash(state, where, now)) {
+        check_crash(state, where);
+    }
+}
+
 void record_upstream_answer(gateway_state& state, const sent_attempt& sent, time_point now)
 {
     state.m_upstreams.note_heard(sent.m_upstream, now);
--- a/dewbeam/src/gateway/crash_blame.h
+++ b/dewbeam/src/gateway/crash_blame.h
@@ -49,6 +49,10 @@
 /// contents that it ran last are blamed.
 void check_unreachable_upstream(gateway_state& state, const sent_attempt& sent);
 
+/// Handles the end of an idle connection to an upstream. Right behind an answer, or a broken
+/// attempt, it may be the first sign of a crash.
+void check_idle_end(gateway_state& state, const upstream_incarnation& where, time_point now);
+
 /// Records that an upstream answered, which retracts reports that it crashed.
 void record_upstream_answer(gateway_state& state, const sent_attempt& sent, time_point now);
 
--- a/dewbeam/src/gateway/gateway_server.cpp
+++ b/dewbeam/src/gateway/gateway_server.cpp
@@ -125,7 +125,10 @@
       m_incarnation(program::new_incarnation()),
       m_pools(broker_options_of(settings)),
       m_crashes(frame.context()),
-      m_upstreams(frame.context(), client_options(settings)),
+      m_upstreams(frame.context(), client_options(settings),
+                  [this](const upstream_incarnation& where) {
+                      check_idle_end(*this, where, program::now());
+                  }),
       m_answer_limits(answer_limits_of(settings)),
       m_backoff_limits(backoff_limits_of(settings)),
       m_feed(registrar::registry_addresses(settings), feed_options_of(settings, m_incarnation),
--- a/dewbeam/src/gateway/upstream_table.cpp
+++ b/dewbeam/src/gateway/upstream_table.cpp
@@ -34,11 +34,24 @@
     return {{wanted}};
 }
 
-upstream_table::upstream_table(boost::asio::io_context& context, http::client_options options)
-    : m_context(context), m_options(std::move(options))
+upstream_table::upstream_table(boost::asio::io_context& context, http::client_options options,
+                               std::function<void(const upstream_incarnation&)> on_idle_end)
+    : m_context(context), m_options(std::move(options)), m_on_idle_end(std::move(on_idle_end))
 {
 }
 
+std::shared_ptr<http::client> upstream_table::make_client(const registry::announcement& known) const
+{
+    auto options = m_options;
+    if (m_on_idle_end) {
+        options.m_on_idle_end = [tell = m_on_idle_end,
+                                 where = upstream_incarnation{known.m_name, known.m_incarnation}] {
+            tell(where);
+        };
+    }
+    return std::make_shared<http::client>(m_context, known.m_address, std::move(options));
+}
+
 std::vector<upstream_id> upstream_table::put(const registry::announcement& known,
                                              bool is_unresponsive, time_point now)
 {
@@ -51,7 +64,7 @@
     const bool is_started = !place.m_client || place.m_known.m_incarnation != known.m_incarnation;
     // Connections to an earlier incarnation are dead, and some never report an error.
     if (is_started || place.m_known.m_address != known.m_address) {
-        place.m_client = std::make_shared<http::client>(m_context, known.m_address, m_options);
+        place.m_client = make_client(known);
     }
     const bool is_back = place.m_is_unresponsive && !is_unresponsive;
     if (is_formed_again) {
--- a/dewbeam/src/gateway/upstream_table.h
+++ b/dewbeam/src/gateway/upstream_table.h
@@ -2,6 +2,7 @@
 /// The upstreams that a gateway may send requests to, each with its connections.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -53,7 +54,10 @@
 /// The table. Thread-safe.
 class upstream_table {
 public:
-    upstream_table(boost::asio::io_context& context, http::client_options options);
+    /// `on_idle_end` is called when a kept connection of an upstream ends while it is idle, or has
+    /// bytes that nobody asked for; may be empty.
+    upstream_table(boost::asio::io_context& context, http::client_options options,
+                   std::function<void(const upstream_incarnation&)> on_idle_end = {});
 
     /// Adds or updates an upstream. If its group has formed again, the other members are presumed
     /// cold until they announce themselves.
@@ -166,6 +170,8 @@
         slow_start::warmth m_warmth;
     };
 
+    [[nodiscard]] std::shared_ptr<http::client> make_client(
+        const registry::announcement& known) const;
     [[nodiscard]] notices::standing standing_of(const item& subject) const;
     [[nodiscard]] bool is_leaving(const item& subject) const;
     [[nodiscard]] std::optional<double> cold_rate(const item& subject, time_point now) const;
@@ -174,6 +180,7 @@
 
     boost::asio::io_context& m_context;
     http::client_options m_options;
+    std::function<void(const upstream_incarnation&)> m_on_idle_end;
     mutable std::mutex m_mutex;
     std::map<upstream_id, item> m_items;
     permits::limit_table m_limits;
--- a/dewbeam/src/http/client.cpp
+++ b/dewbeam/src/http/client.cpp
@@ -155,10 +155,26 @@
     {
         const std::lock_guard lock(m_mutex);
         if (m_idle.size() < m_options.m_most_idle) {
+            watch_idle(*connection);
             m_idle.push_back(std::move(connection));
         }
     }
 
+    /// The wait lasts until the connection is used again or closed.
+    void watch_idle(client_connection& kept)
+    {
+        if (!m_options.m_on_idle_end) {
+            return;
+        }
+        kept.lowest().socket().async_wait(
+            tcp::socket::wait_read, [weak = weak_from_this()](error_code error) {
+                const auto self = weak.lock();
+                if (!error && self) {
+                    contain("http_client", self->m_options.m_on_idle_end);
+                }
+            });
+    }
+
     asio::io_context& m_context;
     endpoint m_server;
     client_options m_options;
@@ -238,10 +254,14 @@
     asio::awaitable<error_code> exchange_once()
     {
         error_code error;
-        if (m_connection->m_was_used && is_closed_by_peer()) {
-            co_return make_error_code(asio::error::connection_reset);
+        if (m_connection->m_was_used) {
+            error_code ignored;
+            m_connection->lowest().socket().cancel(ignored);  // ends the wait of `watch_idle`
+            if (is_closed_by_peer()) {
+                co_return make_error_code(asio::error::connection_reset);
+            }
         }
-        if (!m_connection->m_was_used) {
+        else {
             error = co_await connect();
         }
         if (error || m_is_cancelled) {
--- a/dewbeam/src/http/client.h
+++ b/dewbeam/src/http/client.h
@@ -68,6 +68,9 @@
     /// broken: something between the two ends may have lost track of it without a reset.
     time_span m_dead_limit = std::chrono::seconds(3);
     std::string m_authority_file;  ///< PEM of the trusted authority; empty: no TLS
+    /// Called when the server ends a kept connection that is idle, or sends something on it; may be
+    /// empty.
+    std::function<void()> m_on_idle_end;
 };
 
 /// How much sooner than a server states an idle connection is given up: a round trip, with room.
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -727,6 +727,29 @@
     EXPECT_EQ(find_field(answer->m_fields, "x-target"), "/a?b");
 }
 
+TEST_F(http_server, client_tells_of_the_end_of_an_idle_connection)
+{
+    start({}, [](const request&, const std::shared_ptr<exchange>& answer) {
+        answer->respond(json_response(200, "{}"));
+    });
+    int answered = 0;
+    int ended = 0;
+    client_options options;
+    options.m_on_idle_end = [&] { ++ended; };
+    client target(m_client_context, m_server->address(), options);
+    for (int i = 1; i <= 3; ++i) {
+        call(target, {"GET", "/", {}, {}},
+             [&](const absl::StatusOr<response>& answer) { answered += answer.ok() ? 1 : 0; });
+        while (answered < i && m_client_context.run_one_for(5s) > 0) {
+        }
+    }
+    EXPECT_EQ(answered, 3);
+    EXPECT_EQ(ended, 0) << "the connection was used again, and is open";
+    m_server->stop_accepting();
+    m_client_context.run_for(5s);
+    EXPECT_EQ(ended, 1);
+}
+
 TEST_F(http_server, client_sends_nothing_of_a_request_that_may_not_be_sent_any_more)
 {
     std::atomic<int> received = 0;
