Test: crowds of idle connections, unfinished headers and link frames

Idle connections that take all places, or all descriptors: no ordinary request is answered beside them.

The crowds and bounds of the 28 cases before are as they were.

--- a/test/client_crowd.py
+++ b/test/client_crowd.py
@@ -13,6 +13,7 @@
 LONGEST_S = 12.0
 BODY = 4 * 1024 * 1024  # default of `/http/most_body_bytes`
 HEADER = 16 * 1024  # default of `/http/most_header_bytes`
+LARGE_HEADER = 1024 * 1024
 
 
 def head(path, *fields):
@@ -90,6 +91,12 @@
     yield from endless(b"X-More: y\r\n" * (BLOCK // 11))
 
 
+def unfinished_header(path):
+    """Within the limit of a server that takes headers of `LARGE_HEADER`."""
+    line = b"X-More: %s\r\n" % (b"y" * 8000)
+    yield head(path)[:-2] + line * ((LARGE_HEADER - 1024) // len(line))
+
+
 def nothing(_):
     yield from ()
 
@@ -129,6 +136,11 @@
     yield from endless(b"f" * BLOCK)
 
 
+def link_frame_within_the_limit(_):
+    yield link_handshake() + b"\x02" + (32 << 20).to_bytes(8, "big")
+    yield from endless(b"f" * BLOCK)
+
+
 def link_parts(_):
     yield link_handshake()
     yield from endless(b"\x03" + BLOCK.to_bytes(8, "big") + b"p" * BLOCK)
--- a/test/client_crowd_session.py
+++ b/test/client_crowd_session.py
@@ -4,6 +4,7 @@
 import argparse
 import json
 import os
+import resource
 import socket
 import sys
 import tempfile
@@ -48,13 +49,16 @@
                          common={"http": {"most_connections": MOST_CONNECTIONS}})
         self.addCleanup(self.site.kill_all)
 
-    def check_withstands(self, name, port, path, kinds, count, ask, reads=True):
-        """`ask` sends an ordinary request and tells whether it was answered."""
+    def check_withstands(self, name, port, path, kinds, count, ask, reads=True, stays=False):
+        """`ask` sends an ordinary request and tells whether it was answered: behind the crowd, or beside it
+        where that `stays`."""
         process = self.site.processes[name]
         gauge = Gauge(process.child.pid, port)
         crowd = Crowd(port, path, kinds, count, reads)
         try:
             crowd.send_all()
+            if stays:
+                self.site.wait_for(ask, "an ordinary answer of %s" % name)
         finally:
             gauge.end()
             crowd.close()
@@ -67,14 +71,16 @@
 class PlatformCrowdSession(CrowdSession):
     """A gateway and a registrar, and upstreams that hold requests or give large answers."""
 
+    link_settings = {}
+
     def setUp(self):
         super().setUp()
         link = "127.0.0.1:%d" % free_port()
         self.site.add("r0", "dewbeam-registrar", {
-            **self.common("r0", link), "link": {"listen": link}, "found": True,
+            **self.common("r0", link), "link": {**self.link_settings, "listen": link}, "found": True,
             "data_folder": os.path.join(self.folder, "data")})
         self.site.add("g0", "dewbeam-gateway", {
-            **self.common("g0", link), "link": {"listen": "127.0.0.1:%d" % free_port()},
+            **self.common("g0", link), "link": {**self.link_settings, "listen": "127.0.0.1:%d" % free_port()},
             "readiness_listen": "127.0.0.1:%d" % free_port()})
         for process in self.site.processes.values():
             process.start()
@@ -111,8 +117,8 @@
     def check_front(self, kinds, count, path="/safe/x", **options):
         self.check_withstands("g0", self.front, path, kinds, count, self.ask_front, **options)
 
-    def check_control(self, kinds, count):
-        self.check_withstands("r0", self.control, "/-/config", kinds, count, self.ask_control)
+    def check_control(self, kinds, count, **options):
+        self.check_withstands("r0", self.control, "/-/config", kinds, count, self.ask_control, **options)
 
     def test_a_request_of_the_largest_size_is_served_in_calm(self):
         fields = {"Host": "api.example", "Attempt-Id": "large", "Authorization": "Bearer key-1",
@@ -162,6 +168,12 @@
     def test_connections_over_the_limit(self):
         self.check_front([ways.nothing, ways.announced], 200)
 
+    def test_idle_connections_that_take_all_places(self):
+        self.check_front([ways.nothing], 200, stays=True)
+
+    def test_idle_connections_that_take_all_places_of_a_registrar(self):
+        self.check_control([ways.nothing], 200, stays=True)
+
     def test_all_kinds_at_a_readiness_address(self):
         self.check_withstands("g0", self.pages, "/v1/status", ways.UNFINISHED, 12, self.ask_pages)
 
@@ -175,23 +187,57 @@
         self.check_control(ways.UNFINISHED, 12)
 
 
-class LinkCrowdSession(PlatformCrowdSession):
-    """The same at link addresses."""
+class LargeHeaderCrowdSession(PlatformCrowdSession):
+    """A limit that lets one header be large doesn't let a crowd of them be."""
+
+    def common(self, name, link):
+        settings = super().common(name, link)
+        settings["http"]["most_header_bytes"] = ways.LARGE_HEADER
+        return settings
+
+    def test_headers_that_stop_short_of_their_end(self):
+        self.check_withstands("g0", self.front, "/safe/x", [ways.unfinished_header], 120, self.ask_front)
+
+
+class FewDescriptorsCrowdSession(PlatformCrowdSession):
+    """A host that allows fewer descriptors than the limit of connections."""
+
+    def setUp(self):
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (MOST_DESCRIPTORS, limits[1]))
+        try:
+            super().setUp()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    def common(self, name, link):
+        settings = super().common(name, link)
+        del settings["http"]["most_connections"]
+        return settings
+
+    def test_idle_connections_that_take_all_descriptors(self):
+        self.check_withstands("g0", self.front, "/safe/x", [ways.nothing], 400, self.ask_front, stays=True)
+
+
+class LinkSite(PlatformCrowdSession):
+    """With a rank, for crowds at link addresses."""
 
     def setUp(self):
         super().setUp()
         seeds = self.site.processes["g0"].settings["registries"]
         self.site.add("rank", "dewbeam-rank", {
             **self.common("rank", ""), "registries": seeds,
-            "link": {"listen": "127.0.0.1:%d" % free_port()},
+            "link": {**self.link_settings, "listen": "127.0.0.1:%d" % free_port()},
             "engine": {"address": "127.0.0.1:%d" % free_port()}}).settings.pop("http")
         self.site.processes["rank"].start()
 
-    def check_link(self, name, kinds):
+    def check_link(self, name, kinds, count=12):
         port = int(self.site.processes[name].settings["link"]["listen"].rsplit(":", 1)[1])
         self.site.wait_for(lambda: is_listening(port), "the link of %s" % name)
-        self.check_withstands(name, port, "", kinds, 12, self.ask_front)
+        self.check_withstands(name, port, "", kinds, count, self.ask_front)
+
 
+class LinkCrowdSession(LinkSite):
     def test_links_of_a_gateway(self):
         self.check_link("g0", [ways.link_frame, ways.no_link])
 
@@ -201,6 +247,15 @@
     def test_links_of_a_rank(self):
         self.check_link("rank", [ways.link_frame, ways.no_link])
 
+    def test_frames_within_the_limit_at_a_gateway(self):
+        self.check_link("g0", [ways.link_frame_within_the_limit])
+
+    def test_frames_within_the_limit_at_a_registrar(self):
+        self.check_link("r0", [ways.link_frame_within_the_limit])
+
+    def test_frames_within_the_limit_at_a_rank(self):
+        self.check_link("rank", [ways.link_frame_within_the_limit])
+
     def test_messages_of_many_parts_at_a_gateway(self):
         self.check_link("g0", [ways.link_parts])
 
@@ -211,6 +266,18 @@
         self.check_link("rank", [ways.link_parts])
 
 
+class LinkPlacesCrowdSession(LinkSite):
+    """Link connections have a limit, too."""
+
+    link_settings = {"most_connections": MOST_CONNECTIONS}
+
+    def test_connections_over_the_limit_at_a_gateway(self):
+        self.check_link("g0", [ways.nothing], 400)
+
+    def test_connections_over_the_limit_at_a_registrar(self):
+        self.check_link("r0", [ways.nothing], 400)
+
+
 class EntryCrowdSession(CrowdSession):
     def setUp(self):
         super().setUp()
