Headers are counted while they are read

A header counted in the budget of what callers make a process hold only once it was whole: the library reads on by itself until then. 120 unfinished ones of 1 MiB each, where the limit of one header allows that, held 155 MiB (128 allowed, of which the budget is 48).

The reader now takes what has come piece by piece, and counts it after each, also the trailers and extensions of a chunk. Over the budget the connection that holds most gets 503, as for bodies.

--- a/dewbeam/src/http/request_reader.h
+++ b/dewbeam/src/http/request_reader.h
@@ -14,6 +14,9 @@
 /// Bytes that are read at once while a connection waits for a request.
 inline constexpr std::size_t first_read = 4096;
 
+/// The most bytes that are read at once of a request.
+inline constexpr std::size_t largest_read = 16UL * 1024;
+
 /// A request is sent on from a copy of its body.
 inline constexpr std::size_t copies_of_body = 2;
 
@@ -163,17 +166,12 @@
 private:
     static constexpr unsigned first_version_with_chunks = 11;  ///< HTTP/1.1
 
-    /// Before each read: what was read ahead may be larger, and is parsed first.
-    void limit_buffer()
-    {
-        m_buffer.max_size(std::max(most_buffered_bytes(m_limits), m_buffer.size()));
-    }
-
     asio::awaitable<error_code> read_header()
     {
         error_code error;
-        limit_buffer();
-        co_await bhttp::async_read_header(m_stream, m_buffer, m_parser, to_value(error));
+        while (!error && !m_parser.is_header_done()) {
+            error = co_await read_some();
+        }
         if (error) {
             co_return error;
         }
@@ -196,12 +194,40 @@
         error_code error;
         m_parser.eager(true);
         while (!error && !m_parser.is_done()) {
-            limit_buffer();
-            co_await bhttp::async_read_some(m_stream, m_buffer, m_parser, to_value(error));
-            m_held.set(held_memory::part::reading, m_buffer.capacity() + stored_bytes());
-            if (m_held.must_free()) {
-                error = asio::error::operation_aborted;
-            }
+            error = co_await read_some();
+        }
+        co_return error;
+    }
+
+    /// Parses what was read, and reads more where that is no whole element.
+    asio::awaitable<error_code> read_some()
+    {
+        error_code error;
+        const auto parsed = m_buffer.size() > 0 ? m_parser.put(m_buffer.data(), error) : 0;
+        m_buffer.consume(parsed);
+        if (error == bhttp::error::need_more) {
+            error = {};
+        }
+        if (!error && parsed == 0) {
+            error = co_await read_more();
+        }
+        co_return error;
+    }
+
+    /// Reads what has come, and counts what the request takes then.
+    asio::awaitable<error_code> read_more()
+    {
+        error_code error;
+        const auto most = most_buffered_bytes(m_limits);
+        if (m_buffer.size() >= most) {
+            co_return bhttp::make_error_code(bhttp::error::buffer_overflow);
+        }
+        const auto room = std::min(most - m_buffer.size(), largest_read);
+        const auto got = co_await m_stream.async_read_some(m_buffer.prepare(room), to_value(error));
+        m_buffer.commit(got);
+        m_held.set(held_memory::part::reading, m_buffer.capacity() + stored_bytes());
+        if (m_held.must_free()) {
+            error = asio::error::operation_aborted;
         }
         co_return error;
     }
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -189,6 +189,27 @@
     EXPECT_EQ(options.m_memory->held_bytes(), 0U);
 }
 
+TEST_F(http_server, headers_that_are_not_whole_are_counted)
+{
+    server_limits limits;
+    limits.m_most_header_bytes = 64UL * 1024;
+    limits.m_read_limit = 500ms;
+    server_options options;
+    options.m_memory = std::make_shared<memory_budget>(100'000);
+    start(limits, always_ok(), options);
+    std::vector<asio::ip::tcp::socket> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(connect());
+        asio::write(crowd.back(),
+                    asio::buffer("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40'000, 'x')));
+    }
+    std::size_t refused = 0;
+    for (auto& socket : crowd) {
+        refused += has(read_all(socket), "memory_exhausted") ? 1 : 0;
+    }
+    EXPECT_GE(refused, 2U);
+}
+
 TEST_F(http_server, answer_that_is_not_taken_is_cut_for_want_of_memory)
 {
     server_options options;
