Idle connections give way to new ones; descriptors are left for other uses

Where all places are taken, a server now closes the connection that has been idle for longest, and for a second at least, and serves the new one. The limit is kept to three quarters of the descriptors that the process may open, and a further listener (readiness) has an eighth of it, so that the sum in docs/SETTINGS.md holds for the process.

--- a/dewbeam/src/http/serve.h
+++ b/dewbeam/src/http/serve.h
@@ -99,10 +99,10 @@
                                  connection_progress& progress)
 {
     auto& slot = open.slot();
-    slot.m_is_idle = true;
+    slot.set_idle(true);
     const auto error =
         co_await wait_for_request(state, stream, progress.m_buffer, progress.m_is_new);
-    slot.m_is_idle = false;
+    slot.set_idle(false);
     if (error) {
         co_return false;
     }
--- a/dewbeam/src/http/server.cpp
+++ b/dewbeam/src/http/server.cpp
@@ -36,10 +36,11 @@
     }
 }
 
-/// Serves a connection, unless too many are open.
+/// Serves a connection, unless too many are open of which none is idle.
 void admit(const std::shared_ptr<server_state>& state, tcp::socket socket, const strand& executor)
 {
-    const bool is_full = ++state->m_connections > state->m_options.m_limits.m_most_connections;
+    const bool is_full = ++state->m_connections > state->m_options.m_limits.m_most_connections &&
+                         !state->end_longest_idle();
     if (is_full && (state->m_tls || state->m_refusals >= most_refusals)) {
         --state->m_connections;
     }
--- a/dewbeam/src/http/server_state.cpp
+++ b/dewbeam/src/http/server_state.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// A connection that is idle for less is kept where another one asks for its place.
+constexpr std::chrono::seconds least_idle_time{1};
+
 /// Ends what a connection can free: the request that it reads, which is then refused, or the answer
 /// that its caller doesn't take.
 void free_memory(server_state& state, connection_slot& slot)
@@ -89,6 +92,27 @@
     }
 }
 
+bool server_state::end_longest_idle()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto longest = std::min_element(m_open.begin(), m_open.end(),
+                                          [](const connection_slot& a, const connection_slot& b) {
+                                              return a.m_idle_since.load() < b.m_idle_since.load();
+                                          });
+    const auto latest = std::chrono::steady_clock::now() - least_idle_time;
+    if (longest == m_open.end() || longest->m_idle_since.load() > latest) {
+        return false;
+    }
+    longest->m_idle_since = std::chrono::steady_clock::time_point::max();
+    asio::post(longest->m_executor, [kept = longest->shared_from_this()] {
+        error_code ignored;
+        if (kept->m_socket != nullptr && kept->m_is_idle && !has_unread(*kept->m_socket)) {
+            kept->m_socket->cancel(ignored);
+        }
+    });
+    return true;
+}
+
 void server_state::report_ended_for_memory()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/dewbeam/src/http/server_state.h
+++ b/dewbeam/src/http/server_state.h
@@ -38,8 +38,8 @@
 };
 
 /// An open connection, so that it can be ended from outside: idle ones when the server stops, and
-/// those that hold too much memory. Its fields are used on the connection's strand alone. It is
-/// closed once no request of it is unread.
+/// those that hold too much memory, or whose place another one needs. Its fields are used on the
+/// connection's strand alone, but for the atomic one. It is closed once no request of it is unread.
 struct connection_slot : boost::intrusive::list_base_hook<>,
                          std::enable_shared_from_this<connection_slot> {
     connection_slot(tcp::socket& socket, strand executor)
@@ -47,9 +47,19 @@
     {
     }
 
+    void set_idle(bool is_idle)
+    {
+        using clock = std::chrono::steady_clock;
+        m_is_idle = is_idle;
+        m_idle_since = is_idle ? clock::now() : clock::time_point::max();
+    }
+
     tcp::socket* m_socket;  ///< null once the connection is over
     strand m_executor;
     bool m_is_idle = false;
+    /// Since when it is idle; the latest time while it isn't, or once it was ended for that.
+    std::atomic<std::chrono::steady_clock::time_point> m_idle_since{
+        std::chrono::steady_clock::time_point::max()};
     bool m_is_reading = false;                ///< a request of which a part has come
     std::weak_ptr<queued_exchange> m_answer;  ///< the one under way
     std::shared_ptr<counted> m_last_look;     ///< once the server stops, while it is idle
@@ -82,6 +92,10 @@
     /// Hands a request to the handler. The exchange ends where the handler throws.
     void handle_request(request&& wanted, const std::shared_ptr<queued_exchange>& answer) const;
 
+    /// Ends the connection that has been idle for longest, if that is for some time.
+    /// \returns whether there is one
+    bool end_longest_idle();
+
     /// Logs that connections are ended for the memory that they hold, once a second at most.
     void report_ended_for_memory();
 
--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -1,5 +1,7 @@
 #include "dewbeam/src/program/listeners.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +14,9 @@
 
 using json = nlohmann::json;
 
+/// A further listener takes this part of the connections of the first.
+constexpr std::size_t further_listener_part = 8;
+
 time_span milliseconds_setting(const json& settings, const char* path)
 {
     return std::chrono::milliseconds(setting_value<std::int64_t>(settings, path));
@@ -31,6 +36,24 @@
     return limits;
 }
 
+/// Connections that leave a quarter of the process's descriptors to upstreams, links and files.
+std::size_t connections_within_descriptors(std::size_t wanted)
+{
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+        return wanted;
+    }
+    const auto most = std::max<std::size_t>(1, descriptors.rlim_cur / 4 * 3);
+    if (most < wanted) {
+        log_event(log_level::warning, "setting_lowered",
+                  {{"setting", "/http/most_connections"},
+                   {"value", wanted},
+                   {"used", most},
+                   {"reason", "the process may open no more descriptors"}});
+    }
+    return std::min(wanted, most);
+}
+
 http::server_options http_options(const json& settings, std::string_view address_path,
                                   std::shared_ptr<http::memory_budget> memory)
 {
@@ -38,6 +61,8 @@
     options.m_memory = memory ? std::move(memory) : make_memory_budget(settings);
     options.m_listen = parse_endpoint(setting_value<std::string>(settings, address_path)).value();
     options.m_limits = read_limits(settings);
+    options.m_limits.m_most_connections =
+        connections_within_descriptors(options.m_limits.m_most_connections);
     options.m_certificate_file = setting_value<std::string>(settings, "/http/certificate_file");
     options.m_key_file = setting_value<std::string>(settings, "/http/certificate_key_file");
     return options;
@@ -160,7 +185,8 @@
     boost::asio::io_context& context, const json& settings, http::request_handler handler,
     std::shared_ptr<http::memory_budget> memory)
 {
-    return start_http_at(context, settings, "/http/listen", std::move(handler), std::move(memory));
+    return http::server::start(context, http_options(settings, "/http/listen", std::move(memory)),
+                               std::move(handler), api_error);
 }
 
 absl::StatusOr<std::unique_ptr<http::server>> start_dated_http(boost::asio::io_context& context,
@@ -177,8 +203,10 @@
     boost::asio::io_context& context, const json& settings, std::string_view address_path,
     http::request_handler handler, std::shared_ptr<http::memory_budget> memory)
 {
-    return http::server::start(context, http_options(settings, address_path, std::move(memory)),
-                               std::move(handler), api_error);
+    auto options = http_options(settings, address_path, std::move(memory));
+    auto& most = options.m_limits.m_most_connections;
+    most = std::max<std::size_t>(1, most / further_listener_part);
+    return http::server::start(context, std::move(options), std::move(handler), api_error);
 }
 
 std::vector<std::string> link_addresses(const json& settings, std::string_view path)
--- a/dewbeam/src/program/listeners.h
+++ b/dewbeam/src/program/listeners.h
@@ -37,7 +37,8 @@
                                                                const nlohmann::json& settings,
                                                                http::request_handler handler);
 
-/// Opens one more HTTP listener, under the limits of the first, at the address of a setting.
+/// Opens one more HTTP listener at the address of a setting, under the limits of the first but for
+/// an eighth of its connections.
 absl::StatusOr<std::unique_ptr<http::server>> start_http_at(
     boost::asio::io_context& context, const nlohmann::json& settings, std::string_view address_path,
     http::request_handler handler, std::shared_ptr<http::memory_budget> memory);
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -257,6 +257,22 @@
     EXPECT_TRUE(has(answer, " 503 ") && has(answer, "too_many_connections")) << answer;
 }
 
+TEST_F(http_server, connection_that_has_been_idle_gives_way_to_a_new_one)
+{
+    server_limits limits;
+    limits.m_most_connections = 1;
+    start(limits, always_ok());
+    auto idle = connect();
+    asio::write(idle, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string answer;
+    const auto deadline = present() + 10s;
+    while (!has(answer, " 200 ") && present() < deadline) {
+        answer = exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    }
+    EXPECT_TRUE(has(answer, " 200 ")) << answer;
+    EXPECT_TRUE(has(read_all(idle), " 200 ")) << "it was closed behind its answer";
+}
+
 // Guards against a stop that ends the process while a request is being read.
 TEST_F(http_server, request_that_is_being_read_is_unanswered_for_a_while_behind_a_stop)
 {
