Test: crowds that send link messages of empty parts

Three cases, listed: 12 connections that send one message of empty parts make a gateway, a registrar and a rank hold 4.0 to 5.8 GiB (128 MiB allowed): the library keeps 64 bytes for a part that takes two on the wire, without a limit of their number.

--- a/test/client_crowd.py
+++ b/test/client_crowd.py
@@ -146,6 +146,11 @@
     yield from endless(b"\x03" + BLOCK.to_bytes(8, "big") + b"p" * BLOCK)
 
 
+def link_empty_parts(_):
+    yield link_handshake()
+    yield from endless(b"\x01\x00" * (BLOCK // 2))
+
+
 def no_link(_):
     yield from endless(b"n" * BLOCK)
 
--- a/test/client_crowd_session.py
+++ b/test/client_crowd_session.py
@@ -266,6 +266,16 @@
         self.check_link("rank", [ways.link_parts])
 
 
+    def test_messages_of_empty_parts_at_a_gateway(self):
+        self.check_link("g0", [ways.link_empty_parts])
+
+    def test_messages_of_empty_parts_at_a_registrar(self):
+        self.check_link("r0", [ways.link_empty_parts])
+
+    def test_messages_of_empty_parts_at_a_rank(self):
+        self.check_link("rank", [ways.link_empty_parts])
+
+
 class LinkPlacesCrowdSession(LinkSite):
     """Link connections have a limit, too."""
 
