Connections to link addresses are bounded in number and in what they hold

What others send to a link address was bounded by the frame alone. The parts of one message, and the sum over connections, had no limit: 12 connections held 208 MiB with frames within the limit, 205 to 207 with large parts in some runs, 4.0 to 5.8 GiB with empty parts (128 MiB allowed), and as many could be open as there are descriptors. A process of a customer's host ends of that.

Ruled out: limits of the library. Its queue limit counts whole messages, and its sockets that refuse parts are drafts, which the packaged build lacks.

A node now follows the connections that others open, from the library's own events, and compares what the system has received on each with what was read. Over /link/most_held_bytes (64 MiB) the one that holds most is reset, which also drops what lies unread. While strangers hold bytes whose frames could take more, the growth of the process counts as well. New connections are looked at each 5 ms, others each 250 ms. /link/most_connections is 2,048.

--- a/dewbeam/src/link/node.cpp
+++ b/dewbeam/src/link/node.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "dewbeam/src/link/inbound_connections.h"
 #include "dewbeam/src/link/key_checker.h"
 #include "dewbeam/src/link/socket_poller.h"
 #include "dewbeam/src/link/strangers.h"
@@ -24,17 +25,23 @@
 
 namespace {
 
+using internal::inbound_connections;
+using internal::inbound_limits;
 using internal::key_checker;
 using internal::poll_key;
 using internal::z85_key_length;
 
 constexpr int socket_queue_limit = 20'000;
 constexpr int linger_ms = 500;
+/// Receive buffer of a connection that another process opened: it holds bytes without a limit of
+/// ours.
+constexpr int inbound_buffer_bytes = 256 * 1024;
 constexpr int most_messages_a_turn = 256;
 /// Keys of a node's poller; connections have the ones above.
 constexpr poll_key wake_key{0};
 constexpr poll_key listener_key{1};
-constexpr std::uint64_t first_connection_key = 2;
+constexpr poll_key inbound_key{2};
+constexpr std::uint64_t first_connection_key = 3;
 /// How often silent connections are looked for, at most.
 constexpr time_span watch_interval = std::chrono::milliseconds(20);
 /// The listening end waits a little longer, so that the opening end closes first.
@@ -67,6 +74,13 @@
     bool m_is_strange = false;  ///< a process of another deployment answers there
 };
 
+inbound_limits inbound_limits_of(const node_options& options)
+{
+    const auto least = internal::wire_bytes(static_cast<std::size_t>(options.m_most_message_bytes),
+                                            !options.m_keys.m_secret.empty());
+    return {std::max<std::size_t>(options.m_most_held_bytes, least), options.m_most_connections};
+}
+
 /// Whether messages alone don't show both ends that the other one is there.
 bool needs_ping(const connection& open, time_span interval, time_point now)
 {
@@ -109,6 +123,7 @@
         : m_options(std::move(options)),
           m_handlers(std::move(handlers)),
           m_listener(m_context, zmq::socket_type::router),
+          m_inbound_connections(m_context, m_listener, inbound_limits_of(m_options), has_keys()),
           m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
         require(m_wake >= 0, "the process has no file descriptor left for a link");
@@ -143,6 +158,7 @@
             m_listener.set(zmq::sockopt::zap_domain, "dewbeam");
         }
         set_common(m_listener);
+        m_listener.set(zmq::sockopt::rcvbuf, inbound_buffer_bytes);
         m_listener.set(zmq::sockopt::router_mandatory, true);
         const bool is_v6 = m_options.m_listen.m_ip.find(':') != std::string::npos;
         m_listener.set(zmq::sockopt::ipv6, is_v6);
@@ -159,6 +175,7 @@
                                            : m_listener.get(zmq::sockopt::last_endpoint);
         m_poller.add(m_wake, wake_key);
         m_poller.add(m_listener, listener_key);
+        m_poller.add(m_inbound_connections.events(), inbound_key);
         m_thread = std::thread([this] { run(); });
         return absl::OkStatus();
     }
@@ -231,6 +248,7 @@
         while (!m_stop) {
             poll_once();
             send_queued();
+            look_at_inbound_connections();
             if (const auto now = clock_now(); now >= m_next_watch) {
                 m_next_watch = now + watch_interval;
                 put_off_silence(m_held_up.begin_turn(now, longest_wait() + watch_interval), now);
@@ -243,9 +261,17 @@
 
     [[nodiscard]] time_span longest_wait() const { return m_options.m_ping_interval / 4; }
 
+    /// Until the next look at inbound connections, if that comes first.
+    [[nodiscard]] time_span next_wait() const
+    {
+        constexpr time_span resolution = std::chrono::milliseconds(1);  // of the poller's wait
+        const auto until_look = m_inbound_connections.next_look() - clock_now();
+        return std::clamp<time_span>(until_look, time_span::zero(), longest_wait()) + resolution;
+    }
+
     void poll_once()
     {
-        for (const auto key : m_poller.wait(longest_wait())) {
+        for (const auto key : m_poller.wait(next_wait())) {
             if (key == wake_key) {
                 std::uint64_t count = 0;
                 [[maybe_unused]] const auto got = ::read(m_wake, &count, sizeof(count));
@@ -253,12 +279,22 @@
             else if (key == listener_key) {
                 receive_from_listener();
             }
+            else if (key == inbound_key) {
+                m_inbound_connections.take_events(clock_now());
+            }
             else if (const auto place = m_addresses.find(key); place != m_addresses.end()) {
                 receive_from_connection(std::string(place->second));
             }
         }
     }
 
+    void look_at_inbound_connections()
+    {
+        if (const auto now = clock_now(); m_inbound_connections.next_look() <= now) {
+            m_inbound_connections.look(now);
+        }
+    }
+
     void receive_from_listener()
     {
         for (int i = 0; i < most_messages_a_turn; ++i) {
@@ -270,10 +306,16 @@
             if (!m_listener.recv(body, zmq::recv_flags::dontwait)) {
                 return;
             }
-            drop_rest(m_listener, body);
+            const auto note_read = [this](zmq::message_t& frame) {
+                m_inbound_connections.note_read(frame);
+            };
+            note_read(body);
+            drop_rest(m_listener, body, note_read);
             const peer from{{}, routing.to_string()};
             m_inbound[from.m_routing] = clock_now() + m_options.m_silence_limit * listener_patience;
-            take(from, body);
+            if (take(from, body)) {
+                m_inbound_connections.note_known(body);
+            }
         }
         m_poller.mark(listener_key);
     }
@@ -287,7 +329,7 @@
                 !place->second.m_socket.recv(body, zmq::recv_flags::dontwait)) {
                 return;
             }
-            drop_rest(place->second.m_socket, body);
+            drop_rest(place->second.m_socket, body, [](const zmq::message_t&) {});
             note_heard(address, place->second);
             take(peer{address, {}}, body);
         }
@@ -305,7 +347,8 @@
         }
     }
 
-    static void drop_rest(zmq::socket_t& socket, const zmq::message_t& first)
+    template <class Action>
+    static void drop_rest(zmq::socket_t& socket, const zmq::message_t& first, Action on_dropped)
     {
         bool has_more = first.more();
         while (has_more) {
@@ -313,17 +356,19 @@
             if (!socket.recv(rest, zmq::recv_flags::dontwait)) {
                 return;
             }
+            on_dropped(rest);
             has_more = rest.more();
         }
     }
 
-    void take(const peer& from, const zmq::message_t& body)
+    /// \returns whether it is a message of a process of this deployment
+    bool take(const peer& from, const zmq::message_t& body)
     {
         wire::Envelope message;
         if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
             ++m_unreadable_messages;
             log_event(log_level::warning, "link_bad_frame", {{"bytes", body.size()}});
-            return;
+            return false;
         }
         if (message.has_ping()) {
             // Who belongs to another deployment learns it from the answer and closes the
@@ -334,11 +379,13 @@
         }
         if (const auto theirs = origin_of(message); is_strange(own_origin(), theirs)) {
             refuse(from, message, theirs);
-            return;
+            return false;
         }
+        const bool has_sender = !message.sender().empty();
         if (!message.has_ping() && !message.has_pong()) {
             contain("link_message", [&] { m_handlers.m_on_message(from, std::move(message)); });
         }
+        return has_sender;
     }
 
     /// Addresses are handed on and copied wrongly. Without this check, whoever answers would be
@@ -520,6 +567,7 @@
     zmq::context_t m_context;
     std::unique_ptr<key_checker> m_key_checker;
     zmq::socket_t m_listener;
+    inbound_connections m_inbound_connections;
     internal::socket_poller m_poller;
     std::uint64_t m_next_key = first_connection_key;
     std::unordered_map<poll_key, std::string> m_addresses;  ///< of connections
--- a/dewbeam/src/link/node.h
+++ b/dewbeam/src/link/node.h
@@ -59,6 +59,10 @@
     std::size_t m_most_queued = 65'536;  ///< messages that wait to be sent, in all
     /// Connections that announce a larger message are closed before it comes.
     std::int64_t m_most_message_bytes = 64L * 1024 * 1024;
+    /// Bytes that came on the connections that others opened, and weren't read yet. At least one
+    /// message of the largest size fits.
+    std::size_t m_most_held_bytes = 64UL * 1024 * 1024;
+    std::size_t m_most_connections = 2048;  ///< that others opened
 };
 
 /// Called on the node's thread; must not block.
--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -101,6 +101,12 @@
          link::node_options{}.m_most_message_bytes,
          "Largest message between dewbeam's own processes; the same at all of them (bytes).",
          1'048'576, 2'147'483'647},
+        {"/link/most_held_bytes", setting_kind::integer, link::node_options{}.m_most_held_bytes,
+         "Bytes that other processes have sent on connections that they opened, and that this one "
+         "hasn't read; one message of the largest size always fits (bytes).",
+         1024, 17'179'869'184},
+        {"/link/most_connections", setting_kind::integer, link::node_options{}.m_most_connections,
+         "Connections of other processes to the link address that are open at once.", 1, 1'000'000},
         {"/http/listen", setting_kind::address, "127.0.0.1:0", "Address of the HTTP listener."},
         {"/http/certificate_file", setting_kind::file, "",
          "PEM file with the certificate chain; empty: no TLS."},
@@ -149,6 +155,8 @@
     options.m_incarnation = self;
     options.m_most_message_bytes =
         setting_value<std::int64_t>(settings, "/link/most_message_bytes");
+    options.m_most_held_bytes = setting_value<std::size_t>(settings, "/link/most_held_bytes");
+    options.m_most_connections = setting_value<std::size_t>(settings, "/link/most_connections");
     const auto key_file = setting_value<std::string>(settings, "/link/key_file");
     if (!key_file.empty()) {
         auto keys = link::load_link_keys(key_file);
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -114,6 +114,35 @@
     EXPECT_EQ(client_side.m_messages[0].first.m_address, server->address());
 }
 
+TEST(link, messages_that_were_read_hold_no_memory)
+{
+    for (const auto& keys : {link_keys{}, generate_link_keys()}) {
+        for (const std::size_t size : {10U, 1'000U}) {
+            collector server_side;
+            collector client_side;
+            auto limited = options("server", keys);
+            limited.m_most_message_bytes = 70'000;
+            limited.m_most_held_bytes = 0;  // as much as one message
+            const auto server = node::start(limited, server_side.handlers()).value();
+            auto sender = options("client", keys);
+            sender.m_host = host_id(std::string(size, 'h'));
+            const auto client = node::start(sender, client_side.handlers()).value();
+            constexpr std::uint64_t count = 8'000;
+            for (std::uint64_t i = 0; i < count; ++i) {
+                ASSERT_TRUE(client->send(server->address(), cancel_message(i)));
+                if (i % 50 == 0) {
+                    ASSERT_TRUE(server_side.wait_for_messages(i + 1));
+                }
+            }
+            ASSERT_TRUE(server_side.wait_for_messages(count));
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            EXPECT_EQ(server_side.m_messages.front().first, server_side.m_messages.back().first)
+                << "the connection was closed";
+            EXPECT_EQ(server_side.m_messages.size(), count);
+        }
+    }
+}
+
 // Guards against connections that are lost because this process did not run for longer than the
 // limit of silence.
 TEST(link, a_process_that_was_held_up_keeps_its_connections)
