Link connections of strangers may hold half a MiB before memory is looked at

The bytes that strangers may hold before the growth of the process counts were derived from /link/most_held_bytes alone. At the default the bound was 512 KiB, and is as before.

--- a/dewbeam/src/link/inbound_connections.cpp
+++ b/dewbeam/src/link/inbound_connections.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t most_memory_per_byte = 32;
 /// The process may grow by this part of the bytes allowed while strangers send small frames.
 constexpr std::size_t growth_part = 4;
+/// What strangers may hold without a look at the memory of the process.
+constexpr std::size_t least_harmless_bytes = 512UL * 1024;
 constexpr time_span look_interval = std::chrono::milliseconds(250);
 /// The same while a connection is new, or isn't small.
 constexpr time_span busy_look_interval = std::chrono::milliseconds(5);
@@ -203,7 +205,7 @@
     }
     // Many small frames take more memory than their bytes, which only the process as a whole shows.
     const auto most_growth = m_limits.m_most_held_bytes / growth_part;
-    const auto harmless = most_growth / most_memory_per_byte;
+    const auto harmless = std::max(most_growth / most_memory_per_byte, least_harmless_bytes);
     const auto held = held_by_strangers();
     if (held <= harmless) {
         m_calm_resident_bytes = resident_bytes();
