Link connections: one sum of what they hold, for all or for strangers

Two functions summed the same bytes and a third weighed connections by the same rule again. One function now says what closing a connection would free, and an enumeration names which connections are meant, in place of a flag. Behaviour is as before.

--- a/dewbeam/src/link/inbound_connections.cpp
+++ b/dewbeam/src/link/inbound_connections.cpp
@@ -82,6 +82,13 @@
     return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+/// What closing a connection would free; nothing where it isn't meant, or is closing.
+std::size_t freeable_bytes(const inbound_connection& open, holders which)
+{
+    const bool is_left_out = open.m_is_closing || (which == holders::strangers && open.m_is_known);
+    return is_left_out ? 0 : open.m_held_bytes;
+}
+
 }  // namespace
 
 std::uint64_t wire_bytes(std::size_t size, bool has_keys)
@@ -200,51 +207,38 @@
 
 void inbound_connections::enforce(time_point now)
 {
-    while (held_bytes() > m_limits.m_most_held_bytes) {
-        close_largest(false, now);
+    while (held_by(holders::all) > m_limits.m_most_held_bytes) {
+        close_largest(holders::all, now);
     }
     // Many small frames take more memory than their bytes, which only the process as a whole shows.
     const auto most_growth = m_limits.m_most_held_bytes / growth_part;
     const auto harmless = std::max(most_growth / most_memory_per_byte, least_harmless_bytes);
-    const auto held = held_by_strangers();
+    const auto held = held_by(holders::strangers);
     if (held <= harmless) {
         m_calm_resident_bytes = resident_bytes();
     }
     else if (resident_bytes() > m_calm_resident_bytes + std::max(most_growth, 2 * held)) {
-        while (held_by_strangers() > harmless) {
-            close_largest(true, now);
+        while (held_by(holders::strangers) > harmless) {
+            close_largest(holders::strangers, now);
         }
     }
 }
 
-std::size_t inbound_connections::held_bytes() const
+std::size_t inbound_connections::held_by(holders which) const
 {
     std::size_t result = 0;
     for (const auto& [descriptor, open] : m_open) {
-        result += open.m_is_closing ? 0 : open.m_held_bytes;
+        result += freeable_bytes(open, which);
     }
     return result;
 }
 
-std::size_t inbound_connections::held_by_strangers() const
+void inbound_connections::close_largest(holders which, time_point now)
 {
-    std::size_t result = 0;
-    for (const auto& [descriptor, open] : m_open) {
-        result += open.m_is_closing || open.m_is_known ? 0 : open.m_held_bytes;
-    }
-    return result;
-}
-
-void inbound_connections::close_largest(bool is_among_strangers, time_point now)
-{
-    const auto weight = [&](const auto& item) {
-        const bool is_left_out =
-            item.second.m_is_closing || (is_among_strangers && item.second.m_is_known);
-        return is_left_out ? 0 : item.second.m_held_bytes;
-    };
     const auto largest =
-        std::max_element(m_open.begin(), m_open.end(),
-                         [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
+        std::max_element(m_open.begin(), m_open.end(), [&](const auto& a, const auto& b) {
+            return freeable_bytes(a.second, which) < freeable_bytes(b.second, which);
+        });
     close(largest->first, largest->second, "memory", now);
 }
 
--- a/dewbeam/src/link/inbound_connections.h
+++ b/dewbeam/src/link/inbound_connections.h
@@ -25,6 +25,12 @@
     bool m_is_closing = false;  ///< it was shut down
 };
 
+/// Which connections are meant.
+enum class holders {
+    all,
+    strangers,  ///< those on which no own process has spoken
+};
+
 /// Limits of all inbound connections together.
 struct inbound_limits {
     std::size_t m_most_held_bytes = 0;
@@ -67,9 +73,8 @@
     void measure(time_point now);
     void enforce(time_point now);
     inbound_connection* find(zmq::message_t& frame);
-    [[nodiscard]] std::size_t held_bytes() const;
-    [[nodiscard]] std::size_t held_by_strangers() const;
-    void close_largest(bool is_among_strangers, time_point now);
+    [[nodiscard]] std::size_t held_by(holders which) const;
+    void close_largest(holders which, time_point now);
     void close(int descriptor, inbound_connection& open, const char* reason, time_point now);
 
     zmq::socket_t& m_listener;
