Suspicions are logged with the crash reports behind them; the soak names what is refused

A run of the whole tests failed with "227 of 343 requests were served after the last fault" (soak_session, contents that end upstreams). Neither the message nor the logs told which requests were refused, or why their content was quarantined.

The message now has the answers by gateway, kind and status, and suspicions have `reports`: the upstream and order of each crash, and whether it is doubtful or outweighed.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -6,6 +6,9 @@
 #include <set>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "dewbeam/src/gateway/part_blame.h"
@@ -57,6 +60,19 @@
     return result;
 }
 
+/// Crash reports as `upstream/order`, with what is said of them.
+std::string to_text(const std::vector<quarantine::crash_report>& reports)
+{
+    std::vector<std::string> items;
+    items.reserve(reports.size());
+    for (const auto& item : reports) {
+        items.push_back(absl::StrCat(item.m_upstream.value(), "/", item.m_order,
+                                     item.m_is_doubtful ? " doubtful" : "",
+                                     item.m_is_outweighed ? " outweighed" : ""));
+    }
+    return absl::StrJoin(items, ", ");
+}
+
 void log_suspicion(const gateway_state& state, const char* event,
                    const registrar::pooled_suspicion& subject, const std::string& upstream,
                    const char* reason, time_point now)
@@ -67,6 +83,7 @@
                {"content", content.value()},
                {"upstream", upstream},
                {"reason", reason},
+               {"reports", to_text(subject.m_record.m_crash_reports)},
                {"deaths", state.m_feed.deaths_of(content, now)}});
 }
 
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -28,7 +28,7 @@
         self.stop = stop
         self.connection = None
         self.sent = 0
-        self.latest = []  # (time, status)
+        self.latest = []  # (time, kind, status)
 
     def run(self):
         while not self.stop.is_set():
@@ -60,7 +60,7 @@
         if status == 0 and kind == "stream":
             self.promises.note_part(request, part.decode(errors="replace"))
         self.promises.note_answer(request, kind, status, body)
-        self.latest.append((now(), status))
+        self.latest.append((now(), kind, status))
 
     def drop(self):
         if self.connection is not None:
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -1,5 +1,6 @@
 """One soak of one seed. `python3 -m soak.run` is run by tool/soak."""
 
+import collections
 import json
 import random
 import tempfile
@@ -53,10 +54,20 @@
             promises.fail("%s lacks revision %d" % (name, promises.acknowledged))
     since = now()
     time.sleep(2.0)
-    results = [status for caller in callers for when, status in caller.latest if when > since]
+    results = [status for caller in callers for when, _, status in caller.latest if when > since]
     served = sum(status == 200 for status in results)
     if not results or served < 0.95 * len(results):
-        promises.fail("%d of %d requests were served after the last fault" % (served, len(results)))
+        promises.fail("%d of %d requests were served after the last fault: %s" %
+                      (served, len(results), count_by_gateway(callers, since)))
+
+
+def count_by_gateway(callers, since):
+    """Answers since a moment, as `{gateway: {(kind, status): count}}`."""
+    counts = {}
+    for caller in callers:
+        of_gateway = counts.setdefault(caller.gateway, collections.Counter())
+        of_gateway.update((kind, status) for when, kind, status in caller.latest if when > since)
+    return {gateway: dict(of_gateway) for gateway, of_gateway in counts.items()}
 
 
 def check_places(site, promises):
