Complete answers are no evidence against contents that ran well lately

A complete answer now counts only against a content that has no good run in the last 10 s. One that crashes its upstreams each time has none. What is left out is logged (`lost_attempt_forgotten reason=ran_well_elsewhere`).

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -1,14 +1,15 @@
 #include "dewbeam/src/gateway/crash_blame.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
-
 #include "dewbeam/src/gateway/forwarder.h"
 #include "dewbeam/src/gateway/gateway_state.h"
 #include "dewbeam/src/gateway/part_blame.h"
@@ -154,19 +155,39 @@
     }
 }
 
+/// Removes answered attempts whose contents have run well lately. With a complete answer they are
+/// weak evidence, and a content that many callers send was answered at each upstream just before
+/// it crashed.
+std::vector<lost_attempt> take_weak_evidence(crash_tracker& crashes,
+                                             std::vector<lost_attempt>& losses, time_point now)
+{
+    const auto weak =
+        std::stable_partition(losses.begin(), losses.end(), [&](const lost_attempt& loss) {
+            return !loss.m_is_answered ||
+                   !has_recent_good_run(crashes.m_good_runs, loss.m_content, now);
+        });
+    std::vector<lost_attempt> result(std::make_move_iterator(weak),
+                                     std::make_move_iterator(losses.end()));
+    losses.erase(weak, losses.end());
+    return result;
+}
+
 /// The process has ended, so every content whose attempt was lost on it, or answered right before,
 /// becomes a suspect.
 void confirm_crash(gateway_state& state, const upstream_incarnation& where, const char* reason,
                    time_point now)
 {
     std::vector<lost_attempt> losses;
+    std::vector<lost_attempt> weak;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
         losses = take_losses(state.m_crashes.m_losses, where);
         for (auto& answered : take_losses(state.m_crashes.m_answered, where)) {
             losses.push_back(std::move(answered));
         }
+        weak = take_weak_evidence(state.m_crashes, losses, now);
     }
+    log_forgotten(weak, where, "ran_well_elsewhere", now);
     report_all(state, where, losses, false, reason, now);
 }
 
@@ -174,13 +195,18 @@
 /// for one that may come.
 void count_good_run(gateway_state& state, fingerprint content, time_point now)
 {
-    if (const auto record = state.m_feed.report_successful_run(content, now)) {
+    const auto record = state.m_feed.report_successful_run(content, now);
+    {
+        const std::lock_guard lock(state.m_crashes.m_mutex);
+        note_good_run(state.m_crashes.m_good_runs, content, now);
+        if (record) {
+            spend_good_run(state.m_crashes.m_good_runs, content);
+        }
+    }
+    if (record) {
         log_suspicion(state, "suspicion_outweighed", *record, "", "ran_to_its_end", now);
         merge(state, *record, now);
-        return;
     }
-    const std::lock_guard lock(state.m_crashes.m_mutex);
-    note_good_run(state.m_crashes.m_good_runs, content);
 }
 
 /// Drops the attempts at an upstream that was found alive at `now` and has outlived them. Those
@@ -250,9 +276,11 @@
 void report_unresponsive(gateway_state& state, const upstream_incarnation& where, bool is_doubtful,
                          const char* reason, time_point now)
 {
-    const auto losses = losses_in(state, where);
+    auto losses = losses_in(state, where);
+    std::vector<lost_attempt> weak;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
+        weak = take_weak_evidence(state.m_crashes, losses, now);
         for (const auto& loss : losses) {
             note_loss(state.m_crashes.m_reported_losses, where, loss);
         }
@@ -260,6 +288,7 @@
             take_losses(state.m_crashes.m_losses, where);
         }
     }
+    log_forgotten(weak, where, "ran_well_elsewhere", now);
     report_all(state, where, losses, is_doubtful, reason, now);
 }
 
--- a/dewbeam/src/gateway/good_runs.h
+++ b/dewbeam/src/gateway/good_runs.h
@@ -9,14 +9,23 @@
 
 namespace dewbeam::gateway {
 
+/// The successful runs of one content.
+struct good_run_record {
+    std::uint32_t m_unspent = 0;
+    time_point m_latest{};
+};
+
 /// Bounded by two generations: when the younger one is full, it replaces the older one.
 struct good_runs {
-    std::unordered_map<fingerprint, std::uint32_t> m_young;
-    std::unordered_map<fingerprint, std::uint32_t> m_old;
+    std::unordered_map<fingerprint, good_run_record> m_young;
+    std::unordered_map<fingerprint, good_run_record> m_old;
 };
 
 /// Records a successful run.
-void note_good_run(good_runs& runs, fingerprint content);
+void note_good_run(good_runs& runs, fingerprint content, time_point now);
+
+/// Whether a content ran successfully within the last seconds.
+bool has_recent_good_run(const good_runs& runs, fingerprint content, time_point now);
 
 /// Uses up one successful run, which offsets one crash report. Returns false if there is none.
 bool spend_good_run(good_runs& runs, fingerprint content);
--- a/dewbeam/src/gateway/part_blame.cpp
+++ b/dewbeam/src/gateway/part_blame.cpp
@@ -111,7 +111,7 @@
             continue;
         }
         const std::lock_guard lock(state.m_crashes.m_mutex);
-        note_good_run(state.m_crashes.m_good_part_runs, part);
+        note_good_run(state.m_crashes.m_good_part_runs, part, now);
     }
 }
 
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -159,21 +159,31 @@
     gateway::good_runs runs;
     EXPECT_FALSE(spend_good_run(runs, content));
     for (int i = 0; i < 100; ++i) {
-        note_good_run(runs, content);
+        note_good_run(runs, content, start);
     }
     for (std::uint64_t i = 0; i < 5000; ++i) {
-        note_good_run(runs, fingerprint{1000 + i});
+        note_good_run(runs, fingerprint{1000 + i}, start);
     }
     for (int i = 0; i < 4; ++i) {
         EXPECT_TRUE(spend_good_run(runs, content));
     }
     EXPECT_FALSE(spend_good_run(runs, content));
     for (std::uint64_t i = 0; i < 100'000; ++i) {
-        note_good_run(runs, fingerprint{10'000 + i});
+        note_good_run(runs, fingerprint{10'000 + i}, start);
     }
     EXPECT_LE(runs.m_young.size() + runs.m_old.size(), 8192U);
 }
 
+TEST(crash_content, good_runs_are_recent_for_a_while_whether_spent_or_not)
+{
+    gateway::good_runs runs;
+    EXPECT_FALSE(has_recent_good_run(runs, content, start));
+    note_good_run(runs, content, start);
+    spend_good_run(runs, content);
+    EXPECT_TRUE(has_recent_good_run(runs, content, start + seconds(9)));
+    EXPECT_FALSE(has_recent_good_run(runs, content, start + seconds(10)));
+}
+
 TEST(crash_content, one_gateway_at_a_time_has_the_turn)
 {
     registrar::suspicion_store board;
