A good run outweighs crashes of its order that are reported later

Crashes of one order, of runs that began without knowing of each other, count once. A good run marked those that were known as outweighed; one that a gateway found some seconds later, when it chose that upstream again, counted anew although nothing new had happened.

An order with an outweighed crash doesn't count any more, in whatever sequence its reports arrive. The report that an upstream turned out alive stays doubtful, so that it clears its own entry alone.

--- a/dewbeam/src/gateway/crash_blame.cpp
+++ b/dewbeam/src/gateway/crash_blame.cpp
@@ -243,6 +243,7 @@
     for (const auto& loss : judged) {
         auto crash = crash_report_of(where, loss);
         crash.m_is_outweighed = true;
+        crash.m_is_doubtful = true;
         report_parts(state, loss, crash, "upstream_goes_on", now);
         registrar::pooled_suspicion subject{loss.m_pool, {}};
         subject.m_record.m_content = loss.m_content;
--- a/dewbeam/src/quarantine/suspicion.cpp
+++ b/dewbeam/src/quarantine/suspicion.cpp
@@ -64,6 +64,17 @@
     return result;
 }
 
+/// Whether a run that ended well outweighs all deaths of an order, those that are reported later
+/// too. A doubtful death may be outweighed only because its upstream turned out alive.
+bool is_order_outweighed(const suspicion& record, std::uint32_t order)
+{
+    return order != 0 && std::any_of(record.m_crash_reports.begin(), record.m_crash_reports.end(),
+                                     [&](const crash_report& item) {
+                                         return item.m_order == order && item.m_is_outweighed &&
+                                                !item.m_is_doubtful;
+                                     });
+}
+
 /// Deaths that count, by their order, with those that are in doubt at `now`, if given.
 std::vector<const crash_report*> counted(const suspicion& record, time_span doubt_for = {},
                                          time_point now = no_deadline)
@@ -75,7 +86,9 @@
             item.m_order != 0 &&
             std::any_of(result.begin(), result.end(),
                         [&](const crash_report* other) { return other->m_order == item.m_order; });
-        if (is_open && !item.m_is_outweighed && !is_known) {
+        const bool is_outweighed =
+            item.m_is_outweighed || is_order_outweighed(record, item.m_order);
+        if (is_open && !is_outweighed && !is_known) {
             result.push_back(&item);
         }
     }
--- a/dewbeam/src/quarantine/suspicion.h
+++ b/dewbeam/src/quarantine/suspicion.h
@@ -8,7 +8,7 @@
 ///
 /// What ran beside a crash is told from its cause in two ways. Deaths of runs that began without
 /// knowing of each other count once, so that a rack that fails counts once for a content that ran
-/// all over it. And a run that ends well outweighs one death.
+/// all over it. And a run that ends well outweighs one death, and those that count with it.
 #pragma once
 
 #include <map>
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -104,6 +104,29 @@
     EXPECT_EQ(standing_of(table, content, start + seconds(3)), standing::clear);
 }
 
+TEST(crash_content, a_good_run_outweighs_deaths_of_its_order_that_are_reported_later)
+{
+    auto table = make_table();
+    note_crash(table, content, crash_report_of_run("u1", start + seconds(2), 1));
+    ASSERT_TRUE(outweigh(table, content, start + seconds(3)).has_value());
+    note_crash(table, content, crash_report_of_run("u2", start + seconds(2), 1));
+    EXPECT_EQ(deaths_of(table, content, start + seconds(4)), 0U);
+    note_crash(table, content, crash_report_of_run("u3", start + seconds(4), 2));
+    EXPECT_EQ(deaths_of(table, content, start + seconds(4)), 1U);
+}
+
+TEST(crash_content, an_upstream_that_turns_out_alive_outweighs_no_other_death)
+{
+    auto table = make_table();
+    auto doubt = crash_report_of_run("u1", start + seconds(2), 1);
+    doubt.m_is_doubtful = true;
+    note_crash(table, content, doubt);
+    note_crash(table, content, crash_report_of_run("u2", start + seconds(2), 1));
+    doubt.m_is_outweighed = true;
+    note_crash(table, content, doubt);
+    EXPECT_EQ(deaths_of(table, content, start + seconds(3)), 1U);
+}
+
 TEST(crash_content, news_are_what_is_not_known_whatever_the_time_on_the_way)
 {
     auto table = make_table();
