A good run that offsets a report takes none of those kept

Since a run that outweighed a crash report was recorded and then spent. With four kept, the limit, recording it added nothing, so that one of the four was spent as well. Such a run now sets only the time of the latest good run.

Found by reading; no failure of callers is known to come from it.

--- a/dewbeam/src/gateway/crash_reports.cpp
+++ b/dewbeam/src/gateway/crash_reports.cpp
@@ -181,9 +181,12 @@
     const auto record = state.m_feed.report_successful_run(content, now);
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
-        note_good_run(state.m_crashes.m_good_runs, content, now);
+        auto& runs = state.m_crashes.m_good_runs;
         if (record) {
-            spend_good_run(state.m_crashes.m_good_runs, content);
+            note_spent_good_run(runs, content, now);
+        }
+        else {
+            note_good_run(runs, content, now);
         }
     }
     if (record) {
--- a/dewbeam/src/gateway/good_runs.h
+++ b/dewbeam/src/gateway/good_runs.h
@@ -21,9 +21,12 @@
     std::unordered_map<fingerprint, good_run_record> m_old;
 };
 
-/// Records a successful run.
+/// Records a successful run, which may offset a later crash report.
 void note_good_run(good_runs& runs, fingerprint content, time_point now);
 
+/// Records a successful run that has offset a crash report.
+void note_spent_good_run(good_runs& runs, fingerprint content, time_point now);
+
 /// Whether a content ran successfully within the last seconds.
 bool has_recent_good_run(const good_runs& runs, fingerprint content, time_point now);
 
--- a/test/crash_content_test.cpp
+++ b/test/crash_content_test.cpp
@@ -207,6 +207,20 @@
     EXPECT_FALSE(has_recent_good_run(runs, content, start + seconds(10)));
 }
 
+TEST(crash_content, a_run_that_offset_a_report_takes_none_of_those_kept)
+{
+    gateway::good_runs runs;
+    for (int i = 0; i < 4; ++i) {
+        note_good_run(runs, content, start);
+    }
+    note_spent_good_run(runs, content, start + seconds(20));
+    EXPECT_TRUE(has_recent_good_run(runs, content, start + seconds(21)));
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_TRUE(spend_good_run(runs, content));
+    }
+    EXPECT_FALSE(spend_good_run(runs, content));
+}
+
 TEST(crash_content, one_gateway_at_a_time_has_the_turn)
 {
     registrar::suspicion_store board;
