Suspicions of contents and of parts are logged by one function

log_part of part_blame was log_suspicion of crash_reports but for the name of one field. Both are log_suspicion now, which takes the field's name from the subject; events of parts have `reports`, too.

report_unresponsive copied the losses of an upstream under one lock and took them away under a second one. It takes or copies them once.

--- a/dewbeam/src/gateway/crash_reports.cpp
+++ b/dewbeam/src/gateway/crash_reports.cpp
@@ -28,20 +28,6 @@
     return absl::StrJoin(items, ", ");
 }
 
-void log_suspicion(const gateway_state& state, const char* event,
-                   const registrar::pooled_suspicion& subject, const std::string& upstream,
-                   const char* reason, time_point now)
-{
-    const auto content = subject.m_record.m_content;
-    log_event(log_level::info, event,
-              {{"pool", subject.m_pool},
-               {"content", content.value()},
-               {"upstream", upstream},
-               {"reason", reason},
-               {"reports", to_text(subject.m_record.m_crash_reports)},
-               {"deaths", state.m_feed.deaths_of(content, now)}});
-}
-
 /// Logs attempts that are no evidence any more.
 void log_forgotten(const std::vector<lost_attempt>& losses, const upstream_incarnation& where,
                    const char* reason, time_point now)
@@ -127,16 +113,29 @@
     return result;
 }
 
-std::vector<lost_attempt> losses_in(gateway_state& state, const upstream_incarnation& where)
+std::vector<lost_attempt> losses_at(const lost_attempt_tracker& tracker,
+                                    const upstream_incarnation& where)
 {
-    const std::lock_guard lock(state.m_crashes.m_mutex);
-    const auto place = state.m_crashes.m_losses.m_losses.find(where);
-    return place == state.m_crashes.m_losses.m_losses.end() ? std::vector<lost_attempt>()
-                                                            : place->second;
+    const auto place = tracker.m_losses.find(where);
+    return place == tracker.m_losses.end() ? std::vector<lost_attempt>() : place->second;
 }
 
 }  // namespace
 
+void log_suspicion(const gateway_state& state, const char* event,
+                   const registrar::pooled_suspicion& subject, const std::string& upstream,
+                   const char* reason, time_point now)
+{
+    const auto key = subject.m_record.m_content;
+    log_event(log_level::info, event,
+              {{"pool", subject.m_pool},
+               {is_about_part(subject) ? "part" : "content", key.value()},
+               {"upstream", upstream},
+               {"reason", reason},
+               {"reports", to_text(subject.m_record.m_crash_reports)},
+               {"deaths", state.m_feed.deaths_of(key, now)}});
+}
+
 std::vector<registrar::pooled_suspicion> offset_crash_reports(gateway_state& state, good_runs& runs,
                                                               const quarantine::suspicion& update,
                                                               time_point now)
@@ -241,17 +240,16 @@
 void report_unresponsive(gateway_state& state, const upstream_incarnation& where, bool is_doubtful,
                          const char* reason, time_point now)
 {
-    auto losses = losses_in(state, where);
+    std::vector<lost_attempt> losses;
     std::vector<lost_attempt> weak;
     {
         const std::lock_guard lock(state.m_crashes.m_mutex);
+        auto& known = state.m_crashes.m_losses;
+        losses = is_doubtful ? losses_at(known, where) : take_losses(known, where);
         weak = take_weak_evidence(state.m_crashes, losses, now);
         for (const auto& loss : losses) {
             note_loss(state.m_crashes.m_reported_losses, where, loss);
         }
-        if (!is_doubtful) {
-            take_losses(state.m_crashes.m_losses, where);
-        }
     }
     if (!is_doubtful) {
         log_forgotten(weak, where, "ran_well_elsewhere", now);
--- a/dewbeam/src/gateway/crash_reports.h
+++ b/dewbeam/src/gateway/crash_reports.h
@@ -3,6 +3,7 @@
 /// and what outweighs them: runs that ended well, and upstreams that turn out alive.
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "dewbeam/src/gateway/good_runs.h"
@@ -13,6 +14,11 @@
 
 struct gateway_state;
 
+/// Logs an event of a content or of a prompt part. `upstream` may be empty.
+void log_suspicion(const gateway_state& state, const char* event,
+                   const registrar::pooled_suspicion& subject, const std::string& upstream,
+                   const char* reason, time_point now);
+
 /// Offsets each new crash report of a content, or of a prompt part, with a successful run in
 /// `runs`, which is guarded by the mutex of the crash tracker. Returns the records that changed.
 std::vector<registrar::pooled_suspicion> offset_crash_reports(gateway_state& state, good_runs& runs,
--- a/dewbeam/src/gateway/part_blame.cpp
+++ b/dewbeam/src/gateway/part_blame.cpp
@@ -25,19 +25,6 @@
     return result;
 }
 
-void log_part(const gateway_state& state, const char* event,
-              const registrar::pooled_suspicion& subject, const std::string& upstream,
-              const char* reason, time_point now)
-{
-    const auto part = subject.m_record.m_content;
-    log_event(log_level::info, event,
-              {{"pool", subject.m_pool},
-               {"part", part.value()},
-               {"upstream", upstream},
-               {"reason", reason},
-               {"deaths", state.m_feed.deaths_of(part, now)}});
-}
-
 bool has_part(const gateway_request& request, fingerprint part)
 {
     const auto& parts = request.known().m_parts;
@@ -106,8 +93,8 @@
     const auto& known = request->known();
     for (const auto part : known.m_parts) {
         if (const auto record = state.m_feed.report_successful_run(part, now)) {
-            log_part(state, "part_suspicion_outweighed", *record, request->upstream().value(),
-                     "ran_on", now);
+            log_suspicion(state, "part_suspicion_outweighed", *record, request->upstream().value(),
+                          "ran_on", now);
             continue;
         }
         const std::lock_guard lock(state.m_crashes.m_mutex);
@@ -126,7 +113,7 @@
         if (!state.m_feed.report(subject)) {
             continue;
         }
-        log_part(state, "part_suspected", subject, crash.m_upstream.value(), reason, now);
+        log_suspicion(state, "part_suspected", subject, crash.m_upstream.value(), reason, now);
         offset_crash_reports(state, state.m_crashes.m_good_part_runs, subject.m_record, now);
         refuse_waiting_requests(state, item.m_part, now);
     }
@@ -140,7 +127,7 @@
 void apply_part_suspicion(gateway_state& state, const registrar::pooled_suspicion& received,
                           time_point now)
 {
-    log_part(state, "part_suspicion_heard", received, "", "registry", now);
+    log_suspicion(state, "part_suspicion_heard", received, "", "registry", now);
     offset_crash_reports(state, state.m_crashes.m_good_part_runs, received.m_record, now);
     refuse_waiting_requests(state, received.m_record.m_content, now);
 }
