One function logs settings that a program replaces

The warnings of a lowered and of a raised setting had the same four fields written twice. Also one blank line too many in client_crowd_session. The events and their fields are as they were.

--- a/dewbeam/src/program/listeners.cpp
+++ b/dewbeam/src/program/listeners.cpp
@@ -36,6 +36,13 @@
     return limits;
 }
 
+void log_replaced_setting(const char* event, const char* setting, std::size_t value,
+                          std::size_t used, const char* reason)
+{
+    log_event(log_level::warning, event,
+              {{"setting", setting}, {"value", value}, {"used", used}, {"reason", reason}});
+}
+
 /// Connections that leave a quarter of the process's descriptors to upstreams, links and files.
 std::size_t connections_within_descriptors(std::size_t wanted)
 {
@@ -45,11 +52,8 @@
     }
     const auto most = std::max<std::size_t>(1, descriptors.rlim_cur / 4 * 3);
     if (most < wanted) {
-        log_event(log_level::warning, "setting_lowered",
-                  {{"setting", "/http/most_connections"},
-                   {"value", wanted},
-                   {"used", most},
-                   {"reason", "the process may open no more descriptors"}});
+        log_replaced_setting("setting_lowered", "/http/most_connections", wanted, most,
+                             "the process may open no more descriptors");
     }
     return std::min(wanted, most);
 }
@@ -180,11 +184,8 @@
     const auto wanted = setting_value<std::size_t>(settings, "/http/most_held_bytes");
     const auto least = http::largest_request_bytes(limits);
     if (wanted < least) {
-        log_event(log_level::warning, "setting_raised",
-                  {{"setting", "/http/most_held_bytes"},
-                   {"value", wanted},
-                   {"used", least},
-                   {"reason", "the largest request that the limits allow must fit"}});
+        log_replaced_setting("setting_raised", "/http/most_held_bytes", wanted, least,
+                             "the largest request that the limits allow must fit");
     }
     return std::make_shared<http::memory_budget>(std::max(wanted, least));
 }
--- a/test/client_crowd_session.py
+++ b/test/client_crowd_session.py
@@ -277,7 +277,6 @@
     def test_messages_of_many_parts_at_a_rank(self):
         self.check_link("rank", [ways.link_parts])
 
-
     def test_messages_of_empty_parts_at_a_gateway(self):
         self.check_link("g0", [ways.link_empty_parts])
 
